--- /dev/null
+++ b/examples/standin/engine.rs
@@ -0,0 +1,473 @@
+//! An engine: continuous batching at a set token pace, a prefix cache in limited memory, priorities,
+//! resume, cancel, KV export and import, late cache events, a lagging load report, fenced orders.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures_util::stream;
+use salvo::http::{Method, StatusCode};
+use salvo::writing::Json;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use super::http::serve;
+
+/// Every how many cache events one is lost.
+const EVENT_GAP: u64 = 10;
+
+/// How an engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Models loaded at the start.
+    pub models: Vec<String>,
+    /// Time between two tokens.
+    pub token_ms: u64,
+    /// Time to work through one message that is not cached.
+    pub prefill_ms: u64,
+    /// Tokens of each answer.
+    pub tokens: u64,
+    /// Requests worked on together; others wait by priority.
+    pub batch: usize,
+    /// Prefixes kept in the cache.
+    pub cache: usize,
+    /// How late the load report and cache events are.
+    pub lag: Duration,
+    /// Whether orders of an older term or sequence are refused.
+    pub fenced: bool,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        EngineOptions {
+            models: vec!["m7".to_owned()],
+            token_ms: 5,
+            prefill_ms: 5,
+            tokens: 8,
+            batch: 64,
+            cache: 1_000,
+            lag: Duration::from_millis(500),
+            fenced: true,
+        }
+    }
+}
+
+/// What goes wrong with the next answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code)]
+pub enum Fault {
+    /// Refuse, saying that it did not run.
+    Refuse,
+    /// Run, then cut the connection before the answer begins.
+    LoseAnswer,
+    /// Run, and answer under another attempt's id.
+    WrongAttempt,
+    /// Cut the stream after so many tokens; it can be taken up again.
+    BreakAfter(u64),
+    /// Cut the stream after so many tokens and forget it.
+    ForgetAfter(u64),
+}
+
+#[derive(Default)]
+struct State {
+    runs: BTreeMap<String, u64>,
+    running: usize,
+    waiting: BTreeMap<(u8, u64), oneshot::Sender<()>>,
+    arrivals: u64,
+    /// Prefixes in the cache, the least recently used first.
+    cache: VecDeque<u64>,
+    events: Vec<(Instant, u64)>,
+    loads: VecDeque<(Instant, usize)>,
+    /// Answers that can be taken up again.
+    attempts: BTreeMap<String, Vec<String>>,
+    cancelled: u64,
+    faults: VecDeque<Fault>,
+    fence: (u64, u64),
+    models: Vec<String>,
+    leaving: bool,
+}
+
+/// A running engine.
+#[derive(Clone)]
+pub struct Engine {
+    url: String,
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    options: EngineOptions,
+    state: Mutex<State>,
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+}
+
+impl Engine {
+    /// Starts on a free port.
+    pub async fn start(options: EngineOptions) -> Self {
+        let models = options.models.clone();
+        let state = Mutex::new(State {
+            models,
+            ..State::default()
+        });
+        let inner = Arc::new(Inner { options, state });
+        let on = |call| Endpoint {
+            inner: inner.clone(),
+            call,
+        };
+        let routes = Router::new()
+            .push(Router::with_path("v1/chat/completions").post(on(Call::Chat)))
+            .push(Router::with_path("v1/attempts/{id}").goal(on(Call::Attempt)))
+            .push(Router::with_path("load").get(on(Call::Load)))
+            .push(Router::with_path("cache/events").get(on(Call::Events)))
+            .push(Router::with_path("kv").goal(on(Call::Kv)))
+            .push(Router::with_path("orders").post(on(Call::Order)));
+        let url = serve(routes).await;
+        Engine { url, inner }
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> &str {
+        &self.url
+    }
+}
+
+#[allow(dead_code)]
+impl Engine {
+    /// How often a chat that ends with this message ran.
+    pub fn runs(&self, message: &str) -> u64 {
+        *self.inner.state().runs.get(message).unwrap_or(&0)
+    }
+
+    /// How many chats ran.
+    pub fn all_runs(&self) -> u64 {
+        self.inner.state().runs.values().sum()
+    }
+
+    /// How many answers were cancelled.
+    pub fn cancelled(&self) -> u64 {
+        self.inner.state().cancelled
+    }
+
+    /// Lets the next answer go wrong.
+    pub fn fail_next(&self, fault: Fault) {
+        self.inner.state().faults.push_back(fault);
+    }
+
+    /// Refuses new work as leaving.
+    pub fn leave(&self) {
+        self.inner.state().leaving = true;
+    }
+
+    /// Models loaded now.
+    pub fn models(&self) -> Vec<String> {
+        self.inner.state().models.clone()
+    }
+}
+
+enum Call {
+    Chat,
+    Attempt,
+    Load,
+    Events,
+    Kv,
+    Order,
+}
+
+struct Endpoint {
+    inner: Arc<Inner>,
+    call: Call,
+}
+
+#[async_trait]
+impl Handler for Endpoint {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        match self.call {
+            Call::Chat => self.chat(req, res).await,
+            Call::Attempt => self.attempt(req, res),
+            Call::Load => self.load(res),
+            Call::Events => self.events(res),
+            Call::Kv => self.kv(req, res).await,
+            Call::Order => self.order(req, res).await,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Chat {
+    messages: Vec<Value>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// An order to change what the engine has loaded.
+#[derive(Deserialize)]
+struct Order {
+    term: u64,
+    sequence: u64,
+    models: Vec<String>,
+}
+
+impl Endpoint {
+    async fn chat(&self, req: &mut Request, res: &mut Response) {
+        let attempt = req.header::<String>("x-attempt-id").unwrap_or_default();
+        let priority = req.header::<u8>("x-priority").unwrap_or_default();
+        let Ok(chat) = req.parse_json::<Chat>().await else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let (fault, leaving) = {
+            let mut state = self.inner.state();
+            (state.faults.pop_front(), state.leaving)
+        };
+        header(
+            res,
+            "x-attempt-id",
+            if fault == Some(Fault::WrongAttempt) {
+                "other"
+            } else {
+                &attempt
+            },
+        );
+        if leaving {
+            header(res, "x-leaving", "1");
+        }
+        if leaving || fault == Some(Fault::Refuse) {
+            header(res, "x-not-run", "true");
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let last = text(chat.messages.last());
+        let cached = self.run(&chat.messages, &last);
+        if fault == Some(Fault::LoseAnswer) {
+            res.stream(stream::iter([Err::<String, _>(std::io::Error::other(
+                "cut",
+            ))]));
+            return;
+        }
+        let running = Running::start(&self.inner, priority).await;
+        let uncached = chat.messages.len() - cached;
+        let prefill = self.inner.options.prefill_ms * uncached as u64;
+        tokio::time::sleep(Duration::from_millis(prefill)).await;
+        let words: Vec<String> = (0..self.inner.options.tokens)
+            .map(|at| {
+                if at == 0 {
+                    format!("re:{last}")
+                } else {
+                    format!(" t{at}")
+                }
+            })
+            .collect();
+        if !chat.stream {
+            let pace = Duration::from_millis(self.inner.options.token_ms);
+            tokio::time::sleep(pace * self.inner.options.tokens as u32).await;
+            drop(running);
+            res.render(Json(json!({
+                "object": "chat.completion",
+                "choices": [{"index": 0, "message": {"role": "assistant", "content": words.concat()}}],
+                "usage": {"prompt_messages": chat.messages.len(), "cached_messages": cached},
+            })));
+            return;
+        }
+        let mut events: Vec<String> = words
+            .iter()
+            .enumerate()
+            .map(|(at, word)| {
+                event(
+                    at,
+                    &json!({
+                        "object": "chat.completion.chunk",
+                        "choices": [{"index": 0, "delta": {"content": word}}],
+                        "usage": {"cached_messages": cached},
+                    })
+                    .to_string(),
+                )
+            })
+            .collect();
+        events.push(event(events.len(), "[DONE]"));
+        let cut = match fault {
+            Some(Fault::BreakAfter(tokens) | Fault::ForgetAfter(tokens)) => Some(tokens as usize),
+            _ => None,
+        };
+        if !matches!(fault, Some(Fault::ForgetAfter(_))) {
+            self.inner.state().attempts.insert(attempt, events.clone());
+        }
+        self.send(res, events, cut, Some(running));
+    }
+
+    /// Counts a run; returns how many leading messages were cached, and caches all of them.
+    fn run(&self, messages: &[Value], last: &str) -> usize {
+        let mut state = self.inner.state();
+        *state.runs.entry(last.to_owned()).or_default() += 1;
+        let mut cached = 0;
+        let mut prefix = 0;
+        for (at, message) in messages.iter().enumerate() {
+            prefix = xxhash_rust::xxh3::xxh3_64_with_seed(message.to_string().as_bytes(), prefix);
+            let found = state.cache.iter().position(|held| *held == prefix);
+            match found {
+                Some(place) => {
+                    state.cache.remove(place);
+                    cached = at + 1;
+                }
+                None => state.events.push((Instant::now(), prefix)),
+            }
+            state.cache.push_back(prefix);
+        }
+        while state.cache.len() > self.inner.options.cache {
+            state.cache.pop_front();
+        }
+        cached
+    }
+
+    fn send(
+        &self,
+        res: &mut Response,
+        events: Vec<String>,
+        cut: Option<usize>,
+        running: Option<Running>,
+    ) {
+        header(res, "content-type", "text/event-stream");
+        let pace = Duration::from_millis(self.inner.options.token_ms);
+        let state = (events.into_iter(), cut, running);
+        res.stream(stream::unfold(
+            state,
+            move |(mut events, cut, running)| async move {
+                if cut == Some(0) {
+                    let error = Err(std::io::Error::other("cut"));
+                    return Some((error, (Vec::new().into_iter(), None, None)));
+                }
+                let next = events.next()?;
+                tokio::time::sleep(pace).await;
+                Some((Ok(next), (events, cut.map(|left| left - 1), running)))
+            },
+        ));
+    }
+
+    /// Takes an answer up again, or cancels it.
+    fn attempt(&self, req: &mut Request, res: &mut Response) {
+        let id = req.param::<String>("id").unwrap_or_default();
+        if req.method() == Method::DELETE {
+            let mut state = self.inner.state();
+            state.cancelled += 1;
+            state.attempts.remove(&id);
+            return;
+        }
+        let events = self.inner.state().attempts.get(&id).cloned();
+        let Some(events) = events else {
+            res.status_code(StatusCode::NOT_FOUND);
+            return;
+        };
+        header(res, "x-attempt-id", &id);
+        let from = req.query::<usize>("from").unwrap_or_default();
+        self.send(res, events[from.min(events.len())..].to_vec(), None, None);
+    }
+
+    fn load(&self, res: &mut Response) {
+        let mut state = self.inner.state();
+        let now = Instant::now();
+        let load = state.running + state.waiting.len();
+        state.loads.push_back((now, load));
+        let lag = self.inner.options.lag;
+        while state.loads.len() > 1 && state.loads[1].0 + lag <= now {
+            state.loads.pop_front();
+        }
+        res.render(Json(json!({"load": state.loads[0].1})));
+    }
+
+    fn events(&self, res: &mut Response) {
+        let state = self.inner.state();
+        let due = state.events.iter().enumerate().filter(|(at, (made, _))| {
+            let lost = (*at as u64).is_multiple_of(EVENT_GAP);
+            !lost && made.elapsed() >= self.inner.options.lag
+        });
+        let events: Vec<Value> = due
+            .map(|(at, (_, prefix))| json!({"sequence": at, "stored": prefix}))
+            .collect();
+        res.render(Json(events));
+    }
+
+    /// Exports the most recently used prefixes, or imports some.
+    async fn kv(&self, req: &mut Request, res: &mut Response) {
+        if req.method() == Method::GET {
+            let state = self.inner.state();
+            let newest: Vec<u64> = state.cache.iter().rev().take(100).copied().collect();
+            res.render(Json(newest));
+            return;
+        }
+        if let Ok(prefixes) = req.parse_json::<Vec<u64>>().await {
+            self.inner.state().cache.extend(prefixes);
+        }
+    }
+
+    async fn order(&self, req: &mut Request, res: &mut Response) {
+        let Ok(order) = req.parse_json::<Order>().await else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let mut state = self.inner.state();
+        let at = (order.term, order.sequence);
+        if self.inner.options.fenced && at <= state.fence {
+            res.status_code(StatusCode::CONFLICT);
+            return;
+        }
+        state.fence = at;
+        state.models = order.models;
+    }
+}
+
+/// A place in the batch, given up when it is dropped.
+struct Running(Arc<Inner>);
+
+impl Running {
+    async fn start(inner: &Arc<Inner>, priority: u8) -> Self {
+        let turn = {
+            let mut state = inner.state();
+            if state.running < inner.options.batch {
+                state.running += 1;
+                None
+            } else {
+                state.arrivals += 1;
+                let (turn, wait) = oneshot::channel();
+                let place = (u8::MAX - priority, state.arrivals);
+                state.waiting.insert(place, turn);
+                Some(wait)
+            }
+        };
+        if let Some(turn) = turn {
+            let _ = turn.await;
+        }
+        Running(inner.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        while let Some((_, turn)) = state.waiting.pop_first() {
+            if turn.send(()).is_ok() {
+                return;
+            }
+        }
+        state.running -= 1;
+    }
+}
+
+fn text(message: Option<&Value>) -> String {
+    let content = message.and_then(|message| message["content"].as_str());
+    content.unwrap_or_default().to_owned()
+}
+
+fn event(at: usize, data: &str) -> String {
+    format!("id: {at}\ndata: {data}\n\n")
+}
+
+fn header(res: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        res.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/examples/standin/platform.rs
@@ -0,0 +1,136 @@
+//! The platform: a lagging list of targets and a rate-limited weight store.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use latchmount::targets::{Listed, Listing, Serves};
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use super::http::serve;
+
+/// Weights that may be read in one second.
+const WEIGHTS_PER_SECOND: usize = 2;
+
+#[derive(Default)]
+struct State {
+    targets: Vec<Listed>,
+    /// What is published, while it lags behind.
+    stale: Option<(Instant, Vec<Listed>)>,
+    silent: bool,
+    weight_reads: VecDeque<Instant>,
+}
+
+/// A running platform.
+#[derive(Clone)]
+pub struct Platform {
+    url: String,
+    state: Arc<Mutex<State>>,
+}
+
+impl Platform {
+    /// Starts on a free port.
+    pub async fn start() -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let routes = Router::new()
+            .push(Router::with_path("targets").get(List(state.clone())))
+            .push(Router::with_path("weights/{name}").get(Weights(state.clone())));
+        let url = serve(routes).await;
+        Platform { url, state }
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> &str {
+        &self.url
+    }
+
+    /// Lists a target; it runs on a host of the same name with `-host` behind it.
+    pub fn add(&self, name: &str, url: &str, serves: Serves) {
+        self.state.lock().unwrap().targets.push(Listed {
+            name: name.to_owned(),
+            host: format!("{name}-host"),
+            data_hall: "a".to_owned(),
+            url: url.to_owned(),
+            incarnation: 1,
+            leaving: false,
+            serves,
+        });
+    }
+}
+
+#[allow(dead_code)]
+impl Platform {
+    /// Changes what is listed of a target.
+    pub fn change(&self, name: &str, change: impl FnOnce(&mut Listed)) {
+        let mut state = self.state.lock().unwrap();
+        let target = state.targets.iter_mut().find(|target| target.name == name);
+        change(target.expect("a listed target"));
+    }
+
+    /// Takes a target off the list.
+    pub fn remove(&self, name: &str) {
+        self.state
+            .lock()
+            .unwrap()
+            .targets
+            .retain(|target| target.name != name);
+    }
+
+    /// Publishes the present list again and again, whatever changes, while `lag` is set.
+    pub fn lag(&self, lag: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.stale = lag.then(|| (Instant::now(), state.targets.clone()));
+    }
+
+    /// Answers no one while `silent` is set.
+    pub fn silence(&self, silent: bool) {
+        self.state.lock().unwrap().silent = silent;
+    }
+}
+
+struct List(Arc<Mutex<State>>);
+
+#[async_trait]
+impl Handler for List {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let state = self.0.lock().unwrap();
+        if state.silent {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let (age, targets) = match &state.stale {
+            Some((since, targets)) => (since.elapsed(), targets.clone()),
+            None => (Duration::ZERO, state.targets.clone()),
+        };
+        res.render(Json(Listing {
+            age_ms: age.as_millis() as u64,
+            targets,
+        }));
+    }
+}
+
+struct Weights(Arc<Mutex<State>>);
+
+#[async_trait]
+impl Handler for Weights {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let mut state = self.0.lock().unwrap();
+        let now = Instant::now();
+        state
+            .weight_reads
+            .retain(|at| now < *at + Duration::from_secs(1));
+        if state.weight_reads.len() >= WEIGHTS_PER_SECOND {
+            res.status_code(StatusCode::TOO_MANY_REQUESTS);
+            res.headers_mut()
+                .insert("retry-after", "1".parse().expect("a header value"));
+            return;
+        }
+        state.weight_reads.push_back(now);
+        res.render(format!(
+            "weights of {}",
+            req.param::<String>("name").unwrap_or_default()
+        ));
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,157 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// A router fleet for very many returning chats.
+///
+/// Exit codes: 0 done; 1 failed; 2 wrong use or faults in a file; 3 a conflict with the version in
+/// force; 4 not authorized.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Cli {
+    /// Run a router.
+    #[bpaf(command)]
+    Router(#[bpaf(external(process))] Process),
+    /// Run a control member.
+    #[bpaf(command)]
+    Control(#[bpaf(external(process))] Process),
+    /// Run whatever the settings have a section for: a router, a control member or both.
+    #[bpaf(command)]
+    Serve(#[bpaf(external(process))] Process),
+    /// Print every fault of a settings or template file.
+    #[bpaf(command)]
+    Check {
+        /// File with settings or a template.
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Form a group of blank control members; needed once.
+    #[bpaf(command)]
+    Init(#[bpaf(external(remote))] Remote),
+    /// Submit, revise and look at team templates.
+    #[bpaf(command)]
+    Template {
+        /// What to do.
+        #[bpaf(external(template_command))]
+        command: TemplateCommand,
+    },
+    /// Members, routers, revisions in force and refusals by reason.
+    #[bpaf(command)]
+    Status {
+        /// Print JSON rather than a table.
+        json: bool,
+        /// Whom to ask.
+        #[bpaf(external(remote))]
+        remote: Remote,
+    },
+    /// Send no new work to a host or target.
+    #[bpaf(command)]
+    Drain {
+        /// Take it back into use.
+        undo: bool,
+        /// Whom to tell.
+        #[bpaf(external(remote))]
+        remote: Remote,
+        /// Host or target.
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+}
+
+/// Options of a process.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Process {
+    /// Settings file: JSON with comments.
+    #[bpaf(short, long, argument("FILE"))]
+    pub settings: PathBuf,
+    /// Write events of debugging too.
+    #[bpaf(short, long)]
+    pub verbose: bool,
+}
+
+/// How to reach a partner's control members.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Remote {
+    /// Address of a control member; may be given several times.
+    #[bpaf(
+        short,
+        long,
+        argument("ADDR"),
+        env("LATCHMOUNT_CONTROL"),
+        some("name a control member with --control")
+    )]
+    pub control: Vec<std::net::SocketAddr>,
+    /// File that holds the operator's bearer token.
+    #[bpaf(short, long, argument("FILE"), env("LATCHMOUNT_TOKEN_FILE"))]
+    pub token_file: PathBuf,
+    /// Longest time to try, in seconds.
+    #[bpaf(long, argument("SECONDS"), fallback(30))]
+    pub timeout_s: u64,
+}
+
+/// Commands on templates.
+#[derive(Clone, Debug, Bpaf)]
+pub enum TemplateCommand {
+    /// Submit a new template.
+    #[bpaf(command)]
+    Submit(#[bpaf(external(change_args))] ChangeArgs),
+    /// Revise a template.
+    #[bpaf(command)]
+    Revise {
+        /// Version that the revision is based on.
+        #[bpaf(short, long, argument("VERSION"))]
+        base: u64,
+        /// The rest.
+        #[bpaf(external(change_args))]
+        args: ChangeArgs,
+    },
+    /// Print a template in force, as JSON.
+    #[bpaf(command)]
+    Show {
+        /// Whom to ask.
+        #[bpaf(external(remote))]
+        remote: Remote,
+        /// Template.
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// List the templates in force.
+    #[bpaf(command)]
+    List(#[bpaf(external(remote))] Remote),
+    /// List the versions of a template.
+    #[bpaf(command)]
+    History {
+        /// Whom to ask.
+        #[bpaf(external(remote))]
+        remote: Remote,
+        /// Template.
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Wait until a revision is in force at every live router.
+    #[bpaf(command)]
+    Wait {
+        /// Whom to ask.
+        #[bpaf(external(remote))]
+        remote: Remote,
+        /// Revision, as printed by submit and revise.
+        #[bpaf(positional("REVISION"))]
+        revision: u64,
+    },
+}
+
+/// Arguments of a change.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ChangeArgs {
+    /// Id of the change; give the same one to resend a change whose answer was lost.
+    #[bpaf(long, argument("ID"))]
+    pub change_id: Option<String>,
+    /// Whom to tell.
+    #[bpaf(external(remote))]
+    pub remote: Remote,
+    /// Template file: JSON with comments.
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
--- /dev/null
+++ b/src/control/calls.rs
@@ -0,0 +1,304 @@
+//! The calls that a control member answers.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use slog::{Logger, info};
+use subtle::ConstantTimeEq;
+
+use super::member::Member;
+use super::registry::Registry;
+use crate::jsonc;
+use crate::raft::{Envelope, FolderDisk, GroupId, Members, Replica, Standing, Time};
+use crate::rpc::{
+    ControlClient, ControlError, ControlServer, Identity, MemberStatus, Newcomer, Status,
+    SyncReply, SyncRequest, WaitReply, connect,
+};
+use crate::settings::{ControlSettings, Operator, Settings};
+use crate::store::{Answer, Change, Command, Drain, Revision, Stored};
+use crate::template::check_name;
+
+/// Longest time to reach another member while a group is formed.
+const FORM_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait that a call may ask for.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Between two looks at the routers while a call waits for a revision.
+const WAIT_STEP: Duration = Duration::from_millis(50);
+
+/// State behind the calls.
+pub(super) struct Calls {
+    partner: String,
+    key: String,
+    addr: SocketAddr,
+    peers: Vec<SocketAddr>,
+    operators: Vec<Operator>,
+    lease: Duration,
+    member: Member,
+    registry: Mutex<Registry>,
+    log: Logger,
+}
+
+impl Calls {
+    pub(super) fn new(
+        settings: &Settings,
+        control: &ControlSettings,
+        addr: SocketAddr,
+        member: Member,
+        log: Logger,
+    ) -> Self {
+        Calls {
+            partner: settings.partner.clone(),
+            key: settings.key.clone(),
+            addr,
+            peers: control.peers.clone(),
+            operators: control.operators.clone(),
+            lease: control.freshness_lease(),
+            member,
+            registry: Mutex::new(Registry::new(control.freshness_lease())),
+            log,
+        }
+    }
+
+    pub(super) fn key(&self) -> &str {
+        &self.key
+    }
+
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(super) fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// Addresses of the other members in the settings.
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
+        let others = self.peers.iter().filter(|peer| **peer != self.addr);
+        others.copied().collect()
+    }
+
+    fn check_key(&self, key: &str) -> Result<(), ControlError> {
+        let same: bool = key.as_bytes().ct_eq(self.key.as_bytes()).into();
+        same.then_some(()).ok_or(ControlError::Unauthorized)
+    }
+
+    /// Name of the operator who bears `token`.
+    fn operator(&self, token: &str) -> Result<String, ControlError> {
+        let digest = hex(&Sha256::digest(token.as_bytes()));
+        let bearer = self.operators.iter().find(|operator| {
+            let expected = operator.token_sha256.to_ascii_lowercase();
+            bool::from(expected.as_bytes().ct_eq(digest.as_bytes()))
+        });
+        let bearer = bearer.ok_or(ControlError::Unauthorized)?;
+        Ok(bearer.name.clone())
+    }
+
+    /// Runs `ask` on the replica of a leader whose lease holds.
+    async fn lead<T: Send + 'static>(
+        &self,
+        ask: impl FnOnce(&Replica<FolderDisk>, Time) -> T + Send + 'static,
+    ) -> Result<T, ControlError> {
+        self.member
+            .query(move |replica, now| {
+                if replica.node().lease_valid(now) {
+                    return Ok(ask(replica, now));
+                }
+                Err(ControlError::NotLeader {
+                    leader: other_leader(replica),
+                })
+            })
+            .await?
+    }
+
+    fn registry(&self) -> std::sync::MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Identities of all members in the settings, each of them blank.
+    async fn blank_members(&self) -> Result<Members, ControlError> {
+        let mut members = Vec::new();
+        for peer in &self.peers {
+            let client = connect(*peer, FORM_TIMEOUT)?;
+            let identity = client.identify(self.key.clone()).await;
+            let identity = identity.map_err(|error| {
+                ControlError::Form(format!("{peer} must be up: {}", ControlError::from(error)))
+            })?;
+            if identity.group != GroupId::default() {
+                return Err(ControlError::Form(format!(
+                    "{peer} belongs to a group already"
+                )));
+            }
+            members.push(crate::raft::Member {
+                id: identity.store,
+                addr: *peer,
+                standing: Standing::Voter,
+            });
+        }
+        Ok(Members(members))
+    }
+
+    async fn propose(&self, operator: &str, command: Command) -> Result<Answer, ControlError> {
+        let answer = self.member.propose(command).await?;
+        info!(
+            self.log, "command answered";
+            "event" => "command", "operator" => operator, "answer" => answer.label()
+        );
+        Ok(answer)
+    }
+}
+
+/// Address of the leader, unless it is this member, whose lease does not hold.
+fn other_leader(replica: &Replica<FolderDisk>) -> Option<SocketAddr> {
+    let node = replica.node();
+    let leader = node.leader().filter(|id| *id != node.id())?;
+    node.members().get(leader).map(|member| member.addr)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[async_trait]
+impl ControlServer for Arc<Calls> {
+    async fn identify(&self, key: String) -> Result<Identity, ErrorObjectOwned> {
+        self.check_key(&key)?;
+        let identity = self.member.query(|replica, _| Identity {
+            store: replica.node().id(),
+            group: replica.node().hard().group,
+        });
+        Ok(identity.await?)
+    }
+
+    async fn deliver(&self, key: String, messages: Vec<Envelope>) -> Result<(), ErrorObjectOwned> {
+        self.check_key(&key)?;
+        self.member.deliver(messages);
+        Ok(())
+    }
+
+    async fn join(&self, key: String, newcomer: Newcomer) -> Result<(), ErrorObjectOwned> {
+        self.check_key(&key)?;
+        let admitted = self.member.query(move |replica, now| {
+            replica.admit(now, newcomer.store, newcomer.addr);
+        });
+        Ok(admitted.await?)
+    }
+
+    async fn form(&self, token: String) -> Result<GroupId, ErrorObjectOwned> {
+        let operator = self.operator(&token)?;
+        let members = self.blank_members().await?;
+        let group = GroupId(rand::random());
+        self.member.form(group, members).await?;
+        info!(self.log, "group formed"; "event" => "formed", "operator" => operator);
+        Ok(group)
+    }
+
+    async fn sync(&self, key: String, request: SyncRequest) -> Result<SyncReply, ErrorObjectOwned> {
+        self.check_key(&key)?;
+        let known = request.known;
+        let (now, group, revision) = self
+            .lead(|replica, now| (now, replica.node().hard().group, replica.store().revision()))
+            .await?;
+        // A router that has another group's configuration counts as having none.
+        let applied = if request.group == group { known } else { 0 };
+        self.registry()
+            .hear(now, &request.router, applied, request.report);
+        if revision == applied {
+            let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
+            let mut changes = self.member.revision();
+            let newer = changes.wait_for(|revision| *revision > applied);
+            let _ = tokio::time::timeout(wait, newer).await;
+        }
+        let lease_ms = self.lease.as_millis() as u64;
+        let reply = self.lead(move |replica, _| SyncReply {
+            group,
+            term: replica.node().hard().term,
+            delta: replica.store().since(applied),
+            lease_ms,
+        });
+        Ok(reply.await?)
+    }
+
+    async fn change(&self, token: String, change: Value) -> Result<Answer, ErrorObjectOwned> {
+        let operator = self.operator(&token)?;
+        let mut change: Change = jsonc::from_value(change).map_err(ControlError::Invalid)?;
+        change.author = operator.clone();
+        Ok(self.propose(&operator, Command::Change(change)).await?)
+    }
+
+    async fn drain(&self, token: String, drain: Drain) -> Result<Answer, ErrorObjectOwned> {
+        let operator = self.operator(&token)?;
+        let mut faults = Vec::new();
+        check_name(&mut faults, "name", &drain.name);
+        if !faults.is_empty() {
+            return Err(ControlError::Invalid(faults).into());
+        }
+        Ok(self.propose(&operator, Command::Drain(drain)).await?)
+    }
+
+    async fn templates(&self, token: String) -> Result<Vec<Stored>, ErrorObjectOwned> {
+        self.operator(&token)?;
+        let templates = self.lead(|replica, _| {
+            let templates = replica.store().templates().values();
+            templates.cloned().collect()
+        });
+        Ok(templates.await?)
+    }
+
+    async fn wait(
+        &self,
+        token: String,
+        revision: Revision,
+        timeout_ms: u64,
+    ) -> Result<WaitReply, ErrorObjectOwned> {
+        self.operator(&token)?;
+        let timeout = Duration::from_millis(timeout_ms).min(MAX_WAIT);
+        let started = tokio::time::Instant::now();
+        loop {
+            let (now, since) = self
+                .lead(|replica, now| (now, replica.node().leading_since().unwrap_or(now)))
+                .await?;
+            let reply = self.registry().in_force(now, since, revision);
+            if reply.in_force || started.elapsed() >= timeout {
+                return Ok(reply);
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    }
+
+    async fn status(&self, token: String) -> Result<Status, ErrorObjectOwned> {
+        self.operator(&token)?;
+        let partner = self.partner.clone();
+        let (now, mut status) = self
+            .lead(move |replica, now| (now, status_of(partner, replica, now)))
+            .await?;
+        status.routers = self.registry().status(now);
+        Ok(status)
+    }
+}
+
+fn status_of(partner: String, replica: &Replica<FolderDisk>, now: Time) -> Status {
+    let node = replica.node();
+    let members = node.members().0.iter().map(|member| {
+        let (live, matched) = node.heard(now, member.id);
+        MemberStatus {
+            member: *member,
+            live,
+            matched,
+        }
+    });
+    Status {
+        partner,
+        term: node.hard().term,
+        leader: node.id(),
+        revision: replica.store().revision(),
+        commit: node.commit(),
+        members: members.collect(),
+        routers: Vec::new(),
+        drains: replica.store().drains().clone(),
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,112 @@
+//! A control member: one of the few processes that hold a partner's durable state.
+
+mod calls;
+mod member;
+mod peers;
+mod registry;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use slog::{Logger, info, o};
+use tokio::sync::oneshot;
+
+use crate::raft::{FolderDisk, Replica, WalError, fresh_store};
+use crate::rpc::{ControlServer, MAX_CALL_BYTES};
+use crate::settings::{ControlSettings, Settings};
+
+use self::calls::Calls;
+use self::member::Member;
+
+/// A control member can't start, or had to stop.
+#[derive(Debug, thiserror::Error)]
+pub enum MemberError {
+    /// The data folder can't be used.
+    #[error("data folder {path}: {source}")]
+    Folder {
+        /// The folder.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The log can't be read or written.
+    #[error(transparent)]
+    Wal(#[from] WalError),
+    /// The address can't be listened on.
+    #[error("control.listen {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// A running control member.
+pub struct Control {
+    server: ServerHandle,
+    failed: oneshot::Receiver<WalError>,
+}
+
+impl Control {
+    /// Recovers the member and starts to listen.
+    ///
+    /// # Errors
+    /// [`MemberError`] when the data folder or the address can't be used.
+    pub async fn start(
+        settings: &Settings,
+        control: &ControlSettings,
+        log: &Logger,
+    ) -> Result<Self, MemberError> {
+        let addr = control
+            .listen
+            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let log = log.new(o!("role" => "control", "addr" => addr.to_string()));
+        let disk = FolderDisk::open(&control.data_dir).map_err(|source| MemberError::Folder {
+            path: control.data_dir.clone(),
+            source,
+        })?;
+        let started = Member::start(&log, |now| {
+            Replica::open(
+                disk,
+                fresh_store(),
+                control.timing(),
+                control.compact_after_entries,
+                now,
+                rand::random(),
+            )
+        })?;
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_CALL_BYTES)
+            .max_response_body_size(MAX_CALL_BYTES)
+            .set_tcp_no_delay(true)
+            .http_only()
+            .build();
+        let listening = Server::builder().set_config(config).build(addr).await;
+        let server = listening.map_err(|source| MemberError::Listen { addr, source })?;
+        let calls = Calls::new(settings, control, addr, started.member, log.clone());
+        peers::start(&calls, started.outbox, &log);
+        let server = server.start(ControlServer::into_rpc(Arc::new(calls)));
+        info!(log, "control member listening"; "event" => "control_started");
+        Ok(Control {
+            server,
+            failed: started.failed,
+        })
+    }
+
+    /// Waits until the member had to stop because its disk failed.
+    pub async fn failed(&mut self) -> WalError {
+        match (&mut self.failed).await {
+            Ok(error) => error,
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Stops listening.
+    pub async fn stop(self) {
+        let _ = self.server.stop();
+        self.server.stopped().await;
+    }
+}
--- /dev/null
+++ b/src/jsonc.rs
@@ -0,0 +1,223 @@
+//! JSON with comments, decoded with every fault reported by field path and line.
+
+use std::fmt;
+
+use jsonc_parser::ast::{ObjectPropName, Value as Node};
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// One thing wrong with a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Dotted path of the field, for example `control.peers[1]`; empty for the document itself.
+    pub path: String,
+    /// Line of the field in the text, from 1; 0 where the document came without a text.
+    pub line: usize,
+    /// What is wrong and what is expected.
+    pub message: String,
+}
+
+impl Fault {
+    /// A fault at `path` whose line is not known yet.
+    pub fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
+        Fault {
+            path: path.into(),
+            line: 0,
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "line {}: ", self.line)?;
+        }
+        if !self.path.is_empty() {
+            write!(f, "{}: ", self.path)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+/// A document type that checks its own values after decoding.
+pub trait Validate {
+    /// Every impossible value, with its path below this document.
+    fn faults(&self) -> Vec<Fault>;
+}
+
+/// Decodes `text` and checks it.
+///
+/// # Errors
+/// All faults found, ordered by line.
+pub fn from_str<T: DeserializeOwned + Validate>(text: &str) -> Result<T, Vec<Fault>> {
+    let value = parse(text).map_err(|fault| vec![fault])?;
+    from_value(value).map_err(|mut faults| {
+        for fault in &mut faults {
+            fault.line = line_of(text, &fault.path);
+        }
+        faults.sort_by_key(|fault| fault.line);
+        faults
+    })
+}
+
+/// Decodes a value that came without a text, for example in a remote call, and checks it.
+///
+/// # Errors
+/// All faults found, without lines.
+pub fn from_value<T: DeserializeOwned + Validate>(mut value: Value) -> Result<T, Vec<Fault>> {
+    let mut faults = Vec::new();
+    loop {
+        match decode::<T>(&value) {
+            Ok((document, unknown)) => {
+                faults.extend(unknown);
+                faults.extend(document.faults());
+                return if faults.is_empty() {
+                    Ok(document)
+                } else {
+                    Err(without_echoes(faults))
+                };
+            }
+            Err(fault) => {
+                // Drop the faulty field and go on, so that later faults are found too.
+                let removed = remove(&mut value, &fault.path);
+                faults.push(fault);
+                if !removed {
+                    return Err(faults);
+                }
+            }
+        }
+    }
+}
+
+fn parse(text: &str) -> Result<Value, Fault> {
+    let options = ParseOptions::default();
+    match jsonc_parser::parse_to_serde_value::<Option<Value>>(text, &options) {
+        Ok(value) => Ok(value.unwrap_or(Value::Null)),
+        Err(error) => Err(Fault {
+            path: String::new(),
+            line: error.line_display(),
+            message: error.kind().to_string(),
+        }),
+    }
+}
+
+fn decode<T: DeserializeOwned>(value: &Value) -> Result<(T, Vec<Fault>), Fault> {
+    let mut unknown = Vec::new();
+    let mut note_unknown = |path: serde_ignored::Path<'_>| {
+        unknown.push(Fault::new(indexed(&path.to_string()), "unknown field"));
+    };
+    let tracked = serde_ignored::Deserializer::new(value, &mut note_unknown);
+    let document = serde_path_to_error::deserialize(tracked).map_err(|error| {
+        let path = error.path().to_string();
+        let path = if path == "." { String::new() } else { path };
+        Fault::new(path, error.inner().to_string())
+    })?;
+    Ok((document, unknown))
+}
+
+/// Turns the dotted index of `serde_ignored` (`peers.1`) into the usual `peers[1]`.
+fn indexed(path: &str) -> String {
+    let mut out = String::new();
+    for step in path.split('.').filter(|step| *step != "?") {
+        if step.bytes().all(|byte| byte.is_ascii_digit()) {
+            out.push_str(&format!("[{step}]"));
+            continue;
+        }
+        if !out.is_empty() {
+            out.push('.');
+        }
+        out.push_str(step);
+    }
+    out
+}
+
+/// A field that was dropped as faulty decodes to its default, whose own fault is not the author's.
+fn without_echoes(faults: Vec<Fault>) -> Vec<Fault> {
+    let mut kept: Vec<Fault> = Vec::new();
+    for fault in faults {
+        let echo = kept.iter().any(|earlier| earlier.path == fault.path);
+        if !echo {
+            kept.push(fault);
+        }
+    }
+    kept
+}
+
+/// The steps of a path: field names and indexes.
+fn steps(path: &str) -> Vec<String> {
+    path.replace('[', ".")
+        .replace(']', "")
+        .split('.')
+        .filter(|step| !step.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Removes the field at `path`, or the whole list when the path ends in an index.
+fn remove(value: &mut Value, path: &str) -> bool {
+    let mut steps = steps(path);
+    let Some(mut last) = steps.pop() else {
+        return false;
+    };
+    while last.parse::<usize>().is_ok() {
+        match steps.pop() {
+            Some(step) => last = step,
+            None => return false,
+        }
+    }
+    let mut at = value;
+    for step in steps {
+        let next = match step.parse::<usize>() {
+            Ok(index) => at.get_mut(index),
+            Err(_) => at.get_mut(&step),
+        };
+        match next {
+            Some(next) => at = next,
+            None => return false,
+        }
+    }
+    at.as_object_mut()
+        .is_some_and(|fields| fields.remove(&last).is_some())
+}
+
+/// The line of the deepest part of `path` that stands in the text; 1 when none does.
+fn line_of(text: &str, path: &str) -> usize {
+    let Ok(parsed) = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default())
+    else {
+        return 1;
+    };
+    let Some(mut node) = parsed.value.as_ref() else {
+        return 1;
+    };
+    let mut start = 0;
+    for step in steps(path) {
+        match child(node, &step) {
+            Some((at, value)) => {
+                start = at;
+                node = value;
+            }
+            None => break,
+        }
+    }
+    1 + text[..start].matches('\n').count()
+}
+
+fn child<'a, 'b>(node: &'b Node<'a>, step: &str) -> Option<(usize, &'b Node<'a>)> {
+    match node {
+        Node::Object(object) => object.properties.iter().find_map(|property| {
+            let (name, start) = match &property.name {
+                ObjectPropName::String(literal) => (literal.value.as_ref(), literal.range.start),
+                ObjectPropName::Word(literal) => (literal.value, literal.range.start),
+            };
+            (name == step).then_some((start, &property.value))
+        }),
+        Node::Array(array) => {
+            let value = array.elements.get(step.parse::<usize>().ok()?)?;
+            Some((jsonc_parser::common::Ranged::start(value), value))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,38 @@
+//! Latchmount: a router fleet for very many returning chats.
+//!
+//! A router takes callers' requests and gives each to a target: an engine that serves models, or a
+//! plain service. A control group of each partner holds the team templates that drive the routers.
+//!
+//! ```
+//! use latchmount::jsonc;
+//! use latchmount::template::Template;
+//!
+//! let text = r#"{
+//!   // Dispute summaries for the operator's agents.
+//!   "name": "disputes", "model": "m7", "version": "3",
+//!   "teams": { "agents": { "share_percent": 40 } }
+//! }"#;
+//! let template: Template = jsonc::from_str(text).expect("a sound template");
+//! assert_eq!(template.policy("agents").expect("a known team").model, "m7");
+//! ```
+
+#![deny(missing_docs, unsafe_code, rust_2018_idioms)]
+
+pub mod choice;
+pub mod cli;
+pub mod control;
+pub mod freshness;
+pub mod jsonc;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod process;
+pub mod raft;
+pub mod reason;
+pub mod retry;
+pub mod router;
+pub mod rpc;
+pub mod settings;
+pub mod store;
+pub mod targets;
+pub mod template;
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,338 @@
+//! The operators' client: one command, one answer, and what to do next when it fails.
+
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::HttpClient;
+
+use crate::cli::{ChangeArgs, Remote, TemplateCommand};
+use crate::jsonc::{self, Fault, Validate};
+use crate::rpc::{ControlClient, ControlError, Group, Status};
+use crate::settings::Settings;
+use crate::store::{Answer, Change, Drain, Stored};
+use crate::template::Template;
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(70);
+/// Between two tries.
+const TRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// A command did not do what it was asked.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// A file can't be read.
+    #[error("{path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A file or its content has faults.
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Faulty(Vec<Fault>),
+    /// Based on a version that is not in force.
+    #[error("conflict: {}; look at `template show`, then revise with --base {in_force}", in_force_text(*.in_force))]
+    Conflict {
+        /// Version in force; 0 for none.
+        in_force: u64,
+    },
+    /// The change id was used for another change.
+    #[error("this change id was used for another change; choose another")]
+    IdReused,
+    /// There is no such template.
+    #[error("no template {0} in force; `template list` names them all")]
+    NoTemplate(String),
+    /// A revision is not in force everywhere yet.
+    #[error("not in force yet at: {}; try again", .0.join(" "))]
+    NotInForce(Vec<String>),
+    /// Control could not be asked or refused.
+    #[error("{0}")]
+    Control(#[from] ControlError),
+}
+
+fn in_force_text(version: u64) -> String {
+    match version {
+        0 => "the template does not exist yet, submit it".to_owned(),
+        version => format!("version {version} is in force"),
+    }
+}
+
+impl OperatorError {
+    /// Exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            OperatorError::Faulty(_) | OperatorError::Control(ControlError::Invalid(_)) => 2,
+            OperatorError::Conflict { .. } => 3,
+            OperatorError::Control(ControlError::Unauthorized) => 4,
+            _ => 1,
+        }
+    }
+}
+
+/// Checks a settings or template file; `Ok` says what it is.
+///
+/// # Errors
+/// All faults, or that the file can't be read.
+pub fn check(path: &Path) -> Result<&'static str, OperatorError> {
+    let text = read(path)?;
+    let is_template = text.contains("\"teams\"");
+    if is_template {
+        parse::<Template>(&text)?;
+        return Ok("a sound template");
+    }
+    parse::<Settings>(&text)?;
+    Ok("sound settings")
+}
+
+fn parse<T: serde::de::DeserializeOwned + Validate>(text: &str) -> Result<T, OperatorError> {
+    jsonc::from_str(text).map_err(OperatorError::Faulty)
+}
+
+fn read(path: &Path) -> Result<String, OperatorError> {
+    std::fs::read_to_string(path).map_err(|source| OperatorError::Unreadable {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
+/// A partner's control group, as an operator reaches it.
+pub struct Session {
+    group: Group,
+    token: String,
+    deadline: Instant,
+    timeout: Duration,
+}
+
+impl Session {
+    /// Reads the token and prepares the calls.
+    ///
+    /// # Errors
+    /// When the token file can't be read or an address can't be used.
+    pub fn open(remote: &Remote) -> Result<Self, OperatorError> {
+        let timeout = Duration::from_secs(remote.timeout_s);
+        Ok(Session {
+            group: Group::new(&remote.control, CALL_TIMEOUT.min(timeout))?,
+            token: read(&remote.token_file)?.trim().to_owned(),
+            deadline: Instant::now() + timeout,
+            timeout,
+        })
+    }
+
+    /// Calls one member after the other until one answers; every call may be repeated, because a
+    /// change bears an id.
+    async fn call<T>(
+        &mut self,
+        call: impl AsyncFn(&HttpClient, String) -> Result<T, ClientError>,
+    ) -> Result<T, OperatorError> {
+        loop {
+            let error = match call(self.group.current(), self.token.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => ControlError::from(error),
+            };
+            let again = matches!(
+                error,
+                ControlError::NotLeader { .. }
+                    | ControlError::Unknown
+                    | ControlError::Stopping
+                    | ControlError::Call(_)
+            );
+            if !again || Instant::now() >= self.deadline {
+                return Err(error.into());
+            }
+            self.group.turn(&error);
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+    }
+
+    /// Forms a group of blank members.
+    ///
+    /// # Errors
+    /// When a member is not reachable, not blank, or refuses.
+    pub async fn form(&mut self) -> Result<String, OperatorError> {
+        let formed = self.group.current().form(self.token.clone()).await;
+        let group = formed.map_err(ControlError::from)?;
+        Ok(format!("formed group {:016x}", group.0))
+    }
+
+    /// Runs a command on templates.
+    ///
+    /// # Errors
+    /// [`OperatorError`] as control or a file gives it.
+    pub async fn template(&mut self, command: TemplateCommand) -> Result<String, OperatorError> {
+        match command {
+            TemplateCommand::Submit(args) => self.change(0, &args).await,
+            TemplateCommand::Revise { base, args } => self.change(base, &args).await,
+            TemplateCommand::Show { name, .. } => {
+                let stored = self.stored(&name).await?;
+                let text = serde_json::to_string_pretty(&stored.template);
+                Ok(text.unwrap_or_default())
+            }
+            TemplateCommand::List(_) => self.list().await,
+            TemplateCommand::History { name, .. } => {
+                let stored = self.stored(&name).await?;
+                let lines = stored.history.iter().map(|version| {
+                    format!(
+                        "version {} revision {} by {} change {}",
+                        version.version, version.revision, version.author, version.change
+                    )
+                });
+                Ok(lines.collect::<Vec<_>>().join("\n"))
+            }
+            TemplateCommand::Wait { revision, .. } => self.wait(revision).await,
+        }
+    }
+
+    async fn change(&mut self, base: u64, args: &ChangeArgs) -> Result<String, OperatorError> {
+        let template: Template = parse(&read(&args.file)?)?;
+        let id = args.change_id.clone();
+        let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let change = Change {
+            id: id.clone(),
+            base,
+            author: String::new(),
+            template,
+        };
+        let change = serde_json::to_value(change).unwrap_or_default();
+        let answer = self
+            .call(async |client, token| client.change(token, change.clone()).await)
+            .await?;
+        match answer {
+            Answer::Accepted { version, revision } => Ok(format!(
+                "accepted version {version} revision {revision} change {id}"
+            )),
+            Answer::Conflict { in_force } => Err(OperatorError::Conflict { in_force }),
+            Answer::Rejected { faults } => Err(OperatorError::Faulty(faults)),
+            Answer::IdReused => Err(OperatorError::IdReused),
+        }
+    }
+
+    async fn templates(&mut self) -> Result<Vec<Stored>, OperatorError> {
+        self.call(async |client, token| client.templates(token).await)
+            .await
+    }
+
+    async fn stored(&mut self, name: &str) -> Result<Stored, OperatorError> {
+        let templates = self.templates().await?;
+        let mut named = templates
+            .into_iter()
+            .filter(|stored| stored.template.name == name);
+        named
+            .next()
+            .ok_or_else(|| OperatorError::NoTemplate(name.to_owned()))
+    }
+
+    async fn list(&mut self) -> Result<String, OperatorError> {
+        let templates = self.templates().await?;
+        let lines = templates.iter().map(|stored| {
+            let template = &stored.template;
+            format!(
+                "{} version {} revision {} model {} teams {}",
+                template.name,
+                stored.version,
+                stored.revision,
+                template.model,
+                template.teams.len()
+            )
+        });
+        Ok(lines.collect::<Vec<_>>().join("\n"))
+    }
+
+    async fn wait(&mut self, revision: u64) -> Result<String, OperatorError> {
+        let timeout_ms = self.timeout.as_millis() as u64;
+        let reply = self
+            .call(async |client, token| client.wait(token, revision, timeout_ms).await)
+            .await?;
+        if reply.in_force {
+            let routers = reply.ready.len();
+            return Ok(format!(
+                "revision {revision} in force at all {routers} live routers"
+            ));
+        }
+        Err(OperatorError::NotInForce(reply.behind))
+    }
+
+    /// Starts or ends a drain.
+    ///
+    /// # Errors
+    /// [`OperatorError`] as control gives it.
+    pub async fn drain(&mut self, name: String, on: bool) -> Result<String, OperatorError> {
+        let drain = Drain { name, on };
+        let answer = self
+            .call(async |client, token| client.drain(token, drain.clone()).await)
+            .await?;
+        match answer {
+            Answer::Accepted { revision, .. } => Ok(format!("accepted revision {revision}")),
+            other => Ok(other.label().to_owned()),
+        }
+    }
+
+    /// State of the group, as a table or JSON.
+    ///
+    /// # Errors
+    /// [`OperatorError`] as control gives it.
+    pub async fn status(&mut self, json: bool) -> Result<String, OperatorError> {
+        let status = self
+            .call(async |client, token| client.status(token).await)
+            .await?;
+        if json {
+            return Ok(serde_json::to_string_pretty(&status).unwrap_or_default());
+        }
+        Ok(table(&status))
+    }
+}
+
+fn table(status: &Status) -> String {
+    let mut out = String::new();
+    // Writing to a string does not fail.
+    let _ = writeln!(
+        out,
+        "partner {} term {} leader {} revision {} commit {}",
+        status.partner, status.term, status.leader, status.revision, status.commit
+    );
+    let _ = writeln!(
+        out,
+        "\n{:<18} {:<22} {:<8} {:<5} ON DISK",
+        "MEMBER", "ADDRESS", "STANDING", "LIVE"
+    );
+    for status in &status.members {
+        let member = status.member;
+        let standing = format!("{:?}", member.standing).to_lowercase();
+        let _ = writeln!(
+            out,
+            "{:<18} {:<22} {:<8} {:<5} {}",
+            member.id.to_string(),
+            member.addr.to_string(),
+            standing,
+            status.live,
+            status.matched
+        );
+    }
+    let _ = writeln!(
+        out,
+        "\n{:<18} {:<9} {:<9} {:<9} REFUSED",
+        "ROUTER", "REVISION", "HEARD MS", "ADMITTED"
+    );
+    for router in &status.routers {
+        let refused = router.report.refused.iter();
+        let refused: Vec<String> = refused
+            .map(|(code, count)| format!("{code}={count}"))
+            .collect();
+        let _ = writeln!(
+            out,
+            "{:<18} {:<9} {:<9} {:<9} {}",
+            router.host,
+            router.revision,
+            router.heard_ms_ago,
+            router.report.admitted,
+            refused.join(" ")
+        );
+    }
+    if !status.drains.is_empty() {
+        let drains: Vec<&str> = status.drains.iter().map(String::as_str).collect();
+        let _ = writeln!(out, "\ndraining {}", drains.join(" "));
+    }
+    out.trim_end().to_owned()
+}
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,117 @@
+//! One process: starts the roles of its settings and stops them as planned on a signal.
+
+use eyre::{OptionExt, WrapErr, bail};
+use slog::{Level, Logger, info, warn};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::cli::Process;
+use crate::control::Control;
+use crate::logging;
+use crate::router::Router;
+use crate::settings::Settings;
+
+/// Roles that a command asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Roles {
+    /// A router.
+    Router,
+    /// A control member.
+    Control,
+    /// All that the settings have a section for.
+    All,
+}
+
+/// Runs until a signal ends it as planned.
+///
+/// # Errors
+/// When the settings have faults, a role can't start, or the disk of a control member fails.
+pub async fn run(process: Process, roles: Roles) -> eyre::Result<()> {
+    let settings = Settings::read(&process.settings)?;
+    let level = if process.verbose {
+        Level::Debug
+    } else {
+        Level::Info
+    };
+    let log = logging::logger(&settings.host, level);
+    let mut stop = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be handled")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be handled")?;
+    let control = start_control(&settings, roles, &log).await?;
+    let router = start_router(&settings, roles, &log).await?;
+    let failed = wait(control, &mut stop, &mut interrupt).await;
+    match failed {
+        Stopped::Signal(control) => {
+            info!(log, "planned stop"; "event" => "stop");
+            stop_router(router, &mut stop, &mut interrupt, &log).await;
+            if let Some(control) = control {
+                control.stop().await;
+            }
+            Ok(())
+        }
+        Stopped::Disk(error) => {
+            stop_router(router, &mut stop, &mut interrupt, &log).await;
+            Err(error).wrap_err("the control member had to stop")
+        }
+    }
+}
+
+async fn start_control(
+    settings: &Settings,
+    roles: Roles,
+    log: &Logger,
+) -> eyre::Result<Option<Control>> {
+    match (&settings.control, roles) {
+        (_, Roles::Router) | (None, Roles::All) => Ok(None),
+        (None, Roles::Control) => bail!("the settings have no section control"),
+        (Some(control), _) => Ok(Some(Control::start(settings, control, log).await?)),
+    }
+}
+
+async fn start_router(
+    settings: &Settings,
+    roles: Roles,
+    log: &Logger,
+) -> eyre::Result<Option<Router>> {
+    if roles == Roles::Control || (roles == Roles::All && settings.router.is_none()) {
+        return Ok(None);
+    }
+    let router = settings.router.as_ref();
+    let router = router.ok_or_eyre("the settings have no section router")?;
+    Ok(Some(Router::start(settings, router, log).await?))
+}
+
+enum Stopped {
+    Signal(Option<Control>),
+    Disk(crate::raft::WalError),
+}
+
+async fn wait(control: Option<Control>, stop: &mut Signal, interrupt: &mut Signal) -> Stopped {
+    let Some(mut control) = control else {
+        tokio::select! {
+            _ = stop.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        return Stopped::Signal(None);
+    };
+    tokio::select! {
+        _ = stop.recv() => Stopped::Signal(Some(control)),
+        _ = interrupt.recv() => Stopped::Signal(Some(control)),
+        error = control.failed() => Stopped::Disk(error),
+    }
+}
+
+/// Stops the router as planned; a second signal cuts off what is in flight.
+async fn stop_router(
+    router: Option<Router>,
+    stop: &mut Signal,
+    interrupt: &mut Signal,
+    log: &Logger,
+) {
+    let Some(router) = router else {
+        return;
+    };
+    tokio::select! {
+        _ = router.stop() => {}
+        _ = stop.recv() => warn!(log, "second signal"; "event" => "stop_now"),
+        _ = interrupt.recv() => warn!(log, "second signal"; "event" => "stop_now"),
+    }
+}
--- /dev/null
+++ b/src/raft/replica.rs
@@ -0,0 +1,160 @@
+//! One member as a whole: the state machine, its log on disk and its store.
+
+use std::net::SocketAddr;
+
+use super::{
+    Disk, Envelope, GroupId, Members, Node, NotLeader, Payload, Position, StoreId, Time, Timing,
+    Wal, WalError,
+};
+use crate::store::{Answer, Command, Store};
+
+/// A committed command and its answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    /// Where in the log the command stands.
+    pub at: Position,
+    /// The store's answer.
+    pub answer: Answer,
+}
+
+/// A member that writes before it speaks.
+///
+/// Feed it any number of inputs, then [`flush`](Replica::flush) them with one sync.
+pub struct Replica<D> {
+    node: Node,
+    wal: Wal<D>,
+    store: Store,
+    applied: Position,
+    compact_after: usize,
+}
+
+impl<D: Disk> Replica<D> {
+    /// Recovers a member from its disk, or starts a blank one under the identity `fresh`.
+    ///
+    /// The log is cut to a snapshot each time it has `compact_after` applied entries.
+    ///
+    /// # Errors
+    /// [`WalError`] when the log can't be read.
+    pub fn open(
+        disk: D,
+        fresh: StoreId,
+        timing: Timing,
+        compact_after: usize,
+        now: Time,
+        seed: u64,
+    ) -> Result<Self, WalError> {
+        let (wal, recovered) = Wal::open(disk, fresh)?;
+        let snapshot = recovered.log.snapshot();
+        let store = snapshot.store.clone();
+        let applied = snapshot.at;
+        let node = Node::new(
+            recovered.store,
+            timing,
+            recovered.hard,
+            recovered.log,
+            now,
+            seed,
+        );
+        Ok(Replica {
+            node,
+            wal,
+            store,
+            applied,
+            compact_after,
+        })
+    }
+
+    /// The consensus state.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// The store, up to [`Replica::applied`].
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Last entry in the store.
+    pub fn applied(&self) -> Position {
+        self.applied
+    }
+
+    /// Whether this member belongs to no group yet.
+    pub fn blank(&self) -> bool {
+        self.node.hard().group == GroupId::default()
+    }
+
+    /// Makes this blank member the first of a new group.
+    pub fn form(&mut self, group: GroupId, members: Members) {
+        self.node.form(group, members);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time) {
+        self.node.tick(now);
+    }
+
+    /// Takes a message of another member.
+    pub fn receive(&mut self, now: Time, message: Envelope) {
+        self.node.receive(now, message);
+    }
+
+    /// Puts a command in the log.
+    ///
+    /// # Errors
+    /// [`NotLeader`] unless this member leads.
+    pub fn propose(&mut self, now: Time, command: Command) -> Result<Position, NotLeader> {
+        self.node.propose(now, Payload::Command(command))
+    }
+
+    /// Takes the next step of bringing a newcomer in, if this member leads.
+    pub fn admit(&mut self, now: Time, id: StoreId, addr: SocketAddr) {
+        self.node.admit(now, id, addr);
+    }
+
+    /// Writes, syncs and applies all that the inputs so far have led to.
+    ///
+    /// Returns the messages to send and the answers to give, which only now may leave.
+    ///
+    /// # Errors
+    /// [`WalError`] when the disk fails; the member must stop, and nothing may leave.
+    pub fn flush(&mut self) -> Result<(Vec<Envelope>, Vec<Answered>), WalError> {
+        let ready = self.node.take_ready();
+        self.wal
+            .write(&ready.writes, self.node.hard(), self.node.log())?;
+        if let Some(snapshot) = ready.restore {
+            self.applied = snapshot.at;
+            self.store = snapshot.store;
+        }
+        let mut answers = Vec::new();
+        for entry in ready.committed {
+            let at = Position {
+                term: entry.term,
+                index: entry.index,
+            };
+            if let Payload::Command(command) = entry.payload {
+                let answer = self.store.apply(entry.index, command);
+                answers.push(Answered { at, answer });
+            }
+            self.applied = at;
+        }
+        self.compact()?;
+        Ok((ready.messages, answers))
+    }
+
+    fn compact(&mut self) -> Result<(), WalError> {
+        let covered = self.node.log().snapshot().at.index;
+        if self.applied.index < covered + self.compact_after as u64 {
+            return Ok(());
+        }
+        self.node.compact(self.applied.index, self.store.clone());
+        let ready = self.node.take_ready();
+        self.wal
+            .write(&ready.writes, self.node.hard(), self.node.log())
+    }
+}
+
+/// Draws an identity for an empty disk.
+pub fn fresh_store() -> StoreId {
+    StoreId(rand::random())
+}
--- /dev/null
+++ b/src/raft/wal.rs
@@ -0,0 +1,332 @@
+//! The write-ahead log on disk: checksummed records in one file, synced before they count.
+//!
+//! A record is a header of three little-endian `u32` (payload length, CRC-32 of the payload, CRC-32
+//! of the two before) and a payload in postcard. A snapshot replaces the whole file.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Write as _};
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Entry, HardState, Index, Log, Snapshot, StoreId, Write};
+
+const HEADER_BYTES: usize = 12;
+const FORMAT: u32 = 1;
+const LOG_FILE: &str = "log";
+const NEW_FILE: &str = "log.new";
+const LOCK_FILE: &str = "lock";
+
+/// The log can't be read or written; the member must stop.
+#[derive(Debug, thiserror::Error)]
+pub enum WalError {
+    /// The disk failed, or is full.
+    #[error("the log can't be {action}: {source}")]
+    Disk {
+        /// What was tried.
+        action: &'static str,
+        /// The disk's error.
+        source: io::Error,
+    },
+    /// A record that may have been acknowledged is damaged.
+    #[error(
+        "the log is damaged at byte {at}; stopping rather than serving less than was accepted: \
+         empty the data folder to let this member join again from the others"
+    )]
+    Damaged {
+        /// Offset of the damaged record.
+        at: usize,
+    },
+    /// The file was written by another version.
+    #[error("the log has format {found}, this version reads format {FORMAT}")]
+    Format {
+        /// Format found.
+        found: u32,
+    },
+}
+
+/// Where the log is kept; the seam that tests put a fake in.
+pub trait Disk {
+    /// The whole file, or `None` when there is none yet.
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>>;
+    /// Replaces the file; durable and atomic on return.
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Adds to the end; durable only after [`Disk::sync`].
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Makes what was appended durable.
+    fn sync(&mut self) -> io::Result<()>;
+    /// Cuts the file to `len` bytes; durable on return.
+    fn truncate(&mut self, len: usize) -> io::Result<()>;
+}
+
+#[derive(Serialize, Deserialize)]
+enum Record {
+    /// First record of a file.
+    Identity {
+        format: u32,
+        store: StoreId,
+    },
+    Hard(HardState),
+    Truncate(Index),
+    Append(Entry),
+    Snapshot(Snapshot),
+}
+
+/// What a disk held.
+pub struct Recovered {
+    /// Identity of the store.
+    pub store: StoreId,
+    /// Group, term and vote.
+    pub hard: HardState,
+    /// Snapshot and entries.
+    pub log: Log,
+}
+
+/// An open log.
+pub struct Wal<D> {
+    disk: D,
+    store: StoreId,
+}
+
+impl<D: Disk> Wal<D> {
+    /// Opens the log, or starts one under the identity `fresh` on an empty disk.
+    ///
+    /// A torn tail, which no one was told of, is cut off.
+    ///
+    /// # Errors
+    /// [`WalError`] when the disk fails or a record below the tail is damaged.
+    pub fn open(mut disk: D, fresh: StoreId) -> Result<(Self, Recovered), WalError> {
+        let bytes = disk.read().map_err(failed("read"))?.unwrap_or_default();
+        if bytes.is_empty() {
+            return Self::start(disk, fresh);
+        }
+        let (records, end) = decode(&bytes)?;
+        if end < bytes.len() {
+            disk.truncate(end).map_err(failed("cut"))?;
+        }
+        let recovered = replay(records)?;
+        let store = recovered.store;
+        Ok((Wal { disk, store }, recovered))
+    }
+
+    fn start(disk: D, store: StoreId) -> Result<(Self, Recovered), WalError> {
+        let recovered = Recovered {
+            store,
+            hard: HardState::default(),
+            log: Log::default(),
+        };
+        let mut wal = Wal { disk, store };
+        wal.rewrite(recovered.hard, &recovered.log)?;
+        Ok((wal, recovered))
+    }
+
+    /// Writes and syncs; `hard` and `log` are the state after the writes.
+    ///
+    /// # Errors
+    /// [`WalError::Disk`]; what reached the disk is then unknown, so the member must stop.
+    pub fn write(&mut self, writes: &[Write], hard: HardState, log: &Log) -> Result<(), WalError> {
+        if writes.is_empty() {
+            return Ok(());
+        }
+        if writes
+            .iter()
+            .any(|write| matches!(write, Write::Snapshot(_)))
+        {
+            return self.rewrite(hard, log);
+        }
+        let mut bytes = Vec::new();
+        for write in writes {
+            let record = match write {
+                Write::Hard(hard) => Record::Hard(*hard),
+                Write::Truncate(index) => Record::Truncate(*index),
+                Write::Append(entry) => Record::Append(entry.clone()),
+                Write::Snapshot(snapshot) => Record::Snapshot((**snapshot).clone()),
+            };
+            encode(&mut bytes, &record);
+        }
+        self.disk.append(&bytes).map_err(failed("written"))?;
+        self.disk.sync().map_err(failed("synced"))
+    }
+
+    fn rewrite(&mut self, hard: HardState, log: &Log) -> Result<(), WalError> {
+        let mut bytes = Vec::new();
+        let identity = Record::Identity {
+            format: FORMAT,
+            store: self.store,
+        };
+        encode(&mut bytes, &identity);
+        encode(&mut bytes, &Record::Hard(hard));
+        encode(&mut bytes, &Record::Snapshot(log.snapshot().clone()));
+        for entry in log.from(0) {
+            encode(&mut bytes, &Record::Append(entry.clone()));
+        }
+        self.disk.replace(&bytes).map_err(failed("replaced"))
+    }
+}
+
+fn failed(action: &'static str) -> impl Fn(io::Error) -> WalError {
+    move |source| WalError::Disk { action, source }
+}
+
+fn encode(bytes: &mut Vec<u8>, record: &Record) {
+    let payload = postcard::to_stdvec(record).expect("records always encode");
+    let mut header = Vec::with_capacity(HEADER_BYTES);
+    header.extend((payload.len() as u32).to_le_bytes());
+    header.extend(crc32fast::hash(&payload).to_le_bytes());
+    let check = crc32fast::hash(&header);
+    header.extend(check.to_le_bytes());
+    bytes.extend(header);
+    bytes.extend(payload);
+}
+
+/// Reads records up to a torn tail; returns them and where they end.
+fn decode(bytes: &[u8]) -> Result<(Vec<Record>, usize), WalError> {
+    let mut records = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        let rest = &bytes[at..];
+        match split(rest) {
+            Some(payload) => {
+                let record = postcard::from_bytes(payload).map_err(|_| WalError::Damaged { at })?;
+                records.push(record);
+                at += HEADER_BYTES + payload.len();
+            }
+            None if torn(rest) => break,
+            None => return Err(WalError::Damaged { at }),
+        }
+    }
+    Ok((records, at))
+}
+
+/// The payload of the record that `rest` begins with, if it is whole and sound.
+fn split(rest: &[u8]) -> Option<&[u8]> {
+    let (len, check) = header(rest)?;
+    let payload = rest.get(HEADER_BYTES..HEADER_BYTES + len)?;
+    (crc32fast::hash(payload) == check).then_some(payload)
+}
+
+/// Length and checksum of the payload, if the header is whole and sound.
+fn header(rest: &[u8]) -> Option<(usize, u32)> {
+    let word = |at: usize| -> Option<u32> {
+        let bytes = rest.get(at..at + 4)?;
+        Some(u32::from_le_bytes(bytes.try_into().ok()?))
+    };
+    let sound = crc32fast::hash(rest.get(..8)?) == word(8)?;
+    sound.then_some((word(0)? as usize, word(4)?))
+}
+
+/// Whether `rest` is an append cut short, rather than an acknowledged record gone bad: the file ends
+/// inside the record, or nothing of it was written and it reads as zeros.
+///
+/// A record written only in parts reads as damage: that stops a member without need, but never
+/// drops what was acknowledged.
+fn torn(rest: &[u8]) -> bool {
+    if rest.len() < HEADER_BYTES {
+        return true;
+    }
+    match header(rest) {
+        Some((len, _)) => rest.len() < HEADER_BYTES + len,
+        None => rest.iter().all(|byte| *byte == 0),
+    }
+}
+
+fn replay(records: Vec<Record>) -> Result<Recovered, WalError> {
+    let mut records = records.into_iter();
+    let store = match records.next() {
+        Some(Record::Identity {
+            format: FORMAT,
+            store,
+        }) => store,
+        Some(Record::Identity { format, .. }) => return Err(WalError::Format { found: format }),
+        _ => return Err(WalError::Damaged { at: 0 }),
+    };
+    let mut recovered = Recovered {
+        store,
+        hard: HardState::default(),
+        log: Log::default(),
+    };
+    for record in records {
+        match record {
+            Record::Identity { .. } => return Err(WalError::Damaged { at: 0 }),
+            Record::Hard(hard) => recovered.hard = hard,
+            Record::Truncate(index) => recovered.log.truncate(index),
+            Record::Append(entry) => recovered.log.push(entry),
+            Record::Snapshot(snapshot) => recovered.log = Log::new(snapshot),
+        }
+    }
+    Ok(recovered)
+}
+
+/// A log file in a folder that one process holds.
+pub struct FolderDisk {
+    folder: PathBuf,
+    file: Option<File>,
+    _lock: File,
+}
+
+impl FolderDisk {
+    /// Takes hold of `folder`, made if it is missing.
+    ///
+    /// # Errors
+    /// When the folder can't be made or another process holds it.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let lock = File::create(folder.join(LOCK_FILE))?;
+        lock.try_lock().map_err(|_| {
+            io::Error::new(
+                io::ErrorKind::ResourceBusy,
+                "another process holds the data folder",
+            )
+        })?;
+        Ok(FolderDisk {
+            folder: folder.to_owned(),
+            file: None,
+            _lock: lock,
+        })
+    }
+
+    fn file(&mut self) -> io::Result<&mut File> {
+        if self.file.is_none() {
+            let path = self.folder.join(LOG_FILE);
+            self.file = Some(OpenOptions::new().append(true).open(path)?);
+        }
+        self.file
+            .as_mut()
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FolderDisk {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let mut bytes = Vec::new();
+        match File::open(self.folder.join(LOG_FILE)) {
+            Ok(mut file) => file.read_to_end(&mut bytes).map(|_| Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let new = self.folder.join(NEW_FILE);
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&new, self.folder.join(LOG_FILE))?;
+        self.file = None;
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file()?.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file()?.sync_data()
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        let file = self.file()?;
+        file.set_len(len as u64)?;
+        file.sync_all()
+    }
+}
--- /dev/null
+++ b/src/reason.rs
@@ -0,0 +1,158 @@
+//! Reason codes of refusals and retries: stable names for callers, metrics and the operators' page.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Whether a request given up on has run at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// No target ran it: no byte of it was written to one, or the target itself said so.
+    NotRun,
+    /// A target ran it.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request was refused or given up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// A header or the body can't be used as it is.
+    BadRequest,
+    /// The body is larger than the router takes.
+    BodyTooLarge,
+    /// The caller sent its body too slowly.
+    SlowCaller,
+    /// No template in force covers the team.
+    UnknownTeam,
+    /// The router can't prove that its configuration is the one in force.
+    StaleConfig,
+    /// The router is stopping.
+    Stopping,
+    /// No live target serves the model or service.
+    NoTarget,
+    /// Every target that could serve it is at its load bound.
+    Overloaded,
+    /// The deadline passed before it was sent.
+    DeadlinePassed,
+    /// Connecting to the target failed before anything was sent.
+    ConnectFailed,
+    /// The target said that it did not run it.
+    TargetRefused,
+    /// The connection broke after the request was sent and before its answer began.
+    AnswerLost,
+    /// The answer did not come before the deadline.
+    AnswerLate,
+    /// The target answered another attempt's request.
+    WrongAnswer,
+    /// The answer broke off after its first byte.
+    AnswerBroken,
+}
+
+impl Reason {
+    /// Every reason, in the order of the operators' page.
+    pub const ALL: [Reason; 15] = [
+        Reason::BadRequest,
+        Reason::BodyTooLarge,
+        Reason::SlowCaller,
+        Reason::UnknownTeam,
+        Reason::StaleConfig,
+        Reason::Stopping,
+        Reason::NoTarget,
+        Reason::Overloaded,
+        Reason::DeadlinePassed,
+        Reason::ConnectFailed,
+        Reason::TargetRefused,
+        Reason::AnswerLost,
+        Reason::AnswerLate,
+        Reason::WrongAnswer,
+        Reason::AnswerBroken,
+    ];
+
+    /// The stable code, as callers and metrics see it.
+    pub fn code(self) -> &'static str {
+        match self {
+            Reason::BadRequest => "bad_request",
+            Reason::BodyTooLarge => "body_too_large",
+            Reason::SlowCaller => "slow_caller",
+            Reason::UnknownTeam => "unknown_team",
+            Reason::StaleConfig => "stale_config",
+            Reason::Stopping => "stopping",
+            Reason::NoTarget => "no_target",
+            Reason::Overloaded => "overloaded",
+            Reason::DeadlinePassed => "deadline_passed",
+            Reason::ConnectFailed => "connect_failed",
+            Reason::TargetRefused => "target_refused",
+            Reason::AnswerLost => "answer_lost",
+            Reason::AnswerLate => "answer_late",
+            Reason::WrongAnswer => "wrong_answer",
+            Reason::AnswerBroken => "answer_broken",
+        }
+    }
+
+    /// One sentence for the caller.
+    pub fn explain(self) -> &'static str {
+        match self {
+            Reason::BadRequest => "the request can't be used as it is",
+            Reason::BodyTooLarge => "the body is larger than this router takes",
+            Reason::SlowCaller => "the body came too slowly",
+            Reason::UnknownTeam => "no template in force covers this team",
+            Reason::StaleConfig => "this router can't prove its configuration fresh; ask another",
+            Reason::Stopping => "this router is stopping; ask another",
+            Reason::NoTarget => "no live target serves this",
+            Reason::Overloaded => "every target that serves this is at its bound",
+            Reason::DeadlinePassed => "the deadline passed before the request was sent",
+            Reason::ConnectFailed => "no target could be connected to",
+            Reason::TargetRefused => "the target did not take the request",
+            Reason::AnswerLost => "the connection broke after the request was sent",
+            Reason::AnswerLate => "the answer did not come before the deadline",
+            Reason::WrongAnswer => "the target answered another request",
+            Reason::AnswerBroken => "the answer broke off and can't be completed",
+        }
+    }
+
+    /// What a request that ends for this reason has done at its target.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Reason::AnswerLost | Reason::AnswerLate | Reason::WrongAnswer => Outcome::Unknown,
+            Reason::AnswerBroken => Outcome::Ran,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// HTTP status of the final answer.
+    pub fn status(self) -> u16 {
+        match self {
+            Reason::BadRequest => 400,
+            Reason::BodyTooLarge => 413,
+            Reason::SlowCaller => 408,
+            Reason::UnknownTeam => 403,
+            Reason::Overloaded => 429,
+            Reason::AnswerLost | Reason::WrongAnswer | Reason::AnswerBroken => 502,
+            Reason::DeadlinePassed | Reason::AnswerLate => 504,
+            _ => 503,
+        }
+    }
+
+    /// When trying again makes sense; `None` where it does not.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Reason::StaleConfig | Reason::NoTarget => Some(Duration::from_secs(5)),
+            Reason::Stopping
+            | Reason::Overloaded
+            | Reason::ConnectFailed
+            | Reason::TargetRefused => Some(Duration::from_secs(1)),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
--- /dev/null
+++ b/src/router/admission.rs
@@ -0,0 +1,205 @@
+//! Admission: from a caller's headers and body to a request that the router may forward.
+
+use std::time::Duration;
+
+use salvo::Request;
+use salvo::http::ParseError;
+use salvo::http::header::HeaderMap;
+use salvo::hyper::body::Bytes;
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::answer::Refusal;
+use super::{Shared, lock};
+use crate::choice::Key;
+use crate::reason::Reason;
+use crate::template::Policy;
+
+/// Team of the caller; required.
+pub(super) const TEAM: &str = "latchmount-team";
+/// Chat that the request belongs to; made from the first messages where it is missing.
+pub(super) const CHAT: &str = "latchmount-chat";
+/// Time that the caller is ready to wait, in milliseconds.
+pub(super) const DEADLINE: &str = "latchmount-deadline-ms";
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Messages at the start of a chat that name it when its caller does not.
+const OPENING_MESSAGES: usize = 2;
+
+/// What kind of answer is asked for, and of whom.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Kind {
+    /// A chat completion in one piece.
+    Chat,
+    /// A chat completion as a stream of events.
+    ChatStream,
+    /// A call of a plain service.
+    Service {
+        name: String,
+        /// Path and query below the service's prefix.
+        path: String,
+        method: reqwest::Method,
+    },
+}
+
+impl Kind {
+    /// Label in the metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Kind::Chat => "chat",
+            Kind::ChatStream => "chat_stream",
+            Kind::Service { .. } => "service",
+        }
+    }
+}
+
+/// A request that was admitted.
+pub(super) struct Work {
+    pub(super) kind: Kind,
+    pub(super) team: String,
+    pub(super) key: Key,
+    pub(super) policy: Policy,
+    pub(super) repeatable: bool,
+    /// When its answer must have begun, on the router's clock.
+    pub(super) deadline: Duration,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// The part of a chat completion that the router reads.
+#[derive(Deserialize)]
+struct ChatBody {
+    #[serde(default)]
+    stream: bool,
+    messages: Vec<Value>,
+}
+
+impl Shared {
+    /// Admits a chat completion.
+    pub(super) async fn admit_chat(&self, req: &mut Request) -> Result<Work, Refusal> {
+        let (team, policy) = self.admit_team(req)?;
+        let deadline = self.deadline(req.headers())?;
+        let body = self.read_body(req).await?;
+        let mut document: Value = serde_json::from_slice(&body)
+            .map_err(|error| bad_request(format!("body: not JSON: {error}")))?;
+        let chat = ChatBody::deserialize(&document)
+            .map_err(|error| bad_request(format!("body: {error}")))?;
+        if chat.messages.is_empty() {
+            return Err(bad_request(
+                "body: messages: must hold at least one message",
+            ));
+        }
+        document["model"] = Value::from(policy.model.clone());
+        let body = serde_json::to_vec(&document).unwrap_or_default();
+        let opening = &chat.messages[..chat.messages.len().min(OPENING_MESSAGES)];
+        let key = match text_header(req.headers(), CHAT)? {
+            Some(chat) => Key::chat(&team, chat.as_bytes()),
+            None => Key::chat(&team, &serde_json::to_vec(opening).unwrap_or_default()),
+        };
+        Ok(Work {
+            kind: if chat.stream {
+                Kind::ChatStream
+            } else {
+                Kind::Chat
+            },
+            team,
+            key,
+            repeatable: policy.repeatable.chat,
+            policy,
+            deadline,
+            headers: HeaderMap::new(),
+            body: body.into(),
+        })
+    }
+
+    /// Admits a call of the service `name`, at `path` below it.
+    pub(super) async fn admit_service(
+        &self,
+        req: &mut Request,
+        name: String,
+        path: String,
+    ) -> Result<Work, Refusal> {
+        let (team, policy) = self.admit_team(req)?;
+        let deadline = self.deadline(req.headers())?;
+        let body = self.read_body(req).await?;
+        let key = match text_header(req.headers(), CHAT)? {
+            Some(chat) => Key::chat(&team, chat.as_bytes()),
+            None => Key(rand::random()),
+        };
+        Ok(Work {
+            repeatable: policy.repeatable.services.contains(&name),
+            kind: Kind::Service {
+                name,
+                path,
+                method: req.method().clone(),
+            },
+            team,
+            key,
+            policy,
+            deadline,
+            headers: req.headers().clone(),
+            body,
+        })
+    }
+
+    /// The caller's team and what is in force for it, if this router may admit at all.
+    fn admit_team(&self, req: &Request) -> Result<(String, Policy), Refusal> {
+        if self.stopping.load(std::sync::atomic::Ordering::Acquire) {
+            return Err(Refusal::plain(Reason::Stopping));
+        }
+        if !lock(&self.freshness).holds(self.now()) {
+            return Err(Refusal::plain(Reason::StaleConfig));
+        }
+        let team = text_header(req.headers(), TEAM)?
+            .ok_or_else(|| bad_request(format!("header {TEAM}: must name the caller's team")))?;
+        let policy = self.config().policy(team).cloned();
+        let policy = policy.ok_or_else(|| Refusal::plain(Reason::UnknownTeam))?;
+        Ok((team.to_owned(), policy))
+    }
+
+    fn deadline(&self, headers: &HeaderMap) -> Result<Duration, Refusal> {
+        let allowed = match text_header(headers, DEADLINE)? {
+            Some(text) => {
+                let millis = text.parse::<u64>().ok().filter(|millis| *millis > 0);
+                let millis = millis.ok_or_else(|| {
+                    bad_request(format!(
+                        "header {DEADLINE}: must be a number of milliseconds above 0"
+                    ))
+                })?;
+                Duration::from_millis(millis).min(MAX_DEADLINE)
+            }
+            None => Duration::from_millis(self.settings.default_deadline_ms),
+        };
+        Ok(self.now() + allowed)
+    }
+
+    /// The whole body, within the limits on its size and time.
+    async fn read_body(&self, req: &mut Request) -> Result<Bytes, Refusal> {
+        let limit = self.settings.max_body_kib * 1024;
+        let timeout = Duration::from_millis(self.settings.body_timeout_ms);
+        let body = tokio::time::timeout(timeout, req.payload_with_max_size(limit)).await;
+        match body {
+            Err(_) => Err(Refusal::plain(Reason::SlowCaller)),
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(ParseError::PayloadTooLarge)) => {
+                let message = format!("body: larger than {} KiB", self.settings.max_body_kib);
+                Err(Refusal::new(Reason::BodyTooLarge, message))
+            }
+            Ok(Err(error)) => Err(bad_request(format!("body: {error}"))),
+        }
+    }
+}
+
+fn bad_request(message: impl Into<String>) -> Refusal {
+    Refusal::new(Reason::BadRequest, message)
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok().filter(|text| !text.is_empty());
+    let text = text.ok_or_else(|| bad_request(format!("header {name}: must be visible ASCII")))?;
+    Ok(Some(text))
+}
--- /dev/null
+++ b/src/router/forward.rs
@@ -0,0 +1,272 @@
+//! Forwarding: the attempts of one request, until one is answered or it is given up on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use salvo::Response;
+use salvo::http::StatusCode;
+
+use super::admission::{CHAT, DEADLINE, Kind, TEAM, Work};
+use super::answer::Refusal;
+use super::http::InFlight;
+use super::relay::{Relay, relay};
+use super::{Shared, lock};
+use crate::choice::{self, Candidate};
+use crate::reason::Reason;
+use crate::retry::{Attempts, Next};
+use crate::targets::{Choice, Need};
+
+/// Names one attempt; a target echoes it.
+pub(super) const ATTEMPT: &str = "x-attempt-id";
+/// Priority of the request, for the engine's queue.
+const PRIORITY: &str = "x-priority";
+/// Adapter to use on the model.
+const ADAPTER: &str = "x-adapter";
+/// Version of model and adapter to use.
+const VERSION: &str = "x-model-version";
+/// Time left for the request, in milliseconds.
+const TIME_LEFT: &str = "x-deadline-ms";
+/// Set by a target that did not run the request.
+const NOT_RUN: &str = "x-not-run";
+/// Set by a target that is leaving, to its incarnation.
+const LEAVING: &str = "x-leaving";
+
+/// Headers between two hops, which no router passes on, and those that are for the router.
+const NOT_PASSED_ON: [&str; 13] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    DEADLINE,
+    ATTEMPT,
+];
+
+/// A slot at a target, held while an attempt is in flight there.
+pub(super) struct Slot {
+    shared: Arc<Shared>,
+    pub(super) target: Choice,
+}
+
+impl Slot {
+    fn take(shared: Arc<Shared>, target: Choice) -> Self {
+        lock(&shared.targets).begin(&target.name);
+        Slot { shared, target }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        lock(&self.shared.targets).end(&self.target.name);
+    }
+}
+
+/// An answer that has begun.
+pub(super) struct Begun {
+    pub(super) answer: reqwest::Response,
+    pub(super) attempt: String,
+    pub(super) slot: Slot,
+}
+
+impl Shared {
+    /// Sends `work` to a target and starts its answer, or says why not, at once.
+    pub(super) async fn forward(
+        self: &Arc<Self>,
+        work: Work,
+        in_flight: InFlight,
+        res: &mut Response,
+    ) -> Result<(), Refusal> {
+        let mut attempts = Attempts::new(work.repeatable, work.deadline);
+        let mut tried = Vec::new();
+        loop {
+            let reason = match self.attempt(&work, &mut tried).await {
+                Ok(begun) => {
+                    lock(&self.budget).earn();
+                    let relay = Relay::new(self.clone(), begun, &work, in_flight);
+                    return self.answer(relay, res).await;
+                }
+                Err(reason) => reason,
+            };
+            let next = {
+                let mut budget = lock(&self.budget);
+                attempts.failed(self.now(), reason, &mut budget, &mut rand::rng())
+            };
+            match next {
+                Next::Retry(wait) => {
+                    self.metrics
+                        .retries
+                        .with_label_values(&[reason.code()])
+                        .inc();
+                    tokio::time::sleep(wait).await;
+                }
+                Next::GiveUp(reason) => return Err(Refusal::plain(reason)),
+            }
+        }
+    }
+
+    /// Hands the caller an answer that has begun.
+    async fn answer(self: &Arc<Self>, relayed: Relay, res: &mut Response) -> Result<(), Refusal> {
+        let status = relayed.status();
+        let headers = relayed.headers();
+        relay(relayed, res).await?;
+        res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
+        for (name, value) in &headers {
+            if passed_on(name) {
+                res.headers_mut().append(name.clone(), value.clone());
+            }
+        }
+        Ok(())
+    }
+
+    /// One attempt: chooses a target and waits until its answer begins.
+    async fn attempt(
+        self: &Arc<Self>,
+        work: &Work,
+        tried: &mut Vec<String>,
+    ) -> Result<Begun, Reason> {
+        let now = self.now();
+        if now >= work.deadline {
+            return Err(Reason::DeadlinePassed);
+        }
+        let slot = self.choose(now, work, tried)?;
+        tried.push(slot.target.name.clone());
+        let attempt = format!("{:032x}", rand::random::<u128>());
+        let request = self.request(work, &slot.target, &attempt, work.deadline - now);
+        let sent = tokio::time::timeout(work.deadline - now, request.send()).await;
+        let name = &slot.target.name;
+        let answer = match sent {
+            Err(_) => return Err(Reason::AnswerLate),
+            Ok(Err(error)) => {
+                lock(&self.targets).failed(self.now(), name);
+                return Err(unsent_or_lost(&error));
+            }
+            Ok(Ok(answer)) => answer,
+        };
+        self.check(&answer, &attempt, &slot.target)?;
+        lock(&self.targets).succeeded(self.now(), name);
+        Ok(Begun {
+            answer,
+            attempt,
+            slot,
+        })
+    }
+
+    /// Takes a slot at the first target in the request's order that is below its bound.
+    fn choose(
+        self: &Arc<Self>,
+        now: Duration,
+        work: &Work,
+        tried: &[String],
+    ) -> Result<Slot, Reason> {
+        let need = match &work.kind {
+            Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.model),
+            Kind::Service { name, .. } => Need::Service(name),
+        };
+        let config = self.config();
+        let drained = |name: &str| config.drained(name);
+        let mut choices = lock(&self.targets).candidates(now, need, drained);
+        if choices.is_empty() {
+            return Err(Reason::NoTarget);
+        }
+        if choices.iter().any(|choice| !tried.contains(&choice.name)) {
+            choices.retain(|choice| !tried.contains(&choice.name));
+        }
+        let candidates: Vec<Candidate> = choices.iter().map(|choice| choice.candidate).collect();
+        let total = candidates
+            .iter()
+            .map(|candidate| candidate.load)
+            .sum::<usize>()
+            + 1;
+        let cap = choice::cap(total, candidates.len(), self.settings.load_bound);
+        let cap = cap.min(self.settings.max_in_flight_per_target);
+        let chosen = choice::choose(work.key, &candidates, cap).ok_or(Reason::Overloaded)?;
+        Ok(Slot::take(self.clone(), choices.swap_remove(chosen)))
+    }
+
+    fn request(
+        &self,
+        work: &Work,
+        target: &Choice,
+        attempt: &str,
+        left: Duration,
+    ) -> reqwest::RequestBuilder {
+        let base = target.url.trim_end_matches('/');
+        let request = match &work.kind {
+            Kind::Chat | Kind::ChatStream => self
+                .http
+                .post(format!("{base}/v1/chat/completions"))
+                .header("content-type", "application/json")
+                .header(ADAPTER, &work.policy.adapter)
+                .header(VERSION, &work.policy.version),
+            Kind::Service { path, method, .. } => self
+                .http
+                .request(method.clone(), format!("{base}{path}"))
+                .headers(service_headers(&work.headers)),
+        };
+        request
+            .header(ATTEMPT, attempt)
+            .header(PRIORITY, work.policy.priority.to_string())
+            .header(TIME_LEFT, left.as_millis().to_string())
+            .header(TEAM, &work.team)
+            .body(work.body.clone())
+    }
+
+    /// Whether the answer is of this attempt, and not a refusal of the target.
+    fn check(
+        &self,
+        answer: &reqwest::Response,
+        attempt: &str,
+        target: &Choice,
+    ) -> Result<(), Reason> {
+        let headers = answer.headers();
+        if headers
+            .get(ATTEMPT)
+            .is_some_and(|echo| echo.as_bytes() != attempt.as_bytes())
+        {
+            lock(&self.targets).failed(self.now(), &target.name);
+            return Err(Reason::WrongAnswer);
+        }
+        if let Some(incarnation) = number(headers, LEAVING) {
+            lock(&self.targets).leave(&target.name, incarnation);
+        }
+        if headers.contains_key(NOT_RUN) {
+            return Err(Reason::TargetRefused);
+        }
+        Ok(())
+    }
+}
+
+/// A request whose connection was never made has not run; any other may have.
+fn unsent_or_lost(error: &reqwest::Error) -> Reason {
+    if error.is_connect() {
+        Reason::ConnectFailed
+    } else {
+        Reason::AnswerLost
+    }
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn passed_on(name: &HeaderName) -> bool {
+    !NOT_PASSED_ON.contains(&name.as_str())
+}
+
+fn service_headers(from: &HeaderMap) -> HeaderMap {
+    let passed = from
+        .iter()
+        .filter(|(name, _)| passed_on(name) && *name != CHAT && *name != TEAM);
+    let mut headers = HeaderMap::new();
+    for (name, value) in passed {
+        headers.append(name.clone(), HeaderValue::clone(value));
+    }
+    headers
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,235 @@
+//! A router: takes callers' requests and gives each to a target.
+
+mod admission;
+mod answer;
+mod feed;
+mod forward;
+mod http;
+mod relay;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use salvo::conn::{Acceptor, Listener, TcpListener};
+use salvo::server::ServerHandle;
+use slog::{Logger, info, o, warn};
+
+use crate::freshness::Freshness;
+use crate::metrics::Metrics;
+use crate::reason::Reason;
+use crate::retry::Budget;
+use crate::rpc::{ControlError, Report};
+use crate::settings::{RouterSettings, Settings};
+use crate::store::Config;
+use crate::targets::Targets;
+
+/// Between two looks at the requests in flight during a planned stop.
+const STOP_STEP: Duration = Duration::from_millis(20);
+/// Time for idle connections to close after the last request has ended.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A router can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum RouterError {
+    /// The address can't be listened on.
+    #[error("router.listen {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: Box<salvo::Error>,
+    },
+    /// The HTTP client can't be made.
+    #[error("HTTP client: {0}")]
+    Client(#[from] reqwest::Error),
+    /// The metrics can't be made.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+    /// A control address can't be used.
+    #[error("router.control: {0}")]
+    Control(#[from] ControlError),
+}
+
+/// State that all parts of a router share.
+pub(crate) struct Shared {
+    host: String,
+    key: String,
+    settings: RouterSettings,
+    started: Instant,
+    http: reqwest::Client,
+    config: RwLock<Arc<Config>>,
+    freshness: Mutex<Freshness>,
+    targets: Mutex<Targets>,
+    budget: Mutex<Budget>,
+    metrics: Metrics,
+    admitted: AtomicU64,
+    in_flight: AtomicUsize,
+    /// Health fails from here on.
+    leaving: AtomicBool,
+    /// New work is refused from here on.
+    stopping: AtomicBool,
+    log: Logger,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    fn new(
+        settings: &Settings,
+        router: &RouterSettings,
+        log: &Logger,
+    ) -> Result<Self, RouterError> {
+        let http = reqwest::Client::builder()
+            .connect_timeout(Duration::from_millis(router.connect_timeout_ms))
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Shared {
+            host: settings.host.clone(),
+            key: settings.key.clone(),
+            settings: router.clone(),
+            started: Instant::now(),
+            http,
+            config: RwLock::default(),
+            freshness: Mutex::default(),
+            targets: Mutex::new(Targets::new(Duration::from_millis(router.list_max_age_ms))),
+            budget: Mutex::new(Budget::new(router.retry_percent)),
+            metrics: Metrics::new()?,
+            admitted: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            log: log.new(o!("role" => "router")),
+        })
+    }
+
+    /// Monotonic time since the start.
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn config(&self) -> Arc<Config> {
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner);
+        config.clone()
+    }
+
+    fn set_config(&self, config: Config) {
+        self.metrics.config_revision.set(config.revision() as i64);
+        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(config);
+    }
+
+    /// Whether a balancer should send callers here, and why not.
+    fn health(&self) -> Result<(), Reason> {
+        if self.leaving.load(Ordering::Acquire) {
+            return Err(Reason::Stopping);
+        }
+        if !lock(&self.freshness).holds(self.now()) {
+            return Err(Reason::StaleConfig);
+        }
+        Ok(())
+    }
+
+    /// What control is told of this router.
+    fn report(&self) -> Report {
+        let refused = Reason::ALL.iter().filter_map(|reason| {
+            let count = self
+                .metrics
+                .refused
+                .with_label_values(&[reason.code()])
+                .get();
+            (count > 0).then(|| (reason.code().to_owned(), count))
+        });
+        Report {
+            admitted: self.admitted.load(Ordering::Relaxed),
+            refused: refused.collect::<BTreeMap<_, _>>(),
+        }
+    }
+
+    /// The metrics, with the gauges brought up to date.
+    fn render_metrics(&self) -> Vec<u8> {
+        let age = lock(&self.freshness).age(self.now());
+        self.metrics
+            .config_age
+            .set(age.map_or(-1.0, |age| age.as_secs_f64()));
+        for (name, in_flight) in lock(&self.targets).in_flight() {
+            self.metrics
+                .in_flight
+                .with_label_values(&[name])
+                .set(in_flight as i64);
+        }
+        self.metrics.render()
+    }
+}
+
+/// A running router.
+pub struct Router {
+    shared: Arc<Shared>,
+    server: ServerHandle,
+}
+
+impl Router {
+    /// Starts to listen, to follow the configuration and to read the platform's list.
+    ///
+    /// # Errors
+    /// [`RouterError`] when the address or a setting can't be used.
+    pub async fn start(
+        settings: &Settings,
+        router: &RouterSettings,
+        log: &Logger,
+    ) -> Result<Self, RouterError> {
+        let shared = Arc::new(Shared::new(settings, router, log)?);
+        let addr = router
+            .listen
+            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listening = TcpListener::new(addr).try_bind().await;
+        let acceptor = listening.map_err(|source| RouterError::Listen {
+            addr,
+            source: Box::new(source),
+        })?;
+        let local = acceptor
+            .holdings()
+            .first()
+            .map(|holding| holding.local_addr.to_string());
+        feed::start(&shared)?;
+        let server = http::server(&shared, acceptor);
+        let handle = server.handle();
+        tokio::spawn(server.serve(http::routes(&shared)));
+        info!(shared.log, "router listening"; "event" => "router_started", "addr" => local);
+        Ok(Router {
+            shared,
+            server: handle,
+        })
+    }
+
+    /// Stops as planned: health fails, then new work is refused, then what is in flight ends.
+    ///
+    /// Returns the number of requests cut off because they outlasted `router.stop_timeout_ms`.
+    pub async fn stop(self) -> usize {
+        let shared = &self.shared;
+        info!(shared.log, "health fails"; "event" => "stop_notice");
+        shared.leaving.store(true, Ordering::Release);
+        tokio::time::sleep(Duration::from_millis(shared.settings.stop_notice_ms)).await;
+        shared.stopping.store(true, Ordering::Release);
+        info!(shared.log, "new work is refused"; "event" => "stopping");
+        let deadline = shared.now() + Duration::from_millis(shared.settings.stop_timeout_ms);
+        while shared.in_flight.load(Ordering::Acquire) > 0 && shared.now() < deadline {
+            tokio::time::sleep(STOP_STEP).await;
+        }
+        let cut = shared.in_flight.load(Ordering::Acquire);
+        if cut > 0 {
+            warn!(shared.log, "requests cut off"; "event" => "stop_timeout", "in_flight" => cut);
+        }
+        self.server.stop_graceful(CLOSE_TIMEOUT);
+        tokio::time::sleep(STOP_STEP).await;
+        info!(shared.log, "router stopped"; "event" => "stopped");
+        cut
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,363 @@
+//! Settings of one process, read from JSON with comments and checked before anything starts.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::jsonc::{self, Fault, Validate};
+use crate::raft::Timing;
+use crate::template::check_name;
+
+/// Shortest key between the hosts of a partner, in bytes.
+const MIN_KEY_BYTES: usize = 16;
+/// Hex digits of a SHA-256.
+const SHA256_HEX_LEN: usize = 64;
+/// Longest freshness lease: an accepted change is in force everywhere within it, in milliseconds.
+const MAX_LEASE_MS: u64 = 19_000;
+/// Longest of any other interval, in milliseconds: a day.
+const MAX_INTERVAL_MS: u64 = 86_400_000;
+
+/// Settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file has faults; each stands on a line of its own.
+    #[error("{path} has {} fault(s); run `latchmount check` on it: {}", .faults.len(), .faults[0])]
+    Faulty {
+        /// The file.
+        path: PathBuf,
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Settings {
+    /// Name of this host, as the platform's list has it.
+    pub host: String,
+    /// Data hall of this host.
+    pub data_hall: String,
+    /// Partner that this host belongs to.
+    pub partner: String,
+    /// Secret that the hosts of a partner show each other, at least 16 bytes.
+    pub key: String,
+    /// Settings of the router, where this process runs one.
+    pub router: Option<RouterSettings>,
+    /// Settings of the control member, where this process runs one.
+    pub control: Option<ControlSettings>,
+}
+
+/// Settings of a router.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RouterSettings {
+    /// Where callers connect; also serves `/healthz` and `/metrics`.
+    pub listen: Option<SocketAddr>,
+    /// Control members of the partner.
+    pub control: Vec<SocketAddr>,
+    /// Where the platform publishes its list of hosts and targets.
+    pub platform_url: String,
+    /// Between two reads of the platform's list.
+    pub list_poll_ms: u64,
+    /// Age from which the list no longer proves that a target lives.
+    pub list_max_age_ms: u64,
+    /// Longest time to connect to a target.
+    pub connect_timeout_ms: u64,
+    /// Deadline of a request that names none.
+    pub default_deadline_ms: u64,
+    /// Longest time to take a caller's body.
+    pub body_timeout_ms: u64,
+    /// Largest body of a caller.
+    pub max_body_kib: usize,
+    /// Most connections of callers.
+    pub max_connections: usize,
+    /// No engine gets more than this multiple of the mean load.
+    pub load_bound: f64,
+    /// Most requests in flight at one target from this router.
+    pub max_in_flight_per_target: usize,
+    /// Retries allowed, as a share of recent successes.
+    pub retry_percent: f64,
+    /// Longest time a planned stop waits for requests in flight.
+    pub stop_timeout_ms: u64,
+    /// How long health fails before a planned stop refuses new work.
+    pub stop_notice_ms: u64,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        RouterSettings {
+            listen: None,
+            control: Vec::new(),
+            platform_url: String::new(),
+            list_poll_ms: 1_000,
+            list_max_age_ms: 10_000,
+            connect_timeout_ms: 1_000,
+            default_deadline_ms: 120_000,
+            body_timeout_ms: 10_000,
+            max_body_kib: 1_024,
+            max_connections: 10_000,
+            load_bound: 1.25,
+            max_in_flight_per_target: 256,
+            retry_percent: 10.0,
+            stop_timeout_ms: 600_000,
+            stop_notice_ms: 2_000,
+        }
+    }
+}
+
+/// Settings of a control member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ControlSettings {
+    /// Where other members, routers and operators connect.
+    pub listen: Option<SocketAddr>,
+    /// Addresses of all members, this one included.
+    pub peers: Vec<SocketAddr>,
+    /// Folder for the durable state.
+    pub data_dir: PathBuf,
+    /// Operators of the partner.
+    pub operators: Vec<Operator>,
+    /// Between two heartbeats of the leader.
+    pub heartbeat_ms: u64,
+    /// Shortest silence of the leader before an election.
+    pub election_min_ms: u64,
+    /// Longest silence of the leader before an election.
+    pub election_max_ms: u64,
+    /// How long a router may serve on a configuration after it was proven fresh.
+    pub freshness_lease_ms: u64,
+    /// Entries in the log before a snapshot takes their place.
+    pub compact_after_entries: usize,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        ControlSettings {
+            listen: None,
+            peers: Vec::new(),
+            data_dir: PathBuf::new(),
+            operators: Vec::new(),
+            heartbeat_ms: 100,
+            election_min_ms: 600,
+            election_max_ms: 1_200,
+            freshness_lease_ms: 6_000,
+            compact_after_entries: 1_000,
+        }
+    }
+}
+
+/// An operator who may see and change the partner's templates.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Operator {
+    /// Name in the history.
+    pub name: String,
+    /// SHA-256 of the bearer token, in hex.
+    pub token_sha256: String,
+}
+
+impl ControlSettings {
+    /// Intervals of the agreement protocol.
+    pub fn timing(&self) -> Timing {
+        Timing {
+            heartbeat: Duration::from_millis(self.heartbeat_ms),
+            election_min: Duration::from_millis(self.election_min_ms),
+            election_max: Duration::from_millis(self.election_max_ms),
+        }
+    }
+
+    /// How long a router may serve on a configuration after it was proven fresh.
+    pub fn freshness_lease(&self) -> Duration {
+        Duration::from_millis(self.freshness_lease_ms)
+    }
+
+    fn check(&self, faults: &mut Vec<Fault>) {
+        check_listen(faults, "control.listen", self.listen);
+        check_addrs(faults, "control.peers", &self.peers);
+        if self
+            .listen
+            .is_some_and(|listen| !self.peers.is_empty() && !self.peers.contains(&listen))
+        {
+            let message = "must contain control.listen, this member's own address";
+            faults.push(Fault::new("control.peers", message));
+        }
+        if self.data_dir.as_os_str().is_empty() {
+            faults.push(Fault::new("control.data_dir", "must name a folder"));
+        }
+        check_operators(faults, &self.operators);
+        check_interval(faults, "control.heartbeat_ms", self.heartbeat_ms);
+        check_interval(faults, "control.election_max_ms", self.election_max_ms);
+        if self.election_min_ms < 2 * self.heartbeat_ms {
+            let message = "must be at least twice control.heartbeat_ms";
+            faults.push(Fault::new("control.election_min_ms", message));
+        }
+        if self.election_max_ms <= self.election_min_ms {
+            let message = "must be above control.election_min_ms";
+            faults.push(Fault::new("control.election_max_ms", message));
+        }
+        if self.freshness_lease_ms < 2 * self.election_max_ms
+            || self.freshness_lease_ms > MAX_LEASE_MS
+        {
+            let message = format!(
+                "must be at least twice control.election_max_ms, so that an election stops no \
+                 router, and at most {MAX_LEASE_MS}"
+            );
+            faults.push(Fault::new("control.freshness_lease_ms", message));
+        }
+        if self.compact_after_entries == 0 {
+            faults.push(Fault::new(
+                "control.compact_after_entries",
+                "must be above 0",
+            ));
+        }
+    }
+}
+
+impl RouterSettings {
+    fn check(&self, faults: &mut Vec<Fault>) {
+        check_listen(faults, "router.listen", self.listen);
+        check_addrs(faults, "router.control", &self.control);
+        if !self.platform_url.starts_with("http://") {
+            let message = "must be a URL that starts with http://";
+            faults.push(Fault::new("router.platform_url", message));
+        }
+        let intervals = [
+            ("router.list_poll_ms", self.list_poll_ms),
+            ("router.list_max_age_ms", self.list_max_age_ms),
+            ("router.connect_timeout_ms", self.connect_timeout_ms),
+            ("router.default_deadline_ms", self.default_deadline_ms),
+            ("router.body_timeout_ms", self.body_timeout_ms),
+            ("router.stop_timeout_ms", self.stop_timeout_ms),
+        ];
+        for (path, value) in intervals {
+            check_interval(faults, path, value);
+        }
+        if self.list_max_age_ms <= self.list_poll_ms {
+            let message = "must be above router.list_poll_ms";
+            faults.push(Fault::new("router.list_max_age_ms", message));
+        }
+        let counts = [
+            ("router.max_body_kib", self.max_body_kib),
+            ("router.max_connections", self.max_connections),
+            (
+                "router.max_in_flight_per_target",
+                self.max_in_flight_per_target,
+            ),
+        ];
+        for (path, value) in counts {
+            if value == 0 {
+                faults.push(Fault::new(path, "must be above 0"));
+            }
+        }
+        if !(self.load_bound >= 1.0 && self.load_bound <= 10.0) {
+            faults.push(Fault::new(
+                "router.load_bound",
+                "must be 1 to 10 times the mean",
+            ));
+        }
+        if !(0.0..=100.0).contains(&self.retry_percent) {
+            faults.push(Fault::new("router.retry_percent", "must be 0 to 100"));
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks the settings in `path`.
+    ///
+    /// # Errors
+    /// [`SettingsError`] when the file can't be read or has faults.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            path: path.to_owned(),
+            source,
+        })?;
+        jsonc::from_str(&text).map_err(|faults| SettingsError::Faulty {
+            path: path.to_owned(),
+            faults,
+        })
+    }
+}
+
+impl Validate for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        check_name(&mut faults, "host", &self.host);
+        check_name(&mut faults, "data_hall", &self.data_hall);
+        check_name(&mut faults, "partner", &self.partner);
+        if self.key.len() < MIN_KEY_BYTES {
+            let message = format!("must have at least {MIN_KEY_BYTES} bytes");
+            faults.push(Fault::new("key", message));
+        }
+        if let Some(router) = &self.router {
+            router.check(&mut faults);
+        }
+        if let Some(control) = &self.control {
+            control.check(&mut faults);
+        }
+        if self.router.is_none() && self.control.is_none() {
+            faults.push(Fault::new("", "needs a section router, control or both"));
+        }
+        faults
+    }
+}
+
+fn check_listen(faults: &mut Vec<Fault>, path: &str, listen: Option<SocketAddr>) {
+    if listen.is_none() {
+        faults.push(Fault::new(
+            path,
+            "must be an address with a port, such as 10.0.0.1:7000",
+        ));
+    }
+}
+
+fn check_addrs(faults: &mut Vec<Fault>, path: &str, addrs: &[SocketAddr]) {
+    if addrs.is_empty() {
+        faults.push(Fault::new(path, "must name at least one address"));
+    }
+    let mut seen = BTreeSet::new();
+    for (at, addr) in addrs.iter().enumerate() {
+        if !seen.insert(addr) {
+            faults.push(Fault::new(
+                format!("{path}[{at}]"),
+                format!("{addr} stands here twice"),
+            ));
+        }
+    }
+}
+
+fn check_interval(faults: &mut Vec<Fault>, path: &str, millis: u64) {
+    if millis == 0 || millis > MAX_INTERVAL_MS {
+        let message = format!("must be 1 to {MAX_INTERVAL_MS} milliseconds");
+        faults.push(Fault::new(path, message));
+    }
+}
+
+fn check_operators(faults: &mut Vec<Fault>, operators: &[Operator]) {
+    let mut seen = BTreeSet::new();
+    for (at, operator) in operators.iter().enumerate() {
+        let path = format!("control.operators[{at}]");
+        check_name(faults, &format!("{path}.name"), &operator.name);
+        if !seen.insert(&operator.name) {
+            faults.push(Fault::new(format!("{path}.name"), "stands here twice"));
+        }
+        let hex = operator
+            .token_sha256
+            .bytes()
+            .all(|byte| byte.is_ascii_hexdigit());
+        if !hex || operator.token_sha256.len() != SHA256_HEX_LEN {
+            let message = "must be the SHA-256 of the token, 64 hex digits";
+            faults.push(Fault::new(format!("{path}.token_sha256"), message));
+        }
+    }
+}
--- /dev/null
+++ b/src/targets.rs
@@ -0,0 +1,273 @@
+//! The targets as one router sees them: the platform's lagging list, marks of leaving targets, and
+//! the router's own evidence.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::choice::{Candidate, NameHash};
+
+/// Failures in a row that open a target's circuit.
+const CIRCUIT_FAILURES: u32 = 3;
+/// First and longest time that a circuit stays open.
+const CIRCUIT_OPEN: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
+/// How long a target that left the list is remembered, so that a stale list can't revive it.
+const TOMBSTONE_KEPT: Duration = Duration::from_secs(600);
+
+/// The platform's list of targets, as it publishes it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Age of the list when it was answered, in milliseconds.
+    pub age_ms: u64,
+    /// The targets.
+    pub targets: Vec<Listed>,
+}
+
+/// One target on the platform's list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name, unique in the pool.
+    pub name: String,
+    /// Host that it runs on.
+    pub host: String,
+    /// Data hall of the host.
+    pub data_hall: String,
+    /// Base URL.
+    pub url: String,
+    /// Grows with each start of the target.
+    pub incarnation: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// What it does.
+    pub serves: Serves,
+}
+
+/// What a target does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Serves {
+    /// An engine, with the models that it has loaded.
+    Models(Vec<String>),
+    /// A plain service, by name.
+    Service(String),
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need<'a> {
+    /// An engine with this model.
+    Model(&'a str),
+    /// This plain service.
+    Service(&'a str),
+}
+
+impl Need<'_> {
+    fn met_by(&self, serves: &Serves) -> bool {
+        match (self, serves) {
+            (Need::Model(model), Serves::Models(models)) => models.iter().any(|has| has == model),
+            (Need::Service(service), Serves::Service(name)) => name == service,
+            _ => false,
+        }
+    }
+}
+
+/// A target that may take a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its name.
+    pub name: String,
+    /// Its base URL.
+    pub url: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// What the choice is made on.
+    pub candidate: Candidate,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    listed: Listed,
+    hash: NameHash,
+    /// Stays set for this incarnation, whatever a list says later.
+    leaving: bool,
+    /// When it was missing from the list first; `None` while it is listed.
+    missing_since: Option<Duration>,
+    answered_at: Option<Duration>,
+    in_flight: usize,
+    circuit: Circuit,
+}
+
+/// Keeps work away from a target that fails again and again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Circuit {
+    failures: u32,
+    open_until: Duration,
+}
+
+impl Circuit {
+    fn fail(&mut self, now: Duration) {
+        self.failures += 1;
+        if self.failures >= CIRCUIT_FAILURES {
+            let doublings = (self.failures - CIRCUIT_FAILURES).min(8);
+            let open = CIRCUIT_OPEN.0 * 2u32.pow(doublings);
+            self.open_until = now + open.min(CIRCUIT_OPEN.1);
+        }
+    }
+
+    fn closed(&self, now: Duration) -> bool {
+        now >= self.open_until
+    }
+}
+
+/// All targets that a router knows of.
+#[derive(Clone, Debug)]
+pub struct Targets {
+    known: BTreeMap<String, Target>,
+    /// When the newest list was made.
+    list_made_at: Option<Duration>,
+    list_max_age: Duration,
+}
+
+impl Targets {
+    /// No targets yet; a list older than `list_max_age` no longer proves that a target lives.
+    pub fn new(list_max_age: Duration) -> Self {
+        Targets {
+            known: BTreeMap::new(),
+            list_made_at: None,
+            list_max_age,
+        }
+    }
+
+    /// Takes a list received at `now`; one older than the newest is ignored.
+    pub fn apply(&mut self, now: Duration, listing: Listing) {
+        let made_at = now.saturating_sub(Duration::from_millis(listing.age_ms));
+        if self.list_made_at.is_some_and(|newest| made_at < newest) {
+            return;
+        }
+        self.list_made_at = Some(made_at);
+        for target in self.known.values_mut() {
+            target.missing_since = target.missing_since.or(Some(now));
+        }
+        for listed in listing.targets {
+            self.take(listed);
+        }
+        self.known.retain(|_, target| {
+            let forgotten = target
+                .missing_since
+                .is_some_and(|at| now >= at + TOMBSTONE_KEPT);
+            target.in_flight > 0 || !forgotten
+        });
+    }
+
+    fn take(&mut self, listed: Listed) {
+        let Some(target) = self.known.get_mut(&listed.name) else {
+            let target = Target {
+                hash: NameHash::new(&listed.name),
+                leaving: listed.leaving,
+                missing_since: None,
+                answered_at: None,
+                in_flight: 0,
+                circuit: Circuit::default(),
+                listed,
+            };
+            self.known.insert(target.listed.name.clone(), target);
+            return;
+        };
+        if listed.incarnation < target.listed.incarnation {
+            return;
+        }
+        if listed.incarnation > target.listed.incarnation {
+            target.leaving = false;
+            target.answered_at = None;
+            target.circuit = Circuit::default();
+        }
+        target.leaving |= listed.leaving;
+        target.missing_since = None;
+        target.listed = listed;
+    }
+
+    /// Marks a target as leaving, on its own word.
+    pub fn leave(&mut self, name: &str, incarnation: u64) {
+        if let Some(target) = self.known.get_mut(name)
+            && target.listed.incarnation <= incarnation
+        {
+            target.leaving = true;
+        }
+    }
+
+    /// Whether the platform's list is too old to prove that a target lives.
+    pub fn list_suspect(&self, now: Duration) -> bool {
+        self.list_made_at
+            .is_none_or(|made_at| now > made_at + self.list_max_age)
+    }
+
+    /// Targets that may take a new request; `drained` tells of hosts and targets being drained.
+    pub fn candidates(
+        &self,
+        now: Duration,
+        need: Need<'_>,
+        drained: impl Fn(&str) -> bool,
+    ) -> Vec<Choice> {
+        let suspect = self.list_suspect(now);
+        let usable = |target: &&Target| {
+            let answered = target.answered_at;
+            let lives = !suspect || answered.is_some_and(|at| now < at + self.list_max_age);
+            need.met_by(&target.listed.serves)
+                && lives
+                && !target.leaving
+                && target.missing_since.is_none()
+                && target.circuit.closed(now)
+                && !drained(&target.listed.name)
+                && !drained(&target.listed.host)
+        };
+        let usable = self.known.values().filter(usable);
+        usable
+            .map(|target| Choice {
+                name: target.listed.name.clone(),
+                url: target.listed.url.clone(),
+                incarnation: target.listed.incarnation,
+                candidate: Candidate {
+                    name: target.hash,
+                    load: target.in_flight,
+                },
+            })
+            .collect()
+    }
+
+    /// Notes that a request goes to `name`.
+    pub fn begin(&mut self, name: &str) {
+        if let Some(target) = self.known.get_mut(name) {
+            target.in_flight += 1;
+        }
+    }
+
+    /// Notes that a request at `name` has ended.
+    pub fn end(&mut self, name: &str) {
+        if let Some(target) = self.known.get_mut(name) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes an answer of `name`.
+    pub fn succeeded(&mut self, now: Duration, name: &str) {
+        if let Some(target) = self.known.get_mut(name) {
+            target.answered_at = Some(now);
+            target.circuit = Circuit::default();
+        }
+    }
+
+    /// Notes that `name` failed to answer.
+    pub fn failed(&mut self, now: Duration, name: &str) {
+        if let Some(target) = self.known.get_mut(name) {
+            target.circuit.fail(now);
+        }
+    }
+
+    /// Requests in flight at each target.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.known
+            .iter()
+            .map(|(name, target)| (name.as_str(), target.in_flight))
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,413 @@
+//! Real processes of one partner on the loopback, and the stand-ins they talk to.
+
+#![allow(dead_code)]
+
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use latchmount::targets::Serves;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+#[path = "../../examples/standin/engine.rs"]
+pub mod engine;
+#[path = "../../examples/standin/http.rs"]
+pub mod http;
+#[path = "../../examples/standin/platform.rs"]
+pub mod platform;
+#[path = "../../examples/standin/service.rs"]
+pub mod service;
+
+use engine::{Engine, EngineOptions};
+use platform::Platform;
+use service::Service;
+
+/// Longest wait for anything that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const TOKEN: &str = "an operator's token";
+pub const KEY: &str = "a secret of this partner's hosts";
+const CONTROL_PORT: u16 = 7000;
+const ROUTER_PORT: u16 = 8080;
+
+/// Waits until `done` gives a value, and says what did not happen otherwise.
+pub async fn eventually<T>(what: &str, mut done: impl AsyncFnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if let Some(value) = done().await {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what}: not within {PATIENCE:?}");
+}
+
+/// Addresses of the loopback that no other fleet of this or another test process uses.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [low, middle, ..] = std::process::id().to_le_bytes();
+    loop {
+        let ip = Ipv4Addr::new(
+            127,
+            1 + middle % 250,
+            low,
+            NEXT.fetch_add(1, Ordering::Relaxed),
+        );
+        if TcpListener::bind((ip, ROUTER_PORT)).is_ok() {
+            return ip;
+        }
+    }
+}
+
+/// A process of the binary; killed when dropped.
+pub struct Process {
+    child: Child,
+    pub settings: PathBuf,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("a process of this test");
+    }
+
+    /// Ends it without notice.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits until it has ended by itself; gives its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let child = &mut self.child;
+        let status = eventually("the process ends", async || child.try_wait().ok().flatten()).await;
+        status.code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// How a fleet differs from the usual one.
+pub struct Shape {
+    pub controls: u16,
+    pub routers: u16,
+    pub engines: usize,
+    pub engine: EngineOptions,
+    /// Merged into each process's section `router` or `control`.
+    pub router: Value,
+    pub control: Value,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Shape {
+            controls: 1,
+            routers: 2,
+            engines: 2,
+            engine: EngineOptions::default(),
+            router: json!({}),
+            control: json!({}),
+        }
+    }
+}
+
+/// A partner's processes and the stand-ins around them.
+pub struct Fleet {
+    pub folder: tempfile::TempDir,
+    ip: Ipv4Addr,
+    shape: Shape,
+    pub controls: Vec<Process>,
+    pub routers: Vec<Process>,
+    pub engines: Vec<Engine>,
+    pub service: Service,
+    pub platform: Platform,
+    pub http: reqwest::Client,
+}
+
+impl Fleet {
+    /// Starts all processes and forms the group.
+    pub async fn start(shape: Shape) -> Self {
+        let platform = Platform::start().await;
+        let mut engines = Vec::new();
+        for number in 0..shape.engines {
+            let engine = Engine::start(shape.engine.clone()).await;
+            let models = Serves::Models(shape.engine.models.clone());
+            platform.add(&format!("engine-{number}"), engine.url(), models);
+            engines.push(engine);
+        }
+        let service = Service::start().await;
+        platform.add("porting", service.url(), Serves::Service("porting".into()));
+        let mut fleet = Fleet {
+            folder: tempfile::tempdir().expect("a folder"),
+            ip: own_ip(),
+            controls: Vec::new(),
+            routers: Vec::new(),
+            engines,
+            service,
+            platform,
+            http: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("a client"),
+            shape,
+        };
+        std::fs::write(fleet.folder.path().join("token"), TOKEN).expect("a token file");
+        for number in 0..fleet.shape.controls {
+            let control = fleet.start_control(number);
+            fleet.controls.push(control);
+        }
+        for number in 0..fleet.shape.routers {
+            let router = fleet.start_router(number);
+            fleet.routers.push(router);
+        }
+        eventually("the group is formed", async || {
+            let formed = fleet.operator(&["init"]);
+            formed.status.success().then_some(())
+        })
+        .await;
+        fleet
+    }
+
+    /// Starts all and puts a template in force.
+    pub async fn ready(shape: Shape) -> Self {
+        let fleet = Fleet::start(shape).await;
+        fleet.submit(&template(), "1").await;
+        fleet.serving().await;
+        fleet
+    }
+
+    pub fn control_addr(&self, number: u16) -> SocketAddr {
+        (self.ip, CONTROL_PORT + number).into()
+    }
+
+    pub fn router_url(&self, number: usize) -> String {
+        format!("http://{}:{}", self.ip, ROUTER_PORT + number as u16)
+    }
+
+    fn spawn(&self, name: &str, command: &str, mut settings: Value) -> Process {
+        settings["host"] = json!(name);
+        settings["data_hall"] = json!("a");
+        settings["partner"] = json!("portwell");
+        settings["key"] = json!(KEY);
+        let path = self.folder.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        let log = self.folder.path().join(format!("{name}.log"));
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log);
+        let child = Command::new(env!("CARGO_BIN_EXE_latchmount"))
+            .args([command, "--settings"])
+            .arg(&path)
+            .stderr(log.expect("a log file"))
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the binary");
+        Process {
+            child,
+            settings: path,
+        }
+    }
+
+    pub fn data_dir(&self, number: u16) -> PathBuf {
+        self.folder.path().join(format!("data-{number}"))
+    }
+
+    pub fn log_of(&self, name: &str) -> String {
+        let path = self.folder.path().join(format!("{name}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    pub fn start_control(&self, number: u16) -> Process {
+        let peers: Vec<SocketAddr> = (0..self.shape.controls)
+            .map(|peer| self.control_addr(peer))
+            .collect();
+        let control = json!({
+            "listen": self.control_addr(number),
+            "peers": peers,
+            "data_dir": self.data_dir(number),
+            "operators": [{ "name": "olga", "token_sha256": sha256(TOKEN) }],
+        });
+        let control = merged(control, &self.shape.control);
+        self.spawn(
+            &format!("control-{number}"),
+            "control",
+            json!({ "control": control }),
+        )
+    }
+
+    pub fn start_router(&self, number: u16) -> Process {
+        let control: Vec<SocketAddr> = (0..self.shape.controls)
+            .map(|peer| self.control_addr(peer))
+            .collect();
+        let router = json!({
+            "listen": SocketAddr::from((self.ip, ROUTER_PORT + number)),
+            "control": control,
+            "platform_url": self.platform.url(),
+            "list_poll_ms": 100,
+            "stop_notice_ms": 100,
+        });
+        let router = merged(router, &self.shape.router);
+        self.spawn(
+            &format!("router-{number}"),
+            "router",
+            json!({ "router": router }),
+        )
+    }
+
+    /// Runs the operators' client.
+    pub fn operator(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_latchmount"));
+        command
+            .args(args)
+            .arg("--token-file")
+            .arg(self.folder.path().join("token"));
+        for number in 0..self.shape.controls {
+            command
+                .arg("--control")
+                .arg(self.control_addr(number).to_string());
+        }
+        command.output().expect("the binary")
+    }
+
+    pub fn template_file(&self, template: &Value) -> String {
+        let path = self
+            .folder
+            .path()
+            .join(format!("template-{:x}.json", rand::random::<u64>()));
+        let mut file = std::fs::File::create(&path).expect("a template file");
+        file.write_all(template.to_string().as_bytes())
+            .expect("a template file");
+        path.display().to_string()
+    }
+
+    /// Submits a new template until it is accepted; gives its revision.
+    pub async fn submit(&self, template: &Value, id: &str) -> u64 {
+        let file = self.template_file(template);
+        let out = self.operator(&["template", "submit", "--change-id", id, &file]);
+        let text = text(&out.stdout);
+        assert!(
+            out.status.success(),
+            "submit: {text} {}",
+            self::text(&out.stderr)
+        );
+        word_after(&text, "revision").parse().expect("a revision")
+    }
+
+    /// Waits until every router says that it is healthy.
+    pub async fn serving(&self) {
+        for number in 0..self.shape.routers as usize {
+            self.healthy(number).await;
+        }
+    }
+
+    pub async fn healthy(&self, number: usize) {
+        let url = format!("{}/healthz", self.router_url(number));
+        eventually("the router is healthy", async || {
+            let answer = self.http.get(&url).send().await.ok()?;
+            answer.status().is_success().then_some(())
+        })
+        .await;
+        // Its list of targets may come a moment later.
+        eventually("the router knows targets", async || {
+            let answer = self.call(number, "ping", &[]).await.ok()?;
+            (answer.status() != 503).then_some(())
+        })
+        .await;
+    }
+
+    /// A chat through a router.
+    pub fn chat(
+        &self,
+        router: usize,
+        chat: &str,
+        messages: &[&str],
+        stream: bool,
+    ) -> reqwest::RequestBuilder {
+        let messages: Vec<Value> = messages
+            .iter()
+            .map(|text| json!({ "role": "user", "content": text }))
+            .collect();
+        self.http
+            .post(format!("{}/v1/chat/completions", self.router_url(router)))
+            .header("latchmount-team", "agents")
+            .header("latchmount-chat", chat)
+            .json(&json!({ "model": "any", "stream": stream, "messages": messages }))
+    }
+
+    /// A call of the plain service through a router.
+    pub async fn call(
+        &self,
+        router: usize,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> reqwest::Result<reqwest::Response> {
+        let mut request = self
+            .http
+            .get(format!(
+                "{}/services/porting/status/{id}?x=1",
+                self.router_url(router)
+            ))
+            .header("latchmount-team", "agents")
+            .header(service::CALL_ID, id);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.send().await
+    }
+
+    /// The value of a metric at a router, summed over the series whose line holds `part`.
+    pub async fn metric(&self, router: usize, name: &str, part: &str) -> f64 {
+        let url = format!("{}/metrics", self.router_url(router));
+        let answer = self.http.get(url).send().await.expect("metrics");
+        let text = answer.text().await.expect("metrics");
+        let lines = text
+            .lines()
+            .filter(|line| line.starts_with(name) && line.contains(part));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+}
+
+/// The template that most tests put in force.
+pub fn template() -> Value {
+    json!({
+        "name": "disputes", "model": "m7", "version": "3", "priority": 5,
+        "repeatable": { "chat": true, "services": [] },
+        "teams": { "agents": { "share_percent": 40 } },
+    })
+}
+
+pub fn merged(mut base: Value, over: &Value) -> Value {
+    for (name, value) in over.as_object().into_iter().flatten() {
+        base[name] = value.clone();
+    }
+    base
+}
+
+pub fn sha256(text: &str) -> String {
+    Sha256::digest(text.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+pub fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// The word that follows `name` in a line of the client.
+pub fn word_after(text: &str, name: &str) -> String {
+    let mut words = text.split_whitespace().skip_while(|word| *word != name);
+    words.nth(1).unwrap_or_default().to_owned()
+}
