--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -111,15 +111,9 @@
     /// Starts on a free port.
     pub async fn start(options: EngineOptions) -> Self {
         let models = options.models.clone();
-        let state = Mutex::new(State {
-            models,
-            ..State::default()
-        });
+        let state = Mutex::new(State { models, ..State::default() });
         let inner = Arc::new(Inner { options, state });
-        let on = |call| Endpoint {
-            inner: inner.clone(),
-            call,
-        };
+        let on = |call| Endpoint { inner: inner.clone(), call };
         let routes = Router::new()
             .push(Router::with_path("v1/chat/completions").post(on(Call::Chat)))
             .push(Router::with_path("v1/attempts/{id}").goal(on(Call::Attempt)))
@@ -228,11 +222,7 @@
         header(
             res,
             "x-attempt-id",
-            if fault == Some(Fault::WrongAttempt) {
-                "other"
-            } else {
-                &attempt
-            },
+            if fault == Some(Fault::WrongAttempt) { "other" } else { &attempt },
         );
         if leaving {
             header(res, "x-leaving", "1");
@@ -245,27 +235,19 @@
         let last = text(chat.messages.last());
         let cached = self.run(&chat.messages, &last);
         if fault == Some(Fault::LoseAnswer) {
-            res.stream(stream::iter([Err::<String, _>(std::io::Error::other(
-                "cut",
-            ))]));
+            res.stream(stream::iter([Err::<String, _>(std::io::Error::other("cut"))]));
             return;
         }
         let running = Running::start(&self.inner, priority).await;
         let uncached = chat.messages.len() - cached;
         let prefill = self.inner.options.prefill_ms * uncached as u64;
-        tokio::time::sleep(Duration::from_millis(prefill)).await;
+        pause(Duration::from_millis(prefill)).await;
         let words: Vec<String> = (0..self.inner.options.tokens)
-            .map(|at| {
-                if at == 0 {
-                    format!("re:{last}")
-                } else {
-                    format!(" t{at}")
-                }
-            })
+            .map(|at| if at == 0 { format!("re:{last}") } else { format!(" t{at}") })
             .collect();
         if !chat.stream {
             let pace = Duration::from_millis(self.inner.options.token_ms);
-            tokio::time::sleep(pace * self.inner.options.tokens as u32).await;
+            pause(pace * self.inner.options.tokens as u32).await;
             drop(running);
             res.render(Json(json!({
                 "object": "chat.completion",
@@ -334,18 +316,15 @@
         header(res, "content-type", "text/event-stream");
         let pace = Duration::from_millis(self.inner.options.token_ms);
         let state = (events.into_iter(), cut, running);
-        res.stream(stream::unfold(
-            state,
-            move |(mut events, cut, running)| async move {
-                if cut == Some(0) {
-                    let error = Err(std::io::Error::other("cut"));
-                    return Some((error, (Vec::new().into_iter(), None, None)));
-                }
-                let next = events.next()?;
-                tokio::time::sleep(pace).await;
-                Some((Ok(next), (events, cut.map(|left| left - 1), running)))
-            },
-        ));
+        res.stream(stream::unfold(state, move |(mut events, cut, running)| async move {
+            if cut == Some(0) {
+                let error = Err(std::io::Error::other("cut"));
+                return Some((error, (Vec::new().into_iter(), None, None)));
+            }
+            let next = events.next()?;
+            pause(pace).await;
+            Some((Ok(next), (events, cut.map(|left| left - 1), running)))
+        }));
     }
 
     /// Takes an answer up again, or cancels it.
@@ -385,9 +364,8 @@
             let lost = (*at as u64).is_multiple_of(EVENT_GAP);
             !lost && made.elapsed() >= self.inner.options.lag
         });
-        let events: Vec<Value> = due
-            .map(|(at, (_, prefix))| json!({"sequence": at, "stored": prefix}))
-            .collect();
+        let events: Vec<Value> =
+            due.map(|(at, (_, prefix))| json!({"sequence": at, "stored": prefix})).collect();
         res.render(Json(events));
     }
 
@@ -457,6 +435,13 @@
     }
 }
 
+/// Sleeps; no time at all where none is asked for, which a timer would round up.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn text(message: Option<&Value>) -> String {
     let content = message.and_then(|message| message["content"].as_str());
     content.unwrap_or_default().to_owned()
--- a/examples/standin/main.rs
+++ b/examples/standin/main.rs
@@ -48,18 +48,10 @@
         })
         .await;
         let name = format!("engine-{number}");
-        platform.add(
-            &name,
-            engine.url(),
-            Serves::Models(vec![options.model.clone()]),
-        );
+        platform.add(&name, engine.url(), Serves::Models(vec![options.model.clone()]));
     }
     let service = Service::start().await;
-    platform.add(
-        &options.service,
-        service.url(),
-        Serves::Service(options.service.clone()),
-    );
+    platform.add(&options.service, service.url(), Serves::Service(options.service.clone()));
     println!("{}", platform.url());
     std::future::pending::<()>().await;
 }
--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -71,11 +71,7 @@
 
     /// Takes a target off the list.
     pub fn remove(&self, name: &str) {
-        self.state
-            .lock()
-            .unwrap()
-            .targets
-            .retain(|target| target.name != name);
+        self.state.lock().unwrap().targets.retain(|target| target.name != name);
     }
 
     /// Publishes the present list again and again, whatever changes, while `lag` is set.
@@ -104,10 +100,7 @@
             Some((since, targets)) => (since.elapsed(), targets.clone()),
             None => (Duration::ZERO, state.targets.clone()),
         };
-        res.render(Json(Listing {
-            age_ms: age.as_millis() as u64,
-            targets,
-        }));
+        res.render(Json(Listing { age_ms: age.as_millis() as u64, targets }));
     }
 }
 
@@ -118,19 +111,13 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let mut state = self.0.lock().unwrap();
         let now = Instant::now();
-        state
-            .weight_reads
-            .retain(|at| now < *at + Duration::from_secs(1));
+        state.weight_reads.retain(|at| now < *at + Duration::from_secs(1));
         if state.weight_reads.len() >= WEIGHTS_PER_SECOND {
             res.status_code(StatusCode::TOO_MANY_REQUESTS);
-            res.headers_mut()
-                .insert("retry-after", "1".parse().expect("a header value"));
+            res.headers_mut().insert("retry-after", "1".parse().expect("a header value"));
             return;
         }
         state.weight_reads.push_back(now);
-        res.render(format!(
-            "weights of {}",
-            req.param::<String>("name").unwrap_or_default()
-        ));
+        res.render(format!("weights of {}", req.param::<String>("name").unwrap_or_default()));
     }
 }
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -108,9 +108,7 @@
                 if replica.node().lease_valid(now) {
                     return Ok(ask(replica, now));
                 }
-                Err(ControlError::NotLeader {
-                    leader: other_leader(replica),
-                })
+                Err(ControlError::NotLeader { leader: other_leader(replica) })
             })
             .await?
     }
@@ -129,9 +127,7 @@
                 ControlError::Form(format!("{peer} must be up: {}", ControlError::from(error)))
             })?;
             if identity.group != GroupId::default() {
-                return Err(ControlError::Form(format!(
-                    "{peer} belongs to a group already"
-                )));
+                return Err(ControlError::Form(format!("{peer} belongs to a group already")));
             }
             members.push(crate::raft::Member {
                 id: identity.store,
@@ -205,8 +201,7 @@
             .await?;
         // A router that has another group's configuration counts as having none.
         let applied = if request.group == group { known } else { 0 };
-        self.registry()
-            .hear(now, &request.router, applied, request.report);
+        self.registry().hear(now, &request.router, applied, request.report);
         if revision == applied {
             let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
             let mut changes = self.member.revision();
@@ -273,9 +268,8 @@
     async fn status(&self, token: String) -> Result<Status, ErrorObjectOwned> {
         self.operator(&token)?;
         let partner = self.partner.clone();
-        let (now, mut status) = self
-            .lead(move |replica, now| (now, status_of(partner, replica, now)))
-            .await?;
+        let (now, mut status) =
+            self.lead(move |replica, now| (now, status_of(partner, replica, now))).await?;
         status.routers = self.registry().status(now);
         Ok(status)
     }
@@ -285,11 +279,7 @@
     let node = replica.node();
     let members = node.members().0.iter().map(|member| {
         let (live, matched) = node.heard(now, member.id);
-        MemberStatus {
-            member: *member,
-            live,
-            matched,
-        }
+        MemberStatus { member: *member, live, matched }
     });
     Status {
         partner,
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -74,15 +74,8 @@
                 let _ = failed.send(error);
             }
         });
-        let member = Member {
-            inputs,
-            revision: watched,
-        };
-        Ok(Started {
-            member,
-            outbox,
-            failed: failure,
-        })
+        let member = Member { inputs, revision: watched };
+        Ok(Started { member, outbox, failed: failure })
     }
 
     /// Changes with each revision applied.
@@ -121,9 +114,7 @@
     pub(super) async fn form(&self, group: GroupId, members: Members) -> Result<(), ControlError> {
         self.query(move |replica, _| {
             if !replica.blank() {
-                return Err(ControlError::Form(
-                    "this member belongs to a group already".into(),
-                ));
+                return Err(ControlError::Form("this member belongs to a group already".into()));
             }
             replica.form(group, members);
             Ok(())
@@ -157,10 +148,7 @@
             match inputs.recv_timeout(wait) {
                 Ok(input) => {
                     self.take(input);
-                    inputs
-                        .try_iter()
-                        .take(MAX_BATCH)
-                        .for_each(|input| self.take(input));
+                    inputs.try_iter().take(MAX_BATCH).for_each(|input| self.take(input));
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
@@ -208,18 +196,13 @@
         for answered in answered {
             if let Some(waiting) = self.waiting.remove(&answered.at.index) {
                 let lost = waiting.term != answered.at.term;
-                let answer = if lost {
-                    Err(ControlError::Unknown)
-                } else {
-                    Ok(answered.answer)
-                };
+                let answer = if lost { Err(ControlError::Unknown) } else { Ok(answered.answer) };
                 let _ = waiting.answer.send(answer);
             }
         }
         self.note_role();
         let revision = self.replica.store().revision();
-        self.revision
-            .send_if_modified(|known| std::mem::replace(known, revision) != revision);
+        self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
         Ok(())
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -60,14 +60,10 @@
         control: &ControlSettings,
         log: &Logger,
     ) -> Result<Self, MemberError> {
-        let addr = control
-            .listen
-            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let addr = control.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let log = log.new(o!("role" => "control", "addr" => addr.to_string()));
-        let disk = FolderDisk::open(&control.data_dir).map_err(|source| MemberError::Folder {
-            path: control.data_dir.clone(),
-            source,
-        })?;
+        let disk = FolderDisk::open(&control.data_dir)
+            .map_err(|source| MemberError::Folder { path: control.data_dir.clone(), source })?;
         let started = Member::start(&log, |now| {
             Replica::open(
                 disk,
@@ -90,10 +86,7 @@
         peers::start(&calls, started.outbox, &log);
         let server = server.start(ControlServer::into_rpc(Arc::new(calls)));
         info!(log, "control member listening"; "event" => "control_started");
-        Ok(Control {
-            server,
-            failed: started.failed,
-        })
+        Ok(Control { server, failed: started.failed })
     }
 
     /// Waits until the member had to stop because its disk failed.
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -22,12 +22,7 @@
 /// Starts the tasks.
 pub(super) fn start(calls: &Calls, outbox: Outbox, log: &Logger) {
     let key = calls.key().to_owned();
-    tokio::spawn(dispatch(
-        calls.member().clone(),
-        outbox,
-        key.clone(),
-        log.clone(),
-    ));
+    tokio::spawn(dispatch(calls.member().clone(), outbox, key.clone(), log.clone()));
     let others = calls.others();
     tokio::spawn(join(calls.member().clone(), calls.addr(), others, key));
 }
@@ -100,10 +95,8 @@
 
 /// Asks every other member to bring this one in, until it is a voter.
 async fn join(member: Member, addr: SocketAddr, others: Vec<SocketAddr>, key: String) {
-    let clients: Vec<_> = others
-        .iter()
-        .filter_map(|other| connect(*other, DELIVERY_TIMEOUT).ok())
-        .collect();
+    let clients: Vec<_> =
+        others.iter().filter_map(|other| connect(*other, DELIVERY_TIMEOUT).ok()).collect();
     loop {
         let standing = member
             .query(|replica, _| {
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -25,21 +25,14 @@
 
 impl Registry {
     pub(super) fn new(lease: Duration) -> Self {
-        Registry {
-            lease,
-            routers: BTreeMap::new(),
-        }
+        Registry { lease, routers: BTreeMap::new() }
     }
 
     /// Notes a router's call.
     pub(super) fn hear(&mut self, now: Time, router: &str, revision: Revision, report: Report) {
         let lease = self.lease;
         self.routers.retain(|_, seen| now <= seen.at + lease);
-        let seen = Seen {
-            at: now,
-            revision,
-            report,
-        };
+        let seen = Seen { at: now, revision, report };
         self.routers.insert(router.to_owned(), seen);
     }
 
@@ -48,10 +41,7 @@
     /// A leader knows that it has heard every such router only after a whole lease in office,
     /// which began at `leading_since`.
     pub(super) fn in_force(&self, now: Time, leading_since: Time, revision: Revision) -> WaitReply {
-        let live = self
-            .routers
-            .iter()
-            .filter(|(_, seen)| now <= seen.at + self.lease);
+        let live = self.routers.iter().filter(|(_, seen)| now <= seen.at + self.lease);
         let (ready, behind): (Vec<_>, Vec<_>) =
             live.partition(|(_, seen)| seen.revision >= revision);
         let names = |routers: Vec<(&String, &Seen)>| -> Vec<String> {
@@ -66,10 +56,7 @@
 
     /// Every live router.
     pub(super) fn status(&self, now: Time) -> Vec<RouterStatus> {
-        let live = self
-            .routers
-            .iter()
-            .filter(|(_, seen)| now <= seen.at + self.lease);
+        let live = self.routers.iter().filter(|(_, seen)| now <= seen.at + self.lease);
         live.map(|(host, seen)| RouterStatus {
             host: host.clone(),
             revision: seen.revision,
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -22,11 +22,7 @@
 impl Fault {
     /// A fault at `path` whose line is not known yet.
     pub fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
-        Fault {
-            path: path.into(),
-            line: 0,
-            message: message.into(),
-        }
+        Fault { path: path.into(), line: 0, message: message.into() }
     }
 }
 
@@ -74,11 +70,7 @@
             Ok((document, unknown)) => {
                 faults.extend(unknown);
                 faults.extend(document.faults());
-                return if faults.is_empty() {
-                    Ok(document)
-                } else {
-                    Err(without_echoes(faults))
-                };
+                return if faults.is_empty() { Ok(document) } else { Err(without_echoes(faults)) };
             }
             Err(fault) => {
                 // Drop the faulty field and go on, so that later faults are found too.
@@ -179,8 +171,7 @@
             None => return false,
         }
     }
-    at.as_object_mut()
-        .is_some_and(|fields| fields.remove(&last).is_some())
+    at.as_object_mut().is_some_and(|fields| fields.remove(&last).is_some())
 }
 
 /// The line of the deepest part of `path` that stands in the text; 1 when none does.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -11,16 +11,9 @@
 ///
 /// Values are quoted and escaped, so that no caller's bytes can forge a line.
 pub fn logger(host: &str, level: Level) -> Logger {
-    let format = Logfmt::new(std::io::stderr())
-        .no_prefix()
-        .print_level(true)
-        .print_msg(true)
-        .build()
-        .fuse();
-    let queue = slog_async::Async::new(format)
-        .chan_size(QUEUE_LEN)
-        .build()
-        .fuse();
+    let format =
+        Logfmt::new(std::io::stderr()).no_prefix().print_level(true).print_msg(true).build().fuse();
+    let queue = slog_async::Async::new(format).chan_size(QUEUE_LEN).build().fuse();
     let filtered = LevelFilter::new(queue, level).fuse();
     let at = FnValue(|_: &Record<'_>| {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -117,9 +117,7 @@
     pub fn count_control(&self, kind: &str, sent: usize, received: usize) {
         let bytes = &self.control_bytes;
         bytes.with_label_values(&["sent", kind]).inc_by(sent as u64);
-        bytes
-            .with_label_values(&["received", kind])
-            .inc_by(received as u64);
+        bytes.with_label_values(&["received", kind]).inc_by(received as u64);
     }
 
     /// The text for a scrape.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -92,10 +92,8 @@
 }
 
 fn read(path: &Path) -> Result<String, OperatorError> {
-    std::fs::read_to_string(path).map_err(|source| OperatorError::Unreadable {
-        path: path.display().to_string(),
-        source,
-    })
+    std::fs::read_to_string(path)
+        .map_err(|source| OperatorError::Unreadable { path: path.display().to_string(), source })
 }
 
 /// A partner's control group, as an operator reaches it.
@@ -189,20 +187,14 @@
         let template: Template = parse(&read(&args.file)?)?;
         let id = args.change_id.clone();
         let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-        let change = Change {
-            id: id.clone(),
-            base,
-            author: String::new(),
-            template,
-        };
+        let change = Change { id: id.clone(), base, author: String::new(), template };
         let change = serde_json::to_value(change).unwrap_or_default();
-        let answer = self
-            .call(async |client, token| client.change(token, change.clone()).await)
-            .await?;
+        let answer =
+            self.call(async |client, token| client.change(token, change.clone()).await).await?;
         match answer {
-            Answer::Accepted { version, revision } => Ok(format!(
-                "accepted version {version} revision {revision} change {id}"
-            )),
+            Answer::Accepted { version, revision } => {
+                Ok(format!("accepted version {version} revision {revision} change {id}"))
+            }
             Answer::Conflict { in_force } => Err(OperatorError::Conflict { in_force }),
             Answer::Rejected { faults } => Err(OperatorError::Faulty(faults)),
             Answer::IdReused => Err(OperatorError::IdReused),
@@ -210,18 +202,13 @@
     }
 
     async fn templates(&mut self) -> Result<Vec<Stored>, OperatorError> {
-        self.call(async |client, token| client.templates(token).await)
-            .await
+        self.call(async |client, token| client.templates(token).await).await
     }
 
     async fn stored(&mut self, name: &str) -> Result<Stored, OperatorError> {
         let templates = self.templates().await?;
-        let mut named = templates
-            .into_iter()
-            .filter(|stored| stored.template.name == name);
-        named
-            .next()
-            .ok_or_else(|| OperatorError::NoTemplate(name.to_owned()))
+        let mut named = templates.into_iter().filter(|stored| stored.template.name == name);
+        named.next().ok_or_else(|| OperatorError::NoTemplate(name.to_owned()))
     }
 
     async fn list(&mut self) -> Result<String, OperatorError> {
@@ -242,14 +229,11 @@
 
     async fn wait(&mut self, revision: u64) -> Result<String, OperatorError> {
         let timeout_ms = self.timeout.as_millis() as u64;
-        let reply = self
-            .call(async |client, token| client.wait(token, revision, timeout_ms).await)
-            .await?;
+        let reply =
+            self.call(async |client, token| client.wait(token, revision, timeout_ms).await).await?;
         if reply.in_force {
             let routers = reply.ready.len();
-            return Ok(format!(
-                "revision {revision} in force at all {routers} live routers"
-            ));
+            return Ok(format!("revision {revision} in force at all {routers} live routers"));
         }
         Err(OperatorError::NotInForce(reply.behind))
     }
@@ -260,9 +244,8 @@
     /// [`OperatorError`] as control gives it.
     pub async fn drain(&mut self, name: String, on: bool) -> Result<String, OperatorError> {
         let drain = Drain { name, on };
-        let answer = self
-            .call(async |client, token| client.drain(token, drain.clone()).await)
-            .await?;
+        let answer =
+            self.call(async |client, token| client.drain(token, drain.clone()).await).await?;
         match answer {
             Answer::Accepted { revision, .. } => Ok(format!("accepted revision {revision}")),
             other => Ok(other.label().to_owned()),
@@ -274,9 +257,7 @@
     /// # Errors
     /// [`OperatorError`] as control gives it.
     pub async fn status(&mut self, json: bool) -> Result<String, OperatorError> {
-        let status = self
-            .call(async |client, token| client.status(token).await)
-            .await?;
+        let status = self.call(async |client, token| client.status(token).await).await?;
         if json {
             return Ok(serde_json::to_string_pretty(&status).unwrap_or_default());
         }
@@ -317,9 +298,7 @@
     );
     for router in &status.routers {
         let refused = router.report.refused.iter();
-        let refused: Vec<String> = refused
-            .map(|(code, count)| format!("{code}={count}"))
-            .collect();
+        let refused: Vec<String> = refused.map(|(code, count)| format!("{code}={count}")).collect();
         let _ = writeln!(
             out,
             "{:<18} {:<9} {:<9} {:<9} {}",
--- a/src/process.rs
+++ b/src/process.rs
@@ -27,11 +27,7 @@
 /// When the settings have faults, a role can't start, or the disk of a control member fails.
 pub async fn run(process: Process, roles: Roles) -> eyre::Result<()> {
     let settings = Settings::read(&process.settings)?;
-    let level = if process.verbose {
-        Level::Debug
-    } else {
-        Level::Info
-    };
+    let level = if process.verbose { Level::Debug } else { Level::Info };
     let log = logging::logger(&settings.host, level);
     let mut stop = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be handled")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be handled")?;
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -14,11 +14,7 @@
 impl Log {
     /// A log that starts after `snapshot`.
     pub fn new(snapshot: Snapshot) -> Self {
-        Log {
-            snapshot,
-            entries: Vec::new(),
-            members_at: None,
-        }
+        Log { snapshot, entries: Vec::new(), members_at: None }
     }
 
     /// The snapshot before the first entry.
@@ -30,10 +26,7 @@
     pub fn last(&self) -> Position {
         self.entries
             .last()
-            .map_or(self.snapshot.at, |entry| Position {
-                term: entry.term,
-                index: entry.index,
-            })
+            .map_or(self.snapshot.at, |entry| Position { term: entry.term, index: entry.index })
     }
 
     /// Entries after the snapshot.
@@ -84,11 +77,7 @@
     /// Puts `snapshot` in place of the entries that it covers; all of them if they disagree with it.
     pub fn compact(&mut self, snapshot: Snapshot) {
         let agrees = self.term_at(snapshot.at.index) == Some(snapshot.at.term);
-        let kept = if agrees {
-            self.from(snapshot.at.index + 1).to_vec()
-        } else {
-            Vec::new()
-        };
+        let kept = if agrees { self.from(snapshot.at.index + 1).to_vec() } else { Vec::new() };
         self.snapshot = snapshot;
         self.entries = kept;
         self.find_members();
@@ -103,11 +92,7 @@
 
     /// Members as of the entry at `index`.
     pub fn members_as_of(&self, index: Index) -> &Members {
-        let earlier = self
-            .entries
-            .iter()
-            .rev()
-            .filter(|entry| entry.index <= index);
+        let earlier = self.entries.iter().rev().filter(|entry| entry.index <= index);
         let latest = earlier.filter_map(|entry| match &entry.payload {
             Payload::Members(members) => Some(members),
             _ => None,
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -80,10 +80,7 @@
 
     /// The members that count.
     pub fn voters(&self) -> impl Iterator<Item = StoreId> + '_ {
-        self.0
-            .iter()
-            .filter(|member| member.standing == Standing::Voter)
-            .map(|member| member.id)
+        self.0.iter().filter(|member| member.standing == Standing::Voter).map(|member| member.id)
     }
 
     /// Voters needed for a decision.
@@ -98,13 +95,8 @@
     pub fn next_step(&self, id: StoreId, addr: SocketAddr, caught_up: bool) -> Option<Members> {
         let mut next = self.clone();
         let Some(standing) = self.get(id).map(|member| member.standing) else {
-            next.0
-                .retain(|member| member.addr != addr || member.standing == Standing::Voter);
-            next.0.push(Member {
-                id,
-                addr,
-                standing: Standing::Learner,
-            });
+            next.0.retain(|member| member.addr != addr || member.standing == Standing::Voter);
+            next.0.push(Member { id, addr, standing: Standing::Learner });
             return Some(next);
         };
         if standing == Standing::Voter || !caught_up {
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -203,11 +203,8 @@
     /// Makes a blank member the first of a new group.
     pub fn form(&mut self, group: GroupId, members: Members) {
         self.set_hard(HardState { group, ..self.hard });
-        let snapshot = Snapshot {
-            at: Position { term: 1, index: 1 },
-            members,
-            store: Default::default(),
-        };
+        let snapshot =
+            Snapshot { at: Position { term: 1, index: 1 }, members, store: Default::default() };
         self.restore(snapshot);
     }
 
@@ -217,8 +214,7 @@
         if self.role != Role::Leader || self.commit < self.term_start {
             return false;
         }
-        self.quorum_acked(now)
-            .is_some_and(|acked| now < acked + self.timing.lease())
+        self.quorum_acked(now).is_some_and(|acked| now < acked + self.timing.lease())
     }
 
     /// Since when this member leads.
@@ -249,9 +245,7 @@
     /// [`NotLeader`] unless this member leads.
     pub fn propose(&mut self, now: Time, payload: Payload) -> Result<Position, NotLeader> {
         if self.role != Role::Leader {
-            return Err(NotLeader {
-                leader: self.leader,
-            });
+            return Err(NotLeader { leader: self.leader });
         }
         let position = self.append(payload);
         self.send_to_all(now);
@@ -266,10 +260,7 @@
         if self.role != Role::Leader || !settled {
             return;
         }
-        let occupant = members
-            .0
-            .iter()
-            .find(|member| member.addr == addr && member.id != id);
+        let occupant = members.0.iter().find(|member| member.addr == addr && member.id != id);
         if occupant.is_some_and(|member| self.recently_heard(now, member.id)) {
             return;
         }
@@ -304,10 +295,7 @@
             return;
         }
         if blank {
-            self.set_hard(HardState {
-                group: message.group,
-                ..self.hard
-            });
+            self.set_hard(HardState { group: message.group, ..self.hard });
         }
         let from = message.from;
         match message.body {
@@ -317,12 +305,7 @@
             }
             Body::Vote { last } => self.on_vote(now, from, last),
             Body::VoteReply { granted } => self.on_vote_reply(now, from, Role::Candidate, granted),
-            Body::Append {
-                prev,
-                entries,
-                commit,
-                round,
-            } => {
+            Body::Append { prev, entries, commit, round } => {
                 self.follow(now, from);
                 let result = self.on_append(prev, entries, commit);
                 self.send(from, Body::AppendReply { round, result });
@@ -381,10 +364,7 @@
         let free = self.hard.vote.is_none() || self.hard.vote == Some(from);
         let granted = free && last >= self.log.last() && self.role == Role::Follower;
         if granted {
-            self.set_hard(HardState {
-                vote: Some(from),
-                ..self.hard
-            });
+            self.set_hard(HardState { vote: Some(from), ..self.hard });
             self.reset_campaign(now);
         }
         self.send(from, Body::VoteReply { granted });
@@ -396,10 +376,7 @@
         }
         self.votes.insert(from);
         let members = self.members();
-        let votes = members
-            .voters()
-            .filter(|id| self.votes.contains(id))
-            .count();
+        let votes = members.voters().filter(|id| self.votes.contains(id)).count();
         if votes < members.quorum() {
             return;
         }
@@ -431,10 +408,7 @@
         match self.log.term_at(entry.index) {
             Some(term) if term == entry.term => return,
             Some(_) => {
-                assert!(
-                    entry.index > self.commit,
-                    "a committed entry would be replaced"
-                );
+                assert!(entry.index > self.commit, "a committed entry would be replaced");
                 self.log.truncate(entry.index);
                 self.ready.writes.push(Write::Truncate(entry.index));
             }
@@ -465,11 +439,7 @@
         if self.role != Role::Leader {
             return;
         }
-        let sent_at = self
-            .rounds
-            .iter()
-            .find(|(sent, _)| *sent == round)
-            .map(|(_, at)| *at);
+        let sent_at = self.rounds.iter().find(|(sent, _)| *sent == round).map(|(_, at)| *at);
         let last = self.log.last().index;
         let Some(progress) = self.progress.get_mut(&from) else {
             return;
@@ -493,11 +463,7 @@
 
     fn append(&mut self, payload: Payload) -> Position {
         let index = self.log.last().index + 1;
-        let entry = Entry {
-            term: self.hard.term,
-            index,
-            payload,
-        };
+        let entry = Entry { term: self.hard.term, index, payload };
         self.log.push(entry.clone());
         self.ready.writes.push(Write::Append(entry));
         self.track_members();
@@ -538,9 +504,7 @@
         if id == self.id {
             return self.log.last().index;
         }
-        self.progress
-            .get(&id)
-            .map_or(0, |progress| progress.matched)
+        self.progress.get(&id).map_or(0, |progress| progress.matched)
     }
 
     /// Sending time of the newest heartbeat that a quorum has answered.
@@ -552,9 +516,7 @@
                 if id == self.id {
                     return Some(now);
                 }
-                self.progress
-                    .get(&id)
-                    .and_then(|progress| progress.acked_at)
+                self.progress.get(&id).and_then(|progress| progress.acked_at)
             })
             .collect();
         acked.sort_unstable_by(|a, b| b.cmp(a));
@@ -562,18 +524,12 @@
     }
 
     fn recently_heard(&self, now: Time, id: StoreId) -> bool {
-        let acked = self
-            .progress
-            .get(&id)
-            .and_then(|progress| progress.acked_at);
+        let acked = self.progress.get(&id).and_then(|progress| progress.acked_at);
         id == self.id || acked.is_some_and(|at| now < at + self.timing.election_max)
     }
 
     fn check_quorum(&mut self, now: Time) {
-        let elected_or_acked = self
-            .quorum_acked(now)
-            .unwrap_or(Time::ZERO)
-            .max(self.heard_at);
+        let elected_or_acked = self.quorum_acked(now).unwrap_or(Time::ZERO).max(self.heard_at);
         if now >= elected_or_acked + self.timing.election_max {
             self.become_follower(now, self.hard.term);
         }
@@ -595,11 +551,7 @@
     fn campaign(&mut self, now: Time) {
         self.role = Role::Candidate;
         self.votes.clear();
-        self.set_hard(HardState {
-            term: self.hard.term + 1,
-            vote: Some(self.id),
-            ..self.hard
-        });
+        self.set_hard(HardState { term: self.hard.term + 1, vote: Some(self.id), ..self.hard });
         self.reset_campaign(now);
         let last = self.log.last();
         self.ask_voters(self.hard.term, Body::Vote { last });
@@ -631,11 +583,7 @@
         self.leader = None;
         self.progress.clear();
         if term > self.hard.term {
-            self.set_hard(HardState {
-                term,
-                vote: None,
-                ..self.hard
-            });
+            self.set_hard(HardState { term, vote: None, ..self.hard });
         }
         self.reset_campaign(now);
     }
@@ -686,12 +634,8 @@
         let missing = self.log.from(progress.next);
         let entries = missing[..missing.len().min(MAX_ENTRIES)].to_vec();
         progress.next += entries.len() as Index;
-        let body = Body::Append {
-            prev: Position { term, index },
-            entries,
-            commit: self.commit,
-            round,
-        };
+        let body =
+            Body::Append { prev: Position { term, index }, entries, commit: self.commit, round };
         self.send(to, body);
     }
 
@@ -701,9 +645,7 @@
         let Some(progress) = self.progress.get_mut(&to) else {
             return;
         };
-        let due = progress
-            .snapshot_sent
-            .is_none_or(|at| now >= at + self.timing.election_max);
+        let due = progress.snapshot_sent.is_none_or(|at| now >= at + self.timing.election_max);
         let body = if due {
             progress.snapshot_sent = Some(now);
             let snapshot = Box::new(self.log.snapshot().clone());
--- a/src/raft/replica.rs
+++ b/src/raft/replica.rs
@@ -47,21 +47,8 @@
         let snapshot = recovered.log.snapshot();
         let store = snapshot.store.clone();
         let applied = snapshot.at;
-        let node = Node::new(
-            recovered.store,
-            timing,
-            recovered.hard,
-            recovered.log,
-            now,
-            seed,
-        );
-        Ok(Replica {
-            node,
-            wal,
-            store,
-            applied,
-            compact_after,
-        })
+        let node = Node::new(recovered.store, timing, recovered.hard, recovered.log, now, seed);
+        Ok(Replica { node, wal, store, applied, compact_after })
     }
 
     /// The consensus state.
@@ -120,18 +107,14 @@
     /// [`WalError`] when the disk fails; the member must stop, and nothing may leave.
     pub fn flush(&mut self) -> Result<(Vec<Envelope>, Vec<Answered>), WalError> {
         let ready = self.node.take_ready();
-        self.wal
-            .write(&ready.writes, self.node.hard(), self.node.log())?;
+        self.wal.write(&ready.writes, self.node.hard(), self.node.log())?;
         if let Some(snapshot) = ready.restore {
             self.applied = snapshot.at;
             self.store = snapshot.store;
         }
         let mut answers = Vec::new();
         for entry in ready.committed {
-            let at = Position {
-                term: entry.term,
-                index: entry.index,
-            };
+            let at = Position { term: entry.term, index: entry.index };
             if let Payload::Command(command) = entry.payload {
                 let answer = self.store.apply(entry.index, command);
                 answers.push(Answered { at, answer });
@@ -149,8 +132,7 @@
         }
         self.node.compact(self.applied.index, self.store.clone());
         let ready = self.node.take_ready();
-        self.wal
-            .write(&ready.writes, self.node.hard(), self.node.log())
+        self.wal.write(&ready.writes, self.node.hard(), self.node.log())
     }
 }
 
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -110,11 +110,7 @@
     }
 
     fn start(disk: D, store: StoreId) -> Result<(Self, Recovered), WalError> {
-        let recovered = Recovered {
-            store,
-            hard: HardState::default(),
-            log: Log::default(),
-        };
+        let recovered = Recovered { store, hard: HardState::default(), log: Log::default() };
         let mut wal = Wal { disk, store };
         wal.rewrite(recovered.hard, &recovered.log)?;
         Ok((wal, recovered))
@@ -128,10 +124,7 @@
         if writes.is_empty() {
             return Ok(());
         }
-        if writes
-            .iter()
-            .any(|write| matches!(write, Write::Snapshot(_)))
-        {
+        if writes.iter().any(|write| matches!(write, Write::Snapshot(_))) {
             return self.rewrite(hard, log);
         }
         let mut bytes = Vec::new();
@@ -150,10 +143,7 @@
 
     fn rewrite(&mut self, hard: HardState, log: &Log) -> Result<(), WalError> {
         let mut bytes = Vec::new();
-        let identity = Record::Identity {
-            format: FORMAT,
-            store: self.store,
-        };
+        let identity = Record::Identity { format: FORMAT, store: self.store };
         encode(&mut bytes, &identity);
         encode(&mut bytes, &Record::Hard(hard));
         encode(&mut bytes, &Record::Snapshot(log.snapshot().clone()));
@@ -233,18 +223,11 @@
 fn replay(records: Vec<Record>) -> Result<Recovered, WalError> {
     let mut records = records.into_iter();
     let store = match records.next() {
-        Some(Record::Identity {
-            format: FORMAT,
-            store,
-        }) => store,
+        Some(Record::Identity { format: FORMAT, store }) => store,
         Some(Record::Identity { format, .. }) => return Err(WalError::Format { found: format }),
         _ => return Err(WalError::Damaged { at: 0 }),
     };
-    let mut recovered = Recovered {
-        store,
-        hard: HardState::default(),
-        log: Log::default(),
-    };
+    let mut recovered = Recovered { store, hard: HardState::default(), log: Log::default() };
     for record in records {
         match record {
             Record::Identity { .. } => return Err(WalError::Damaged { at: 0 }),
@@ -273,16 +256,9 @@
         std::fs::create_dir_all(folder)?;
         let lock = File::create(folder.join(LOCK_FILE))?;
         lock.try_lock().map_err(|_| {
-            io::Error::new(
-                io::ErrorKind::ResourceBusy,
-                "another process holds the data folder",
-            )
+            io::Error::new(io::ErrorKind::ResourceBusy, "another process holds the data folder")
         })?;
-        Ok(FolderDisk {
-            folder: folder.to_owned(),
-            file: None,
-            _lock: lock,
-        })
+        Ok(FolderDisk { folder: folder.to_owned(), file: None, _lock: lock })
     }
 
     fn file(&mut self) -> io::Result<&mut File> {
@@ -290,9 +266,7 @@
             let path = self.folder.join(LOG_FILE);
             self.file = Some(OpenOptions::new().append(true).open(path)?);
         }
-        self.file
-            .as_mut()
-            .ok_or_else(|| io::ErrorKind::NotFound.into())
+        self.file.as_mut().ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 }
 
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -23,10 +23,7 @@
 impl Budget {
     /// A budget of `percent` retries for each hundred successes.
     pub fn new(percent: f64) -> Self {
-        Budget {
-            share: percent / 100.0,
-            tokens: BUDGET_CAPACITY,
-        }
+        Budget { share: percent / 100.0, tokens: BUDGET_CAPACITY }
     }
 
     /// Notes a success.
@@ -66,12 +63,7 @@
 impl Attempts {
     /// A request that must end by `deadline`.
     pub fn new(repeatable: bool, deadline: Duration) -> Self {
-        Attempts {
-            repeatable,
-            deadline,
-            made: 0,
-            may_have_run: None,
-        }
+        Attempts { repeatable, deadline, made: 0, may_have_run: None }
     }
 
     /// Decides after an attempt ended for `reason` at `now`.
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -86,9 +86,7 @@
         let chat = ChatBody::deserialize(&document)
             .map_err(|error| bad_request(format!("body: {error}")))?;
         if chat.messages.is_empty() {
-            return Err(bad_request(
-                "body: messages: must hold at least one message",
-            ));
+            return Err(bad_request("body: messages: must hold at least one message"));
         }
         document["model"] = Value::from(policy.model.clone());
         let body = serde_json::to_vec(&document).unwrap_or_default();
@@ -98,11 +96,7 @@
             None => Key::chat(&team, &serde_json::to_vec(opening).unwrap_or_default()),
         };
         Ok(Work {
-            kind: if chat.stream {
-                Kind::ChatStream
-            } else {
-                Kind::Chat
-            },
+            kind: if chat.stream { Kind::ChatStream } else { Kind::Chat },
             team,
             key,
             repeatable: policy.repeatable.chat,
@@ -129,11 +123,7 @@
         };
         Ok(Work {
             repeatable: policy.repeatable.services.contains(&name),
-            kind: Kind::Service {
-                name,
-                path,
-                method: req.method().clone(),
-            },
+            kind: Kind::Service { name, path, method: req.method().clone() },
             team,
             key,
             policy,
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -35,10 +35,7 @@
 
 impl Refusal {
     pub(super) fn new(reason: Reason, message: impl Into<String>) -> Self {
-        Refusal {
-            reason,
-            message: message.into(),
-        }
+        Refusal { reason, message: message.into() }
     }
 
     /// A refusal whose reason says it all.
@@ -65,8 +62,7 @@
         let status = StatusCode::from_u16(self.reason.status());
         res.status_code(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
         if let Some(after) = self.reason.retry_after() {
-            res.headers_mut()
-                .insert(RETRY_AFTER, HeaderValue::from(after.as_secs()));
+            res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(after.as_secs()));
         }
         let json = HeaderValue::from_static("application/json");
         res.headers_mut().insert(CONTENT_TYPE, json);
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -42,9 +42,7 @@
         let reply = members.current().sync(shared.key.clone(), request).await;
         match reply.map_err(ControlError::from) {
             Ok(reply) => {
-                shared
-                    .metrics
-                    .count_control("config", sent, json_len(&reply));
+                shared.metrics.count_control("config", sent, json_len(&reply));
                 if group == GroupId::default() {
                     group = reply.group;
                 }
@@ -84,10 +82,7 @@
 /// Reads the platform's list again and again.
 async fn follow_list(shared: Arc<Shared>) {
     let pause = Duration::from_millis(shared.settings.list_poll_ms);
-    let url = format!(
-        "{}/targets",
-        shared.settings.platform_url.trim_end_matches('/')
-    );
+    let url = format!("{}/targets", shared.settings.platform_url.trim_end_matches('/'));
     let mut reachable = true;
     loop {
         let read = read_list(&shared, &url).await;
@@ -108,9 +103,7 @@
     let answer = answer.error_for_status()?;
     let bytes = answer.content_length().unwrap_or_default();
     let listing = answer.json().await?;
-    shared
-        .metrics
-        .count_control("platform_list", url.len(), bytes as usize);
+    shared.metrics.count_control("platform_list", url.len(), bytes as usize);
     Ok(listing)
 }
 
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -100,10 +100,7 @@
             };
             match next {
                 Next::Retry(wait) => {
-                    self.metrics
-                        .retries
-                        .with_label_values(&[reason.code()])
-                        .inc();
+                    self.metrics.retries.with_label_values(&[reason.code()]).inc();
                     tokio::time::sleep(wait).await;
                 }
                 Next::GiveUp(reason) => return Err(Refusal::plain(reason)),
@@ -151,11 +148,7 @@
         };
         self.check(&answer, &attempt, &slot.target)?;
         lock(&self.targets).succeeded(self.now(), name);
-        Ok(Begun {
-            answer,
-            attempt,
-            slot,
-        })
+        Ok(Begun { answer, attempt, slot })
     }
 
     /// Takes a slot at the first target in the request's order that is below its bound.
@@ -179,11 +172,7 @@
             choices.retain(|choice| !tried.contains(&choice.name));
         }
         let candidates: Vec<Candidate> = choices.iter().map(|choice| choice.candidate).collect();
-        let total = candidates
-            .iter()
-            .map(|candidate| candidate.load)
-            .sum::<usize>()
-            + 1;
+        let total = candidates.iter().map(|candidate| candidate.load).sum::<usize>() + 1;
         let cap = choice::cap(total, candidates.len(), self.settings.load_bound);
         let cap = cap.min(self.settings.max_in_flight_per_target);
         let chosen = choice::choose(work.key, &candidates, cap).ok_or(Reason::Overloaded)?;
@@ -226,10 +215,7 @@
         target: &Choice,
     ) -> Result<(), Reason> {
         let headers = answer.headers();
-        if headers
-            .get(ATTEMPT)
-            .is_some_and(|echo| echo.as_bytes() != attempt.as_bytes())
-        {
+        if headers.get(ATTEMPT).is_some_and(|echo| echo.as_bytes() != attempt.as_bytes()) {
             lock(&self.targets).failed(self.now(), &target.name);
             return Err(Reason::WrongAnswer);
         }
@@ -245,11 +231,7 @@
 
 /// A request whose connection was never made has not run; any other may have.
 fn unsent_or_lost(error: &reqwest::Error) -> Reason {
-    if error.is_connect() {
-        Reason::ConnectFailed
-    } else {
-        Reason::AnswerLost
-    }
+    if error.is_connect() { Reason::ConnectFailed } else { Reason::AnswerLost }
 }
 
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
@@ -261,9 +243,7 @@
 }
 
 fn service_headers(from: &HeaderMap) -> HeaderMap {
-    let passed = from
-        .iter()
-        .filter(|(name, _)| passed_on(name) && *name != CHAT && *name != TEAM);
+    let passed = from.iter().filter(|(name, _)| passed_on(name) && *name != CHAT && *name != TEAM);
     let mut headers = HeaderMap::new();
     for (name, value) in passed {
         headers.append(name.clone(), HeaderValue::clone(value));
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -1,14 +1,18 @@
 //! The callers' side: routes, handlers and limits.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use salvo::conn::Acceptor;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::ResBody;
 use salvo::http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Server, async_trait};
 use slog::debug;
+use tokio::net::TcpSocket;
 
 use super::Shared;
 use super::admission::Work;
@@ -21,24 +25,33 @@
 /// Longest time for a caller to send its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens at `addr`; pieces of a stream leave at once, without waiting for an acknowledgement.
+pub(super) fn listen(addr: SocketAddr) -> io::Result<TcpAcceptor> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections take this over from the listening socket.
+    socket.set_nodelay(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)?.try_into()
+}
+
 /// The server with its limits on connections, headers and slow callers.
 pub(super) fn server<A: Acceptor>(shared: &Arc<Shared>, acceptor: A) -> Server<A> {
-    let mut server = Server::new(acceptor)
-        .max_connections(shared.settings.max_connections)
-        .disable_fuse();
-    server
-        .http1_mut()
-        .max_buf_size(MAX_HEADER_BYTES)
-        .header_read_timeout(HEADER_TIMEOUT);
+    let mut server =
+        Server::new(acceptor).max_connections(shared.settings.max_connections).disable_fuse();
+    server.http1_mut().max_buf_size(MAX_HEADER_BYTES).header_read_timeout(HEADER_TIMEOUT);
     server
 }
 
 /// The routes.
 pub(super) fn routes(shared: &Arc<Shared>) -> salvo::Router {
-    let handler = |call| Endpoint {
-        shared: shared.clone(),
-        call,
-    };
+    let handler = |call| Endpoint { shared: shared.clone(), call };
     salvo::Router::new()
         .push(salvo::Router::with_path("healthz").get(handler(Call::Health)))
         .push(salvo::Router::with_path("metrics").get(handler(Call::Metrics)))
@@ -141,14 +154,8 @@
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
         shared.admitted.fetch_add(1, Ordering::Relaxed);
         let metrics: &Metrics = &shared.metrics;
-        metrics
-            .requests
-            .with_label_values(&[work.kind.label()])
-            .inc();
-        metrics
-            .in_flight_team
-            .with_label_values(&[&work.team])
-            .inc();
+        metrics.requests.with_label_values(&[work.kind.label()]).inc();
+        metrics.in_flight_team.with_label_values(&[&work.team]).inc();
         let team = work.team.clone();
         InFlight { shared, team }
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-use salvo::conn::{Acceptor, Listener, TcpListener};
+use salvo::conn::Acceptor;
 use salvo::server::ServerHandle;
 use slog::{Logger, info, o, warn};
 
@@ -40,7 +40,7 @@
         /// The address.
         addr: SocketAddr,
         /// Why.
-        source: Box<salvo::Error>,
+        source: std::io::Error,
     },
     /// The HTTP client can't be made.
     #[error("HTTP client: {0}")]
@@ -140,11 +140,7 @@
     /// What control is told of this router.
     fn report(&self) -> Report {
         let refused = Reason::ALL.iter().filter_map(|reason| {
-            let count = self
-                .metrics
-                .refused
-                .with_label_values(&[reason.code()])
-                .get();
+            let count = self.metrics.refused.with_label_values(&[reason.code()]).get();
             (count > 0).then(|| (reason.code().to_owned(), count))
         });
         Report {
@@ -156,14 +152,9 @@
     /// The metrics, with the gauges brought up to date.
     fn render_metrics(&self) -> Vec<u8> {
         let age = lock(&self.freshness).age(self.now());
-        self.metrics
-            .config_age
-            .set(age.map_or(-1.0, |age| age.as_secs_f64()));
+        self.metrics.config_age.set(age.map_or(-1.0, |age| age.as_secs_f64()));
         for (name, in_flight) in lock(&self.targets).in_flight() {
-            self.metrics
-                .in_flight
-                .with_label_values(&[name])
-                .set(in_flight as i64);
+            self.metrics.in_flight.with_label_values(&[name]).set(in_flight as i64);
         }
         self.metrics.render()
     }
@@ -186,27 +177,16 @@
         log: &Logger,
     ) -> Result<Self, RouterError> {
         let shared = Arc::new(Shared::new(settings, router, log)?);
-        let addr = router
-            .listen
-            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
-        let listening = TcpListener::new(addr).try_bind().await;
-        let acceptor = listening.map_err(|source| RouterError::Listen {
-            addr,
-            source: Box::new(source),
-        })?;
-        let local = acceptor
-            .holdings()
-            .first()
-            .map(|holding| holding.local_addr.to_string());
+        let addr = router.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listening = http::listen(addr);
+        let acceptor = listening.map_err(|source| RouterError::Listen { addr, source })?;
+        let local = acceptor.holdings().first().map(|holding| holding.local_addr.to_string());
         feed::start(&shared)?;
         let server = http::server(&shared, acceptor);
         let handle = server.handle();
         tokio::spawn(server.serve(http::routes(&shared)));
         info!(shared.log, "router listening"; "event" => "router_started", "addr" => local);
-        Ok(Router {
-            shared,
-            server: handle,
-        })
+        Ok(Router { shared, server: handle })
     }
 
     /// Stops as planned: health fails, then new work is refused, then what is in flight ends.
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -169,15 +169,10 @@
 
     /// Takes all whole events out of what is pending.
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = self
-            .pending
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END)?;
+        let end = self.pending.windows(EVENT_END.len()).rposition(|window| window == EVENT_END)?;
         let rest = self.pending.split_off(end + EVENT_END.len());
         let events = std::mem::replace(&mut self.pending, rest);
-        let whole = events
-            .windows(EVENT_END.len())
-            .filter(|window| *window == EVENT_END);
+        let whole = events.windows(EVENT_END.len()).filter(|window| *window == EVENT_END);
         self.events += whole.count() as u64;
         self.done = events[..end].ends_with(DONE);
         Some(events.into())
@@ -190,16 +185,8 @@
             self.resumes += 1;
             tokio::time::sleep(RESUME_PAUSE).await;
             let resumed = self.ask_to_resume().await;
-            let result = if resumed.is_some() {
-                "resumed"
-            } else {
-                "failed"
-            };
-            self.shared
-                .metrics
-                .resumes
-                .with_label_values(&[result])
-                .inc();
+            let result = if resumed.is_some() { "resumed" } else { "failed" };
+            self.shared.metrics.resumes.with_label_values(&[result]).inc();
             if let Some(answer) = resumed {
                 self.answer = answer;
                 return Ok(());
@@ -207,28 +194,19 @@
         }
         self.resumes = MAX_RESUMES + 1;
         let reason = Reason::AnswerBroken;
-        self.shared
-            .metrics
-            .refused
-            .with_label_values(&[reason.code()])
-            .inc();
+        self.shared.metrics.refused.with_label_values(&[reason.code()]).inc();
         warn!(
             self.shared.log, "answer broke off";
             "event" => "answer_broken", "target" => &self.slot.target.name, "attempt" => &self.attempt
         );
         let body = serde_json::to_string(&Refusal::plain(reason).body()).unwrap_or_default();
-        Err(LastWords(Some(
-            format!("event: error\ndata: {body}\n\n").into(),
-        )))
+        Err(LastWords(Some(format!("event: error\ndata: {body}\n\n").into())))
     }
 
     async fn ask_to_resume(&self) -> Option<reqwest::Response> {
         let url = format!("{}?from={}", self.attempt_url(), self.events);
         let answer = self.shared.http.get(url).send();
-        let answer = tokio::time::timeout(RESUME_TIMEOUT, answer)
-            .await
-            .ok()?
-            .ok()?;
+        let answer = tokio::time::timeout(RESUME_TIMEOUT, answer).await.ok()?.ok()?;
         let echo = answer.headers().get(ATTEMPT);
         let own = echo.is_some_and(|echo| echo.as_bytes() == self.attempt.as_bytes());
         (own && answer.status().is_success()).then_some(answer)
@@ -247,11 +225,7 @@
         if self.done || !engine {
             return;
         }
-        let cancel = self
-            .shared
-            .http
-            .delete(self.attempt_url())
-            .timeout(CANCEL_TIMEOUT);
+        let cancel = self.shared.http.delete(self.attempt_url()).timeout(CANCEL_TIMEOUT);
         tokio::spawn(cancel.send());
     }
 }
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -240,9 +240,7 @@
         };
         match object.code() {
             UNAUTHORIZED => ControlError::Unauthorized,
-            NOT_LEADER => ControlError::NotLeader {
-                leader: data(&object).flatten(),
-            },
+            NOT_LEADER => ControlError::NotLeader { leader: data(&object).flatten() },
             UNKNOWN => ControlError::Unknown,
             INVALID => ControlError::Invalid(data(&object).unwrap_or_default()),
             FORM => ControlError::Form(data(&object).unwrap_or_default()),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -185,9 +185,7 @@
     fn check(&self, faults: &mut Vec<Fault>) {
         check_listen(faults, "control.listen", self.listen);
         check_addrs(faults, "control.peers", &self.peers);
-        if self
-            .listen
-            .is_some_and(|listen| !self.peers.is_empty() && !self.peers.contains(&listen))
+        if self.listen.is_some_and(|listen| !self.peers.is_empty() && !self.peers.contains(&listen))
         {
             let message = "must contain control.listen, this member's own address";
             faults.push(Fault::new("control.peers", message));
@@ -216,10 +214,7 @@
             faults.push(Fault::new("control.freshness_lease_ms", message));
         }
         if self.compact_after_entries == 0 {
-            faults.push(Fault::new(
-                "control.compact_after_entries",
-                "must be above 0",
-            ));
+            faults.push(Fault::new("control.compact_after_entries", "must be above 0"));
         }
     }
 }
@@ -250,10 +245,7 @@
         let counts = [
             ("router.max_body_kib", self.max_body_kib),
             ("router.max_connections", self.max_connections),
-            (
-                "router.max_in_flight_per_target",
-                self.max_in_flight_per_target,
-            ),
+            ("router.max_in_flight_per_target", self.max_in_flight_per_target),
         ];
         for (path, value) in counts {
             if value == 0 {
@@ -261,10 +253,7 @@
             }
         }
         if !(self.load_bound >= 1.0 && self.load_bound <= 10.0) {
-            faults.push(Fault::new(
-                "router.load_bound",
-                "must be 1 to 10 times the mean",
-            ));
+            faults.push(Fault::new("router.load_bound", "must be 1 to 10 times the mean"));
         }
         if !(0.0..=100.0).contains(&self.retry_percent) {
             faults.push(Fault::new("router.retry_percent", "must be 0 to 100"));
@@ -278,14 +267,10 @@
     /// # Errors
     /// [`SettingsError`] when the file can't be read or has faults.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
-        jsonc::from_str(&text).map_err(|faults| SettingsError::Faulty {
-            path: path.to_owned(),
-            faults,
-        })
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+        jsonc::from_str(&text)
+            .map_err(|faults| SettingsError::Faulty { path: path.to_owned(), faults })
     }
 }
 
@@ -314,10 +299,7 @@
 
 fn check_listen(faults: &mut Vec<Fault>, path: &str, listen: Option<SocketAddr>) {
     if listen.is_none() {
-        faults.push(Fault::new(
-            path,
-            "must be an address with a port, such as 10.0.0.1:7000",
-        ));
+        faults.push(Fault::new(path, "must be an address with a port, such as 10.0.0.1:7000"));
     }
 }
 
@@ -328,10 +310,7 @@
     let mut seen = BTreeSet::new();
     for (at, addr) in addrs.iter().enumerate() {
         if !seen.insert(addr) {
-            faults.push(Fault::new(
-                format!("{path}[{at}]"),
-                format!("{addr} stands here twice"),
-            ));
+            faults.push(Fault::new(format!("{path}[{at}]"), format!("{addr} stands here twice")));
         }
     }
 }
@@ -351,10 +330,7 @@
         if !seen.insert(&operator.name) {
             faults.push(Fault::new(format!("{path}.name"), "stands here twice"));
         }
-        let hex = operator
-            .token_sha256
-            .bytes()
-            .all(|byte| byte.is_ascii_hexdigit());
+        let hex = operator.token_sha256.bytes().all(|byte| byte.is_ascii_hexdigit());
         if !hex || operator.token_sha256.len() != SHA256_HEX_LEN {
             let message = "must be the SHA-256 of the token, 64 hex digits";
             faults.push(Fault::new(format!("{path}.token_sha256"), message));
--- a/src/store.rs
+++ b/src/store.rs
@@ -47,10 +47,7 @@
         let mut faults = Vec::new();
         check_name(&mut faults, "id", &self.id);
         for fault in self.template.faults() {
-            faults.push(Fault::new(
-                format!("template.{}", fault.path),
-                fault.message,
-            ));
+            faults.push(Fault::new(format!("template.{}", fault.path), fault.message));
         }
         faults
     }
@@ -172,28 +169,18 @@
     }
 
     fn apply_drain(&mut self, index: u64, drain: Drain) -> Answer {
-        let changed = if drain.on {
-            self.drains.insert(drain.name)
-        } else {
-            self.drains.remove(&drain.name)
-        };
+        let changed =
+            if drain.on { self.drains.insert(drain.name) } else { self.drains.remove(&drain.name) };
         if changed {
             self.revision = index;
             self.drains_revision = index;
         }
-        Answer::Accepted {
-            version: 0,
-            revision: self.revision,
-        }
+        Answer::Accepted { version: 0, revision: self.revision }
     }
 
     fn apply_change(&mut self, index: u64, change: Change) -> Answer {
         if let Some(first) = self.answers.get(&change.id) {
-            return if first.change == change {
-                first.answer.clone()
-            } else {
-                Answer::IdReused
-            };
+            return if first.change == change { first.answer.clone() } else { Answer::IdReused };
         }
         let answer = self.decide(index, &change);
         if matches!(answer, Answer::Accepted { .. }) {
@@ -213,10 +200,7 @@
         if !faults.is_empty() {
             return Answer::Rejected { faults };
         }
-        Answer::Accepted {
-            version: in_force + 1,
-            revision: index,
-        }
+        Answer::Accepted { version: in_force + 1, revision: index }
     }
 
     /// What `template` would break among the other templates in force.
@@ -275,8 +259,7 @@
 
     fn remember(&mut self, change: Change, answer: Answer) {
         let id = change.id.clone();
-        self.answers
-            .insert(id.clone(), FirstAnswer { change, answer });
+        self.answers.insert(id.clone(), FirstAnswer { change, answer });
         self.answer_order.push_back(id);
         if self.answer_order.len() > ANSWERS_LEN
             && let Some(oldest) = self.answer_order.pop_front()
@@ -294,11 +277,7 @@
             .map(|stored| stored.template.clone())
             .collect();
         let drains = (self.drains_revision > known).then(|| self.drains.clone());
-        Delta {
-            revision: self.revision,
-            templates,
-            drains,
-        }
+        Delta { revision: self.revision, templates, drains }
     }
 }
 
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -132,11 +132,7 @@
 impl Targets {
     /// No targets yet; a list older than `list_max_age` no longer proves that a target lives.
     pub fn new(list_max_age: Duration) -> Self {
-        Targets {
-            known: BTreeMap::new(),
-            list_made_at: None,
-            list_max_age,
-        }
+        Targets { known: BTreeMap::new(), list_made_at: None, list_max_age }
     }
 
     /// Takes a list received at `now`; one older than the newest is ignored.
@@ -153,9 +149,7 @@
             self.take(listed);
         }
         self.known.retain(|_, target| {
-            let forgotten = target
-                .missing_since
-                .is_some_and(|at| now >= at + TOMBSTONE_KEPT);
+            let forgotten = target.missing_since.is_some_and(|at| now >= at + TOMBSTONE_KEPT);
             target.in_flight > 0 || !forgotten
         });
     }
@@ -198,8 +192,7 @@
 
     /// Whether the platform's list is too old to prove that a target lives.
     pub fn list_suspect(&self, now: Duration) -> bool {
-        self.list_made_at
-            .is_none_or(|made_at| now > made_at + self.list_max_age)
+        self.list_made_at.is_none_or(|made_at| now > made_at + self.list_max_age)
     }
 
     /// Targets that may take a new request; `drained` tells of hosts and targets being drained.
@@ -227,10 +220,7 @@
                 name: target.listed.name.clone(),
                 url: target.listed.url.clone(),
                 incarnation: target.listed.incarnation,
-                candidate: Candidate {
-                    name: target.hash,
-                    load: target.in_flight,
-                },
+                candidate: Candidate { name: target.hash, load: target.in_flight },
             })
             .collect()
     }
@@ -266,8 +256,6 @@
 
     /// Requests in flight at each target.
     pub fn in_flight(&self) -> impl Iterator<Item = (&str, usize)> {
-        self.known
-            .iter()
-            .map(|(name, target)| (name.as_str(), target.in_flight))
+        self.known.iter().map(|(name, target)| (name.as_str(), target.in_flight))
     }
 }
--- a/src/template.rs
+++ b/src/template.rs
@@ -109,10 +109,7 @@
             version: self.version.clone(),
             priority: own.priority.unwrap_or(self.priority),
             share_percent: own.share_percent,
-            repeatable: own
-                .repeatable
-                .clone()
-                .unwrap_or_else(|| self.repeatable.clone()),
+            repeatable: own.repeatable.clone().unwrap_or_else(|| self.repeatable.clone()),
         })
     }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -13,54 +13,21 @@
     fleet.serving().await;
 
     // A returning chat meets its cached prefix through either router.
-    let first = fleet
-        .chat(0, "chat-1", &["hello"], true)
-        .send()
-        .await
-        .unwrap();
+    let first = fleet.chat(0, "chat-1", &["hello"], true).send().await.unwrap();
     assert_eq!(first.status(), 200);
     let first = first.text().await.unwrap();
-    assert!(
-        first.contains("re:hello") && first.trim_end().ends_with("data: [DONE]"),
-        "{first}"
-    );
-    let again = fleet
-        .chat(1, "chat-1", &["hello", "and then?"], true)
-        .send()
-        .await
-        .unwrap();
+    assert!(first.contains("re:hello") && first.trim_end().ends_with("data: [DONE]"), "{first}");
+    let again = fleet.chat(1, "chat-1", &["hello", "and then?"], true).send().await.unwrap();
     let again = again.text().await.unwrap();
-    assert!(
-        again.contains("re:and then?") && again.contains("\"cached_messages\":1"),
-        "{again}"
-    );
+    assert!(again.contains("re:and then?") && again.contains("\"cached_messages\":1"), "{again}");
 
     let service = fleet.call(0, "call-1", &[]).await.unwrap();
     assert_eq!(service.text().await.unwrap(), "GET /status/call-1 call-1");
     assert_eq!(fleet.service.runs("call-1"), 1);
 
-    assert_eq!(
-        fleet
-            .metric(0, "latchmount_requests_total", "chat_stream")
-            .await,
-        1.0
-    );
-    assert_eq!(
-        fleet
-            .metric(1, "latchmount_requests_total", "chat_stream")
-            .await,
-        1.0
-    );
-    assert!(
-        fleet
-            .metric(0, "latchmount_requests_total", "service")
-            .await
-            >= 1.0
-    );
+    assert_eq!(fleet.metric(0, "latchmount_requests_total", "chat_stream").await, 1.0);
+    assert_eq!(fleet.metric(1, "latchmount_requests_total", "chat_stream").await, 1.0);
+    assert!(fleet.metric(0, "latchmount_requests_total", "service").await >= 1.0);
     let shown = fleet.operator(&["template", "show", "disputes"]);
-    assert!(
-        text(&shown.stdout).contains("\"m7\""),
-        "{}",
-        text(&shown.stdout)
-    );
+    assert!(text(&shown.stdout).contains("\"m7\""), "{}", text(&shown.stdout));
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -52,12 +52,7 @@
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [low, middle, ..] = std::process::id().to_le_bytes();
     loop {
-        let ip = Ipv4Addr::new(
-            127,
-            1 + middle % 250,
-            low,
-            NEXT.fetch_add(1, Ordering::Relaxed),
-        );
+        let ip = Ipv4Addr::new(127, 1 + middle % 250, low, NEXT.fetch_add(1, Ordering::Relaxed));
         if TcpListener::bind((ip, ROUTER_PORT)).is_ok() {
             return ip;
         }
@@ -76,6 +71,22 @@
         kill(pid, signal).expect("a process of this test");
     }
 
+    /// Resident memory, in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a running process");
+        word_after(&status, "VmRSS:").parse().expect("a number")
+    }
+
+    /// Processor time used so far, in clock ticks of 10 ms.
+    pub fn cpu_ticks(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path).expect("a running process");
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        fields[11..13].iter().filter_map(|field| field.parse::<u64>().ok()).sum()
+    }
+
     /// Ends it without notice.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -154,10 +165,7 @@
             engines,
             service,
             platform,
-            http: reqwest::Client::builder()
-                .no_proxy()
-                .build()
-                .expect("a client"),
+            http: reqwest::Client::builder().no_proxy().build().expect("a client"),
             shape,
         };
         std::fs::write(fleet.folder.path().join("token"), TOKEN).expect("a token file");
@@ -201,10 +209,7 @@
         let path = self.folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("a settings file");
         let log = self.folder.path().join(format!("{name}.log"));
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(log);
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log);
         let child = Command::new(env!("CARGO_BIN_EXE_latchmount"))
             .args([command, "--settings"])
             .arg(&path)
@@ -212,10 +217,7 @@
             .stdin(Stdio::null())
             .spawn()
             .expect("the binary");
-        Process {
-            child,
-            settings: path,
-        }
+        Process { child, settings: path }
     }
 
     pub fn data_dir(&self, number: u16) -> PathBuf {
@@ -228,9 +230,8 @@
     }
 
     pub fn start_control(&self, number: u16) -> Process {
-        let peers: Vec<SocketAddr> = (0..self.shape.controls)
-            .map(|peer| self.control_addr(peer))
-            .collect();
+        let peers: Vec<SocketAddr> =
+            (0..self.shape.controls).map(|peer| self.control_addr(peer)).collect();
         let control = json!({
             "listen": self.control_addr(number),
             "peers": peers,
@@ -238,17 +239,12 @@
             "operators": [{ "name": "olga", "token_sha256": sha256(TOKEN) }],
         });
         let control = merged(control, &self.shape.control);
-        self.spawn(
-            &format!("control-{number}"),
-            "control",
-            json!({ "control": control }),
-        )
+        self.spawn(&format!("control-{number}"), "control", json!({ "control": control }))
     }
 
     pub fn start_router(&self, number: u16) -> Process {
-        let control: Vec<SocketAddr> = (0..self.shape.controls)
-            .map(|peer| self.control_addr(peer))
-            .collect();
+        let control: Vec<SocketAddr> =
+            (0..self.shape.controls).map(|peer| self.control_addr(peer)).collect();
         let router = json!({
             "listen": SocketAddr::from((self.ip, ROUTER_PORT + number)),
             "control": control,
@@ -257,36 +253,23 @@
             "stop_notice_ms": 100,
         });
         let router = merged(router, &self.shape.router);
-        self.spawn(
-            &format!("router-{number}"),
-            "router",
-            json!({ "router": router }),
-        )
+        self.spawn(&format!("router-{number}"), "router", json!({ "router": router }))
     }
 
     /// Runs the operators' client.
     pub fn operator(&self, args: &[&str]) -> Output {
         let mut command = Command::new(env!("CARGO_BIN_EXE_latchmount"));
-        command
-            .args(args)
-            .arg("--token-file")
-            .arg(self.folder.path().join("token"));
+        command.args(args).arg("--token-file").arg(self.folder.path().join("token"));
         for number in 0..self.shape.controls {
-            command
-                .arg("--control")
-                .arg(self.control_addr(number).to_string());
+            command.arg("--control").arg(self.control_addr(number).to_string());
         }
         command.output().expect("the binary")
     }
 
     pub fn template_file(&self, template: &Value) -> String {
-        let path = self
-            .folder
-            .path()
-            .join(format!("template-{:x}.json", rand::random::<u64>()));
+        let path = self.folder.path().join(format!("template-{:x}.json", rand::random::<u64>()));
         let mut file = std::fs::File::create(&path).expect("a template file");
-        file.write_all(template.to_string().as_bytes())
-            .expect("a template file");
+        file.write_all(template.to_string().as_bytes()).expect("a template file");
         path.display().to_string()
     }
 
@@ -295,11 +278,7 @@
         let file = self.template_file(template);
         let out = self.operator(&["template", "submit", "--change-id", id, &file]);
         let text = text(&out.stdout);
-        assert!(
-            out.status.success(),
-            "submit: {text} {}",
-            self::text(&out.stderr)
-        );
+        assert!(out.status.success(), "submit: {text} {}", self::text(&out.stderr));
         word_after(&text, "revision").parse().expect("a revision")
     }
 
@@ -333,10 +312,8 @@
         messages: &[&str],
         stream: bool,
     ) -> reqwest::RequestBuilder {
-        let messages: Vec<Value> = messages
-            .iter()
-            .map(|text| json!({ "role": "user", "content": text }))
-            .collect();
+        let messages: Vec<Value> =
+            messages.iter().map(|text| json!({ "role": "user", "content": text })).collect();
         self.http
             .post(format!("{}/v1/chat/completions", self.router_url(router)))
             .header("latchmount-team", "agents")
@@ -353,10 +330,7 @@
     ) -> reqwest::Result<reqwest::Response> {
         let mut request = self
             .http
-            .get(format!(
-                "{}/services/porting/status/{id}?x=1",
-                self.router_url(router)
-            ))
+            .get(format!("{}/services/porting/status/{id}?x=1", self.router_url(router)))
             .header("latchmount-team", "agents")
             .header(service::CALL_ID, id);
         for (name, value) in headers {
@@ -370,12 +344,8 @@
         let url = format!("{}/metrics", self.router_url(router));
         let answer = self.http.get(url).send().await.expect("metrics");
         let text = answer.text().await.expect("metrics");
-        let lines = text
-            .lines()
-            .filter(|line| line.starts_with(name) && line.contains(part));
-        lines
-            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-            .sum()
+        let lines = text.lines().filter(|line| line.starts_with(name) && line.contains(part));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
     }
 }
 
@@ -396,10 +366,7 @@
 }
 
 pub fn sha256(text: &str) -> String {
-    Sha256::digest(text.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 pub fn text(bytes: &[u8]) -> String {
