Test agreement against a naive model under random schedules

Cause: the replicated log was not proved.

Change: tests/agreement drives five replicas with fake disks and a network that loses, doubles and reorders, members that crash, freeze, are cut off or lose their disk, clocks that drift by 5 %; every committed answer is held against a plain map with a version, at most one lease may hold at a time, and whoever holds it must have every acknowledged change. The log on disk is torn at each byte, flipped at each byte, and its disk made full or unable to sync.

--- /dev/null
+++ b/tests/agreement/disk.rs
@@ -0,0 +1,95 @@
+//! A disk in memory that can fail, tear a write and lose what was not synced.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+
+use latchmount::raft::Disk;
+
+/// What a disk does wrong from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Writes fail half way, as on a full disk.
+    Full,
+    /// Syncing fails.
+    Sync,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    synced: Option<Vec<u8>>,
+    unsynced: Vec<u8>,
+    failure: Option<Failure>,
+}
+
+/// A handle on a disk; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct FakeDisk(Rc<RefCell<State>>);
+
+impl FakeDisk {
+    pub fn fail(&self, failure: Failure) {
+        self.0.borrow_mut().failure = Some(failure);
+    }
+
+    /// Loses what was not synced, but for its first `torn` bytes.
+    pub fn crash(&self, torn: usize) {
+        let mut state = self.0.borrow_mut();
+        let kept = torn.min(state.unsynced.len());
+        let tail = std::mem::take(&mut state.unsynced);
+        if let Some(synced) = &mut state.synced {
+            synced.extend(&tail[..kept]);
+        }
+        state.failure = None;
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        self.0.borrow().synced.clone().unwrap_or_default()
+    }
+
+    pub fn edit(&self, edit: impl FnOnce(&mut Vec<u8>)) {
+        edit(self.0.borrow_mut().synced.as_mut().expect("a written disk"));
+    }
+}
+
+impl Disk for FakeDisk {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.0.borrow().synced.clone())
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        if state.failure.is_some() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        state.synced = Some(bytes.to_vec());
+        state.unsynced.clear();
+        Ok(())
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        if state.failure == Some(Failure::Full) {
+            state.unsynced.extend(&bytes[..bytes.len() / 2]);
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        state.unsynced.extend(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        if state.failure == Some(Failure::Sync) {
+            return Err(io::Error::other("sync failed"));
+        }
+        let unsynced = std::mem::take(&mut state.unsynced);
+        state.synced.get_or_insert_default().extend(unsynced);
+        Ok(())
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        if let Some(synced) = &mut self.0.borrow_mut().synced {
+            synced.truncate(len);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/agreement/group.rs
@@ -0,0 +1,435 @@
+//! A group in memory: replicas, their disks, and a network that loses, doubles and reorders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use latchmount::raft::{
+    Envelope, GroupId, Member, Members, Position, Replica, Role, Standing, StoreId, Term, Timing,
+};
+use latchmount::store::{Answer, Change, Command, Store};
+use latchmount::template::{Team, Template};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::disk::FakeDisk;
+
+pub const MEMBERS: usize = 5;
+pub const TEMPLATES: usize = 3;
+const COMPACT_AFTER: usize = 8;
+const STEP: Duration = Duration::from_millis(10);
+/// Clocks run at 95 to 105 % of true time.
+const MAX_DRIFT: f64 = 0.05;
+
+pub fn timing() -> Timing {
+    Timing {
+        heartbeat: Duration::from_millis(50),
+        election_min: Duration::from_millis(300),
+        election_max: Duration::from_millis(600),
+    }
+}
+
+/// A change of template number `name`, based on version `base`.
+pub fn change(id: &str, name: usize, base: u64) -> Change {
+    let team = Team { share_percent: 10.0, ..Team::default() };
+    let template = Template {
+        name: format!("t{name}"),
+        model: "m".into(),
+        version: id.into(),
+        teams: [(format!("team{name}"), team)].into(),
+        ..Template::default()
+    };
+    Change { id: id.into(), base, author: "a".into(), template }
+}
+
+struct Host {
+    addr: SocketAddr,
+    disk: FakeDisk,
+    replica: Option<Replica<FakeDisk>>,
+    id: StoreId,
+    /// Starting time of the process, and the rate of its clock.
+    started: Duration,
+    rate: f64,
+    frozen: bool,
+    cut: bool,
+    /// Proposals made here whose answer is awaited.
+    proposed: BTreeMap<Position, Change>,
+}
+
+impl Host {
+    fn now(&self, time: Duration) -> Duration {
+        (time - self.started).mul_f64(self.rate)
+    }
+}
+
+/// The whole group and what it has promised so far.
+pub struct Group {
+    hosts: Vec<Host>,
+    network: Vec<(Duration, Envelope)>,
+    time: Duration,
+    rng: StdRng,
+    next_id: u64,
+    lossy: bool,
+    /// The naive model: every committed command in order, applied to a plain map of versions.
+    model: BTreeMap<u64, (Change, Answer)>,
+    /// Everything ever proposed, by its place in a leader's log.
+    proposals: BTreeMap<Position, Change>,
+    versions: BTreeMap<String, u64>,
+    answered: BTreeMap<String, Answer>,
+    /// Changes whose answer reached their operator as accepted.
+    acknowledged: BTreeMap<String, u64>,
+    leaders: BTreeMap<Term, StoreId>,
+    /// Newest revision acknowledged so far.
+    newest: u64,
+}
+
+impl Group {
+    pub fn new(seed: u64) -> Self {
+        let mut group = Group {
+            hosts: Vec::new(),
+            network: Vec::new(),
+            time: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            next_id: 1,
+            lossy: true,
+            model: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            acknowledged: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            newest: 0,
+        };
+        for number in 0..MEMBERS {
+            group.hosts.push(Host {
+                addr: ([10, 0, 0, number as u8], 7000).into(),
+                disk: FakeDisk::default(),
+                replica: None,
+                id: StoreId(0),
+                started: Duration::ZERO,
+                rate: 1.0,
+                frozen: false,
+                cut: false,
+                proposed: BTreeMap::new(),
+            });
+            group.start(number);
+        }
+        let member =
+            |host: &Host| Member { id: host.id, addr: host.addr, standing: Standing::Voter };
+        let members = Members(group.hosts.iter().map(member).collect());
+        group.replica(0).form(GroupId(1), members);
+        group.flush(0);
+        group
+    }
+
+    fn replica(&mut self, number: usize) -> &mut Replica<FakeDisk> {
+        self.hosts[number].replica.as_mut().expect("a running member")
+    }
+
+    fn runs(&self, number: usize) -> bool {
+        let host = &self.hosts[number];
+        host.replica.is_some() && !host.frozen
+    }
+
+    /// Starts the member; on an empty disk it gets a new identity.
+    pub fn start(&mut self, number: usize) {
+        let fresh = StoreId(self.next_id);
+        self.next_id += 1;
+        let seed = self.rng.random();
+        let drift = self.rng.random_range(-MAX_DRIFT..MAX_DRIFT);
+        let host = &mut self.hosts[number];
+        host.started = self.time;
+        host.rate = 1.0 + drift;
+        host.frozen = false;
+        let disk = host.disk.clone();
+        let opened = Replica::open(disk, fresh, timing(), COMPACT_AFTER, Duration::ZERO, seed);
+        let replica = opened.unwrap_or_else(|error| panic!("member {number}: {error}"));
+        host.id = replica.node().id();
+        host.replica = Some(replica);
+    }
+
+    /// Ends the member; of what was not synced at most `torn` bytes stay.
+    pub fn crash(&mut self, number: usize, torn: usize) {
+        let host = &mut self.hosts[number];
+        host.replica = None;
+        host.proposed.clear();
+        host.disk.crash(torn);
+    }
+
+    pub fn running(&self, number: usize) -> bool {
+        self.hosts[number].replica.is_some()
+    }
+
+    /// Empties the disk of a member and starts it; only while all others are voters in good
+    /// standing, for no protocol survives the loss of a quorum of disks.
+    pub fn lose_disk(&mut self, number: usize) {
+        if !self.whole() {
+            return;
+        }
+        self.crash(number, 0);
+        self.hosts[number].disk = FakeDisk::default();
+        self.start(number);
+    }
+
+    /// Whether the newest members are just the present stores, all of them voters that count
+    /// from a log on their own disk.
+    fn whole(&self) -> bool {
+        let newest = self.hosts.iter().filter_map(|host| host.replica.as_ref());
+        let newest = newest.max_by_key(|replica| replica.node().commit());
+        let Some(node) = newest.map(Replica::node) else {
+            return false;
+        };
+        let settled = node.log().members().1 <= node.commit();
+        let ids: BTreeSet<StoreId> = self.hosts.iter().map(|host| host.id).collect();
+        settled && node.members().voters().collect::<BTreeSet<_>>() == ids
+    }
+
+    pub fn freeze(&mut self, number: usize, frozen: bool) {
+        self.hosts[number].frozen = frozen;
+    }
+
+    pub fn cut(&mut self, number: usize, cut: bool) {
+        self.hosts[number].cut = cut;
+    }
+
+    /// Ends every fault.
+    pub fn heal(&mut self) {
+        self.lossy = false;
+        for number in 0..MEMBERS {
+            if !self.running(number) {
+                self.start(number);
+            }
+            self.freeze(number, false);
+            self.cut(number, false);
+        }
+    }
+
+    /// Proposes a change at a member, if it thinks that it leads; with `base` off by `skew`.
+    pub fn propose(&mut self, number: usize, name: usize, skew: u64) {
+        if !self.runs(number) {
+            return;
+        }
+        self.next_id += 1;
+        let id = format!("c{}", self.next_id);
+        let store = self.replica(number).store();
+        let stored = store.templates().get(&format!("t{name}"));
+        let base = stored.map_or(0, |stored| stored.version) + skew;
+        self.send_change(number, change(&id, name, base));
+    }
+
+    /// Resends a change whose answer was acknowledged before.
+    pub fn resend(&mut self, number: usize) {
+        let known: Vec<Change> = self.model.values().map(|(change, _)| change.clone()).collect();
+        if known.is_empty() || !self.runs(number) {
+            return;
+        }
+        let pick = self.rng.random_range(0..known.len());
+        self.send_change(number, known[pick].clone());
+    }
+
+    fn send_change(&mut self, number: usize, change: Change) {
+        let now = self.hosts[number].now(self.time);
+        let command = Command::Change(change.clone());
+        if let Ok(at) = self.replica(number).propose(now, command) {
+            self.proposals.insert(at, change.clone());
+            self.hosts[number].proposed.insert(at, change);
+        }
+        self.flush(number);
+    }
+
+    /// Lets `millis` pass.
+    pub fn pass(&mut self, millis: u64) {
+        let until = self.time + Duration::from_millis(millis);
+        while self.time < until {
+            self.time += STEP;
+            for number in 0..MEMBERS {
+                if self.runs(number) {
+                    let now = self.hosts[number].now(self.time);
+                    self.replica(number).tick(now);
+                    self.flush(number);
+                }
+            }
+            self.join();
+            self.deliver();
+            self.check_leases();
+        }
+    }
+
+    /// Every member that does not count asks every other to bring it in.
+    fn join(&mut self) {
+        for newcomer in 0..MEMBERS {
+            let Some(replica) = &self.hosts[newcomer].replica else {
+                continue;
+            };
+            let node = replica.node();
+            let (id, addr) = (node.id(), self.hosts[newcomer].addr);
+            if node.members().voters().any(|voter| voter == id) || self.hosts[newcomer].cut {
+                continue;
+            }
+            for number in 0..MEMBERS {
+                if self.runs(number) && !self.hosts[number].cut {
+                    let now = self.hosts[number].now(self.time);
+                    self.replica(number).admit(now, id, addr);
+                    self.flush(number);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (due, later) =
+            std::mem::take(&mut self.network).into_iter().partition(|(at, _)| *at <= self.time);
+        self.network = later;
+        let due: Vec<(Duration, Envelope)> = due;
+        for (_, message) in due {
+            let to = self.hosts.iter().position(|host| host.id == message.to);
+            let from = self.hosts.iter().position(|host| host.id == message.from);
+            let (Some(to), Some(from)) = (to, from) else {
+                continue;
+            };
+            if self.hosts[to].cut || self.hosts[from].cut || !self.running(to) {
+                continue;
+            }
+            if self.hosts[to].frozen {
+                // Waits in the socket until the process goes on.
+                self.network.push((self.time + STEP, message));
+                continue;
+            }
+            let now = self.hosts[to].now(self.time);
+            self.replica(to).receive(now, message);
+            self.flush(to);
+        }
+    }
+
+    fn flush(&mut self, number: usize) {
+        let (messages, answers) = self.replica(number).flush().expect("a sound disk");
+        for message in messages {
+            let copies = match self.rng.random_range(0..100) {
+                _ if !self.lossy => 1,
+                0..8 => 0,
+                8..14 => 2,
+                _ => 1,
+            };
+            for _ in 0..copies {
+                let slow = self.lossy && self.rng.random_bool(0.1);
+                let longest = if slow { 300 } else { 15 };
+                let delay = Duration::from_millis(self.rng.random_range(0..longest));
+                self.network.push((self.time + delay, message.clone()));
+            }
+        }
+        for answered in answers {
+            self.check_committed(number, answered.at, answered.answer);
+        }
+        self.check_leader(number);
+    }
+
+    /// Holds an answer against the naive model.
+    fn check_committed(&mut self, number: usize, at: Position, answer: Answer) {
+        if let Some((_, first)) = self.model.get(&at.index) {
+            assert_eq!(*first, answer, "index {} differs at member {number}", at.index);
+        } else {
+            let change = self.proposals[&at].clone();
+            let expected = self.naive(at.index, &change);
+            assert_eq!(answer, expected, "index {} against the naive model", at.index);
+            self.model.insert(at.index, (change, expected));
+        }
+        if let Some(change) = self.hosts[number].proposed.remove(&at)
+            && let Answer::Accepted { revision, .. } = answer
+        {
+            let first = *self.acknowledged.entry(change.id.clone()).or_insert(revision);
+            assert_eq!(first, revision, "change {} was answered twice, differently", change.id);
+            self.newest = self.newest.max(revision);
+        }
+    }
+
+    /// A plain map with a version for each name.
+    fn naive(&mut self, index: u64, change: &Change) -> Answer {
+        if let Some(answer) = self.answered.get(&change.id) {
+            return answer.clone();
+        }
+        let version = self.versions.entry(change.template.name.clone()).or_default();
+        let answer = if *version == change.base {
+            *version += 1;
+            Answer::Accepted { version: *version, revision: index }
+        } else {
+            Answer::Conflict { in_force: *version }
+        };
+        self.answered.insert(change.id.clone(), answer.clone());
+        answer
+    }
+
+    fn check_leader(&mut self, number: usize) {
+        let node = self.hosts[number].replica.as_ref().expect("a running member").node();
+        if node.role() == Role::Leader {
+            let (term, id) = (node.hard().term, node.id());
+            let leader = *self.leaders.entry(term).or_insert(id);
+            assert_eq!(leader, id, "two leaders in term {term}");
+        }
+    }
+
+    /// Whoever holds a lease holds it alone and has all that was acknowledged.
+    fn check_leases(&self) {
+        let holders: Vec<&Host> = self
+            .hosts
+            .iter()
+            .filter(|host| {
+                let now = host.now(self.time);
+                host.replica.as_ref().is_some_and(|replica| replica.node().lease_valid(now))
+            })
+            .collect();
+        assert!(holders.len() <= 1, "two leases hold at {:?}", self.time);
+        for host in holders {
+            let revision = host.replica.as_ref().expect("a holder").store().revision();
+            assert!(revision >= self.newest, "a lease holder lacks an acknowledged change");
+        }
+    }
+
+    /// Heals, waits for a leader that has all, and compares every store with the naive model.
+    pub fn settle(&mut self) {
+        self.heal();
+        for _ in 0..60 {
+            self.pass(500);
+            let leads = |host: &Host| {
+                let now = host.now(self.time);
+                host.replica.as_ref().is_some_and(|replica| replica.node().lease_valid(now))
+            };
+            let commits: BTreeSet<u64> = self.stores().map(|(commit, _)| commit).collect();
+            if commits.len() == 1 && self.hosts.iter().any(leads) && self.whole() {
+                self.check_stores();
+                return;
+            }
+        }
+        panic!("the group does not settle after every fault has ended");
+    }
+
+    fn stores(&self) -> impl Iterator<Item = (u64, &Store)> {
+        let running = self.hosts.iter().filter_map(|host| host.replica.as_ref());
+        running.map(|replica| (replica.node().commit(), replica.store()))
+    }
+
+    fn check_stores(&self) {
+        for (_, store) in self.stores() {
+            let versions: BTreeMap<String, u64> = store
+                .templates()
+                .iter()
+                .map(|(name, stored)| (name.clone(), stored.version))
+                .collect();
+            let expected = self.versions.iter().filter(|(_, version)| **version > 0);
+            assert!(versions.iter().eq(expected), "a store differs from the naive model");
+            assert!(store.revision() >= self.newest, "an acknowledged change is lost");
+        }
+    }
+
+    /// Changes acknowledged as accepted.
+    pub fn acknowledged(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |host: &Host| {
+            let now = host.now(self.time);
+            host.replica.as_ref().is_some_and(|replica| replica.node().lease_valid(now))
+        };
+        self.hosts.iter().position(leads)
+    }
+}
--- /dev/null
+++ b/tests/agreement/main.rs
@@ -0,0 +1,113 @@
+//! Agreement against a naive model: a plain map with a version, under random schedules of messages
+//! lost, doubled and reordered, members crashed, frozen and cut off, and disks lost.
+//!
+//! `LATCHMOUNT_SCHEDULES` sets the number of schedules.
+
+mod disk;
+mod group;
+mod wal;
+
+use group::{Group, MEMBERS, TEMPLATES};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+
+const SCHEDULES: u32 = 2_000;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u64),
+    Propose { member: usize, name: usize, skew: u64 },
+    Resend(usize),
+    Crash { member: usize, torn: usize },
+    CrashLeader,
+    Start(usize),
+    LoseDisk(usize),
+    Freeze(usize),
+    FreezeLeader,
+    Thaw(usize),
+    Cut(usize),
+    CutLeader,
+    Mend(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let member = 0..MEMBERS;
+    prop_oneof![
+        6 => (10u64..400).prop_map(Step::Pass),
+        2 => (600u64..1500).prop_map(Step::Pass),
+        8 => (member.clone(), 0..TEMPLATES, prop_oneof![9 => Just(0u64), 1 => Just(1)])
+            .prop_map(|(member, name, skew)| Step::Propose { member, name, skew }),
+        2 => member.clone().prop_map(Step::Resend),
+        2 => (member.clone(), 0usize..60).prop_map(|(member, torn)| Step::Crash { member, torn }),
+        1 => Just(Step::CrashLeader),
+        3 => member.clone().prop_map(Step::Start),
+        1 => member.clone().prop_map(Step::LoseDisk),
+        1 => member.clone().prop_map(Step::Freeze),
+        1 => Just(Step::FreezeLeader),
+        2 => member.clone().prop_map(Step::Thaw),
+        1 => member.clone().prop_map(Step::Cut),
+        1 => Just(Step::CutLeader),
+        2 => member.prop_map(Step::Mend),
+    ]
+}
+
+fn run(group: &mut Group, step: &Step) {
+    match *step {
+        Step::Pass(millis) => group.pass(millis),
+        Step::Propose { member, name, skew } => {
+            let leader = group.leader().unwrap_or(member);
+            group.propose(leader, name, skew);
+            group.propose(member, name, skew);
+        }
+        Step::Resend(member) => group.resend(group.leader().unwrap_or(member)),
+        Step::Crash { member, torn } => group.crash(member, torn),
+        Step::CrashLeader => group.leader().into_iter().for_each(|leader| group.crash(leader, 0)),
+        Step::Start(member) if group.running(member) => {}
+        Step::Start(member) => group.start(member),
+        Step::LoseDisk(member) => group.lose_disk(member),
+        Step::Freeze(member) => group.freeze(member, true),
+        Step::FreezeLeader => {
+            group.leader().into_iter().for_each(|leader| group.freeze(leader, true));
+        }
+        Step::Thaw(member) => group.freeze(member, false),
+        Step::Cut(member) => group.cut(member, true),
+        Step::CutLeader => group.leader().into_iter().for_each(|leader| group.cut(leader, true)),
+        Step::Mend(member) => group.cut(member, false),
+    }
+}
+
+fn schedules() -> u32 {
+    let wanted = std::env::var("LATCHMOUNT_SCHEDULES").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+proptest! {
+    #![proptest_config(Config { cases: schedules(), failure_persistence: None, ..Config::default() })]
+
+    #[test]
+    fn no_schedule_loses_or_reverts_an_accepted_change(
+        seed: u64,
+        steps in vec(step(), 10..60),
+    ) {
+        let mut group = Group::new(seed);
+        group.pass(1_500);
+        for step in &steps {
+            run(&mut group, step);
+        }
+        group.settle();
+    }
+}
+
+#[test]
+fn a_group_without_faults_accepts_what_it_is_told() {
+    let mut group = Group::new(1);
+    group.pass(3_000);
+    for round in 0..200 {
+        let leader = group.leader().expect("a leader");
+        group.propose(leader, round % TEMPLATES, 0);
+        group.pass(200);
+    }
+    group.settle();
+    assert!(group.acknowledged() > 150, "only {} accepted", group.acknowledged());
+}
--- /dev/null
+++ b/tests/agreement/wal.rs
@@ -0,0 +1,112 @@
+//! The log on a disk that fails: what was acknowledged is served again or nothing is.
+
+use std::time::Duration;
+
+use latchmount::raft::{GroupId, Member, Members, Replica, Standing, StoreId, WalError};
+use latchmount::store::Command;
+use rstest::rstest;
+
+use crate::disk::{Failure, FakeDisk};
+use crate::group::{change, timing};
+
+const COMPACT_AFTER: usize = 1_000;
+
+fn open(disk: &FakeDisk) -> Result<Replica<FakeDisk>, WalError> {
+    Replica::open(disk.clone(), StoreId(7), timing(), COMPACT_AFTER, Duration::ZERO, 1)
+}
+
+/// A group of one with so many accepted changes on its disk.
+fn written(changes: u64) -> (FakeDisk, Replica<FakeDisk>) {
+    let disk = FakeDisk::default();
+    let mut replica = open(&disk).expect("an empty disk");
+    let member =
+        Member { id: StoreId(7), addr: ([10, 0, 0, 1], 1).into(), standing: Standing::Voter };
+    replica.form(GroupId(1), Members(vec![member]));
+    replica.flush().expect("a sound disk");
+    lead(&mut replica);
+    for base in 0..changes {
+        accept(&mut replica, base).expect("a sound disk");
+    }
+    (disk, replica)
+}
+
+fn lead(replica: &mut Replica<FakeDisk>) {
+    replica.tick(Duration::from_secs(2));
+    replica.flush().expect("a sound disk");
+}
+
+fn accept(replica: &mut Replica<FakeDisk>, base: u64) -> Result<(), WalError> {
+    let command = Command::Change(change(&format!("c{base}"), 0, base));
+    replica.propose(Duration::from_secs(2), command).expect("a leader");
+    let (_, answers) = replica.flush()?;
+    assert_eq!(answers.len(), 1);
+    Ok(())
+}
+
+fn reopened_version(disk: &FakeDisk) -> u64 {
+    let mut replica = open(disk).expect("a sound disk");
+    lead(&mut replica);
+    replica.store().templates()["t0"].version
+}
+
+#[test]
+fn a_restart_after_hundreds_of_changes_gives_the_same_store() {
+    for changes in [1, 300, 2_500] {
+        let (disk, before) = written(changes);
+        let mut after = open(&disk).expect("a sound disk");
+        lead(&mut after);
+        assert_eq!(after.store(), before.store(), "after {changes} changes");
+    }
+}
+
+#[test]
+fn a_torn_tail_is_cut_wherever_it_tears() {
+    let (disk, mut replica) = written(3);
+    let whole = disk.bytes().len();
+    accept(&mut replica, 3).expect("a sound disk");
+    let tail = disk.bytes().len() - whole;
+    for kept in 0..tail {
+        let (disk, _) = written(3);
+        let torn = disk.bytes();
+        let (longer, mut replica) = written(3);
+        accept(&mut replica, 3).expect("a sound disk");
+        let longer = longer.bytes();
+        disk.edit(|bytes| bytes.extend(&longer[torn.len()..torn.len() + kept]));
+        assert_eq!(reopened_version(&disk), 3, "torn after {kept} bytes");
+    }
+}
+
+#[test]
+fn a_tail_that_was_never_written_and_reads_as_zeros_is_cut() {
+    let (disk, _) = written(3);
+    disk.edit(|bytes| bytes.extend([0; 100]));
+    assert_eq!(reopened_version(&disk), 3);
+}
+
+#[test]
+fn a_flipped_bit_anywhere_stops_the_member() {
+    let (disk, _) = written(4);
+    let sound = disk.bytes();
+    for at in 0..sound.len() {
+        disk.edit(|bytes| bytes[at] ^= 0x10);
+        let opened = open(&disk);
+        assert!(matches!(opened, Err(WalError::Damaged { .. })), "a flip at byte {at} went unseen");
+        disk.edit(|bytes| bytes.clone_from(&sound));
+    }
+}
+
+#[rstest]
+#[case::full_disk(Failure::Full)]
+#[case::failing_sync(Failure::Sync)]
+fn a_failing_disk_stops_the_member_and_loses_nothing_acknowledged(#[case] failure: Failure) {
+    let (disk, mut replica) = written(5);
+    disk.fail(failure);
+    let failed = accept(&mut replica, 5);
+    assert!(matches!(failed, Err(WalError::Disk { .. })), "{failed:?}");
+    drop(replica);
+    for torn in [0, 3, 20, 1_000] {
+        disk.crash(torn);
+        let version = reopened_version(&disk);
+        assert!(version == 5 || version == 6, "version {version}");
+    }
+}
