--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -1,7 +1,8 @@
 //! The calls that a control member answers.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::async_trait;
@@ -14,7 +15,8 @@
 use super::member::Member;
 use super::registry::Registry;
 use crate::jsonc;
-use crate::raft::{Envelope, FolderDisk, GroupId, Members, Replica, Standing, Time};
+use crate::platform::Platform;
+use crate::raft::{Envelope, FolderDisk, GroupId, Members, Replica, Standing, StoreId, Time};
 use crate::rpc::{
     ControlClient, ControlError, ControlServer, Identity, MemberStatus, Newcomer, Status,
     SyncReply, SyncRequest, WaitReply, connect,
@@ -27,9 +29,14 @@
 const FORM_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait that a call may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Longest time to read the platform's list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Between two looks at the routers while a call waits for a revision.
 const WAIT_STEP: Duration = Duration::from_millis(50);
 
+/// Where the members that sent messages take calls; a blank member knows no others.
+pub(super) type AddressBook = Arc<Mutex<BTreeMap<StoreId, SocketAddr>>>;
+
 /// State behind the calls.
 pub(super) struct Calls {
     partner: String,
@@ -39,7 +46,9 @@
     operators: Vec<Operator>,
     lease: Duration,
     member: Member,
+    platform: Platform,
     registry: Mutex<Registry>,
+    addresses: AddressBook,
     log: Logger,
 }
 
@@ -47,19 +56,20 @@
     pub(super) fn new(
         settings: &Settings,
         control: &ControlSettings,
-        addr: SocketAddr,
         member: Member,
         log: Logger,
     ) -> Self {
         Calls {
             partner: settings.partner.clone(),
             key: settings.key.clone(),
-            addr,
+            addr: control.reached_at().unwrap_or_else(unspecified),
             peers: control.peers.clone(),
             operators: control.operators.clone(),
             lease: control.freshness_lease(),
             member,
+            platform: Platform::new(reqwest::Client::new(), &settings.platform_url),
             registry: Mutex::new(Registry::new(control.freshness_lease())),
+            addresses: AddressBook::default(),
             log,
         }
     }
@@ -113,7 +123,16 @@
             .await?
     }
 
-    fn registry(&self) -> std::sync::MutexGuard<'_, Registry> {
+    /// The book, to share with the sender of messages.
+    pub(super) fn address_book(&self) -> AddressBook {
+        self.addresses.clone()
+    }
+
+    fn addresses(&self) -> MutexGuard<'_, BTreeMap<StoreId, SocketAddr>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn registry(&self) -> MutexGuard<'_, Registry> {
         self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -148,6 +167,11 @@
     }
 }
 
+/// Stands in where the settings, which are checked before, name no address.
+fn unspecified() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
 /// Address of the leader, unless it is this member, whose lease does not hold.
 fn other_leader(replica: &Replica<FolderDisk>) -> Option<SocketAddr> {
     let node = replica.node();
@@ -170,8 +194,16 @@
         Ok(identity.await?)
     }
 
-    async fn deliver(&self, key: String, messages: Vec<Envelope>) -> Result<(), ErrorObjectOwned> {
+    async fn deliver(
+        &self,
+        key: String,
+        from: SocketAddr,
+        messages: Vec<Envelope>,
+    ) -> Result<(), ErrorObjectOwned> {
         self.check_key(&key)?;
+        if let Some(message) = messages.first() {
+            self.addresses().insert(message.from, from);
+        }
         self.member.deliver(messages);
         Ok(())
     }
@@ -271,6 +303,8 @@
         let (now, mut status) =
             self.lead(move |replica, now| (now, status_of(partner, replica, now))).await?;
         status.routers = self.registry().status(now);
+        let list = self.platform.list(LIST_TIMEOUT).await;
+        status.targets = list.ok().map(|list| list.listing.targets);
         Ok(status)
     }
 }
@@ -290,5 +324,6 @@
         members: members.collect(),
         routers: Vec::new(),
         drains: replica.store().drains().clone(),
+        targets: None,
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -82,7 +82,7 @@
             .build();
         let listening = Server::builder().set_config(config).build(addr).await;
         let server = listening.map_err(|source| MemberError::Listen { addr, source })?;
-        let calls = Calls::new(settings, control, addr, started.member, log.clone());
+        let calls = Calls::new(settings, control, started.member, log.clone());
         peers::start(&calls, started.outbox, &log);
         let server = server.start(ControlServer::into_rpc(Arc::new(calls)));
         info!(log, "control member listening"; "event" => "control_started");
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use slog::{Logger, warn};
 use tokio::sync::mpsc;
 
-use super::calls::Calls;
+use super::calls::{AddressBook, Calls};
 use super::member::{Member, Outbox};
-use crate::raft::{Envelope, StoreId};
+use crate::raft::{Envelope, Members, StoreId};
 use crate::rpc::{ControlClient, Newcomer, connect};
 
 /// Batches that wait for a peer; what does not fit is dropped, as the protocol allows.
@@ -21,84 +22,91 @@
 
 /// Starts the tasks.
 pub(super) fn start(calls: &Calls, outbox: Outbox, log: &Logger) {
-    let key = calls.key().to_owned();
-    tokio::spawn(dispatch(calls.member().clone(), outbox, key.clone(), log.clone()));
-    let others = calls.others();
-    tokio::spawn(join(calls.member().clone(), calls.addr(), others, key));
+    let sender = Sender {
+        member: calls.member().clone(),
+        own: calls.addr(),
+        key: calls.key().to_owned(),
+        book: calls.address_book(),
+        log: log.clone(),
+    };
+    tokio::spawn(join(sender.clone(), calls.others()));
+    tokio::spawn(sender.dispatch(outbox));
 }
 
-/// Gives each message to the queue of its receiver's address.
-async fn dispatch(member: Member, mut outbox: Outbox, key: String, log: Logger) {
-    let mut queues: BTreeMap<SocketAddr, mpsc::Sender<Vec<Envelope>>> = BTreeMap::new();
-    while let Some(messages) = outbox.recv().await {
-        let Ok(addrs) = addresses(&member, &messages).await else {
-            return;
-        };
-        let mut batches: BTreeMap<SocketAddr, Vec<Envelope>> = BTreeMap::new();
-        for message in messages {
-            if let Some(addr) = addrs.get(&message.to) {
-                batches.entry(*addr).or_default().push(message);
+/// What the tasks share.
+#[derive(Clone)]
+struct Sender {
+    member: Member,
+    own: SocketAddr,
+    key: String,
+    book: AddressBook,
+    log: Logger,
+}
+
+impl Sender {
+    /// Gives each message to the queue of its receiver's address.
+    async fn dispatch(self, mut outbox: Outbox) {
+        let mut queues: BTreeMap<SocketAddr, mpsc::Sender<Vec<Envelope>>> = BTreeMap::new();
+        while let Some(messages) = outbox.recv().await {
+            let Ok(members) =
+                self.member.query(|replica, _| replica.node().members().clone()).await
+            else {
+                return;
+            };
+            let mut batches: BTreeMap<SocketAddr, Vec<Envelope>> = BTreeMap::new();
+            for message in messages {
+                if let Some(addr) = self.address(&members, message.to) {
+                    batches.entry(addr).or_default().push(message);
+                }
+            }
+            for (addr, batch) in batches {
+                let queue = queues.entry(addr).or_insert_with(|| {
+                    let (queue, batches) = mpsc::channel(QUEUE_LEN);
+                    tokio::spawn(self.clone().deliver(addr, batches));
+                    queue
+                });
+                let _ = queue.try_send(batch);
             }
-        }
-        for (addr, batch) in batches {
-            let queue = queues.entry(addr).or_insert_with(|| {
-                let (queue, batches) = mpsc::channel(QUEUE_LEN);
-                tokio::spawn(deliver(addr, batches, key.clone(), log.clone()));
-                queue
-            });
-            let _ = queue.try_send(batch);
         }
     }
-}
 
-/// Where the receivers of `messages` take calls.
-async fn addresses(
-    member: &Member,
-    messages: &[Envelope],
-) -> Result<BTreeMap<StoreId, SocketAddr>, crate::rpc::ControlError> {
-    let wanted: Vec<StoreId> = messages.iter().map(|message| message.to).collect();
-    member
-        .query(move |replica, _| {
-            let members = &replica.node().members().0;
-            let known = members.iter().filter(|member| wanted.contains(&member.id));
-            known.map(|member| (member.id, member.addr)).collect()
-        })
-        .await
-}
+    /// Where `id` takes calls, by the members or else by its own word.
+    fn address(&self, members: &Members, id: StoreId) -> Option<SocketAddr> {
+        let known = members.get(id).map(|member| member.addr);
+        let told = || self.book.lock().unwrap_or_else(PoisonError::into_inner).get(&id).copied();
+        known.or_else(told)
+    }
 
-/// Delivers to one peer, all that waits in one call, in order.
-async fn deliver(
-    addr: SocketAddr,
-    mut batches: mpsc::Receiver<Vec<Envelope>>,
-    key: String,
-    log: Logger,
-) {
-    let client = match connect(addr, DELIVERY_TIMEOUT) {
-        Ok(client) => client,
-        Err(error) => {
-            warn!(log, "peer unusable"; "event" => "peer", "peer" => %addr, "error" => %error);
-            return;
-        }
-    };
-    let mut reachable = true;
-    while let Some(mut messages) = batches.recv().await {
-        while let Ok(more) = batches.try_recv() {
-            messages.extend(more);
-        }
-        let delivered = client.deliver(key.clone(), messages).await;
-        if delivered.is_ok() != reachable {
-            reachable = delivered.is_ok();
-            warn!(log, "peer changed"; "event" => "peer", "peer" => %addr, "reachable" => reachable);
+    /// Delivers to one peer, all that waits in one call, in order.
+    async fn deliver(self, addr: SocketAddr, mut batches: mpsc::Receiver<Vec<Envelope>>) {
+        let client = match connect(addr, DELIVERY_TIMEOUT) {
+            Ok(client) => client,
+            Err(error) => {
+                warn!(self.log, "peer unusable"; "event" => "peer", "peer" => %addr, "error" => %error);
+                return;
+            }
+        };
+        let mut reachable = true;
+        while let Some(mut messages) = batches.recv().await {
+            while let Ok(more) = batches.try_recv() {
+                messages.extend(more);
+            }
+            let delivered = client.deliver(self.key.clone(), self.own, messages).await;
+            if delivered.is_ok() != reachable {
+                reachable = delivered.is_ok();
+                warn!(self.log, "peer changed"; "event" => "peer", "peer" => %addr, "reachable" => reachable);
+            }
         }
     }
 }
 
 /// Asks every other member to bring this one in, until it is a voter.
-async fn join(member: Member, addr: SocketAddr, others: Vec<SocketAddr>, key: String) {
+async fn join(sender: Sender, others: Vec<SocketAddr>) {
     let clients: Vec<_> =
         others.iter().filter_map(|other| connect(*other, DELIVERY_TIMEOUT).ok()).collect();
     loop {
-        let standing = member
+        let standing = sender
+            .member
             .query(|replica, _| {
                 let node = replica.node();
                 let voter = node.members().voters().any(|id| id == node.id());
@@ -110,7 +118,7 @@
         };
         if !voter {
             for client in &clients {
-                let _ = client.join(key.clone(), Newcomer { store, addr }).await;
+                let _ = client.join(sender.key.clone(), Newcomer { store, addr: sender.own }).await;
             }
         }
         tokio::time::sleep(JOIN_INTERVAL).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod platform;
 pub mod process;
 pub mod raft;
 pub mod reason;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,6 +1,5 @@
 //! The operators' client: one command, one answer, and what to do next when it fails.
 
-use std::fmt::Write as _;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -12,10 +11,13 @@
 use crate::rpc::{ControlClient, ControlError, Group, Status};
 use crate::settings::Settings;
 use crate::store::{Answer, Change, Drain, Stored};
+use crate::targets::{Listed, Serves};
 use crate::template::Template;
 
-/// Longest time for one call.
-const CALL_TIMEOUT: Duration = Duration::from_secs(70);
+/// Longest time for one call, so that a member that hangs is left for the next.
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest wait for a revision within one call.
+const WAIT_MS: u64 = 2_000;
 /// Between two tries.
 const TRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -101,7 +103,6 @@
     group: Group,
     token: String,
     deadline: Instant,
-    timeout: Duration,
 }
 
 impl Session {
@@ -112,10 +113,9 @@
     pub fn open(remote: &Remote) -> Result<Self, OperatorError> {
         let timeout = Duration::from_secs(remote.timeout_s);
         Ok(Session {
-            group: Group::new(&remote.control, CALL_TIMEOUT.min(timeout))?,
+            group: Group::new(&remote.control, CALL_TIMEOUT)?,
             token: read(&remote.token_file)?.trim().to_owned(),
             deadline: Instant::now() + timeout,
-            timeout,
         })
     }
 
@@ -228,14 +228,18 @@
     }
 
     async fn wait(&mut self, revision: u64) -> Result<String, OperatorError> {
-        let timeout_ms = self.timeout.as_millis() as u64;
-        let reply =
-            self.call(async |client, token| client.wait(token, revision, timeout_ms).await).await?;
-        if reply.in_force {
-            let routers = reply.ready.len();
-            return Ok(format!("revision {revision} in force at all {routers} live routers"));
+        loop {
+            let reply = self
+                .call(async |client, token| client.wait(token, revision, WAIT_MS).await)
+                .await?;
+            if reply.in_force {
+                let routers = reply.ready.len();
+                return Ok(format!("revision {revision} in force at all {routers} live routers"));
+            }
+            if Instant::now() >= self.deadline {
+                return Err(OperatorError::NotInForce(reply.behind));
+            }
         }
-        Err(OperatorError::NotInForce(reply.behind))
     }
 
     /// Starts or ends a drain.
@@ -265,53 +269,59 @@
     }
 }
 
+/// The state as tables: group, members, routers, targets.
 fn table(status: &Status) -> String {
-    let mut out = String::new();
-    // Writing to a string does not fail.
-    let _ = writeln!(
-        out,
+    let mut lines = vec![format!(
         "partner {} term {} leader {} revision {} commit {}",
         status.partner, status.term, status.leader, status.revision, status.commit
-    );
-    let _ = writeln!(
-        out,
+    )];
+    lines.push(format!(
         "\n{:<18} {:<22} {:<8} {:<5} ON DISK",
         "MEMBER", "ADDRESS", "STANDING", "LIVE"
-    );
-    for status in &status.members {
+    ));
+    lines.extend(status.members.iter().map(|status| {
         let member = status.member;
         let standing = format!("{:?}", member.standing).to_lowercase();
-        let _ = writeln!(
-            out,
-            "{:<18} {:<22} {:<8} {:<5} {}",
-            member.id.to_string(),
-            member.addr.to_string(),
-            standing,
-            status.live,
-            status.matched
-        );
-    }
-    let _ = writeln!(
-        out,
+        let (id, addr) = (member.id.to_string(), member.addr.to_string());
+        format!("{id:<18} {addr:<22} {standing:<8} {:<5} {}", status.live, status.matched)
+    }));
+    lines.push(format!(
         "\n{:<18} {:<9} {:<9} {:<9} REFUSED",
         "ROUTER", "REVISION", "HEARD MS", "ADMITTED"
-    );
-    for router in &status.routers {
+    ));
+    lines.extend(status.routers.iter().map(|router| {
         let refused = router.report.refused.iter();
         let refused: Vec<String> = refused.map(|(code, count)| format!("{code}={count}")).collect();
-        let _ = writeln!(
-            out,
-            "{:<18} {:<9} {:<9} {:<9} {}",
+        let admitted = router.report.admitted;
+        format!(
+            "{:<18} {:<9} {:<9} {admitted:<9} {}",
             router.host,
             router.revision,
             router.heard_ms_ago,
-            router.report.admitted,
             refused.join(" ")
-        );
+        )
+    }));
+    lines.push(format!(
+        "\n{:<18} {:<18} {:<9} {:<9} SERVES",
+        "TARGET", "HOST", "DATA HALL", "STATE"
+    ));
+    match &status.targets {
+        Some(targets) => lines.extend(targets.iter().map(|target| target_line(status, target))),
+        None => lines.push("the platform's list can't be read".to_owned()),
     }
-    if !status.drains.is_empty() {
-        let drains: Vec<&str> = status.drains.iter().map(String::as_str).collect();
-        let _ = writeln!(out, "\ndraining {}", drains.join(" "));
-    }
-    out.trim_end().to_owned()
+    lines.join("\n")
+}
+
+fn target_line(status: &Status, target: &Listed) -> String {
+    let drained = status.drains.contains(&target.name) || status.drains.contains(&target.host);
+    let state = match (target.leaving, drained) {
+        (true, _) => "leaving",
+        (false, true) => "draining",
+        (false, false) => "live",
+    };
+    let serves = match &target.serves {
+        Serves::Models(models) => format!("models {}", models.join(" ")),
+        Serves::Service(service) => format!("service {service}"),
+    };
+    format!("{:<18} {:<18} {:<9} {state:<9} {serves}", target.name, target.host, target.data_hall)
 }
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -7,9 +7,9 @@
 use slog::{error, info, warn};
 
 use super::{RouterError, Shared, lock};
+use crate::platform::Platform;
 use crate::raft::GroupId;
 use crate::rpc::{ControlClient, ControlError, Group, SyncReply, SyncRequest};
-use crate::targets::Listing;
 
 /// How long control may hold an answer while there is nothing new.
 const SYNC_WAIT: Duration = Duration::from_secs(1);
@@ -82,31 +82,23 @@
 /// Reads the platform's list again and again.
 async fn follow_list(shared: Arc<Shared>) {
     let pause = Duration::from_millis(shared.settings.list_poll_ms);
-    let url = format!("{}/targets", shared.settings.platform_url.trim_end_matches('/'));
+    let timeout = Duration::from_millis(shared.settings.list_max_age_ms);
+    let platform = Platform::new(shared.http.clone(), &shared.platform_url);
     let mut reachable = true;
     loop {
-        let read = read_list(&shared, &url).await;
+        let read = platform.list(timeout).await;
         if read.is_ok() != reachable {
             reachable = read.is_ok();
             warn!(shared.log, "platform list"; "event" => "platform_list", "reachable" => reachable);
         }
-        if let Ok(listing) = read {
-            lock(&shared.targets).apply(shared.now(), listing);
+        if let Ok(list) = read {
+            shared.metrics.count_control("platform_list", list.sent_bytes, list.received_bytes);
+            lock(&shared.targets).apply(shared.now(), list.listing);
         }
         tokio::time::sleep(pause).await;
     }
 }
 
-async fn read_list(shared: &Shared, url: &str) -> Result<Listing, reqwest::Error> {
-    let timeout = Duration::from_millis(shared.settings.list_max_age_ms);
-    let answer = shared.http.get(url).timeout(timeout).send().await?;
-    let answer = answer.error_for_status()?;
-    let bytes = answer.content_length().unwrap_or_default();
-    let listing = answer.json().await?;
-    shared.metrics.count_control("platform_list", url.len(), bytes as usize);
-    Ok(listing)
-}
-
 fn json_len(message: &impl Serialize) -> usize {
     serde_json::to_vec(message).map_or(0, |bytes| bytes.len())
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -57,6 +57,7 @@
 pub(crate) struct Shared {
     host: String,
     key: String,
+    platform_url: String,
     settings: RouterSettings,
     started: Instant,
     http: reqwest::Client,
@@ -94,6 +95,7 @@
         Ok(Shared {
             host: settings.host.clone(),
             key: settings.key.clone(),
+            platform_url: settings.platform_url.clone(),
             settings: router.clone(),
             started: Instant::now(),
             http,
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -14,6 +14,7 @@
 use crate::jsonc::Fault;
 use crate::raft::{Envelope, GroupId, Member, StoreId, Term};
 use crate::store::{Answer, Delta, Drain, Revision, Stored};
+use crate::targets::Listed;
 
 /// Largest call or answer, in bytes: a snapshot of 1,000 large templates fits.
 pub const MAX_CALL_BYTES: u32 = 256 * 1024 * 1024;
@@ -103,6 +104,8 @@
     pub routers: Vec<RouterStatus>,
     /// Hosts and targets being drained.
     pub drains: BTreeSet<String>,
+    /// Targets on the platform's list; `None` where it can't be read.
+    pub targets: Option<Vec<Listed>>,
 }
 
 /// One member, as the leader sees it.
@@ -139,9 +142,14 @@
     #[method(name = "identify")]
     async fn identify(&self, key: String) -> Result<Identity, ErrorObjectOwned>;
 
-    /// Messages of another member.
+    /// Messages of the member at `from`.
     #[method(name = "deliver")]
-    async fn deliver(&self, key: String, messages: Vec<Envelope>) -> Result<(), ErrorObjectOwned>;
+    async fn deliver(
+        &self,
+        key: String,
+        from: SocketAddr,
+        messages: Vec<Envelope>,
+    ) -> Result<(), ErrorObjectOwned>;
 
     /// Bring a member in.
     #[method(name = "join")]
@@ -267,7 +275,7 @@
         .map_err(ControlError::from)
 }
 
-/// Clients of all members of a group, the one thought to lead first.
+/// Clients of all members of a group; begins with any of them and follows the leader.
 pub struct Group {
     clients: Vec<(SocketAddr, HttpClient)>,
     at: usize,
@@ -282,8 +290,9 @@
         let clients = addrs
             .iter()
             .map(|addr| Ok((*addr, connect(*addr, timeout)?)))
-            .collect::<Result<_, ControlError>>()?;
-        Ok(Group { clients, at: 0 })
+            .collect::<Result<Vec<_>, ControlError>>()?;
+        let at = rand::random_range(0..clients.len().max(1));
+        Ok(Group { clients, at })
     }
 
     /// Client of the member to ask next.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,8 @@
     pub partner: String,
     /// Secret that the hosts of a partner show each other, at least 16 bytes.
     pub key: String,
+    /// Where the platform publishes its list of hosts and targets.
+    pub platform_url: String,
     /// Settings of the router, where this process runs one.
     pub router: Option<RouterSettings>,
     /// Settings of the control member, where this process runs one.
@@ -67,8 +69,6 @@
     pub listen: Option<SocketAddr>,
     /// Control members of the partner.
     pub control: Vec<SocketAddr>,
-    /// Where the platform publishes its list of hosts and targets.
-    pub platform_url: String,
     /// Between two reads of the platform's list.
     pub list_poll_ms: u64,
     /// Age from which the list no longer proves that a target lives.
@@ -100,7 +100,6 @@
         RouterSettings {
             listen: None,
             control: Vec::new(),
-            platform_url: String::new(),
             list_poll_ms: 1_000,
             list_max_age_ms: 10_000,
             connect_timeout_ms: 1_000,
@@ -123,7 +122,9 @@
 pub struct ControlSettings {
     /// Where other members, routers and operators connect.
     pub listen: Option<SocketAddr>,
-    /// Addresses of all members, this one included.
+    /// Where the others reach this member, when that is not `listen`.
+    pub advertise: Option<SocketAddr>,
+    /// Addresses of all members, this one included, as they reach each other.
     pub peers: Vec<SocketAddr>,
     /// Folder for the durable state.
     pub data_dir: PathBuf,
@@ -145,6 +146,7 @@
     fn default() -> Self {
         ControlSettings {
             listen: None,
+            advertise: None,
             peers: Vec::new(),
             data_dir: PathBuf::new(),
             operators: Vec::new(),
@@ -168,6 +170,11 @@
 }
 
 impl ControlSettings {
+    /// Where the others reach this member.
+    pub fn reached_at(&self) -> Option<SocketAddr> {
+        self.advertise.or(self.listen)
+    }
+
     /// Intervals of the agreement protocol.
     pub fn timing(&self) -> Timing {
         Timing {
@@ -185,9 +192,9 @@
     fn check(&self, faults: &mut Vec<Fault>) {
         check_listen(faults, "control.listen", self.listen);
         check_addrs(faults, "control.peers", &self.peers);
-        if self.listen.is_some_and(|listen| !self.peers.is_empty() && !self.peers.contains(&listen))
-        {
-            let message = "must contain control.listen, this member's own address";
+        let own = self.reached_at();
+        if own.is_some_and(|own| !self.peers.is_empty() && !self.peers.contains(&own)) {
+            let message = "must contain this member's own address";
             faults.push(Fault::new("control.peers", message));
         }
         if self.data_dir.as_os_str().is_empty() {
@@ -223,10 +230,6 @@
     fn check(&self, faults: &mut Vec<Fault>) {
         check_listen(faults, "router.listen", self.listen);
         check_addrs(faults, "router.control", &self.control);
-        if !self.platform_url.starts_with("http://") {
-            let message = "must be a URL that starts with http://";
-            faults.push(Fault::new("router.platform_url", message));
-        }
         let intervals = [
             ("router.list_poll_ms", self.list_poll_ms),
             ("router.list_max_age_ms", self.list_max_age_ms),
@@ -284,6 +287,10 @@
             let message = format!("must have at least {MIN_KEY_BYTES} bytes");
             faults.push(Fault::new("key", message));
         }
+        if !self.platform_url.starts_with("http://") {
+            let message = "must be a URL that starts with http://";
+            faults.push(Fault::new("platform_url", message));
+        }
         if let Some(router) = &self.router {
             router.check(&mut faults);
         }
--- a/src/store.rs
+++ b/src/store.rs
@@ -31,6 +31,7 @@
 
 /// A template submitted or revised by an operator.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Change {
     /// Chosen by the operator's client; the same id is the same change.
     pub id: String,
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -52,6 +52,8 @@
     rate: f64,
     frozen: bool,
     cut: bool,
+    /// Member whose messages do not reach this one.
+    deaf_to: Option<usize>,
     /// Proposals made here whose answer is awaited.
     proposed: BTreeMap<Position, Change>,
 }
@@ -110,6 +112,7 @@
                 rate: 1.0,
                 frozen: false,
                 cut: false,
+                deaf_to: None,
                 proposed: BTreeMap::new(),
             });
             group.start(number);
@@ -192,6 +195,11 @@
         self.hosts[number].cut = cut;
     }
 
+    /// Lets nothing of `from` reach the member, one way only.
+    pub fn deafen(&mut self, number: usize, from: Option<usize>) {
+        self.hosts[number].deaf_to = from;
+    }
+
     /// Ends every fault.
     pub fn heal(&mut self) {
         self.lossy = false;
@@ -201,6 +209,7 @@
             }
             self.freeze(number, false);
             self.cut(number, false);
+            self.deafen(number, None);
         }
     }
 
@@ -287,7 +296,8 @@
             let (Some(to), Some(from)) = (to, from) else {
                 continue;
             };
-            if self.hosts[to].cut || self.hosts[from].cut || !self.running(to) {
+            let deaf = self.hosts[to].deaf_to == Some(from);
+            if deaf || self.hosts[to].cut || self.hosts[from].cut || !self.running(to) {
                 continue;
             }
             if self.hosts[to].frozen {
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -28,6 +28,7 @@
     Thaw(usize),
     Cut(usize),
     CutLeader,
+    DeafenToLeader(usize),
     Mend(usize),
 }
 
@@ -48,6 +49,7 @@
         2 => member.clone().prop_map(Step::Thaw),
         1 => member.clone().prop_map(Step::Cut),
         1 => Just(Step::CutLeader),
+        2 => member.clone().prop_map(Step::DeafenToLeader),
         2 => member.prop_map(Step::Mend),
     ]
 }
@@ -73,7 +75,11 @@
         Step::Thaw(member) => group.freeze(member, false),
         Step::Cut(member) => group.cut(member, true),
         Step::CutLeader => group.leader().into_iter().for_each(|leader| group.cut(leader, true)),
-        Step::Mend(member) => group.cut(member, false),
+        Step::DeafenToLeader(member) => group.deafen(member, group.leader()),
+        Step::Mend(member) => {
+            group.cut(member, false);
+            group.deafen(member, None);
+        }
     }
 }
 
--- /dev/null
+++ b/tests/promises/accepted_config.rs
@@ -0,0 +1,360 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use latchmount::rpc::{ControlClient, ControlError, Newcomer, Status, SyncRequest, connect};
+use latchmount::store::{Answer, Drain};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use crate::support::{Fleet, KEY, Shape, TOKEN, eventually, template, text, word_after};
+
+/// Longer than any hiccup of a busy machine, so that only a lost quorum lets it run out.
+const LONG_LEASE_MS: u64 = 19_000;
+/// Short, where a test waits for it to run out.
+const SHORT_LEASE_MS: u64 = 2_500;
+
+fn group_of(controls: u16, lease_ms: u64) -> Shape {
+    Shape {
+        controls,
+        control: json!({ "freshness_lease_ms": lease_ms, "compact_after_entries": 4 }),
+        ..Shape::default()
+    }
+}
+
+/// The template with something new in it.
+fn version(text: &str) -> Value {
+    let mut template = template();
+    template["version"] = json!(text);
+    template
+}
+
+async fn status(fleet: &Fleet) -> Status {
+    eventually("a leader answers", async || {
+        let out = fleet.operator(&["status", "--json"]);
+        serde_json::from_slice(&out.stdout).ok()
+    })
+    .await
+}
+
+/// Number of the control member that leads.
+async fn leader(fleet: &Fleet) -> usize {
+    let status = status(fleet).await;
+    let members = status.members.iter().map(|status| status.member);
+    let mut leader = members.filter(|member| member.id == status.leader);
+    let addr = leader.next().expect("the leader is a member").addr;
+    (0..5).find(|number| fleet.control_addr(*number) == addr).expect("a known address") as usize
+}
+
+/// Revises the template until an answer comes; gives the new version.
+async fn revise(fleet: &Fleet, base: u64, id: &str) -> u64 {
+    let file = fleet.template_file(&version(id));
+    let base = base.to_string();
+    eventually("the revision is answered", async || {
+        let out =
+            fleet.operator(&["template", "revise", "--base", &base, "--change-id", id, &file]);
+        let accepted = out.status.success().then(|| text(&out.stdout));
+        accepted.and_then(|line| word_after(&line, "version").parse().ok())
+    })
+    .await
+}
+
+/// Waits until the router has a revision at least this new, and never an older one meanwhile.
+async fn catches_up(fleet: &Fleet, router: usize, revision: u64) {
+    let mut newest = 0.0;
+    eventually("the router catches up", async || {
+        let has = fleet.metric(router, "latchmount_config_revision", "").await;
+        assert!(has >= newest, "router {router} went back from {newest} to {has}");
+        newest = has;
+        (has >= revision as f64).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killing_leaders_loses_no_accepted_change_and_stops_no_router() {
+    let mut fleet = Fleet::ready(group_of(5, LONG_LEASE_MS)).await;
+    let mut at = 1;
+    for round in 0..4 {
+        let leader = leader(&fleet).await;
+        let next = revise(&fleet, at, &format!("before-{round}")).await;
+        assert_eq!(next, at + 1);
+        fleet.controls[leader].kill();
+        let health = fleet.http.get(format!("{}/healthz", fleet.router_url(0))).send().await;
+        assert_eq!(health.expect("an answer").status(), 200, "an election stopped a router");
+        at = revise(&fleet, next, &format!("after-{round}")).await;
+        assert_eq!(at, next + 1);
+        fleet.controls[leader] = fleet.start_control(leader as u16);
+    }
+    let revision = status(&fleet).await.revision;
+    catches_up(&fleet, 0, revision).await;
+    catches_up(&fleet, 1, revision).await;
+    let history = text(&fleet.operator(&["template", "history", "disputes"]).stdout);
+    assert_eq!(history.lines().count() as u64, at, "{history}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loss_of_two_members_stops_neither_changes_nor_routers() {
+    let mut fleet = Fleet::ready(group_of(5, LONG_LEASE_MS)).await;
+    let leader = leader(&fleet).await;
+    fleet.controls[leader].kill();
+    fleet.controls[(leader + 1) % 5].kill();
+    assert_eq!(revise(&fleet, 1, "with-three").await, 2);
+    let revision = status(&fleet).await.revision;
+    catches_up(&fleet, 0, revision).await;
+    let waited = fleet.operator(&["template", "wait", &revision.to_string()]);
+    assert!(waited.status.success(), "{}", text(&waited.stderr));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_leader_that_wakes_serves_nothing_old() {
+    let fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    let old = leader(&fleet).await;
+    fleet.controls[old].signal(Signal::SIGSTOP);
+    assert_eq!(revise(&fleet, 1, "while-frozen").await, 2);
+    let revision = status(&fleet).await.revision;
+    catches_up(&fleet, 0, revision).await;
+    fleet.controls[old].signal(Signal::SIGCONT);
+    serves_only(&fleet, old, "while-frozen").await;
+    catches_up(&fleet, 1, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_cut_off_without_notice_serves_nothing_old() {
+    let fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    let old = leader(&fleet).await;
+    fleet.links[old].cut(true);
+    assert_eq!(revise(&fleet, 1, "while-cut").await, 2);
+    for change in 2..6 {
+        revise(&fleet, change, &format!("while-cut-{change}")).await;
+    }
+    fleet.links[old].cut(false);
+    serves_only(&fleet, old, "while-cut-5").await;
+    let revision = status(&fleet).await.revision;
+    catches_up(&fleet, 0, revision).await;
+    catches_up(&fleet, 1, revision).await;
+}
+
+/// Asks one member again and again: it answers the newest version, or that it does not lead.
+async fn serves_only(fleet: &Fleet, member: usize, newest: &str) {
+    let client = connect(fleet.control_addr(member as u16), Duration::from_secs(5)).unwrap();
+    for _ in 0..100 {
+        if let Ok(templates) = client.templates(TOKEN.into()).await {
+            assert_eq!(templates[0].template.version, newest, "an old version was served");
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_reaches_only_a_stale_member_admits_nothing() {
+    let mut fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    let stale = (leader(&fleet).await + 1) % 3;
+    fleet.routers[0].kill();
+    let text = std::fs::read_to_string(&fleet.routers[0].settings).unwrap();
+    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    // The stale member hears no one, but answers the router.
+    let direct = format!("{}", fleet.control_addr(stale as u16)).replace(":90", ":70");
+    settings["router"]["control"] = json!([direct]);
+    fleet.links[stale].cut(true);
+    revise(&fleet, 1, "unseen").await;
+    fleet.routers[0] = fleet.restart_with("router-0", "router", &settings);
+    let refused =
+        eventually("the router answers", async || fleet.call(0, "stale", &[]).await.ok()).await;
+    assert_eq!(refused.status(), 503);
+    assert!(refused.headers().contains_key("retry-after"));
+    let body: Value = refused.json().await.unwrap();
+    assert_eq!(body["error"]["code"], "stale_config");
+    assert_eq!(body["error"]["not_run"], true);
+    assert_eq!(fleet.service.runs("stale"), 0);
+    fleet.links[stale].cut(false);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_quorum_routers_stop_admitting_when_their_lease_ends_and_go_on_after() {
+    let fleet = Fleet::ready(group_of(3, SHORT_LEASE_MS)).await;
+    for control in &fleet.controls {
+        control.signal(Signal::SIGSTOP);
+    }
+    let refused = eventually("the lease ends", async || {
+        let answer = fleet.call(0, "no-quorum", &[]).await.ok()?;
+        (answer.status() == 503).then_some(answer)
+    })
+    .await;
+    let ran_before = fleet.service.runs("no-quorum");
+    let body: Value = refused.json().await.unwrap();
+    assert_eq!(body["error"]["code"], "stale_config");
+    let health = fleet.http.get(format!("{}/healthz", fleet.router_url(0))).send().await.unwrap();
+    assert_eq!(health.status(), 503);
+    for _ in 0..5 {
+        fleet.call(0, "no-quorum", &[]).await.unwrap();
+    }
+    assert_eq!(fleet.service.runs("no-quorum"), ran_before, "a refused call ran");
+    for control in &fleet.controls {
+        control.signal(Signal::SIGCONT);
+    }
+    fleet.serving().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_exactly_one_wins_each_version() {
+    let fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    const OPERATORS: u64 = 8;
+    for base in 1..4 {
+        let changes = (0..OPERATORS).map(|operator| {
+            let id = format!("race-{base}-{operator}");
+            let change = json!({ "id": id, "base": base, "template": version(&id) });
+            change_anywhere(&fleet, operator, change)
+        });
+        let answers = futures_util::future::join_all(changes).await;
+        let won = answers.iter().filter(|answer| matches!(answer, Answer::Accepted { .. })).count();
+        assert_eq!(won, 1, "{answers:?}");
+        let lost =
+            answers.iter().filter(|answer| **answer == Answer::Conflict { in_force: base + 1 });
+        assert_eq!(lost.count() as u64, OPERATORS - 1, "{answers:?}");
+    }
+    let file = fleet.template_file(&version("late"));
+    let late = fleet.operator(&["template", "revise", "--base", "1", &file]);
+    assert_eq!(late.status.code(), Some(3));
+    assert!(text(&late.stderr).contains("version 4 is in force"), "{}", text(&late.stderr));
+}
+
+/// Sends a change to one member after the other until one answers.
+async fn change_anywhere(fleet: &Fleet, first: u64, change: Value) -> Answer {
+    let mut member = first;
+    eventually("the change is answered", async || {
+        member += 1;
+        let addr = fleet.control_addr((member % fleet.controls.len() as u64) as u16);
+        let client = connect(addr, Duration::from_secs(5)).ok()?;
+        client.change(TOKEN.into(), change.clone()).await.ok()
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resent_change_gets_its_first_answer_after_failover_restart_and_snapshot() {
+    let mut fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    let won = json!({ "id": "resent", "base": 1, "template": version("resent") });
+    let lost = json!({ "id": "beaten", "base": 1, "template": version("beaten") });
+    let first = change_anywhere(&fleet, 0, won.clone()).await;
+    assert!(matches!(first, Answer::Accepted { version: 2, .. }), "{first:?}");
+    let beaten = change_anywhere(&fleet, 0, lost.clone()).await;
+    assert_eq!(beaten, Answer::Conflict { in_force: 2 });
+    // More changes than fit in the log, so that a snapshot takes their place.
+    for base in 2..30 {
+        revise(&fleet, base, &format!("more-{base}")).await;
+    }
+    let old = leader(&fleet).await;
+    fleet.controls[old].kill();
+    assert_eq!(change_anywhere(&fleet, 1, won.clone()).await, first, "after failover");
+    for number in 0..3 {
+        fleet.controls[number].kill();
+        fleet.controls[number] = fleet.start_control(number as u16);
+    }
+    assert_eq!(change_anywhere(&fleet, 2, won).await, first, "after restart");
+    assert_eq!(change_anywhere(&fleet, 2, lost).await, beaten, "after restart");
+    let other = json!({ "id": "resent", "base": 30, "template": version("other") });
+    assert_eq!(change_anywhere(&fleet, 0, other).await, Answer::IdReused);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_with_a_lost_disk_counts_again_only_when_caught_up_and_a_second_loss_is_borne() {
+    let mut fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
+    for base in 1..40 {
+        revise(&fleet, base, &format!("change-{base}")).await;
+    }
+    let before = status(&fleet).await;
+    let first = leader(&fleet).await;
+    let second = (first + 1) % 3;
+    for lost in [first, second] {
+        let old = member_at(&status(&fleet).await, &fleet, lost);
+        fleet.controls[lost].kill();
+        std::fs::remove_dir_all(fleet.data_dir(lost as u16)).expect("a data folder");
+        fleet.controls[lost] = fleet.start_control(lost as u16);
+        eventually("the member counts again, under a new identity", async || {
+            let status = status(&fleet).await;
+            let new = member_at(&status, &fleet, lost);
+            let voters = status.members.iter().filter(|status| {
+                status.member.standing == latchmount::raft::Standing::Voter && status.live
+            });
+            (new != old && voters.count() == 3 && status.members.len() == 3).then_some(())
+        })
+        .await;
+    }
+    let after = status(&fleet).await;
+    assert_eq!(after.revision, before.revision, "an accepted change is lost");
+    let history = text(&fleet.operator(&["template", "history", "disputes"]).stdout);
+    assert!(history.contains("change-39"), "{history}");
+    assert_eq!(revise(&fleet, 40, "goes-on").await, 41);
+}
+
+/// Identities of the members at the address of member `number`.
+fn member_at(status: &Status, fleet: &Fleet, number: usize) -> BTreeSet<latchmount::raft::StoreId> {
+    let addr = fleet.control_addr(number as u16);
+    let members = status.members.iter().map(|status| status.member);
+    members.filter(|member| member.addr == addr).map(|member| member.id).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wrong_token_or_key_learns_and_changes_nothing() {
+    let fleet = Fleet::ready(group_of(1, LONG_LEASE_MS)).await;
+    let before = status(&fleet).await.revision;
+    let client = connect(fleet.control_addr(0), Duration::from_secs(5)).unwrap();
+    let wrong = || String::from("another partner's");
+    let drain = Drain { name: "engine-0".into(), on: true };
+    let request = SyncRequest {
+        router: "foreign".into(),
+        group: Default::default(),
+        known: 0,
+        wait_ms: 0,
+        report: Default::default(),
+    };
+    let change = json!({ "id": "foreign", "base": 1, "template": version("foreign") });
+    let newcomer =
+        Newcomer { store: latchmount::raft::StoreId(1), addr: ([127, 0, 0, 1], 1).into() };
+    let errors = [
+        client.change(wrong(), change).await.err(),
+        client.drain(wrong(), drain).await.err(),
+        client.templates(wrong()).await.err(),
+        client.wait(wrong(), 1, 1).await.err(),
+        client.status(wrong()).await.err(),
+        client.form(wrong()).await.err(),
+        client.sync(wrong(), request).await.err(),
+        client.identify(wrong()).await.err(),
+        client.deliver(wrong(), newcomer.addr, Vec::new()).await.err(),
+        client.join(wrong(), newcomer).await.err(),
+        // An operator's token opens none of the calls between hosts, and the other way round.
+        client.identify(TOKEN.into()).await.err(),
+        client.templates(KEY.into()).await.err(),
+    ];
+    for error in errors {
+        let error = error.map(ControlError::from);
+        assert_eq!(error, Some(ControlError::Unauthorized));
+    }
+    assert_eq!(status(&fleet).await.revision, before);
+    std::fs::write(fleet.folder.path().join("token"), wrong()).unwrap();
+    assert_eq!(fleet.operator(&["template", "list"]).status.code(), Some(4));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_content_is_refused_by_field_and_never_enters_the_log() {
+    let fleet = Fleet::ready(group_of(1, LONG_LEASE_MS)).await;
+    let commit = status(&fleet).await.commit;
+    let mut bad = template();
+    bad["teams"]["agents"]["share_percent"] = json!(140);
+    bad["priority"] = json!(70);
+    bad["modle"] = json!("m7");
+    let file = fleet.template_file(&bad);
+    let out = fleet.operator(&["template", "revise", "--base", "1", &file]);
+    assert_eq!(out.status.code(), Some(2));
+    let errors = text(&out.stderr);
+    for field in ["teams.agents.share_percent", "priority", "modle"] {
+        assert!(errors.contains(field), "{field} is not named: {errors}");
+    }
+    let client = connect(fleet.control_addr(0), Duration::from_secs(5)).unwrap();
+    let change = json!({ "id": "bad", "base": 1, "template": bad });
+    let error = client.change(TOKEN.into(), change).await.map_err(ControlError::from);
+    assert!(matches!(error, Err(ControlError::Invalid(_))), "{error:?}");
+    assert_eq!(status(&fleet).await.commit, commit);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,6 +15,8 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+pub mod link;
+
 #[path = "../../examples/standin/engine.rs"]
 pub mod engine;
 #[path = "../../examples/standin/http.rs"]
@@ -25,6 +27,7 @@
 pub mod service;
 
 use engine::{Engine, EngineOptions};
+use link::Link;
 use platform::Platform;
 use service::Service;
 
@@ -33,6 +36,7 @@
 pub const TOKEN: &str = "an operator's token";
 pub const KEY: &str = "a secret of this partner's hosts";
 const CONTROL_PORT: u16 = 7000;
+const LINK_PORT: u16 = 9000;
 const ROUTER_PORT: u16 = 8080;
 
 /// Waits until `done` gives a value, and says what did not happen otherwise.
@@ -137,6 +141,8 @@
     ip: Ipv4Addr,
     shape: Shape,
     pub controls: Vec<Process>,
+    /// The links through which each control member is reached.
+    pub links: Vec<Link>,
     pub routers: Vec<Process>,
     pub engines: Vec<Engine>,
     pub service: Service,
@@ -161,6 +167,7 @@
             folder: tempfile::tempdir().expect("a folder"),
             ip: own_ip(),
             controls: Vec::new(),
+            links: Vec::new(),
             routers: Vec::new(),
             engines,
             service,
@@ -170,6 +177,8 @@
         };
         std::fs::write(fleet.folder.path().join("token"), TOKEN).expect("a token file");
         for number in 0..fleet.shape.controls {
+            let to = (fleet.ip, CONTROL_PORT + number).into();
+            fleet.links.push(Link::start(fleet.control_addr(number), to).await);
             let control = fleet.start_control(number);
             fleet.controls.push(control);
         }
@@ -193,19 +202,26 @@
         fleet
     }
 
+    /// Where a control member is reached: a link to it.
     pub fn control_addr(&self, number: u16) -> SocketAddr {
-        (self.ip, CONTROL_PORT + number).into()
+        (self.ip, LINK_PORT + number).into()
     }
 
     pub fn router_url(&self, number: usize) -> String {
         format!("http://{}:{}", self.ip, ROUTER_PORT + number as u16)
     }
 
+    /// Starts a process with other settings than the usual ones.
+    pub fn restart_with(&self, name: &str, command: &str, settings: &Value) -> Process {
+        self.spawn(name, command, settings.clone())
+    }
+
     fn spawn(&self, name: &str, command: &str, mut settings: Value) -> Process {
         settings["host"] = json!(name);
         settings["data_hall"] = json!("a");
         settings["partner"] = json!("portwell");
         settings["key"] = json!(KEY);
+        settings["platform_url"] = json!(self.platform.url());
         let path = self.folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("a settings file");
         let log = self.folder.path().join(format!("{name}.log"));
@@ -233,7 +249,8 @@
         let peers: Vec<SocketAddr> =
             (0..self.shape.controls).map(|peer| self.control_addr(peer)).collect();
         let control = json!({
-            "listen": self.control_addr(number),
+            "listen": SocketAddr::from((self.ip, CONTROL_PORT + number)),
+            "advertise": self.control_addr(number),
             "peers": peers,
             "data_dir": self.data_dir(number),
             "operators": [{ "name": "olga", "token_sha256": sha256(TOKEN) }],
@@ -248,7 +265,6 @@
         let router = json!({
             "listen": SocketAddr::from((self.ip, ROUTER_PORT + number)),
             "control": control,
-            "platform_url": self.platform.url(),
             "list_poll_ms": 100,
             "stop_notice_ms": 100,
         });
