--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -60,9 +60,13 @@
         live.map(|(host, seen)| RouterStatus {
             host: host.clone(),
             revision: seen.revision,
-            heard_ms_ago: (now - seen.at).as_millis() as u64,
+            heard_ms_ago: now.saturating_sub(seen.at).as_millis() as u64,
             report: seen.report.clone(),
         })
         .collect()
     }
 }
+
+#[cfg(test)]
+#[path = "registry_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/control/registry_tests.rs
@@ -0,0 +1,44 @@
+//! Tests of what a leader knows of the routers.
+
+use std::time::Duration;
+
+use super::Registry;
+use crate::rpc::Report;
+
+const LEASE: Duration = Duration::from_secs(6);
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn heard(router: &str, when: u64, revision: u64) -> Registry {
+    let mut registry = Registry::new(LEASE);
+    registry.hear(at(when), router, revision, Report::default());
+    registry
+}
+
+#[test]
+fn a_router_heard_after_the_clock_was_read_is_heard_just_now() {
+    let status = heard("r", 10, 1).status(at(9));
+    assert_eq!(status[0].heard_ms_ago, 0);
+}
+
+#[test]
+fn a_revision_is_in_force_only_when_no_live_router_is_behind() {
+    let mut registry = heard("behind", 10, 1);
+    registry.hear(at(10), "ready", 2, Report::default());
+    let reply = registry.in_force(at(11), at(0), 2);
+    assert!(!reply.in_force);
+    assert_eq!((reply.behind, reply.ready), (vec!["behind".into()], vec!["ready".into()]));
+    assert!(registry.in_force(at(11), at(0), 1).in_force);
+    // Not heard for a lease, it has stopped admitting.
+    registry.hear(at(15), "ready", 2, Report::default());
+    assert!(registry.in_force(at(17), at(0), 2).in_force);
+}
+
+#[test]
+fn a_new_leader_waits_for_a_lease_before_it_knows_every_router() {
+    let registry = heard("ready", 10, 2);
+    assert!(!registry.in_force(at(11), at(8), 2).in_force);
+    assert!(registry.in_force(at(14), at(8), 2).in_force);
+}
