Place models on engines by fenced orders

Cause: templates name a model, adapter and version, but nothing loaded them, and any engine that listed the model's bare name was taken for any version.

Change: a target lists MODEL@VERSION+ADAPTER and a request needs just that; placement.rs plans which engine serves what, orders.rs numbers and paces the orders, control/placing.rs carries them out while its member leads. An engine that unloads is closed to new work by a replicated move first. The list names the partner whose group may order a target, since numbers of two groups can't be compared.

Ruled out: ordering an unload while routers still send work and hoping that the engine drains: the move must be in force at every router and the engine idle for longer than its report lags.

Changing an engine's role is not built: no role but what it serves is known to need one.

--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream;
+use latchmount::orders::Order;
+use latchmount::template::Spec;
 use salvo::http::{Method, StatusCode};
 use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
@@ -22,7 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
     /// Models loaded at the start.
-    pub models: Vec<String>,
+    pub models: Vec<Spec>,
     /// Time between two tokens.
     pub token_ms: u64,
     /// Time to work through one message that is not cached.
@@ -42,7 +44,7 @@
 impl Default for EngineOptions {
     fn default() -> Self {
         EngineOptions {
-            models: vec!["m7".to_owned()],
+            models: vec![spec("m7@3")],
             token_ms: 5,
             prefill_ms: 5,
             tokens: 8,
@@ -85,7 +87,9 @@
     cancelled: u64,
     faults: VecDeque<Fault>,
     fence: (u64, u64),
-    models: Vec<String>,
+    /// Orders carried out, by term and sequence.
+    orders: Vec<(u64, u64)>,
+    models: Vec<Spec>,
     leaving: bool,
 }
 
@@ -129,6 +133,16 @@
     pub fn url(&self) -> &str {
         &self.url
     }
+
+    /// Whether it refuses older orders.
+    pub fn fenced(&self) -> bool {
+        self.inner.options.fenced
+    }
+
+    /// Models loaded now.
+    pub fn models(&self) -> Vec<Spec> {
+        self.inner.state().models.clone()
+    }
 }
 
 #[allow(dead_code)]
@@ -158,9 +172,9 @@
         self.inner.state().leaving = true;
     }
 
-    /// Models loaded now.
-    pub fn models(&self) -> Vec<String> {
-        self.inner.state().models.clone()
+    /// Orders carried out, by term and sequence.
+    pub fn orders(&self) -> Vec<(u64, u64)> {
+        self.inner.state().orders.clone()
     }
 }
 
@@ -199,14 +213,6 @@
     stream: bool,
 }
 
-/// An order to change what the engine has loaded.
-#[derive(Deserialize)]
-struct Order {
-    term: u64,
-    sequence: u64,
-    models: Vec<String>,
-}
-
 impl Endpoint {
     async fn chat(&self, req: &mut Request, res: &mut Response) {
         let attempt = req.header::<String>("x-attempt-id").unwrap_or_default();
@@ -394,7 +400,8 @@
             return;
         }
         state.fence = at;
-        state.models = order.models;
+        state.models = order.models.into_iter().collect();
+        state.orders.push(at);
     }
 }
 
@@ -442,6 +449,11 @@
     }
 }
 
+/// A model with its version, as the tests write it.
+pub fn spec(text: &str) -> Spec {
+    text.to_owned().try_into().expect("MODEL@VERSION")
+}
+
 fn text(message: Option<&Value>) -> String {
     let content = message.and_then(|message| message["content"].as_str());
     content.unwrap_or_default().to_owned()
--- a/examples/standin/main.rs
+++ b/examples/standin/main.rs
@@ -11,7 +11,7 @@
 use bpaf::Bpaf;
 use latchmount::targets::Serves;
 
-use engine::{Engine, EngineOptions};
+use engine::{Engine, EngineOptions, spec};
 use platform::Platform;
 use service::Service;
 
@@ -23,7 +23,7 @@
     #[bpaf(long, argument("COUNT"), fallback(2))]
     engines: usize,
     /// Model that every engine has loaded.
-    #[bpaf(long, argument("MODEL"), fallback("m7".to_owned()))]
+    #[bpaf(long, argument("MODEL@VERSION"), fallback("m7@3".to_owned()))]
     model: String,
     /// Name of the plain service.
     #[bpaf(long, argument("NAME"), fallback("porting".to_owned()))]
@@ -42,13 +42,13 @@
     for number in 1..=options.engines {
         let engine = Engine::start(EngineOptions {
             token_ms: options.token_ms,
-            models: vec![options.model.clone()],
+            models: vec![spec(&options.model)],
             fenced: !options.unfenced,
             ..EngineOptions::default()
         })
         .await;
         let name = format!("engine-{number}");
-        platform.add(&name, engine.url(), Serves::Models(vec![options.model.clone()]));
+        platform.add_engine(&name, &engine);
     }
     let service = Service::start().await;
     platform.add(&options.service, service.url(), Serves::Service(options.service.clone()));
--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -1,6 +1,6 @@
 //! The platform: a lagging list of targets and a rate-limited weight store.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,7 @@
 use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 
+use super::engine::Engine;
 use super::http::serve;
 
 /// Weights that may be read in one second.
@@ -17,12 +18,24 @@
 #[derive(Default)]
 struct State {
     targets: Vec<Listed>,
+    /// Engines whose loaded models the list shows.
+    engines: BTreeMap<String, Engine>,
     /// What is published, while it lags behind.
     stale: Option<(Instant, Vec<Listed>)>,
     silent: bool,
     weight_reads: VecDeque<Instant>,
 }
 
+impl State {
+    fn show_loaded(&mut self) {
+        for target in &mut self.targets {
+            if let Some(engine) = self.engines.get(&target.name) {
+                target.serves = Serves::Models(engine.models());
+            }
+        }
+    }
+}
+
 /// A running platform.
 #[derive(Clone)]
 pub struct Platform {
@@ -55,20 +68,29 @@
             url: url.to_owned(),
             incarnation: 1,
             leaving: false,
+            partner: "portwell".to_owned(),
+            fenced: false,
             serves,
         });
     }
-}
 
-#[allow(dead_code)]
-impl Platform {
+    /// Lists an engine with whatever it has loaded.
+    pub fn add_engine(&self, name: &str, engine: &Engine) {
+        self.add(name, engine.url(), Serves::Models(engine.models()));
+        self.change(name, |listed| listed.fenced = engine.fenced());
+        self.state.lock().unwrap().engines.insert(name.to_owned(), engine.clone());
+    }
+
     /// Changes what is listed of a target.
     pub fn change(&self, name: &str, change: impl FnOnce(&mut Listed)) {
         let mut state = self.state.lock().unwrap();
         let target = state.targets.iter_mut().find(|target| target.name == name);
         change(target.expect("a listed target"));
     }
+}
 
+#[allow(dead_code)]
+impl Platform {
     /// Takes a target off the list.
     pub fn remove(&self, name: &str) {
         self.state.lock().unwrap().targets.retain(|target| target.name != name);
@@ -91,7 +113,8 @@
 #[async_trait]
 impl Handler for List {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let state = self.0.lock().unwrap();
+        let mut state = self.0.lock().unwrap();
+        state.show_loaded();
         if state.silent {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -16,12 +16,14 @@
 use super::registry::Registry;
 use crate::jsonc;
 use crate::platform::Platform;
-use crate::raft::{Envelope, FolderDisk, GroupId, Members, Replica, Standing, StoreId, Time};
+use crate::raft::{
+    Envelope, FolderDisk, GroupId, Members, Replica, Standing, StoreId, Time, Timing,
+};
 use crate::rpc::{
     ControlClient, ControlError, ControlServer, Identity, MemberStatus, Newcomer, Status,
     SyncReply, SyncRequest, WaitReply, connect,
 };
-use crate::settings::{ControlSettings, Operator, Settings};
+use crate::settings::{ControlSettings, Settings};
 use crate::store::{Answer, Change, Command, Drain, Revision, Stored};
 use crate::template::check_name;
 
@@ -42,9 +44,7 @@
     partner: String,
     key: String,
     addr: SocketAddr,
-    peers: Vec<SocketAddr>,
-    operators: Vec<Operator>,
-    lease: Duration,
+    settings: ControlSettings,
     member: Member,
     platform: Platform,
     registry: Mutex<Registry>,
@@ -63,9 +63,7 @@
             partner: settings.partner.clone(),
             key: settings.key.clone(),
             addr: control.reached_at().unwrap_or_else(unspecified),
-            peers: control.peers.clone(),
-            operators: control.operators.clone(),
-            lease: control.freshness_lease(),
+            settings: control.clone(),
             member,
             platform: Platform::new(reqwest::Client::new(), &settings.platform_url),
             registry: Mutex::new(Registry::new(control.freshness_lease())),
@@ -86,9 +84,40 @@
         &self.member
     }
 
+    pub(super) fn partner(&self) -> &str {
+        &self.partner
+    }
+
+    pub(super) fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    pub(super) fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    pub(super) fn timing(&self) -> Timing {
+        self.settings.timing()
+    }
+
+    /// Loads that the weight store allows in a minute.
+    pub(super) fn loads_per_minute(&self) -> u32 {
+        self.settings.loads_per_minute
+    }
+
+    /// Whether `revision` is in force at every router that may be admitting.
+    pub(super) fn in_force(&self, now: Time, leading_since: Time, revision: Revision) -> bool {
+        self.registry().in_force(now, leading_since, revision).in_force
+    }
+
+    /// Proposes a command of the leader's own.
+    pub(super) async fn propose_own(&self, command: Command) -> Result<(), ControlError> {
+        self.propose("leader", command).await.map(|_| ())
+    }
+
     /// Addresses of the other members in the settings.
     pub(super) fn others(&self) -> Vec<SocketAddr> {
-        let others = self.peers.iter().filter(|peer| **peer != self.addr);
+        let others = self.settings.peers.iter().filter(|peer| **peer != self.addr);
         others.copied().collect()
     }
 
@@ -100,7 +129,7 @@
     /// Name of the operator who bears `token`.
     fn operator(&self, token: &str) -> Result<String, ControlError> {
         let digest = hex(&Sha256::digest(token.as_bytes()));
-        let bearer = self.operators.iter().find(|operator| {
+        let bearer = self.settings.operators.iter().find(|operator| {
             let expected = operator.token_sha256.to_ascii_lowercase();
             bool::from(expected.as_bytes().ct_eq(digest.as_bytes()))
         });
@@ -109,7 +138,7 @@
     }
 
     /// Runs `ask` on the replica of a leader whose lease holds.
-    async fn lead<T: Send + 'static>(
+    pub(super) async fn lead<T: Send + 'static>(
         &self,
         ask: impl FnOnce(&Replica<FolderDisk>, Time) -> T + Send + 'static,
     ) -> Result<T, ControlError> {
@@ -139,7 +168,7 @@
     /// Identities of all members in the settings, each of them blank.
     async fn blank_members(&self) -> Result<Members, ControlError> {
         let mut members = Vec::new();
-        for peer in &self.peers {
+        for peer in &self.settings.peers {
             let client = connect(*peer, FORM_TIMEOUT)?;
             let identity = client.identify(self.key.clone()).await;
             let identity = identity.map_err(|error| {
@@ -240,7 +269,7 @@
             let newer = changes.wait_for(|revision| *revision > applied);
             let _ = tokio::time::timeout(wait, newer).await;
         }
-        let lease_ms = self.lease.as_millis() as u64;
+        let lease_ms = self.settings.freshness_lease_ms;
         let reply = self.lead(move |replica, _| SyncReply {
             group,
             term: replica.node().hard().term,
@@ -324,6 +353,7 @@
         members: members.collect(),
         routers: Vec::new(),
         drains: replica.store().drains().clone(),
+        moving: replica.store().moving().clone(),
         targets: None,
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod member;
 mod peers;
+mod placing;
 mod registry;
 
 use std::net::SocketAddr;
@@ -82,9 +83,10 @@
             .build();
         let listening = Server::builder().set_config(config).build(addr).await;
         let server = listening.map_err(|source| MemberError::Listen { addr, source })?;
-        let calls = Calls::new(settings, control, started.member, log.clone());
+        let calls = Arc::new(Calls::new(settings, control, started.member, log.clone()));
         peers::start(&calls, started.outbox, &log);
-        let server = server.start(ControlServer::into_rpc(Arc::new(calls)));
+        tokio::spawn(placing::run(calls.clone()));
+        let server = server.start(ControlServer::into_rpc(calls));
         info!(log, "control member listening"; "event" => "control_started");
         Ok(Control { server, failed: started.failed })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,8 @@
 //!   "teams": { "agents": { "share_percent": 40 } }
 //! }"#;
 //! let template: Template = jsonc::from_str(text).expect("a sound template");
-//! assert_eq!(template.policy("agents").expect("a known team").model, "m7");
+//! let policy = template.policy("agents").expect("a known team");
+//! assert_eq!(policy.spec.to_string(), "m7@3");
 //! ```
 
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
@@ -26,6 +27,8 @@
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod orders;
+pub mod placement;
 pub mod platform;
 pub mod process;
 pub mod raft;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -314,13 +314,17 @@
 
 fn target_line(status: &Status, target: &Listed) -> String {
     let drained = status.drains.contains(&target.name) || status.drains.contains(&target.host);
-    let state = match (target.leaving, drained) {
-        (true, _) => "leaving",
-        (false, true) => "draining",
-        (false, false) => "live",
+    let state = match (target.leaving, drained, status.moving.contains_key(&target.name)) {
+        (true, _, _) => "leaving",
+        (false, true, _) => "draining",
+        (false, false, true) => "moving",
+        (false, false, false) => "live",
     };
     let serves = match &target.serves {
-        Serves::Models(models) => format!("models {}", models.join(" ")),
+        Serves::Models(loaded) => {
+            let loaded: Vec<String> = loaded.iter().map(ToString::to_string).collect();
+            format!("models {}", loaded.join(" "))
+        }
         Serves::Service(service) => format!("service {service}"),
     };
     format!("{:<18} {:<18} {:<9} {state:<9} {serves}", target.name, target.host, target.data_hall)
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,12 +1,15 @@
-//! The platform's side: its lagging list of hosts and targets.
+//! The platform's side: its lagging list of hosts and targets, and calls to single targets.
 
 use std::time::Duration;
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
 use crate::targets::Listing;
 
-/// The list can't be read.
+/// The platform or a target did not answer as it should.
 #[derive(Debug, thiserror::Error)]
-#[error("the platform's list can't be read: {0}")]
+#[error("the platform can't be asked: {0}")]
 pub struct PlatformError(#[from] reqwest::Error);
 
 /// A client of the platform.
@@ -45,4 +48,36 @@
         let listing = answer.json().await?;
         Ok(ReadList { listing, sent_bytes: self.list_url.len(), received_bytes })
     }
+
+    /// Reads `path` of the target at `url`.
+    ///
+    /// # Errors
+    /// When it is not answered whole within `timeout`.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, PlatformError> {
+        let url = format!("{}{path}", url.trim_end_matches('/'));
+        let answer = self.http.get(url).timeout(timeout).send().await?;
+        Ok(answer.error_for_status()?.json().await?)
+    }
+
+    /// Sends `message` to `path` of the target at `url`.
+    ///
+    /// # Errors
+    /// When the target refuses, or does not answer within `timeout`.
+    pub async fn post(
+        &self,
+        url: &str,
+        path: &str,
+        message: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<(), PlatformError> {
+        let url = format!("{}{path}", url.trim_end_matches('/'));
+        let answer = self.http.post(url).json(message).timeout(timeout).send().await?;
+        answer.error_for_status()?;
+        Ok(())
+    }
 }
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -88,7 +88,7 @@
         if chat.messages.is_empty() {
             return Err(bad_request("body: messages: must hold at least one message"));
         }
-        document["model"] = Value::from(policy.model.clone());
+        document["model"] = Value::from(policy.spec.model.clone());
         let body = serde_json::to_vec(&document).unwrap_or_default();
         let opening = &chat.messages[..chat.messages.len().min(OPENING_MESSAGES)];
         let key = match text_header(req.headers(), CHAT)? {
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -159,12 +159,12 @@
         tried: &[String],
     ) -> Result<Slot, Reason> {
         let need = match &work.kind {
-            Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.model),
+            Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.spec),
             Kind::Service { name, .. } => Need::Service(name),
         };
         let config = self.config();
-        let drained = |name: &str| config.drained(name);
-        let mut choices = lock(&self.targets).candidates(now, need, drained);
+        let closed = |name: &str| config.closed(name);
+        let mut choices = lock(&self.targets).candidates(now, need, closed);
         if choices.is_empty() {
             return Err(Reason::NoTarget);
         }
@@ -192,8 +192,8 @@
                 .http
                 .post(format!("{base}/v1/chat/completions"))
                 .header("content-type", "application/json")
-                .header(ADAPTER, &work.policy.adapter)
-                .header(VERSION, &work.policy.version),
+                .header(ADAPTER, &work.policy.spec.adapter)
+                .header(VERSION, &work.policy.spec.version),
             Kind::Service { path, method, .. } => self
                 .http
                 .request(method.clone(), format!("{base}{path}"))
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -13,7 +13,7 @@
 
 use crate::jsonc::Fault;
 use crate::raft::{Envelope, GroupId, Member, StoreId, Term};
-use crate::store::{Answer, Delta, Drain, Revision, Stored};
+use crate::store::{Answer, Delta, Drain, Moving, Revision, Stored};
 use crate::targets::Listed;
 
 /// Largest call or answer, in bytes: a snapshot of 1,000 large templates fits.
@@ -104,6 +104,8 @@
     pub routers: Vec<RouterStatus>,
     /// Hosts and targets being drained.
     pub drains: BTreeSet<String>,
+    /// Engines on their way to another model.
+    pub moving: BTreeMap<String, Moving>,
     /// Targets on the platform's list; `None` where it can't be read.
     pub targets: Option<Vec<Listed>>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,6 +140,8 @@
     pub freshness_lease_ms: u64,
     /// Entries in the log before a snapshot takes their place.
     pub compact_after_entries: usize,
+    /// Loads of models that the weight store allows in a minute.
+    pub loads_per_minute: u32,
 }
 
 impl Default for ControlSettings {
@@ -155,6 +157,7 @@
             election_max_ms: 1_200,
             freshness_lease_ms: 6_000,
             compact_after_entries: 1_000,
+            loads_per_minute: 30,
         }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::jsonc::{Fault, Validate};
-use crate::template::{Policy, Template, check_name};
+use crate::template::{Policy, Spec, Template, check_name};
 
 /// Versions kept for each template.
 pub const HISTORY_LEN: usize = 50;
@@ -27,6 +27,26 @@
     Change(Change),
     /// Start or end the drain of a host or target.
     Drain(Drain),
+    /// Start or end the move of an engine to another model.
+    Move(Move),
+}
+
+/// The move of an engine to another model, during which it gets no new work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Move {
+    /// The engine.
+    pub engine: String,
+    /// What it is to load; `None` ends the move.
+    pub to: Option<BTreeSet<Spec>>,
+}
+
+/// A move under way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Moving {
+    /// Revision from which routers send the engine no new work.
+    pub since: Revision,
+    /// What it is to load.
+    pub to: BTreeSet<Spec>,
 }
 
 /// A template submitted or revised by an operator.
@@ -140,7 +160,9 @@
     revision: Revision,
     templates: BTreeMap<String, Stored>,
     drains: BTreeSet<String>,
-    drains_revision: Revision,
+    moving: BTreeMap<String, Moving>,
+    /// Revision that last changed `drains` or `moving`.
+    closed_revision: Revision,
     answers: BTreeMap<String, FirstAnswer>,
     answer_order: VecDeque<String>,
 }
@@ -161,20 +183,36 @@
         &self.drains
     }
 
+    /// Engines on their way to another model.
+    pub fn moving(&self) -> &BTreeMap<String, Moving> {
+        &self.moving
+    }
+
     /// Applies the command at log position `index`.
     pub fn apply(&mut self, index: u64, command: Command) -> Answer {
         match command {
             Command::Change(change) => self.apply_change(index, change),
             Command::Drain(drain) => self.apply_drain(index, drain),
+            Command::Move(step) => self.apply_move(index, step),
         }
     }
 
+    fn apply_move(&mut self, index: u64, step: Move) -> Answer {
+        match step.to {
+            Some(to) => self.moving.insert(step.engine, Moving { since: index, to }),
+            None => self.moving.remove(&step.engine),
+        };
+        self.revision = index;
+        self.closed_revision = index;
+        Answer::Accepted { version: 0, revision: index }
+    }
+
     fn apply_drain(&mut self, index: u64, drain: Drain) -> Answer {
         let changed =
             if drain.on { self.drains.insert(drain.name) } else { self.drains.remove(&drain.name) };
         if changed {
             self.revision = index;
-            self.drains_revision = index;
+            self.closed_revision = index;
         }
         Answer::Accepted { version: 0, revision: self.revision }
     }
@@ -277,8 +315,9 @@
             .filter(|stored| stored.revision > known)
             .map(|stored| stored.template.clone())
             .collect();
-        let drains = (self.drains_revision > known).then(|| self.drains.clone());
-        Delta { revision: self.revision, templates, drains }
+        let closed = || self.drains.iter().chain(self.moving.keys()).cloned().collect();
+        let closed = (self.closed_revision > known).then(closed);
+        Delta { revision: self.revision, templates, closed }
     }
 }
 
@@ -289,8 +328,8 @@
     pub revision: Revision,
     /// Templates changed since the router's revision.
     pub templates: Vec<Template>,
-    /// All drains, when they changed since.
-    pub drains: Option<BTreeSet<String>>,
+    /// All hosts and targets that get no new work, when they changed since.
+    pub closed: Option<BTreeSet<String>>,
 }
 
 /// The configuration in force at a router: what it needs of the store.
@@ -299,7 +338,7 @@
     revision: Revision,
     templates: BTreeMap<String, Template>,
     policies: BTreeMap<String, Policy>,
-    drains: BTreeSet<String>,
+    closed: BTreeSet<String>,
 }
 
 impl Config {
@@ -317,8 +356,8 @@
         for template in delta.templates {
             self.templates.insert(template.name.clone(), template);
         }
-        if let Some(drains) = delta.drains {
-            self.drains = drains;
+        if let Some(closed) = delta.closed {
+            self.closed = closed;
         }
         self.policies = self
             .templates
@@ -336,8 +375,8 @@
         self.policies.get(team)
     }
 
-    /// Whether the host or target `name` is being drained.
-    pub fn drained(&self, name: &str) -> bool {
-        self.drains.contains(name)
+    /// Whether the host or target `name` gets no new work.
+    pub fn closed(&self, name: &str) -> bool {
+        self.closed.contains(name)
     }
 }
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::choice::{Candidate, NameHash};
+use crate::template::Spec;
 
 /// Failures in a row that open a target's circuit.
 const CIRCUIT_FAILURES: u32 = 3;
@@ -39,6 +40,11 @@
     pub incarnation: u64,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Partner whose control group gives it orders; routers of both may send it work.
+    pub partner: String,
+    /// Whether it refuses orders older than the newest it has carried out.
+    #[serde(default)]
+    pub fenced: bool,
     /// What it does.
     pub serves: Serves,
 }
@@ -47,8 +53,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Serves {
-    /// An engine, with the models that it has loaded.
-    Models(Vec<String>),
+    /// An engine, with what it has loaded.
+    Models(Vec<Spec>),
     /// A plain service, by name.
     Service(String),
 }
@@ -56,8 +62,8 @@
 /// What a request needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need<'a> {
-    /// An engine with this model.
-    Model(&'a str),
+    /// An engine that has this loaded.
+    Model(&'a Spec),
     /// This plain service.
     Service(&'a str),
 }
@@ -65,7 +71,7 @@
 impl Need<'_> {
     fn met_by(&self, serves: &Serves) -> bool {
         match (self, serves) {
-            (Need::Model(model), Serves::Models(models)) => models.iter().any(|has| has == model),
+            (Need::Model(spec), Serves::Models(loaded)) => loaded.contains(spec),
             (Need::Service(service), Serves::Service(name)) => name == service,
             _ => false,
         }
@@ -195,12 +201,12 @@
         self.list_made_at.is_none_or(|made_at| now > made_at + self.list_max_age)
     }
 
-    /// Targets that may take a new request; `drained` tells of hosts and targets being drained.
+    /// Targets that may take a new request; `closed` tells of hosts and targets that get none.
     pub fn candidates(
         &self,
         now: Duration,
         need: Need<'_>,
-        drained: impl Fn(&str) -> bool,
+        closed: impl Fn(&str) -> bool,
     ) -> Vec<Choice> {
         let suspect = self.list_suspect(now);
         let usable = |target: &&Target| {
@@ -211,8 +217,8 @@
                 && !target.leaving
                 && target.missing_since.is_none()
                 && target.circuit.closed(now)
-                && !drained(&target.listed.name)
-                && !drained(&target.listed.host)
+                && !closed(&target.listed.name)
+                && !closed(&target.listed.host)
         };
         let usable = self.known.values().filter(usable);
         usable
--- a/src/template.rs
+++ b/src/template.rs
@@ -1,6 +1,7 @@
 //! Team templates: what operators submit and revise, and all that drives the fleet.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -104,9 +105,11 @@
     pub fn policy(&self, team: &str) -> Option<Policy> {
         let own = self.teams.get(team)?;
         Some(Policy {
-            model: self.model.clone(),
-            adapter: own.adapter.clone().unwrap_or_else(|| self.adapter.clone()),
-            version: self.version.clone(),
+            spec: Spec {
+                model: self.model.clone(),
+                version: self.version.clone(),
+                adapter: own.adapter.clone().unwrap_or_else(|| self.adapter.clone()),
+            },
             priority: own.priority.unwrap_or(self.priority),
             share_percent: own.share_percent,
             repeatable: own.repeatable.clone().unwrap_or_else(|| self.repeatable.clone()),
@@ -114,15 +117,65 @@
     }
 }
 
-/// What a router applies to one team's requests.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Policy {
-    /// Model to serve with.
+/// What an engine has loaded or is to load, written `MODEL@VERSION` or `MODEL@VERSION+ADAPTER`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Spec {
+    /// Model.
     pub model: String,
-    /// Adapter on the model; empty for none.
-    pub adapter: String,
     /// Version of model and adapter.
     pub version: String,
+    /// Adapter on the model; empty for none.
+    pub adapter: String,
+}
+
+impl Spec {
+    /// The same model and version without an adapter.
+    pub fn base(&self) -> Spec {
+        Spec { adapter: String::new(), ..self.clone() }
+    }
+}
+
+impl fmt::Display for Spec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.model, self.version)?;
+        if !self.adapter.is_empty() {
+            write!(f, "+{}", self.adapter)?;
+        }
+        Ok(())
+    }
+}
+
+impl From<Spec> for String {
+    fn from(spec: Spec) -> Self {
+        spec.to_string()
+    }
+}
+
+/// A text that is no [`Spec`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not MODEL@VERSION or MODEL@VERSION+ADAPTER")]
+pub struct NotASpec(String);
+
+impl TryFrom<String> for Spec {
+    type Error = NotASpec;
+
+    fn try_from(text: String) -> Result<Self, NotASpec> {
+        let (model, rest) = text.split_once('@').ok_or_else(|| NotASpec(text.clone()))?;
+        let (version, adapter) = rest.split_once('+').unwrap_or((rest, ""));
+        if model.is_empty() || version.is_empty() {
+            return Err(NotASpec(text));
+        }
+        let (model, version, adapter) = (model.to_owned(), version.to_owned(), adapter.to_owned());
+        Ok(Spec { model, version, adapter })
+    }
+}
+
+/// What a router applies to one team's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// Model, version and adapter to serve with.
+    pub spec: Spec,
     /// Priority, 0 to [`MAX_PRIORITY`].
     pub priority: u8,
     /// Share of the partner's capacity, in percent.
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,231 @@
+//! Decisions against naive versions of themselves, on random inputs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use latchmount::choice::{Candidate, Key, NameHash, cap, choose, score};
+use latchmount::orders::{FLIGHT, Orders};
+use latchmount::placement::{Change, Demand, Engine, plan};
+use latchmount::reason::{Outcome, Reason};
+use latchmount::retry::{Attempts, Budget, MAX_ATTEMPTS, Next};
+use latchmount::store::{Command, Config, Drain, Store};
+use latchmount::template::Spec;
+use proptest::collection::{btree_map, vec};
+use proptest::prelude::*;
+
+fn spec(model: u8) -> Spec {
+    Spec { model: format!("m{model}"), version: "1".into(), adapter: String::new() }
+}
+
+fn demand(weights: &BTreeMap<u8, u16>) -> Demand {
+    let mut demand = Demand::default();
+    for (model, weight) in weights {
+        demand.add(spec(*model), f64::from(*weight));
+    }
+    demand
+}
+
+/// Gives engines out one by one, looking at every model each time.
+fn naive_quotas(weights: &BTreeMap<u8, u16>, engines: usize) -> BTreeMap<Spec, usize> {
+    let mut quotas: BTreeMap<u8, usize> = weights.keys().map(|model| (*model, 0)).collect();
+    for _ in 0..engines {
+        let mut best: Option<(f64, u8)> = None;
+        for (model, weight) in weights {
+            let has = quotas[model];
+            let quotient =
+                if has == 0 { f64::MAX } else { f64::from(*weight) / (2 * has + 1) as f64 };
+            if best.is_none_or(|(most, _)| quotient > most) {
+                best = Some((quotient, *model));
+            }
+        }
+        if let Some((_, model)) = best {
+            *quotas.get_mut(&model).expect("a model") += 1;
+        }
+    }
+    quotas.into_iter().map(|(model, count)| (spec(model), count)).collect()
+}
+
+fn engines(loaded: &[Option<u8>]) -> Vec<Engine> {
+    let engine = |(number, model): (usize, &Option<u8>)| Engine {
+        name: format!("e{number:03}"),
+        loaded: model.iter().map(|model| spec(*model)).collect(),
+    };
+    loaded.iter().enumerate().map(engine).collect()
+}
+
+fn carry_out(engines: &mut [Engine], changes: &[Change]) {
+    for change in changes {
+        let engine = engines.iter_mut().find(|engine| engine.name == change.engine);
+        engine.expect("a known engine").loaded = change.to.clone();
+    }
+}
+
+fn counts(engines: &[Engine]) -> BTreeMap<Spec, usize> {
+    let mut counts = BTreeMap::new();
+    for engine in engines {
+        if let Some(spec) = engine.loaded.first() {
+            *counts.entry(spec.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn quotas_are_those_of_the_naive_apportionment(
+        weights in btree_map(0u8..6, 1u16..1000, 1..6),
+        engines in 0usize..60,
+    ) {
+        prop_assert_eq!(demand(&weights).quotas(engines), naive_quotas(&weights, engines));
+    }
+
+    #[test]
+    fn a_plan_unloads_no_more_than_it_must_and_comes_to_rest_near_the_quotas(
+        weights in btree_map(0u8..6, 1u16..1000, 1..6),
+        loaded in vec(proptest::option::of(0u8..8), 1..30),
+    ) {
+        let demand = demand(&weights);
+        let mut engines = engines(&loaded);
+        let quotas = naive_quotas(&weights, engines.len());
+        let before = counts(&engines);
+        let lacking: usize = quotas
+            .iter()
+            .map(|(spec, quota)| quota.saturating_sub(*before.get(spec).unwrap_or(&0)))
+            .sum();
+        let mut changed = 0;
+        loop {
+            let changes = plan(&demand, &engines, 2);
+            prop_assert!(changes.iter().filter(|change| change.unloads).count() <= 2);
+            if changes.is_empty() {
+                break;
+            }
+            changed += changes.len();
+            prop_assert!(changed <= lacking, "{changed} changes where {lacking} do");
+            carry_out(&mut engines, &changes);
+        }
+        let after = counts(&engines);
+        for (spec, quota) in quotas {
+            let has = *after.get(&spec).unwrap_or(&0);
+            prop_assert!(has + 1 >= quota, "{spec} has {has} of {quota}");
+            prop_assert!(has > 0 || quota == 0, "{spec} has none");
+        }
+    }
+
+    #[test]
+    fn the_choice_is_that_of_a_plain_sort(
+        key: u64,
+        loads in vec(0usize..6, 0..40),
+        cap in 0usize..7,
+    ) {
+        let candidates: Vec<Candidate> = loads
+            .iter()
+            .enumerate()
+            .map(|(number, load)| Candidate { name: NameHash::new(&number.to_string()), load: *load })
+            .collect();
+        let mut order: Vec<usize> = (0..candidates.len()).collect();
+        order.sort_by_key(|at| std::cmp::Reverse(score(Key(key), candidates[*at].name)));
+        let expected = order.into_iter().find(|at| candidates[*at].load < cap);
+        prop_assert_eq!(choose(Key(key), &candidates, cap), expected);
+    }
+
+    #[test]
+    fn a_cap_always_leaves_room_for_one_more(loads in vec(0usize..50, 1..40)) {
+        let total = loads.iter().sum::<usize>() + 1;
+        let cap = cap(total, loads.len(), 1.25);
+        prop_assert!(loads.iter().any(|load| *load < cap));
+        prop_assert!(cap as f64 <= 1.25 * total as f64 / loads.len() as f64 + 1.0);
+    }
+
+    #[test]
+    fn no_order_overtakes_another(
+        steps in vec((0u64..3_000, 0usize..3, any::<bool>(), any::<bool>()), 1..80),
+        fenced: bool,
+    ) {
+        let lease = Duration::from_secs(1);
+        let mut orders = Orders::new(7, Duration::ZERO, lease, 600);
+        let mut now = Duration::ZERO;
+        let mut last = 0;
+        let mut under_way: BTreeMap<String, Duration> = BTreeMap::new();
+        for (millis, engine, answer, _) in steps {
+            now += Duration::from_millis(millis);
+            let engine = engine.to_string();
+            let sent = orders.send(now, &engine, fenced, BTreeSet::new());
+            if let Some(order) = sent {
+                prop_assert!(order.sequence > last);
+                last = order.sequence;
+                prop_assert!(fenced || now >= lease + FLIGHT);
+                let busy = under_way.insert(engine.clone(), now);
+                prop_assert!(busy.is_none_or(|sent| now >= sent + FLIGHT));
+            }
+            if answer {
+                orders.answered(&engine);
+                under_way.remove(&engine);
+            }
+        }
+    }
+
+    #[test]
+    fn a_request_that_may_have_run_is_retried_only_when_repeatable(
+        repeatable: bool,
+        failures in vec(0usize..Reason::ALL.len(), 1..6),
+        seed: u64,
+    ) {
+        let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(seed);
+        let mut budget = Budget::new(100.0);
+        let deadline = Duration::from_secs(1_000);
+        let mut attempts = Attempts::new(repeatable, deadline);
+        let mut may_have_run = false;
+        for (made, failure) in failures.into_iter().enumerate() {
+            let reason = Reason::ALL[failure];
+            may_have_run |= reason.outcome() != Outcome::NotRun;
+            match attempts.failed(Duration::ZERO, reason, &mut budget, &mut rng) {
+                Next::Retry(_) => {
+                    prop_assert!(repeatable || !may_have_run);
+                    prop_assert!(made + 1 < MAX_ATTEMPTS as usize);
+                }
+                Next::GiveUp(last) => {
+                    prop_assert_eq!(last.outcome() != Outcome::NotRun, may_have_run);
+                    break;
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn retries_never_exceed_their_budget(events in vec(any::<bool>(), 1..2_000)) {
+        let mut budget = Budget::new(10.0);
+        let (mut successes, mut retries) = (0.0, 0.0);
+        for success in events {
+            if success {
+                successes += 1.0;
+                budget.earn();
+            } else if budget.spend() {
+                retries += 1.0;
+            }
+            prop_assert!(retries <= 10.0 + successes * 0.1 + 1e-6);
+        }
+    }
+
+    #[test]
+    fn deltas_bring_a_router_to_what_the_store_holds(
+        steps in vec((0u8..5, any::<bool>(), any::<bool>()), 1..60),
+    ) {
+        let mut store = Store::default();
+        let mut config = Config::default();
+        for (index, (name, on, sync)) in (1u64..).zip(steps) {
+            store.apply(index, Command::Drain(Drain { name: name.to_string(), on }));
+            if sync {
+                prop_assert!(config.apply(store.since(config.revision())));
+                prop_assert_eq!(config.revision(), store.revision());
+                for name in 0..5u8 {
+                    let name = name.to_string();
+                    prop_assert_eq!(config.closed(&name), store.drains().contains(&name));
+                }
+            }
+        }
+        let old = Store::default().since(0);
+        prop_assert!(config.revision() == 0 || !config.apply(old));
+    }
+}
--- a/tests/promises/accepted_config.rs
+++ b/tests/promises/accepted_config.rs
@@ -39,7 +39,7 @@
 }
 
 /// Number of the control member that leads.
-async fn leader(fleet: &Fleet) -> usize {
+pub async fn leader(fleet: &Fleet) -> usize {
     let status = status(fleet).await;
     let members = status.members.iter().map(|status| status.member);
     let mut leader = members.filter(|member| member.id == status.leader);
@@ -49,7 +49,11 @@
 
 /// Revises the template until an answer comes; gives the new version.
 async fn revise(fleet: &Fleet, base: u64, id: &str) -> u64 {
-    let file = fleet.template_file(&version(id));
+    revise_to(fleet, base, id, &version(id)).await
+}
+
+pub async fn revise_to(fleet: &Fleet, base: u64, id: &str, template: &Value) -> u64 {
+    let file = fleet.template_file(template);
     let base = base.to_string();
     eventually("the revision is answered", async || {
         let out =
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -4,3 +4,4 @@
 mod support;
 
 mod accepted_config;
+mod fenced_orders;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -157,8 +157,7 @@
         let mut engines = Vec::new();
         for number in 0..shape.engines {
             let engine = Engine::start(shape.engine.clone()).await;
-            let models = Serves::Models(shape.engine.models.clone());
-            platform.add(&format!("engine-{number}"), engine.url(), models);
+            platform.add_engine(&format!("engine-{number}"), &engine);
             engines.push(engine);
         }
         let service = Service::start().await;
