Run a request at most once across routers; prove the request promises

Cause: nothing kept two routers from running a request that its caller resent, and the promises on requests had no tests.

Found by the tests, failing before: the error event of a broken stream was lost with the connection's cut (now 50 ms apart); a header given twice was read as its first value (now refused).

Ruled out: a resend by the HTTP library (50 breaks on pooled connections, none sent twice); splicing (a stream cut after each of 7 events runs once). Three first failures were the tests' own: a break before the first event is retried, since a chat is repeatable there; faults in a row opened the circuits; a list not yet read.

Conclusion: the five promises hold for the faults shown.

--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -85,7 +85,7 @@
     /// Answers that can be taken up again.
     attempts: BTreeMap<String, Vec<String>>,
     cancelled: u64,
-    faults: VecDeque<Fault>,
+    faults: VecDeque<Option<Fault>>,
     fence: (u64, u64),
     /// Orders carried out, by term and sequence.
     orders: Vec<(u64, u64)>,
@@ -164,7 +164,12 @@
 
     /// Lets the next answer go wrong.
     pub fn fail_next(&self, fault: Fault) {
-        self.inner.state().faults.push_back(fault);
+        self.inner.state().faults.push_back(Some(fault));
+    }
+
+    /// Lets the next answers be right, before any later fault.
+    pub fn pass_next(&self, count: usize) {
+        self.inner.state().faults.extend(std::iter::repeat_n(None, count));
     }
 
     /// Refuses new work as leaving.
@@ -223,7 +228,7 @@
         };
         let (fault, leaving) = {
             let mut state = self.inner.state();
-            (state.faults.pop_front(), state.leaving)
+            (state.faults.pop_front().flatten(), state.leaving)
         };
         header(
             res,
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
@@ -14,6 +14,7 @@
 
 use super::member::Member;
 use super::registry::Registry;
+use crate::claims::{Claim, Release, Verdict};
 use crate::jsonc;
 use crate::platform::Platform;
 use crate::raft::{
@@ -208,6 +209,12 @@
     node.members().get(leader).map(|member| member.addr)
 }
 
+/// The wall clock, in milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -279,11 +286,26 @@
         Ok(reply.await?)
     }
 
+    async fn claim(&self, key: String, mut claim: Claim) -> Result<Verdict, ErrorObjectOwned> {
+        self.check_key(&key)?;
+        claim.now_ms = unix_ms();
+        match self.member.propose(Command::Claim(claim)).await? {
+            Answer::Claim(verdict) => Ok(verdict),
+            _ => Err(ControlError::Unknown.into()),
+        }
+    }
+
+    async fn release(&self, key: String, release: Release) -> Result<(), ErrorObjectOwned> {
+        self.check_key(&key)?;
+        self.member.propose(Command::Release(release)).await?;
+        Ok(())
+    }
+
     async fn change(&self, token: String, change: Value) -> Result<Answer, ErrorObjectOwned> {
         let operator = self.operator(&token)?;
         let mut change: Change = jsonc::from_value(change).map_err(ControlError::Invalid)?;
         change.author = operator.clone();
-        Ok(self.propose(&operator, Command::Change(change)).await?)
+        Ok(self.propose(&operator, Command::Change(Box::new(change))).await?)
     }
 
     async fn drain(&self, token: String, drain: Drain) -> Result<Answer, ErrorObjectOwned> {
--- a/src/control/placing.rs
+++ b/src/control/placing.rs
@@ -15,6 +15,7 @@
 use crate::rpc::ControlError;
 use crate::store::{Command, Move, Moving, Store};
 use crate::targets::{Listed, Serves};
+use crate::template::{Spec, Template};
 
 /// Between two looks at the placement.
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -36,7 +37,9 @@
     now: Time,
     term: u64,
     leading_since: Time,
-    store: Store,
+    templates: Vec<Template>,
+    moving: BTreeMap<String, Moving>,
+    drains: BTreeSet<String>,
 }
 
 /// Runs for ever; does nothing while another member leads.
@@ -70,7 +73,7 @@
             return Ok(());
         };
         let targets = list.listing.targets;
-        for (engine, moving) in view.store.moving() {
+        for (engine, moving) in &view.moving {
             let listed = targets.iter().find(|target| target.name == *engine);
             self.carry_on(&view, engine, moving, listed).await?;
         }
@@ -83,7 +86,9 @@
                 now,
                 term: replica.node().hard().term,
                 leading_since: replica.node().leading_since().unwrap_or(now),
-                store: replica.store().clone(),
+                templates: templates(replica.store()),
+                moving: replica.store().moving().clone(),
+                drains: replica.store().drains().clone(),
             })
             .await
     }
@@ -128,23 +133,21 @@
 
     /// Orders what the templates ask for of engines that are not moving.
     async fn start_changes(&mut self, view: &View, targets: &[Listed]) -> Result<(), ControlError> {
-        let store = &view.store;
-        let drains = store.drains();
         let usable = targets.iter().filter(|target| {
-            let drained = drains.contains(&target.name) || drains.contains(&target.host);
+            let drained = view.drains.contains(&target.name) || view.drains.contains(&target.host);
             target.partner == self.calls.partner() && !target.leaving && !drained
         });
         let engines: Vec<Engine> = usable
             .filter_map(|target| {
-                let moving = store.moving().get(&target.name).map(|moving| moving.to.clone());
+                let moving = view.moving.get(&target.name).map(|moving| moving.to.clone());
                 let loaded = moving.or_else(|| loaded(target))?;
                 Some(Engine { name: target.name.clone(), loaded })
             })
             .collect();
-        let demand = Demand::of(store.templates().values().map(|stored| &stored.template));
-        let free = MAX_MOVING.saturating_sub(store.moving().len());
+        let demand = Demand::of(&view.templates);
+        let free = MAX_MOVING.saturating_sub(view.moving.len());
         for change in plan(&demand, &engines, free) {
-            if !store.moving().contains_key(&change.engine) {
+            if !view.moving.contains_key(&change.engine) {
                 self.start(view, targets, change).await?;
             }
         }
@@ -169,12 +172,7 @@
     }
 
     /// Sends an order, if one may be sent to this engine now.
-    async fn order(
-        &mut self,
-        view: &View,
-        listed: &Listed,
-        models: BTreeSet<crate::template::Spec>,
-    ) {
+    async fn order(&mut self, view: &View, listed: &Listed, models: BTreeSet<Spec>) {
         let Some(orders) = &mut self.orders else {
             return;
         };
@@ -199,7 +197,12 @@
     }
 }
 
-fn loaded(target: &Listed) -> Option<BTreeSet<crate::template::Spec>> {
+fn templates(store: &Store) -> Vec<Template> {
+    let templates = store.templates().values();
+    templates.map(|stored| stored.template.clone()).collect()
+}
+
+fn loaded(target: &Listed) -> Option<BTreeSet<Spec>> {
     match &target.serves {
         Serves::Models(loaded) => Some(loaded.iter().cloned().collect()),
         Serves::Service(_) => None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 pub mod choice;
+pub mod claims;
 pub mod cli;
 pub mod control;
 pub mod freshness;
@@ -31,6 +32,7 @@
 pub mod placement;
 pub mod platform;
 pub mod process;
+pub mod queue;
 pub mod raft;
 pub mod reason;
 pub mod retry;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -198,6 +198,7 @@
             Answer::Conflict { in_force } => Err(OperatorError::Conflict { in_force }),
             Answer::Rejected { faults } => Err(OperatorError::Faulty(faults)),
             Answer::IdReused => Err(OperatorError::IdReused),
+            Answer::Claim(_) | Answer::Released => Err(ControlError::Unknown.into()),
         }
     }
 
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -37,6 +37,14 @@
     NoTarget,
     /// Every target that could serve it is at its load bound.
     Overloaded,
+    /// The request key could not be claimed in time.
+    ClaimFailed,
+    /// The request key is older than the window in which keys are remembered, or of the future.
+    KeyTooOld,
+    /// The request key was used for another request.
+    KeyReused,
+    /// A request with this key was claimed before and its answer is not at hand.
+    OutcomeUnknown,
     /// The deadline passed before it was sent.
     DeadlinePassed,
     /// Connecting to the target failed before anything was sent.
@@ -55,7 +63,7 @@
 
 impl Reason {
     /// Every reason, in the order of the operators' page.
-    pub const ALL: [Reason; 15] = [
+    pub const ALL: [Reason; 19] = [
         Reason::BadRequest,
         Reason::BodyTooLarge,
         Reason::SlowCaller,
@@ -64,6 +72,10 @@
         Reason::Stopping,
         Reason::NoTarget,
         Reason::Overloaded,
+        Reason::ClaimFailed,
+        Reason::KeyTooOld,
+        Reason::KeyReused,
+        Reason::OutcomeUnknown,
         Reason::DeadlinePassed,
         Reason::ConnectFailed,
         Reason::TargetRefused,
@@ -84,6 +96,10 @@
             Reason::Stopping => "stopping",
             Reason::NoTarget => "no_target",
             Reason::Overloaded => "overloaded",
+            Reason::ClaimFailed => "claim_failed",
+            Reason::KeyTooOld => "key_too_old",
+            Reason::KeyReused => "key_reused",
+            Reason::OutcomeUnknown => "outcome_unknown",
             Reason::DeadlinePassed => "deadline_passed",
             Reason::ConnectFailed => "connect_failed",
             Reason::TargetRefused => "target_refused",
@@ -105,6 +121,12 @@
             Reason::Stopping => "this router is stopping; ask another",
             Reason::NoTarget => "no live target serves this",
             Reason::Overloaded => "every target that serves this is at its bound",
+            Reason::ClaimFailed => "the request key could not be claimed in time",
+            Reason::KeyTooOld => "the request key is older than the window, or of the future",
+            Reason::KeyReused => "the request key was used for another request",
+            Reason::OutcomeUnknown => {
+                "a request with this key was sent before and its answer is not at hand"
+            }
             Reason::DeadlinePassed => "the deadline passed before the request was sent",
             Reason::ConnectFailed => "no target could be connected to",
             Reason::TargetRefused => "the target did not take the request",
@@ -118,7 +140,11 @@
     /// What a request that ends for this reason has done at its target.
     pub fn outcome(self) -> Outcome {
         match self {
-            Reason::AnswerLost | Reason::AnswerLate | Reason::WrongAnswer => Outcome::Unknown,
+            Reason::AnswerLost
+            | Reason::AnswerLate
+            | Reason::WrongAnswer
+            | Reason::KeyReused
+            | Reason::OutcomeUnknown => Outcome::Unknown,
             Reason::AnswerBroken => Outcome::Ran,
             _ => Outcome::NotRun,
         }
@@ -127,10 +153,11 @@
     /// HTTP status of the final answer.
     pub fn status(self) -> u16 {
         match self {
-            Reason::BadRequest => 400,
+            Reason::BadRequest | Reason::KeyTooOld => 400,
             Reason::BodyTooLarge => 413,
             Reason::SlowCaller => 408,
             Reason::UnknownTeam => 403,
+            Reason::KeyReused | Reason::OutcomeUnknown => 409,
             Reason::Overloaded => 429,
             Reason::AnswerLost | Reason::WrongAnswer | Reason::AnswerBroken => 502,
             Reason::DeadlinePassed | Reason::AnswerLate => 504,
@@ -143,6 +170,7 @@
         match self {
             Reason::StaleConfig | Reason::NoTarget => Some(Duration::from_secs(5)),
             Reason::Stopping
+            | Reason::ClaimFailed
             | Reason::Overloaded
             | Reason::ConnectFailed
             | Reason::TargetRefused => Some(Duration::from_secs(1)),
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -8,10 +8,12 @@
 use salvo::hyper::body::Bytes;
 use serde::Deserialize;
 use serde_json::Value;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::answer::Refusal;
 use super::{Shared, lock};
 use crate::choice::Key;
+use crate::claims::RequestKey;
 use crate::reason::Reason;
 use crate::template::Policy;
 
@@ -22,6 +24,9 @@
 /// Time that the caller is ready to wait, in milliseconds.
 pub(super) const DEADLINE: &str = "latchmount-deadline-ms";
 
+/// Key of a request that must run at most once: a UUID of version 7.
+pub(super) const REQUEST_KEY: &str = "latchmount-request-key";
+
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 /// Messages at the start of a chat that name it when its caller does not.
@@ -61,12 +66,22 @@
     pub(super) key: Key,
     pub(super) policy: Policy,
     pub(super) repeatable: bool,
+    /// Key under which it must run at most once, across all routers.
+    pub(super) request_key: Option<RequestKey>,
     /// When its answer must have begun, on the router's clock.
     pub(super) deadline: Duration,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
 }
 
+impl Work {
+    /// Hash of what is to be run.
+    pub(super) fn digest(&self) -> u64 {
+        let seed = xxh3_64(format!("{} {:?}", self.team, self.kind).as_bytes());
+        xxh3_64_with_seed(&self.body, seed)
+    }
+}
+
 /// The part of a chat completion that the router reads.
 #[derive(Deserialize)]
 struct ChatBody {
@@ -80,6 +95,7 @@
     pub(super) async fn admit_chat(&self, req: &mut Request) -> Result<Work, Refusal> {
         let (team, policy) = self.admit_team(req)?;
         let deadline = self.deadline(req.headers())?;
+        let request_key = request_key(req.headers())?;
         let body = self.read_body(req).await?;
         let mut document: Value = serde_json::from_slice(&body)
             .map_err(|error| bad_request(format!("body: not JSON: {error}")))?;
@@ -100,6 +116,7 @@
             team,
             key,
             repeatable: policy.repeatable.chat,
+            request_key,
             policy,
             deadline,
             headers: HeaderMap::new(),
@@ -116,6 +133,7 @@
     ) -> Result<Work, Refusal> {
         let (team, policy) = self.admit_team(req)?;
         let deadline = self.deadline(req.headers())?;
+        let request_key = request_key(req.headers())?;
         let body = self.read_body(req).await?;
         let key = match text_header(req.headers(), CHAT)? {
             Some(chat) => Key::chat(&team, chat.as_bytes()),
@@ -123,6 +141,7 @@
         };
         Ok(Work {
             repeatable: policy.repeatable.services.contains(&name),
+            request_key,
             kind: Kind::Service { name, path, method: req.method().clone() },
             team,
             key,
@@ -186,10 +205,23 @@
 }
 
 fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
-    let Some(value) = headers.get(name) else {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
         return Ok(None);
     };
+    if values.next().is_some() {
+        return Err(bad_request(format!("header {name}: must stand once")));
+    }
     let text = value.to_str().ok().filter(|text| !text.is_empty());
     let text = text.ok_or_else(|| bad_request(format!("header {name}: must be visible ASCII")))?;
     Ok(Some(text))
 }
+
+fn request_key(headers: &HeaderMap) -> Result<Option<RequestKey>, Refusal> {
+    let Some(text) = text_header(headers, REQUEST_KEY)? else {
+        return Ok(None);
+    };
+    let key = RequestKey::parse(text);
+    let message = || bad_request(format!("header {REQUEST_KEY}: must be a UUID of version 7"));
+    key.map(Some).ok_or_else(message)
+}
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -6,14 +6,17 @@
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use salvo::Response;
 use salvo::http::StatusCode;
+use tokio::sync::oneshot;
 
-use super::admission::{CHAT, DEADLINE, Kind, TEAM, Work};
+use super::admission::{CHAT, DEADLINE, Kind, REQUEST_KEY, TEAM, Work};
 use super::answer::Refusal;
+use super::claim::{Claimed, Granted};
 use super::http::InFlight;
 use super::relay::{Relay, relay};
 use super::{Shared, lock};
 use crate::choice::{self, Candidate};
-use crate::reason::Reason;
+use crate::claims::RequestKey;
+use crate::reason::{Outcome, Reason};
 use crate::retry::{Attempts, Next};
 use crate::targets::{Choice, Need};
 
@@ -33,7 +36,7 @@
 const LEAVING: &str = "x-leaving";
 
 /// Headers between two hops, which no router passes on, and those that are for the router.
-const NOT_PASSED_ON: [&str; 13] = [
+const NOT_PASSED_ON: [&str; 14] = [
     "connection",
     "content-length",
     "expect",
@@ -46,6 +49,7 @@
     "transfer-encoding",
     "upgrade",
     DEADLINE,
+    REQUEST_KEY,
     ATTEMPT,
 ];
 
@@ -65,6 +69,11 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         lock(&self.shared.targets).end(&self.target.name);
+        while let Some(next) = lock(&self.shared.queue).pop() {
+            if next.send(()).is_ok() {
+                break;
+            }
+        }
     }
 }
 
@@ -83,14 +92,72 @@
         in_flight: InFlight,
         res: &mut Response,
     ) -> Result<(), Refusal> {
+        match work.request_key.filter(|_| !work.repeatable) {
+            Some(key) => self.run_once(work, key, in_flight, res).await,
+            None => {
+                let begun = self.attempts(&work).await.map_err(Refusal::plain)?;
+                self.answer(Relay::new(self.clone(), begun, &work, None, in_flight), res).await
+            }
+        }
+    }
+
+    /// Runs a request that must run at most once under its key, or gives its stored answer.
+    async fn run_once(
+        self: &Arc<Self>,
+        work: Work,
+        key: RequestKey,
+        in_flight: InFlight,
+        res: &mut Response,
+    ) -> Result<(), Refusal> {
+        let granted = match self.claim(&work, key).await? {
+            Claimed::Run(granted) => granted,
+            Claimed::Answered(answer) => {
+                answer.write(res);
+                return Ok(());
+            }
+        };
+        if work.kind == Kind::ChatStream {
+            let relay = self.begin_claimed(&work, granted, in_flight).await?;
+            return self.answer(relay, res).await;
+        }
+        // Goes on when the caller leaves, so that a resent request finds the answer.
+        let shared = self.clone();
+        let running = tokio::spawn(async move {
+            let relay = shared.begin_claimed(&work, granted, in_flight).await?;
+            relay.finish().await
+        });
+        let answer = running.await.map_err(|_| Refusal::plain(Reason::AnswerLost))??;
+        answer.write(res);
+        Ok(())
+    }
+
+    /// Starts the answer of a claimed request; gives the claim back when it truly did not run.
+    async fn begin_claimed(
+        self: &Arc<Self>,
+        work: &Work,
+        granted: Granted,
+        in_flight: InFlight,
+    ) -> Result<Relay, Refusal> {
+        match self.attempts(work).await {
+            Ok(begun) => Ok(Relay::new(self.clone(), begun, work, Some(granted.key), in_flight)),
+            Err(reason) => {
+                if reason.outcome() == Outcome::NotRun {
+                    self.give_back(granted);
+                }
+                Err(Refusal::plain(reason))
+            }
+        }
+    }
+
+    /// Tries until an answer begins or the request is given up on.
+    async fn attempts(self: &Arc<Self>, work: &Work) -> Result<Begun, Reason> {
         let mut attempts = Attempts::new(work.repeatable, work.deadline);
         let mut tried = Vec::new();
         loop {
-            let reason = match self.attempt(&work, &mut tried).await {
+            let reason = match self.attempt(work, &mut tried).await {
                 Ok(begun) => {
                     lock(&self.budget).earn();
-                    let relay = Relay::new(self.clone(), begun, &work, in_flight);
-                    return self.answer(relay, res).await;
+                    return Ok(begun);
                 }
                 Err(reason) => reason,
             };
@@ -103,7 +170,7 @@
                     self.metrics.retries.with_label_values(&[reason.code()]).inc();
                     tokio::time::sleep(wait).await;
                 }
-                Next::GiveUp(reason) => return Err(Refusal::plain(reason)),
+                Next::GiveUp(reason) => return Err(reason),
             }
         }
     }
@@ -132,7 +199,11 @@
         if now >= work.deadline {
             return Err(Reason::DeadlinePassed);
         }
-        let slot = self.choose(now, work, tried)?;
+        let slot = self.wait_for_slot(work, tried).await?;
+        let now = self.now();
+        if now >= work.deadline {
+            return Err(Reason::DeadlinePassed);
+        }
         tried.push(slot.target.name.clone());
         let attempt = format!("{:032x}", rand::random::<u128>());
         let request = self.request(work, &slot.target, &attempt, work.deadline - now);
@@ -151,6 +222,35 @@
         Ok(Begun { answer, attempt, slot })
     }
 
+    /// Takes a slot, or waits for one in the queue while every target is at its bound.
+    async fn wait_for_slot(
+        self: &Arc<Self>,
+        work: &Work,
+        tried: &[String],
+    ) -> Result<Slot, Reason> {
+        let longest = Duration::from_millis(self.settings.queue_wait_ms);
+        let until = work.deadline.min(self.now() + longest);
+        loop {
+            match self.choose(self.now(), work, tried) {
+                Err(Reason::Overloaded) => {}
+                chosen => return chosen,
+            }
+            let (wakes, woken) = oneshot::channel();
+            let (ticket, refused) = lock(&self.queue).push(work.policy.priority, wakes);
+            // Dropping what wakes the last in order tells it that it is refused.
+            drop(refused);
+            let left = until.saturating_sub(self.now());
+            match tokio::time::timeout(left, woken).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Err(Reason::Overloaded),
+                Err(_) => {
+                    lock(&self.queue).remove(ticket);
+                    return Err(Reason::Overloaded);
+                }
+            }
+        }
+    }
+
     /// Takes a slot at the first target in the request's order that is below its bound.
     fn choose(
         self: &Arc<Self>,
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -8,15 +8,18 @@
 
 use salvo::conn::Acceptor;
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::http::ResBody;
 use salvo::http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use salvo::http::{ResBody, StatusCode};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Server, async_trait};
 use slog::debug;
+use subtle::ConstantTimeEq;
 use tokio::net::TcpSocket;
 
-use super::Shared;
 use super::admission::Work;
 use super::answer::Refusal;
+use super::claim::{KEY_HEADER, STORED_STATUS};
+use super::{Shared, lock};
+use crate::claims::RequestKey;
 use crate::metrics::Metrics;
 use crate::reason::Reason;
 
@@ -54,6 +57,7 @@
     let handler = |call| Endpoint { shared: shared.clone(), call };
     salvo::Router::new()
         .push(salvo::Router::with_path("healthz").get(handler(Call::Health)))
+        .push(salvo::Router::with_path("internal/answers/{key}").get(handler(Call::Answer)))
         .push(salvo::Router::with_path("metrics").get(handler(Call::Metrics)))
         .push(salvo::Router::with_path("v1/chat/completions").post(handler(Call::Chat)))
         .push(salvo::Router::with_path("services/{name}/{**path}").goal(handler(Call::Service)))
@@ -64,6 +68,7 @@
     Metrics,
     Chat,
     Service,
+    Answer,
 }
 
 struct Endpoint {
@@ -77,6 +82,7 @@
         match self.call {
             Call::Health => self.health(res),
             Call::Metrics => self.metrics(res),
+            Call::Answer => self.stored_answer(req, res),
             Call::Chat => {
                 let work = self.shared.admit_chat(req).await;
                 self.answer(work, res).await;
@@ -107,6 +113,22 @@
         res.body(ResBody::Once(self.shared.render_metrics().into()));
     }
 
+    /// The stored answer of a claimed request, for another router of the partner.
+    fn stored_answer(&self, req: &Request, res: &mut Response) {
+        let shown = req.headers().get(KEY_HEADER).map_or(&[][..], HeaderValue::as_bytes);
+        let trusted: bool = shown.ct_eq(self.shared.key.as_bytes()).into();
+        let key = req.param::<String>("key").unwrap_or_default();
+        let key = u128::from_str_radix(&key, 16).ok().filter(|_| trusted);
+        let answer = key.and_then(|key| lock(&self.shared.answers).get(RequestKey(key)));
+        let Some(mut answer) = answer else {
+            res.status_code(StatusCode::NOT_FOUND);
+            return;
+        };
+        res.headers_mut().insert(STORED_STATUS, HeaderValue::from(answer.status));
+        answer.status = StatusCode::OK.as_u16();
+        answer.write(res);
+    }
+
     async fn answer(&self, work: Result<Work, Refusal>, res: &mut Response) {
         let answered = match work {
             Ok(work) => {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod answer;
+mod answers;
+mod claim;
 mod feed;
 mod forward;
 mod http;
@@ -16,16 +18,20 @@
 use salvo::conn::Acceptor;
 use salvo::server::ServerHandle;
 use slog::{Logger, info, o, warn};
+use tokio::sync::oneshot;
 
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
+use crate::queue::Queue;
 use crate::reason::Reason;
 use crate::retry::Budget;
-use crate::rpc::{ControlError, Report};
+use crate::rpc::{ControlError, Group, Report};
 use crate::settings::{RouterSettings, Settings};
 use crate::store::Config;
 use crate::targets::Targets;
 
+use self::answers::Answers;
+
 /// Between two looks at the requests in flight during a planned stop.
 const STOP_STEP: Duration = Duration::from_millis(20);
 /// Time for idle connections to close after the last request has ended.
@@ -65,6 +71,11 @@
     freshness: Mutex<Freshness>,
     targets: Mutex<Targets>,
     budget: Mutex<Budget>,
+    queue: Mutex<Queue<oneshot::Sender<()>>>,
+    /// Base URL at which other routers reach this one.
+    url: String,
+    claim_members: Mutex<Group>,
+    answers: Mutex<Answers>,
     metrics: Metrics,
     admitted: AtomicU64,
     in_flight: AtomicUsize,
@@ -103,6 +114,14 @@
             freshness: Mutex::default(),
             targets: Mutex::new(Targets::new(Duration::from_millis(router.list_max_age_ms))),
             budget: Mutex::new(Budget::new(router.retry_percent)),
+            queue: Mutex::new(Queue::new(router.queue_len)),
+            url: router
+                .advertise
+                .or(router.listen)
+                .map(|addr| format!("http://{addr}"))
+                .unwrap_or_default(),
+            claim_members: Mutex::new(Group::new(&router.control, claim::CALL_TIMEOUT)?),
+            answers: Mutex::default(),
             metrics: Metrics::new()?,
             admitted: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -13,8 +13,10 @@
 use super::Shared;
 use super::admission::{Kind, Work};
 use super::answer::Refusal;
+use super::answers::{MAX_ANSWER_BYTES, StoredAnswer};
 use super::forward::{ATTEMPT, Begun, Slot};
 use super::http::InFlight;
+use crate::claims::RequestKey;
 use crate::reason::Reason;
 
 /// End of one event in a stream of events.
@@ -25,6 +27,8 @@
 const MAX_RESUMES: u32 = 3;
 /// Wait before a broken stream is taken up again.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
+/// Between the error event of a broken stream and the cut of the connection.
+const CUT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time for an engine to take a stream up again.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time between two pieces of an answer.
@@ -47,6 +51,10 @@
     events: u64,
     resumes: u32,
     done: bool,
+    /// Key of a claimed request, whose whole answer is kept.
+    key: Option<RequestKey>,
+    /// What was passed on so far, for keeping.
+    passed_on: Vec<u8>,
     _in_flight: InFlight,
 }
 
@@ -69,7 +77,11 @@
                         relay.pending.clear();
                         Some((Ok(words), Some(relay)))
                     }
-                    Err(LastWords(None)) => Some((Err(Broken), None)),
+                    Err(LastWords(None)) => {
+                        // Lets the error event leave before the connection is cut.
+                        tokio::time::sleep(CUT_PAUSE).await;
+                        Some((Err(Broken), None))
+                    }
                 }
             });
             res.stream(events);
@@ -87,7 +99,13 @@
 struct LastWords(Option<Bytes>);
 
 impl Relay {
-    pub(super) fn new(shared: Arc<Shared>, begun: Begun, work: &Work, in_flight: InFlight) -> Self {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        begun: Begun,
+        work: &Work,
+        key: Option<RequestKey>,
+        in_flight: InFlight,
+    ) -> Self {
         Relay {
             shared,
             answer: begun.answer,
@@ -99,6 +117,8 @@
             events: 0,
             resumes: 0,
             done: false,
+            key,
+            passed_on: Vec::new(),
             _in_flight: in_flight,
         }
     }
@@ -142,7 +162,9 @@
             Ok(Err(_)) => Err(Refusal::plain(Reason::AnswerBroken)),
             Ok(Ok(())) => {
                 self.done = true;
-                Ok(body.into())
+                let body = Bytes::from(body);
+                self.keep(body.clone());
+                Ok(body)
             }
         }
     }
@@ -175,9 +197,36 @@
         let whole = events.windows(EVENT_END.len()).filter(|window| *window == EVENT_END);
         self.events += whole.count() as u64;
         self.done = events[..end].ends_with(DONE);
+        if self.key.is_some() && self.passed_on.len() <= MAX_ANSWER_BYTES {
+            self.passed_on.extend_from_slice(&events);
+        }
+        if self.done {
+            let whole = std::mem::take(&mut self.passed_on);
+            self.keep(whole.into());
+        }
         Some(events.into())
     }
 
+    /// Keeps the whole answer of a claimed request.
+    fn keep(&self, body: Bytes) {
+        if let Some(key) = self.key {
+            self.shared.store_answer(key, self.stored(body));
+        }
+    }
+
+    /// The answer with this body, as it is kept.
+    fn stored(&self, body: Bytes) -> StoredAnswer {
+        let content_type = self.answer.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        StoredAnswer { status: self.status(), content_type, body }
+    }
+
+    /// Reads the answer to its end, whether or not the caller still waits.
+    pub(super) async fn finish(mut self) -> Result<StoredAnswer, Refusal> {
+        let body = self.whole_body().await?;
+        Ok(self.stored(body))
+    }
+
     /// Takes the stream up again on the same engine after the last event that was passed on.
     async fn resume(&mut self) -> Result<(), LastWords> {
         self.pending.clear();
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::claims::{Claim, Release, Verdict};
 use crate::jsonc::Fault;
 use crate::raft::{Envelope, GroupId, Member, StoreId, Term};
 use crate::store::{Answer, Delta, Drain, Moving, Revision, Stored};
@@ -165,6 +166,14 @@
     #[method(name = "sync")]
     async fn sync(&self, key: String, request: SyncRequest) -> Result<SyncReply, ErrorObjectOwned>;
 
+    /// Claim a request that must run at most once, for a router.
+    #[method(name = "claim")]
+    async fn claim(&self, key: String, claim: Claim) -> Result<Verdict, ErrorObjectOwned>;
+
+    /// Give a claim back.
+    #[method(name = "release")]
+    async fn release(&self, key: String, release: Release) -> Result<(), ErrorObjectOwned>;
+
     /// Submit or revise a template; `change` is a [`crate::store::Change`].
     #[method(name = "change")]
     async fn change(&self, token: String, change: Value) -> Result<Answer, ErrorObjectOwned>;
@@ -278,6 +287,7 @@
 }
 
 /// Clients of all members of a group; begins with any of them and follows the leader.
+#[derive(Clone)]
 pub struct Group {
     clients: Vec<(SocketAddr, HttpClient)>,
     at: usize,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -67,6 +67,8 @@
 pub struct RouterSettings {
     /// Where callers connect; also serves `/healthz` and `/metrics`.
     pub listen: Option<SocketAddr>,
+    /// Where other routers reach this one, when that is not `listen`.
+    pub advertise: Option<SocketAddr>,
     /// Control members of the partner.
     pub control: Vec<SocketAddr>,
     /// Between two reads of the platform's list.
@@ -87,6 +89,10 @@
     pub load_bound: f64,
     /// Most requests in flight at one target from this router.
     pub max_in_flight_per_target: usize,
+    /// Most requests that wait while every target is at its bound.
+    pub queue_len: usize,
+    /// Longest time that a request waits there.
+    pub queue_wait_ms: u64,
     /// Retries allowed, as a share of recent successes.
     pub retry_percent: f64,
     /// Longest time a planned stop waits for requests in flight.
@@ -99,6 +105,7 @@
     fn default() -> Self {
         RouterSettings {
             listen: None,
+            advertise: None,
             control: Vec::new(),
             list_poll_ms: 1_000,
             list_max_age_ms: 10_000,
@@ -109,6 +116,8 @@
             max_connections: 10_000,
             load_bound: 1.25,
             max_in_flight_per_target: 256,
+            queue_len: 64,
+            queue_wait_ms: 1_000,
             retry_percent: 10.0,
             stop_timeout_ms: 600_000,
             stop_notice_ms: 2_000,
@@ -239,6 +248,7 @@
             ("router.connect_timeout_ms", self.connect_timeout_ms),
             ("router.default_deadline_ms", self.default_deadline_ms),
             ("router.body_timeout_ms", self.body_timeout_ms),
+            ("router.queue_wait_ms", self.queue_wait_ms),
             ("router.stop_timeout_ms", self.stop_timeout_ms),
         ];
         for (path, value) in intervals {
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claims::{Claim, Claims, Release, Verdict};
 use crate::jsonc::{Fault, Validate};
 use crate::template::{Policy, Spec, Template, check_name};
 
@@ -24,11 +25,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Submit or revise a template.
-    Change(Change),
+    Change(Box<Change>),
     /// Start or end the drain of a host or target.
     Drain(Drain),
     /// Start or end the move of an engine to another model.
     Move(Move),
+    /// A router claims a request that must run at most once.
+    Claim(Claim),
+    /// A router gives a claim back.
+    Release(Release),
 }
 
 /// The move of an engine to another model, during which it gets no new work.
@@ -106,6 +111,10 @@
     },
     /// The id was used before for a different change.
     IdReused,
+    /// The verdict on a claim.
+    Claim(Verdict),
+    /// The claim was given back.
+    Released,
 }
 
 impl Answer {
@@ -116,6 +125,8 @@
             Answer::Conflict { .. } => "conflict",
             Answer::Rejected { .. } => "rejected",
             Answer::IdReused => "id_reused",
+            Answer::Claim(_) => "claim",
+            Answer::Released => "released",
         }
     }
 }
@@ -165,6 +176,7 @@
     closed_revision: Revision,
     answers: BTreeMap<String, FirstAnswer>,
     answer_order: VecDeque<String>,
+    claims: Claims,
 }
 
 impl Store {
@@ -183,6 +195,11 @@
         &self.drains
     }
 
+    /// Claims on request keys.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
     /// Engines on their way to another model.
     pub fn moving(&self) -> &BTreeMap<String, Moving> {
         &self.moving
@@ -191,9 +208,14 @@
     /// Applies the command at log position `index`.
     pub fn apply(&mut self, index: u64, command: Command) -> Answer {
         match command {
-            Command::Change(change) => self.apply_change(index, change),
+            Command::Change(change) => self.apply_change(index, *change),
             Command::Drain(drain) => self.apply_drain(index, drain),
             Command::Move(step) => self.apply_move(index, step),
+            Command::Claim(claim) => Answer::Claim(self.claims.claim(claim)),
+            Command::Release(release) => {
+                self.claims.release(release);
+                Answer::Released
+            }
         }
     }
 
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -238,7 +238,7 @@
 
     fn send_change(&mut self, number: usize, change: Change) {
         let now = self.hosts[number].now(self.time);
-        let command = Command::Change(change.clone());
+        let command = Command::Change(Box::new(change.clone()));
         if let Ok(at) = self.replica(number).propose(now, command) {
             self.proposals.insert(at, change.clone());
             self.hosts[number].proposed.insert(at, change);
--- a/tests/agreement/wal.rs
+++ b/tests/agreement/wal.rs
@@ -36,7 +36,7 @@
 }
 
 fn accept(replica: &mut Replica<FakeDisk>, base: u64) -> Result<(), WalError> {
-    let command = Command::Change(change(&format!("c{base}"), 0, base));
+    let command = Command::Change(Box::new(change(&format!("c{base}"), 0, base)));
     replica.propose(Duration::from_secs(2), command).expect("a leader");
     let (_, answers) = replica.flush()?;
     assert_eq!(answers.len(), 1);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use latchmount::choice::{Candidate, Key, NameHash, cap, choose, score};
+use latchmount::claims::{Claim, Claims, Release, RequestKey, Verdict, WINDOW};
+use latchmount::metrics::Metrics;
 use latchmount::orders::{FLIGHT, Orders};
 use latchmount::placement::{Change, Demand, Engine, plan};
+use latchmount::queue::Queue;
 use latchmount::reason::{Outcome, Reason};
 use latchmount::retry::{Attempts, Budget, MAX_ATTEMPTS, Next};
 use latchmount::store::{Command, Config, Drain, Store};
@@ -240,4 +243,88 @@
         let old = Store::default().since(0);
         prop_assert!(config.revision() == 0 || !config.apply(old));
     }
+
+    #[test]
+    fn claims_are_those_of_a_list_of_all_claims_ever(
+        steps in vec((0u64..5, 0u8..3, 0u8..2, 0u64..4, any::<bool>()), 1..80),
+    ) {
+        let window = WINDOW.as_millis() as u64;
+        let mut claims = Claims::default();
+        let mut naive: Vec<(RequestKey, u64, u64)> = Vec::new();
+        let mut granted: BTreeMap<RequestKey, BTreeSet<u64>> = BTreeMap::new();
+        let mut now = 10 * window;
+        for (passed, key, digest, nonce, release) in steps {
+            now += passed * window / 20;
+            let made_at = 10 * window + u64::from(key) * window / 10;
+            let key = RequestKey(u128::from(made_at) << 80 | 7 << 76 | u128::from(key));
+            if release {
+                claims.release(Release { key, nonce });
+                naive.retain(|held| (held.0, held.2) != (key, nonce));
+                // Given back means truly not run: another may run it.
+                granted.entry(key).or_default().remove(&nonce);
+                continue;
+            }
+            let digest = u64::from(digest);
+            let claim = Claim { key, digest, router_url: nonce.to_string(), nonce, now_ms: now };
+            let verdict = claims.claim(claim);
+            let holder = naive.iter().find(|held| held.0 == key);
+            match (&verdict, holder) {
+                (Verdict::TooOld, _) => prop_assert!(made_at + window < now),
+                (Verdict::Ahead, _) => prop_assert!(made_at > now),
+                (Verdict::Granted, Some(held)) => prop_assert_eq!((held.1, held.2), (digest, nonce)),
+                (Verdict::Granted, None) => naive.push((key, digest, nonce)),
+                (Verdict::Mismatch, held) => prop_assert!(held.is_some_and(|held| held.1 != digest)),
+                (Verdict::Held { .. }, held) => prop_assert!(held.is_none_or(|held| held.2 != nonce)),
+                (Verdict::Full, _) => prop_assert!(false, "full with {} claims", claims.len()),
+            }
+            if verdict == Verdict::Granted {
+                let runs = granted.entry(key).or_default();
+                runs.insert(nonce);
+                prop_assert!(runs.len() <= 1, "two routers may run {key:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn the_queue_is_a_stable_sort_by_priority(
+        steps in vec(proptest::option::of(0u8..10), 1..100),
+        capacity in 1usize..10,
+    ) {
+        let mut queue = Queue::new(capacity);
+        let mut naive: Vec<(u8, usize)> = Vec::new();
+        for (number, step) in steps.into_iter().enumerate() {
+            let Some(priority) = step else {
+                let expected = (!naive.is_empty()).then(|| naive.remove(0).1);
+                prop_assert_eq!(queue.pop(), expected);
+                continue;
+            };
+            naive.push((priority, number));
+            naive.sort_by_key(|(priority, _)| std::cmp::Reverse(*priority));
+            let expected = (naive.len() > capacity).then(|| naive.pop().expect("a last one").1);
+            let (_, refused) = queue.push(priority, number);
+            prop_assert_eq!(refused, expected);
+            prop_assert_eq!(queue.len(), naive.len());
+        }
+    }
+}
+
+#[test]
+fn every_reason_and_metric_stands_on_the_operators_page() {
+    let page = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATING.md"));
+    let page = page.expect("the page");
+    for reason in Reason::ALL {
+        let outcome = match reason.outcome() {
+            Outcome::NotRun => "not run",
+            Outcome::Ran => "ran",
+            Outcome::Unknown => "unknown",
+        };
+        let row = format!("| `{reason}` | {outcome} |");
+        assert!(page.contains(&row), "{row} is missing");
+    }
+    let metrics = Metrics::new().expect("metrics").render();
+    let metrics = String::from_utf8(metrics).expect("text");
+    for name in metrics.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
+        let name = name.split(' ').next().expect("a name");
+        assert!(page.contains(&format!("`{name}")), "{name} is missing");
+    }
 }
--- /dev/null
+++ b/tests/promises/leaving_target.rs
@@ -0,0 +1,91 @@
+//! A target that is leaving receives no new work after a few seconds: at most `list_poll_ms` and
+//! the lag of the list.
+
+use serde_json::json;
+
+use crate::support::{Fleet, Shape, eventually};
+
+async fn ask(fleet: &Fleet, count: usize, label: &str) -> usize {
+    let mut answered = 0;
+    for chat in 0..count {
+        let text = format!("{label}-{chat}");
+        let answer = fleet.chat(chat % 2, &text, &[&text], false).send().await.unwrap();
+        answered += usize::from(answer.status() == 200);
+    }
+    answered
+}
+
+/// Waits until both routers have read the list as it is now.
+async fn list_read(fleet: &Fleet) {
+    for router in 0..2 {
+        let read = async || {
+            fleet
+                .metric(router, "latchmount_control_bytes_total", "received\",kind=\"platform_list")
+                .await
+        };
+        let before = read().await;
+        let two_lists = before / 10.0;
+        eventually("the list is read", async || {
+            (read().await > before + two_lists.min(1_500.0)).then_some(())
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_listed_as_leaving_gets_no_new_work() {
+    let fleet = Fleet::ready(Shape::default()).await;
+    fleet.platform.change("engine-0", |listed| listed.leaving = true);
+    list_read(&fleet).await;
+    let runs = fleet.engines[0].all_runs();
+    assert_eq!(ask(&fleet, 40, "leaving").await, 40);
+    assert_eq!(fleet.engines[0].all_runs(), runs, "a leaving engine got new work");
+    // It flaps back under the same incarnation: the mark stays.
+    fleet.platform.change("engine-0", |listed| listed.leaving = false);
+    list_read(&fleet).await;
+    ask(&fleet, 40, "flapping").await;
+    assert_eq!(fleet.engines[0].all_runs(), runs, "a leaving engine was revived");
+    // It starts anew.
+    fleet.platform.change("engine-0", |listed| listed.incarnation = 2);
+    list_read(&fleet).await;
+    assert_eq!(ask(&fleet, 40, "anew").await, 40);
+    assert!(fleet.engines[0].all_runs() > runs, "a new incarnation gets no work");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_targets_own_word_counts_before_a_lagging_list() {
+    let fleet = Fleet::ready(Shape::default()).await;
+    fleet.platform.lag(true);
+    fleet.engines[0].leave();
+    assert_eq!(ask(&fleet, 40, "own-word").await, 40, "a refusal as not run was not retried");
+    let runs = fleet.engines[0].all_runs();
+    assert_eq!(ask(&fleet, 40, "after").await, 40);
+    assert_eq!(fleet.engines[0].all_runs(), runs);
+    // A stale list still calls it live, under its old incarnation.
+    list_read(&fleet).await;
+    ask(&fleet, 40, "stale").await;
+    let retries = fleet.metric(0, "latchmount_retries_total", "target_refused").await;
+    assert!(retries <= 1.0, "asked {retries} times though it said that it leaves");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_stops_coming_is_suspect_and_own_evidence_decides() {
+    let router = json!({ "list_max_age_ms": 1_500 });
+    let fleet = Fleet::ready(Shape { router, ..Shape::default() }).await;
+    // An engine that joined but never answered this router yet, and then the list falls silent.
+    fleet.platform.silence(true);
+    let started = std::time::Instant::now();
+    let mut refused = None;
+    while started.elapsed().as_secs() < 4 {
+        let answer = fleet.call(0, "working", &[]).await.unwrap();
+        assert_eq!(answer.status(), 200, "a target that answers all the time was given up");
+        let chat = fleet.chat(1, "rare", &["rare"], false);
+        if started.elapsed().as_millis() > 3_500 && refused.is_none() {
+            refused = Some(chat.send().await.unwrap().status());
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(refused.unwrap(), 503, "a target that nothing vouches for got work");
+    fleet.platform.silence(false);
+    eventually("it goes on", async || (ask(&fleet, 4, "back").await == 4).then_some(())).await;
+}
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -4,4 +4,9 @@
 mod support;
 
 mod accepted_config;
+mod at_most_once;
 mod fenced_orders;
+mod leaving_target;
+mod not_run;
+mod own_answer;
+mod planned_stop;
--- /dev/null
+++ b/tests/promises/own_answer.rs
@@ -0,0 +1,171 @@
+//! Every caller receives the whole answer to its own request and no one else's.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::support::engine::{EngineOptions, Fault};
+use crate::support::hostile::Hostile;
+use crate::support::{Fleet, Shape, eventually, template};
+use latchmount::targets::Serves;
+
+const CALLERS: usize = 2_000;
+
+/// A fleet with a hostile service named `hostile`, whose calls may not be repeated.
+pub async fn with_hostile(shape: Shape) -> (Fleet, Hostile) {
+    let fleet = Fleet::ready(shape).await;
+    let hostile = Hostile::start().await;
+    fleet.platform.add("hostile", &hostile.url, Serves::Service("hostile".into()));
+    for router in 0..fleet.routers.len() {
+        eventually("the router knows the hostile target", async || {
+            let answer = call_hostile(&fleet, router, "/sound/ping", &[]).await;
+            (answer.ok()?.status() == 200).then_some(())
+        })
+        .await;
+    }
+    (fleet, hostile)
+}
+
+pub async fn call_hostile(
+    fleet: &Fleet,
+    router: usize,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> reqwest::Result<reqwest::Response> {
+    let url = format!("{}/services/hostile{path}", fleet.router_url(router));
+    let mut request = fleet.http.get(url).header("latchmount-team", "agents");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.send().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn thousands_of_callers_each_get_their_own_answer() {
+    let engine = EngineOptions { token_ms: 1, batch: CALLERS, ..EngineOptions::default() };
+    let router = json!({ "max_in_flight_per_target": CALLERS });
+    let fleet = Fleet::ready(Shape { engine, router, ..Shape::default() }).await;
+    for engine in &fleet.engines {
+        for round in 0..80 {
+            engine.pass_next(9);
+            let faults =
+                [Fault::WrongAttempt, Fault::LoseAnswer, Fault::BreakAfter(3), Fault::Refuse];
+            engine.fail_next(faults[round % faults.len()]);
+        }
+    }
+    let callers = (0..CALLERS).map(|number| {
+        let text = format!("question {number}");
+        let request = fleet.chat(number % 2, &text, &[&text], number % 3 == 0);
+        async move {
+            let answer = request.send().await.expect("an answer");
+            let status = answer.status();
+            let body = answer.text().await.expect("a whole body");
+            (text, status, body)
+        }
+    });
+    let mut whole = 0;
+    for (text, status, body) in futures_util::future::join_all(callers).await {
+        if status == 200 {
+            assert!(body.contains(&format!("re:{text}")), "{text:?} got {body}");
+            assert!(body.contains(" t7"), "{text:?} got a part: {body}");
+            whole += 1;
+        } else {
+            assert!(!body.contains("re:"), "{text:?} got {status} and an answer: {body}");
+        }
+    }
+    // Chats are repeatable here; only the retry budget lets some of the faults through.
+    assert!(whole >= CALLERS - 200, "only {whole} answers were whole");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_goes_on_where_it_broke() {
+    let fleet = Fleet::ready(Shape { engines: 1, ..Shape::default() }).await;
+    for cut in 1..8 {
+        fleet.engines[0].fail_next(Fault::BreakAfter(cut));
+        let text = format!("cut after {cut}");
+        let answer = fleet.chat(0, &text, &[&text], true).send().await.unwrap();
+        let body = answer.text().await.unwrap();
+        let ids: Vec<&str> = body.lines().filter(|line| line.starts_with("id: ")).collect();
+        let expected: Vec<String> = (0..9).map(|id| format!("id: {id}")).collect();
+        assert_eq!(ids, expected, "an event is missing or doubled: {body}");
+        assert_eq!(fleet.engines[0].runs(&text), 1, "the answer was spliced from two runs");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_cannot_go_on_ends_in_an_explicit_error() {
+    let fleet = Fleet::ready(Shape { engines: 1, ..Shape::default() }).await;
+    fleet.engines[0].fail_next(Fault::ForgetAfter(3));
+    let mut answer = fleet.chat(0, "lost", &["lost"], true).send().await.unwrap();
+    let mut body = Vec::new();
+    let clean_end = loop {
+        match answer.chunk().await {
+            Ok(Some(piece)) => body.extend(piece),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    let body = String::from_utf8(body).unwrap();
+    assert!(!clean_end, "a broken answer ended cleanly: {body}");
+    assert!(body.contains("event: error") && body.contains("answer_broken"), "{body}");
+    assert!(!body.contains("[DONE]"), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_short_is_never_passed_on_as_whole() {
+    let (fleet, _) = with_hostile(Shape::default()).await;
+    for path in ["/truncated/1", "/undelimited/1", "/half-chunked/1"] {
+        let answer = call_hostile(&fleet, 0, path, &[]).await.unwrap();
+        assert_eq!(answer.status(), 502, "{path}");
+        let body: Value = answer.json().await.unwrap();
+        assert_eq!(body["error"]["code"], "answer_broken", "{path}");
+        assert_eq!(body["error"]["not_run"], false, "{path}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn doubled_and_late_answers_never_cross_over_to_another_caller() {
+    let (fleet, _) = with_hostile(Shape { routers: 1, ..Shape::default() }).await;
+    for round in 0..100 {
+        let path = format!("/doubled/{round}");
+        let answer = call_hostile(&fleet, 0, &path, &[]).await.unwrap();
+        assert_eq!(answer.text().await.unwrap(), format!("answer to {path}"));
+        let late = format!("/late/{round}");
+        let hurry = [("latchmount-deadline-ms", "20")];
+        if round % 10 == 0 {
+            let answer = call_hostile(&fleet, 0, &late, &hurry).await.unwrap();
+            assert_eq!(answer.status(), 504);
+        }
+        let path = format!("/sound/{round}");
+        let answer = call_hostile(&fleet, 0, &path, &[]).await.unwrap();
+        assert_eq!(answer.text().await.unwrap(), format!("answer to {path}"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_its_work() {
+    let engine = EngineOptions { token_ms: 100, tokens: 1_000, ..EngineOptions::default() };
+    let fleet = Fleet::ready(Shape { engines: 1, engine, ..Shape::default() }).await;
+    let mut answer = fleet.chat(0, "leaves", &["leaves"], true).send().await.unwrap();
+    answer.chunk().await.unwrap();
+    drop(answer);
+    eventually("the engine is told", async || (fleet.engines[0].cancelled() == 1).then_some(()))
+        .await;
+    eventually("the slot is free", async || {
+        (fleet.metric(0, "latchmount_in_flight{", "engine-0").await == 0.0).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn forged_bytes_make_no_log_line() {
+    let fleet = Fleet::ready(Shape::default()).await;
+    let mut forged = template();
+    forged["name"] = json!("x");
+    let url = format!("{}/services/a%0Aevent=forged/x", fleet.router_url(0));
+    let answer = fleet.http.get(url).header("latchmount-team", "agents").send().await.unwrap();
+    assert_eq!(answer.status(), 503);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let log = fleet.log_of("router-0");
+    assert!(!log.lines().any(|line| line.starts_with("event=forged")), "{log}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+pub mod hostile;
 pub mod link;
 
 #[path = "../../examples/standin/engine.rs"]
