Name the team once in the test of moving engines

Ruled out: the placement (the engines had moved).

Change: the test replaces the header; its assertions stay.

Conclusion: a fault of the test only.

--- a/tests/promises/fenced_orders.rs
+++ b/tests/promises/fenced_orders.rs
@@ -36,7 +36,8 @@
     }
     let answer = eventually("the other model is served", async || {
         let request = fleet.chat(1, "legal", &["is this free?"], false);
-        let answer = request.header("latchmount-team", "legal").send().await.ok()?;
+        let team = [("latchmount-team".parse().unwrap(), "legal".parse().unwrap())];
+        let answer = request.headers(team.into_iter().collect()).send().await.ok()?;
         answer.status().is_success().then_some(answer)
     })
     .await;
