Bound an engine's load across routers by slots from the owner of its pool

Cause: each router bounded its own counts only; four routers with one surging chat put 16 requests on one engine where 14 are allowed of 40 (1.25 times the mean, and one).

A mean that comes late with a load board was ruled out: after a quiet time it lets load grow by a quarter in each of its rounds only. So one router owns all targets of a pool and knows the mean.

Change: slots/ (owner, holder, table, pure), router/slots.rs (UDP, tagged with the partner's key), the live routers come from the leader with the configuration. A chat that returns first asks its first four homes for its cached prefix.

--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -162,6 +162,12 @@
         self.inner.state().cancelled
     }
 
+    /// Requests worked on or waiting.
+    pub fn load(&self) -> usize {
+        let state = self.inner.state();
+        state.running + state.waiting.len()
+    }
+
     /// Lets the next answer go wrong.
     pub fn fail_next(&self, fault: Fault) {
         self.inner.state().faults.push_back(Some(fault));
--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -112,7 +112,7 @@
 
 #[async_trait]
 impl Handler for List {
-    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let mut state = self.0.lock().unwrap();
         state.show_loaded();
         if state.silent {
@@ -123,7 +123,19 @@
             Some((since, targets)) => (since.elapsed(), targets.clone()),
             None => (Duration::ZERO, state.targets.clone()),
         };
-        res.render(Json(Listing { age_ms: age.as_millis() as u64, targets }));
+        let listing = Listing { age_ms: age.as_millis() as u64, targets };
+        let content = serde_json::to_vec(&listing.targets).expect("a list encodes");
+        let tag = format!("\"{:x}\"", xxhash_rust::xxh3::xxh3_64(&content));
+        let known = req.headers().get("if-none-match");
+        let unchanged = known.is_some_and(|known| known.as_bytes() == tag.as_bytes());
+        let headers = res.headers_mut();
+        headers.insert("etag", tag.parse().expect("a header value"));
+        headers.insert("x-list-age-ms", listing.age_ms.into());
+        if unchanged {
+            res.status_code(StatusCode::NOT_MODIFIED);
+        } else {
+            res.render(Json(listing));
+        }
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,10 +4,11 @@
 //! returning chat meets its cached prefix through any router, and a target that joins or leaves
 //! moves only its own chats. A target at its bound is passed over for the next in the order.
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Hash of a chat or request, the key of the order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(pub u64);
 
 impl Key {
@@ -18,7 +19,7 @@
 }
 
 /// Hash of a target's name, worked out once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NameHash(pub u64);
 
 impl NameHash {
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -269,21 +269,26 @@
             .await?;
         // A router that has another group's configuration counts as having none.
         let applied = if request.group == group { known } else { 0 };
-        self.registry().hear(now, &request.router, applied, request.report);
+        let (wait_ms, routers_known) = (request.wait_ms, request.routers_known);
+        self.registry().hear(now, applied, request);
         if revision == applied {
-            let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
+            let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
             let mut changes = self.member.revision();
             let newer = changes.wait_for(|revision| *revision > applied);
             let _ = tokio::time::timeout(wait, newer).await;
         }
         let lease_ms = self.settings.freshness_lease_ms;
-        let reply = self.lead(move |replica, _| SyncReply {
-            group,
-            term: replica.node().hard().term,
-            delta: replica.store().since(applied),
-            lease_ms,
-        });
-        Ok(reply.await?)
+        let (now, since, mut reply) = self
+            .lead(move |replica, now| {
+                let node = replica.node();
+                let (term, delta) = (node.hard().term, replica.store().since(applied));
+                let reply = SyncReply { group, term, delta, routers: None, lease_ms };
+                (now, node.leading_since().unwrap_or(now), reply)
+            })
+            .await?;
+        let routers = self.registry().live(now, since);
+        reply.routers = routers.filter(|routers| routers.digest() != routers_known);
+        Ok(reply)
     }
 
     async fn claim(&self, key: String, mut claim: Claim) -> Result<Verdict, ErrorObjectOwned> {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,6 +21,9 @@
 use self::calls::Calls;
 use self::member::Member;
 
+/// Most connections of members, routers and operators; the target is 340 routers.
+const MAX_CONNECTIONS: u32 = 4_096;
+
 /// A control member can't start, or had to stop.
 #[derive(Debug, thiserror::Error)]
 pub enum MemberError {
@@ -78,6 +81,7 @@
         let config = ServerConfig::builder()
             .max_request_body_size(MAX_CALL_BYTES)
             .max_response_body_size(MAX_CALL_BYTES)
+            .max_connections(MAX_CONNECTIONS)
             .set_tcp_no_delay(true)
             .http_only()
             .build();
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -1,16 +1,18 @@
 //! What a leader knows of the routers: who was heard when, and with which revision.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::raft::Time;
-use crate::rpc::{Report, RouterStatus, WaitReply};
+use crate::rpc::{LiveRouters, Report, RouterStatus, SyncRequest, WaitReply};
 use crate::store::Revision;
 
 #[derive(Clone, Debug)]
 struct Seen {
     at: Time,
     revision: Revision,
+    addr: Option<SocketAddr>,
     report: Report,
 }
 
@@ -29,11 +31,11 @@
     }
 
     /// Notes a router's call.
-    pub(super) fn hear(&mut self, now: Time, router: &str, revision: Revision, report: Report) {
+    pub(super) fn hear(&mut self, now: Time, revision: Revision, request: SyncRequest) {
         let lease = self.lease;
         self.routers.retain(|_, seen| now <= seen.at + lease);
-        let seen = Seen { at: now, revision, report };
-        self.routers.insert(router.to_owned(), seen);
+        let SyncRequest { router, addr, report, .. } = request;
+        self.routers.insert(router, Seen { at: now, revision, addr, report });
     }
 
     /// Whether `revision` is in force at every router that may be admitting.
@@ -54,6 +56,13 @@
         }
     }
 
+    /// Where the live routers are reached; `None` until a leader is a whole lease in office.
+    pub(super) fn live(&self, now: Time, leading_since: Time) -> Option<LiveRouters> {
+        let live = self.routers.iter().filter(|(_, seen)| now <= seen.at + self.lease);
+        let addrs = live.filter_map(|(host, seen)| Some((host.clone(), seen.addr?)));
+        (now >= leading_since + self.lease).then(|| LiveRouters(addrs.collect()))
+    }
+
     /// Every live router.
     pub(super) fn status(&self, now: Time) -> Vec<RouterStatus> {
         let live = self.routers.iter().filter(|(_, seen)| now <= seen.at + self.lease);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod router;
 pub mod rpc;
 pub mod settings;
+pub mod slots;
 pub mod store;
 pub mod targets;
 pub mod template;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,7 +9,7 @@
 /// Kinds of requests, as the metrics label them.
 pub const REQUEST_KINDS: [&str; 3] = ["chat", "chat_stream", "service"];
 /// Kinds of control messages of a router, as the metrics label them.
-pub const CONTROL_KINDS: [&str; 2] = ["config", "platform_list"];
+pub const CONTROL_KINDS: [&str; 3] = ["config", "platform_list", "slots"];
 
 /// All metrics of one router.
 pub struct Metrics {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,7 +1,10 @@
 //! The platform's side: its lagging list of hosts and targets, and calls to single targets.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use reqwest::StatusCode;
+use reqwest::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -12,11 +15,22 @@
 #[error("the platform can't be asked: {0}")]
 pub struct PlatformError(#[from] reqwest::Error);
 
+/// Age of the list, in milliseconds, as the platform tells it with every answer.
+const LIST_AGE: &str = "x-list-age-ms";
+
 /// A client of the platform.
 #[derive(Clone, Debug)]
 pub struct Platform {
     http: reqwest::Client,
     list_url: String,
+    /// The last list read, with its tag: an unchanged list is not sent again.
+    last: Arc<Mutex<Option<Tagged>>>,
+}
+
+#[derive(Clone, Debug)]
+struct Tagged {
+    tag: HeaderValue,
+    listing: Listing,
 }
 
 /// A list that was read.
@@ -24,9 +38,9 @@
 pub struct ReadList {
     /// The list.
     pub listing: Listing,
-    /// Bytes sent for it: the URL.
+    /// Bytes sent for it: URL and tag.
     pub sent_bytes: usize,
-    /// Bytes received: the body.
+    /// Bytes received: the body, empty when nothing has changed.
     pub received_bytes: usize,
 }
 
@@ -34,19 +48,38 @@
     /// A client of the platform at `url`.
     pub fn new(http: reqwest::Client, url: &str) -> Self {
         let list_url = format!("{}/targets", url.trim_end_matches('/'));
-        Platform { http, list_url }
+        Platform { http, list_url, last: Arc::default() }
     }
 
-    /// Reads the list.
+    /// Reads the list, or finds that it has not changed.
     ///
     /// # Errors
     /// When it is not answered whole within `timeout`.
     pub async fn list(&self, timeout: Duration) -> Result<ReadList, PlatformError> {
-        let answer = self.http.get(&self.list_url).timeout(timeout).send().await?;
-        let answer = answer.error_for_status()?;
-        let received_bytes = answer.content_length().unwrap_or_default() as usize;
-        let listing = answer.json().await?;
-        Ok(ReadList { listing, sent_bytes: self.list_url.len(), received_bytes })
+        let last = self.last.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut request = self.http.get(&self.list_url).timeout(timeout);
+        let mut sent_bytes = self.list_url.len();
+        if let Some(last) = &last {
+            request = request.header(IF_NONE_MATCH, last.tag.clone());
+            sent_bytes += last.tag.len();
+        }
+        let answer = request.send().await?.error_for_status()?;
+        let age = answer.headers().get(LIST_AGE).and_then(|age| age.to_str().ok()?.parse().ok());
+        let tag = answer.headers().get(ETAG).cloned();
+        let unchanged = last.filter(|_| answer.status() == StatusCode::NOT_MODIFIED);
+        let (mut listing, received_bytes) = match unchanged {
+            Some(last) => (last.listing, 0),
+            None => {
+                let bytes = answer.content_length().unwrap_or_default() as usize;
+                (answer.json::<Listing>().await?, bytes)
+            }
+        };
+        listing.age_ms = age.unwrap_or(listing.age_ms);
+        if let Some(tag) = tag {
+            let tagged = Tagged { tag, listing: listing.clone() };
+            *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Some(tagged);
+        }
+        Ok(ReadList { listing, sent_bytes, received_bytes })
     }
 
     /// Reads `path` of the target at `url`.
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -64,6 +64,8 @@
     pub(super) kind: Kind,
     pub(super) team: String,
     pub(super) key: Key,
+    /// Whether it begins a chat: nothing of it can be cached yet.
+    pub(super) first_turn: bool,
     pub(super) policy: Policy,
     pub(super) repeatable: bool,
     /// Key under which it must run at most once, across all routers.
@@ -106,6 +108,7 @@
         }
         document["model"] = Value::from(policy.spec.model.clone());
         let body = serde_json::to_vec(&document).unwrap_or_default();
+        let first_turn = !chat.messages.iter().any(|message| message["role"] == "assistant");
         let opening = &chat.messages[..chat.messages.len().min(OPENING_MESSAGES)];
         let key = match text_header(req.headers(), CHAT)? {
             Some(chat) => Key::chat(&team, chat.as_bytes()),
@@ -115,6 +118,7 @@
             kind: if chat.stream { Kind::ChatStream } else { Kind::Chat },
             team,
             key,
+            first_turn,
             repeatable: policy.repeatable.chat,
             request_key,
             policy,
@@ -145,6 +149,7 @@
             kind: Kind::Service { name, path, method: req.method().clone() },
             team,
             key,
+            first_turn: true,
             policy,
             deadline,
             headers: req.headers().clone(),
--- a/src/router/feed.rs
+++ b/src/router/feed.rs
@@ -33,6 +33,8 @@
         let sent_at = shared.now();
         let request = SyncRequest {
             router: shared.host.clone(),
+            addr: shared.settings.reached_at(),
+            routers_known: shared.slots.routers_known(),
             group,
             known: shared.config().revision(),
             wait_ms: SYNC_WAIT.as_millis() as u64,
@@ -76,6 +78,9 @@
         shared.set_config(config);
         info!(shared.log, "configuration in force"; "event" => "config", "revision" => revision);
     }
+    if reply.routers.is_some() {
+        shared.update_slots(reply.routers);
+    }
     lock(&shared.freshness).prove(sent_at, Duration::from_millis(reply.lease_ms));
 }
 
@@ -94,6 +99,7 @@
         if let Ok(list) = read {
             shared.metrics.count_control("platform_list", list.sent_bytes, list.received_bytes);
             lock(&shared.targets).apply(shared.now(), list.listing);
+            shared.update_slots(None);
         }
         tokio::time::sleep(pause).await;
     }
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding: the attempts of one request, until one is answered or it is given up on.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::claims::RequestKey;
 use crate::reason::{Outcome, Reason};
 use crate::retry::{Attempts, Next};
+use crate::slots::Wish;
 use crate::targets::{Choice, Need};
 
 /// Names one attempt; a target echoes it.
@@ -35,6 +37,13 @@
 /// Set by a target that is leaving, to its incarnation.
 const LEAVING: &str = "x-leaving";
 
+/// Engines asked for a slot before a request waits.
+const MAX_ASKS: usize = 8;
+/// Engines at which a chat that returns looks for its prefix.
+const HOMES: usize = 4;
+/// Longest wait before engines are asked again for a slot.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
 /// Headers between two hops, which no router passes on, and those that are for the router.
 const NOT_PASSED_ON: [&str; 14] = [
     "connection",
@@ -57,18 +66,23 @@
 pub(super) struct Slot {
     shared: Arc<Shared>,
     pub(super) target: Choice,
+    /// Whether the owner of the target granted it.
+    granted: bool,
 }
 
 impl Slot {
-    fn take(shared: Arc<Shared>, target: Choice) -> Self {
+    fn take(shared: Arc<Shared>, target: Choice, granted: bool) -> Self {
         lock(&shared.targets).begin(&target.name);
-        Slot { shared, target }
+        Slot { shared, target, granted }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         lock(&self.shared.targets).end(&self.target.name);
+        if self.granted {
+            self.shared.slots.give(self.target.candidate.name);
+        }
         while let Some(next) = lock(&self.shared.queue).pop() {
             if next.send(()).is_ok() {
                 break;
@@ -231,52 +245,78 @@
         let longest = Duration::from_millis(self.settings.queue_wait_ms);
         let until = work.deadline.min(self.now() + longest);
         loop {
-            match self.choose(self.now(), work, tried) {
+            match self.choose(work, tried).await {
                 Err(Reason::Overloaded) => {}
                 chosen => return chosen,
             }
-            let (wakes, woken) = oneshot::channel();
-            let (ticket, refused) = lock(&self.queue).push(work.policy.priority, wakes);
-            // Dropping what wakes the last in order tells it that it is refused.
-            drop(refused);
             let left = until.saturating_sub(self.now());
-            match tokio::time::timeout(left, woken).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return Err(Reason::Overloaded),
-                Err(_) => {
-                    lock(&self.queue).remove(ticket);
-                    return Err(Reason::Overloaded);
-                }
+            if left.is_zero() || !self.wait_in_queue(work, left.min(ASK_AGAIN)).await {
+                return Err(Reason::Overloaded);
+            }
+        }
+    }
+
+    /// Waits for a slot to come free here, at most `longest`; false when the queue had no room.
+    async fn wait_in_queue(&self, work: &Work, longest: Duration) -> bool {
+        let (wakes, woken) = oneshot::channel();
+        let (ticket, refused) = lock(&self.queue).push(work.policy.priority, wakes);
+        // Dropping what wakes the last in order tells it that it is refused.
+        drop(refused);
+        match tokio::time::timeout(longest, woken).await {
+            Ok(woken) => woken.is_ok(),
+            Err(_) => {
+                lock(&self.queue).remove(ticket);
+                true
             }
         }
     }
 
     /// Takes a slot at the first target in the request's order that is below its bound.
-    fn choose(
-        self: &Arc<Self>,
-        now: Duration,
-        work: &Work,
-        tried: &[String],
-    ) -> Result<Slot, Reason> {
+    async fn choose(self: &Arc<Self>, work: &Work, tried: &[String]) -> Result<Slot, Reason> {
         let need = match &work.kind {
             Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.spec),
             Kind::Service { name, .. } => Need::Service(name),
         };
         let config = self.config();
         let closed = |name: &str| config.closed(name);
-        let mut choices = lock(&self.targets).candidates(now, need, closed);
+        let mut choices = lock(&self.targets).candidates(self.now(), need, closed);
         if choices.is_empty() {
             return Err(Reason::NoTarget);
         }
         if choices.iter().any(|choice| !tried.contains(&choice.name)) {
             choices.retain(|choice| !tried.contains(&choice.name));
         }
+        let most = self.settings.max_in_flight_per_target;
+        if matches!(need, Need::Model(_)) && self.slots.ready() {
+            choices.retain(|choice| choice.candidate.load < most);
+            return self.ask_owners(work, choices).await;
+        }
         let candidates: Vec<Candidate> = choices.iter().map(|choice| choice.candidate).collect();
         let total = candidates.iter().map(|candidate| candidate.load).sum::<usize>() + 1;
-        let cap = choice::cap(total, candidates.len(), self.settings.load_bound);
-        let cap = cap.min(self.settings.max_in_flight_per_target);
+        let cap = choice::cap(total, candidates.len(), self.settings.load_bound).min(most);
         let chosen = choice::choose(work.key, &candidates, cap).ok_or(Reason::Overloaded)?;
-        Ok(Slot::take(self.clone(), choices.swap_remove(chosen)))
+        Ok(Slot::take(self.clone(), choices.swap_remove(chosen), false))
+    }
+
+    /// Asks for a slot at one engine after the other, in the chat's order. A chat that returns first
+    /// looks for its prefix at its first homes.
+    async fn ask_owners(
+        self: &Arc<Self>,
+        work: &Work,
+        mut choices: Vec<Choice>,
+    ) -> Result<Slot, Reason> {
+        let by_score = |choice: &Choice| Reverse(choice::score(work.key, choice.candidate.name));
+        choices.sort_by_cached_key(by_score);
+        choices.truncate(MAX_ASKS);
+        let homes = if work.first_turn { 0 } else { HOMES.min(choices.len()) };
+        let wish = if work.first_turn { Wish::FirstTurn } else { Wish::Returning };
+        let cached = (0..homes).map(|at| (at, Wish::Cached));
+        for (at, wish) in cached.chain((0..choices.len()).map(|at| (at, wish))) {
+            if self.slots.ask(choices[at].candidate.name, work.key, wish).await {
+                return Ok(Slot::take(self.clone(), choices.swap_remove(at), true));
+            }
+        }
+        Err(Reason::Overloaded)
     }
 
     fn request(
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod http;
 mod relay;
+mod slots;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
 use crate::targets::Targets;
 
 use self::answers::Answers;
+use self::slots::Slots;
 
 /// Between two looks at the requests in flight during a planned stop.
 const STOP_STEP: Duration = Duration::from_millis(20);
@@ -70,6 +72,7 @@
     config: RwLock<Arc<Config>>,
     freshness: Mutex<Freshness>,
     targets: Mutex<Targets>,
+    slots: Slots,
     budget: Mutex<Budget>,
     queue: Mutex<Queue<oneshot::Sender<()>>>,
     /// Base URL at which other routers reach this one.
@@ -86,6 +89,11 @@
     log: Logger,
 }
 
+/// Stands in where the settings, which are checked before, name no address.
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -96,6 +104,11 @@
         router: &RouterSettings,
         log: &Logger,
     ) -> Result<Self, RouterError> {
+        let metrics = Metrics::new()?;
+        let addr = router.listen.unwrap_or_else(any_port);
+        let sent_bytes = metrics.control_bytes.with_label_values(&["sent", "slots"]);
+        let slots = Slots::bind(&settings.host, &settings.key, addr, router.bounds(), sent_bytes);
+        let slots = slots.map_err(|source| RouterError::Listen { addr, source })?;
         let http = reqwest::Client::builder()
             .connect_timeout(Duration::from_millis(router.connect_timeout_ms))
             .no_proxy()
@@ -113,6 +126,7 @@
             config: RwLock::default(),
             freshness: Mutex::default(),
             targets: Mutex::new(Targets::new(Duration::from_millis(router.list_max_age_ms))),
+            slots,
             budget: Mutex::new(Budget::new(router.retry_percent)),
             queue: Mutex::new(Queue::new(router.queue_len)),
             url: router
@@ -122,7 +136,7 @@
                 .unwrap_or_default(),
             claim_members: Mutex::new(Group::new(&router.control, claim::CALL_TIMEOUT)?),
             answers: Mutex::default(),
-            metrics: Metrics::new()?,
+            metrics,
             admitted: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
@@ -198,11 +212,13 @@
         log: &Logger,
     ) -> Result<Self, RouterError> {
         let shared = Arc::new(Shared::new(settings, router, log)?);
-        let addr = router.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let addr = router.listen.unwrap_or_else(any_port);
         let listening = http::listen(addr);
         let acceptor = listening.map_err(|source| RouterError::Listen { addr, source })?;
         let local = acceptor.holdings().first().map(|holding| holding.local_addr.to_string());
         feed::start(&shared)?;
+        tokio::spawn(slots::receive(shared.clone()));
+        tokio::spawn(slots::state(shared.clone()));
         let server = http::server(&shared, acceptor);
         let handle = server.handle();
         tokio::spawn(server.serve(http::routes(&shared)));
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -10,6 +10,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claims::{Claim, Release, Verdict};
 use crate::jsonc::Fault;
@@ -43,6 +44,10 @@
 pub struct SyncRequest {
     /// Host of the router.
     pub router: String,
+    /// Where other routers reach it.
+    pub addr: Option<SocketAddr>,
+    /// Digest of the live routers that it knows; 0 for none.
+    pub routers_known: u64,
     /// Group whose configuration it has; 0 for none yet.
     pub group: GroupId,
     /// Revision it has in force.
@@ -71,10 +76,23 @@
     pub term: Term,
     /// What the router lacks.
     pub delta: Delta,
+    /// The live routers, when they are surely known and differ from those that the router knows.
+    pub routers: Option<LiveRouters>,
     /// How long the router may serve on it, from the sending of its request, in milliseconds.
     pub lease_ms: u64,
 }
 
+/// Routers that may be admitting, by host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LiveRouters(pub BTreeMap<String, SocketAddr>);
+
+impl LiveRouters {
+    /// Tells two sets apart.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(format!("{:?}", self.0).as_bytes())
+    }
+}
+
 /// Whether a revision is in force at every live router.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WaitReply {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::jsonc::{self, Fault, Validate};
 use crate::raft::Timing;
+use crate::slots::Bounds;
 use crate::template::check_name;
 
 /// Shortest key between the hosts of a partner, in bytes.
@@ -87,6 +88,10 @@
     pub max_connections: usize,
     /// No engine gets more than this multiple of the mean load.
     pub load_bound: f64,
+    /// The same for the first turn of a chat; lower, so that slots stay for chats that return.
+    pub first_turn_bound: f64,
+    /// Chats whose prefixes one engine's cache holds.
+    pub cached_chats: usize,
     /// Most requests in flight at one target from this router.
     pub max_in_flight_per_target: usize,
     /// Most requests that wait while every target is at its bound.
@@ -115,6 +120,8 @@
             max_body_kib: 1_024,
             max_connections: 10_000,
             load_bound: 1.25,
+            first_turn_bound: 1.1,
+            cached_chats: 1_500,
             max_in_flight_per_target: 256,
             queue_len: 64,
             queue_wait_ms: 1_000,
@@ -239,6 +246,20 @@
 }
 
 impl RouterSettings {
+    /// How far an engine may lie above the mean load.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            returning: self.load_bound,
+            first_turn: self.first_turn_bound,
+            cached_chats: self.cached_chats,
+        }
+    }
+
+    /// Where other routers reach this one.
+    pub fn reached_at(&self) -> Option<SocketAddr> {
+        self.advertise.or(self.listen)
+    }
+
     fn check(&self, faults: &mut Vec<Fault>) {
         check_listen(faults, "router.listen", self.listen);
         check_addrs(faults, "router.control", &self.control);
@@ -261,6 +282,7 @@
         let counts = [
             ("router.max_body_kib", self.max_body_kib),
             ("router.max_connections", self.max_connections),
+            ("router.cached_chats", self.cached_chats),
             ("router.max_in_flight_per_target", self.max_in_flight_per_target),
         ];
         for (path, value) in counts {
@@ -270,6 +292,9 @@
         }
         if !(self.load_bound >= 1.0 && self.load_bound <= 10.0) {
             faults.push(Fault::new("router.load_bound", "must be 1 to 10 times the mean"));
+        } else if !(self.first_turn_bound >= 1.0 && self.first_turn_bound <= self.load_bound) {
+            let message = "must be 1 to router.load_bound";
+            faults.push(Fault::new("router.first_turn_bound", message));
         }
         if !(0.0..=100.0).contains(&self.retry_percent) {
             faults.push(Fault::new("router.retry_percent", "must be 0 to 100"));
--- /dev/null
+++ b/src/slots/mod.rs
@@ -0,0 +1,102 @@
+//! Slots: the right to have one request in flight at a target, granted by the target's owner, so
+//! that no target carries more than its bound while each router sees a sliver of the traffic.
+//!
+//! All targets that serve the same make a pool, and the owner of a pool is one of the live routers,
+//! by rendezvous hashing: so it knows the load of each target and the mean. It counts the slots
+//! that each router holds, from its own grants and from the routers' reports, which are complete
+//! statements and so mend every loss. An owner grants nothing on a target until every live router
+//! has reported to it, so that a new owner knows what the old one granted.
+
+mod holder;
+mod owner;
+mod recent;
+mod table;
+
+use serde::{Deserialize, Serialize};
+
+use crate::choice::{Key, NameHash, score};
+
+pub use self::holder::{Holder, Statement};
+pub use self::owner::Owner;
+pub use self::recent::Recent;
+pub use self::table::{Asked, Grant, Table};
+
+/// A router, by the hash of its host's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouterId(pub u64);
+
+/// Number of an ask, counted by each router for each owner.
+pub type Ticket = u32;
+
+/// The owner of `pool` among `routers`.
+pub fn owner(pool: NameHash, routers: &[RouterId]) -> Option<RouterId> {
+    let by_score = |router: &&RouterId| score(Key(pool.0), NameHash(router.0));
+    routers.iter().max_by_key(by_score).copied()
+}
+
+/// How far a target may lie above the mean load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Multiple of the mean for a chat that returns.
+    pub returning: f64,
+    /// Lower multiple for a chat's first turn, which keeps the last slots for those that return.
+    pub first_turn: f64,
+    /// Chats whose prefixes one target's cache holds.
+    pub cached_chats: usize,
+}
+
+/// A router asks for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Number of the ask.
+    pub ticket: Ticket,
+    /// The target.
+    pub target: NameHash,
+    /// The chat.
+    pub chat: Key,
+    /// On which condition.
+    pub wish: Wish,
+}
+
+/// Load of all targets of a pool, as its owner knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Requests in flight at all of them.
+    pub load: usize,
+    /// Number of targets.
+    pub targets: usize,
+}
+
+/// On which condition a slot is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wish {
+    /// For a chat's first turn.
+    FirstTurn,
+    /// For a chat that returns, only if its prefix is likely to be cached there.
+    Cached,
+    /// For a chat that returns.
+    Returning,
+}
+
+/// A message between routers, one datagram each.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Router to owner: may I send one request?
+    Ask(Ask),
+    /// Owner to router: whether the ask is granted.
+    Answer {
+        /// Number of the ask.
+        ticket: Ticket,
+        /// Whether a slot is held now.
+        granted: bool,
+    },
+    /// Router to owner: one slot back.
+    Give {
+        /// Sequence, as of [`Holder::give`].
+        at: u32,
+        /// The target.
+        target: NameHash,
+    },
+    /// Router to owner: all slots held.
+    Statement(Statement),
+}
--- /dev/null
+++ b/src/slots/table.rs
@@ -0,0 +1,184 @@
+//! One router's part in granting slots: owner of some targets, holder at all others.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Ask, Bounds, Holder, Message, Owner, Pool, RouterId, Ticket, Wish, owner};
+use crate::choice::{Key, NameHash};
+
+/// A slot that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The owner that granted it.
+    pub owner: RouterId,
+    /// The target.
+    pub target: NameHash,
+}
+
+/// What came of asking for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asked {
+    /// This router owns the target and has decided.
+    Decided(bool),
+    /// The owner has to be asked.
+    Send {
+        /// The owner.
+        to: RouterId,
+        /// Number of the ask.
+        ticket: Ticket,
+        /// What to send.
+        message: Message,
+    },
+}
+
+/// Slots granted by and to one router.
+#[derive(Clone, Debug)]
+pub struct Table {
+    me: RouterId,
+    routers: Vec<RouterId>,
+    /// Pool of each target.
+    pools: BTreeMap<NameHash, NameHash>,
+    owner: Owner,
+    /// What is held at each owner, this router included.
+    holders: BTreeMap<RouterId, Holder>,
+}
+
+impl Table {
+    /// The table of the router `me`, which knows no others yet.
+    pub fn new(me: RouterId) -> Self {
+        Table {
+            me,
+            routers: Vec::new(),
+            pools: BTreeMap::new(),
+            owner: Owner::default(),
+            holders: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the live routers are known.
+    pub fn has_view(&self) -> bool {
+        !self.routers.is_empty()
+    }
+
+    /// Requests in flight at `target` by all slots, if this router owns it.
+    pub fn load(&self, target: NameHash) -> usize {
+        self.owner.load(target)
+    }
+
+    /// Takes the live routers and the pool of each known target; tells whether anything changed,
+    /// after which [`statements`](Table::statements) are due at once.
+    pub fn set_view(
+        &mut self,
+        routers: &BTreeSet<RouterId>,
+        pools: &BTreeMap<NameHash, NameHash>,
+    ) -> bool {
+        let mut live = routers.clone();
+        live.insert(self.me);
+        if live.iter().eq(self.routers.iter()) && *pools == self.pools {
+            return false;
+        }
+        self.routers = live.iter().copied().collect();
+        self.pools.clone_from(pools);
+        let owned = pools.keys().filter(|target| self.owner_of(**target) == Some(self.me));
+        self.owner.set_view(live, &owned.copied().collect());
+        self.move_held();
+        true
+    }
+
+    fn owner_of(&self, target: NameHash) -> Option<RouterId> {
+        owner(*self.pools.get(&target)?, &self.routers)
+    }
+
+    /// Load of the pool that `target` belongs to, all of which this router owns.
+    fn pool_of(&self, target: NameHash) -> Pool {
+        let Some(pool) = self.pools.get(&target) else {
+            return Pool::default();
+        };
+        let members = self.pools.iter().filter(|(_, of)| *of == pool);
+        let add = |sum: Pool, (member, _): (&NameHash, &NameHash)| Pool {
+            load: sum.load + self.owner.load(*member),
+            targets: sum.targets + 1,
+        };
+        members.fold(Pool::default(), add)
+    }
+
+    /// Slots held at a target go on under its present owner; asks under way are given up.
+    fn move_held(&mut self) {
+        let held: Vec<_> = self.holders.values_mut().flat_map(Holder::take_held).collect();
+        for (target, count) in held {
+            if let Some(owner) = self.owner_of(target) {
+                self.holders.entry(owner).or_default().add_held(target, count);
+            }
+        }
+    }
+
+    /// Asks for a slot at `target`.
+    pub fn ask(&mut self, target: NameHash, chat: Key, wish: Wish, bounds: &Bounds) -> Asked {
+        let Some(to) = self.owner_of(target) else {
+            return Asked::Decided(false);
+        };
+        let holder = self.holders.entry(to).or_default();
+        let ask = Ask { ticket: holder.ask(target), target, chat, wish };
+        if to != self.me {
+            return Asked::Send { to, ticket: ask.ticket, message: Message::Ask(ask) };
+        }
+        let granted = self.owner.ask(self.me, &ask, self.pool_of(target), bounds);
+        Asked::Decided(self.answered(to, ask.ticket, granted))
+    }
+
+    /// Takes the answer of an owner; tells whether a slot is held now.
+    pub fn answered(&mut self, from: RouterId, ticket: Ticket, granted: bool) -> bool {
+        let holder = self.holders.get_mut(&from);
+        holder.is_some_and(|holder| holder.answered(ticket, granted))
+    }
+
+    /// Gives up an ask whose answer did not come.
+    pub fn give_up(&mut self, to: RouterId, ticket: Ticket) {
+        if let Some(holder) = self.holders.get_mut(&to) {
+            holder.give_up(ticket);
+        }
+    }
+
+    /// Gives a slot back; returns what to send to its present owner.
+    pub fn give(&mut self, target: NameHash) -> Option<(RouterId, Message)> {
+        let to = self.owner_of(target)?;
+        let at = self.holders.entry(to).or_default().give(target);
+        if to == self.me {
+            self.owner.give(self.me, at, target);
+            return None;
+        }
+        Some((to, Message::Give { at, target }))
+    }
+
+    /// What this router holds, for every other owner; its own part is noted at once.
+    pub fn statements(&mut self) -> Vec<(RouterId, Message)> {
+        let mut due = Vec::new();
+        for to in self.routers.clone() {
+            let statement = self.holders.entry(to).or_default().statement();
+            if to == self.me {
+                self.owner.take_statement(self.me, &statement);
+            } else {
+                due.push((to, Message::Statement(statement)));
+            }
+        }
+        due
+    }
+
+    /// Takes a message that an owner handles; returns the answer to send.
+    pub fn receive(
+        &mut self,
+        from: RouterId,
+        message: &Message,
+        bounds: &Bounds,
+    ) -> Option<Message> {
+        match message {
+            Message::Ask(ask) => {
+                let granted = self.owner.ask(from, ask, self.pool_of(ask.target), bounds);
+                return Some(Message::Answer { ticket: ask.ticket, granted });
+            }
+            Message::Give { at, target } => self.owner.give(from, *at, *target),
+            Message::Statement(statement) => self.owner.take_statement(from, statement),
+            Message::Answer { .. } => {}
+        }
+        None
+    }
+}
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -260,6 +260,20 @@
         }
     }
 
+    /// The pool of each engine: all engines that serve the same model and version.
+    pub fn pools(&self) -> BTreeMap<NameHash, NameHash> {
+        let listed = self.known.values().filter(|target| target.missing_since.is_none());
+        listed
+            .filter_map(|target| match &target.listed.serves {
+                Serves::Models(loaded) => {
+                    let base = loaded.first()?.base().to_string();
+                    Some((target.hash, NameHash::new(&base)))
+                }
+                Serves::Service(_) => None,
+            })
+            .collect()
+    }
+
     /// Requests in flight at each target.
     pub fn in_flight(&self) -> impl Iterator<Item = (&str, usize)> {
         self.known.iter().map(|(name, target)| (name.as_str(), target.in_flight))
--- a/tests/promises/accepted_config.rs
+++ b/tests/promises/accepted_config.rs
@@ -309,6 +309,8 @@
     let drain = Drain { name: "engine-0".into(), on: true };
     let request = SyncRequest {
         router: "foreign".into(),
+        addr: None,
+        routers_known: 0,
         group: Default::default(),
         known: 0,
         wait_ms: 0,
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -7,6 +7,7 @@
 mod at_most_once;
 mod fenced_orders;
 mod leaving_target;
+mod load_bound;
 mod not_run;
 mod own_answer;
 mod planned_stop;
