Give each team its share of a pool

Cause: share_percent stood in the templates and did nothing.

Change: an ask names its team and share; the owner of the pool counts slots by team. A team within its share is admitted while a slot is free; beyond it only while no other team was refused within its share in the last 100 ms. Slots are counted by place, a target and a team; a statement's sequence is kept by router.

Conclusion: shares hold in a pool; the owner of the pool enforces them exactly.

--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -19,7 +19,7 @@
 use crate::claims::RequestKey;
 use crate::reason::{Outcome, Reason};
 use crate::retry::{Attempts, Next};
-use crate::slots::Wish;
+use crate::slots::{Ask, Place, TeamId, Wish};
 use crate::targets::{Choice, Need};
 
 /// Names one attempt; a target echoes it.
@@ -66,12 +66,12 @@
 pub(super) struct Slot {
     shared: Arc<Shared>,
     pub(super) target: Choice,
-    /// Whether the owner of the target granted it.
-    granted: bool,
+    /// What the owner of the target granted, if it was asked.
+    granted: Option<Place>,
 }
 
 impl Slot {
-    fn take(shared: Arc<Shared>, target: Choice, granted: bool) -> Self {
+    fn take(shared: Arc<Shared>, target: Choice, granted: Option<Place>) -> Self {
         lock(&shared.targets).begin(&target.name);
         Slot { shared, target, granted }
     }
@@ -80,8 +80,8 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         lock(&self.shared.targets).end(&self.target.name);
-        if self.granted {
-            self.shared.slots.give(self.target.candidate.name);
+        if let Some(place) = self.granted {
+            self.shared.slots.give(place);
         }
         while let Some(next) = lock(&self.shared.queue).pop() {
             if next.send(()).is_ok() {
@@ -295,7 +295,7 @@
         let total = candidates.iter().map(|candidate| candidate.load).sum::<usize>() + 1;
         let cap = choice::cap(total, candidates.len(), self.settings.load_bound).min(most);
         let chosen = choice::choose(work.key, &candidates, cap).ok_or(Reason::Overloaded)?;
-        Ok(Slot::take(self.clone(), choices.swap_remove(chosen), false))
+        Ok(Slot::take(self.clone(), choices.swap_remove(chosen), None))
     }
 
     /// Asks for a slot at one engine after the other, in the chat's order. A chat that returns first
@@ -308,12 +308,16 @@
         let by_score = |choice: &Choice| Reverse(choice::score(work.key, choice.candidate.name));
         choices.sort_by_cached_key(by_score);
         choices.truncate(MAX_ASKS);
+        let team = TeamId::new(&work.team);
+        let share = (work.policy.share_percent * 10.0) as u16;
         let homes = if work.first_turn { 0 } else { HOMES.min(choices.len()) };
         let wish = if work.first_turn { Wish::FirstTurn } else { Wish::Returning };
         let cached = (0..homes).map(|at| (at, Wish::Cached));
         for (at, wish) in cached.chain((0..choices.len()).map(|at| (at, wish))) {
-            if self.slots.ask(choices[at].candidate.name, work.key, wish).await {
-                return Ok(Slot::take(self.clone(), choices.swap_remove(at), true));
+            let place = Place { target: choices[at].candidate.name, team };
+            let ask = Ask { ticket: 0, place, share, chat: work.key, wish };
+            if self.slots.ask(self.now(), ask).await {
+                return Ok(Slot::take(self.clone(), choices.swap_remove(at), Some(place)));
             }
         }
         Err(Reason::Overloaded)
--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -15,9 +15,9 @@
 use tokio::sync::oneshot;
 
 use super::{Shared, lock};
-use crate::choice::{Key, NameHash};
+use crate::choice::NameHash;
 use crate::rpc::LiveRouters;
-use crate::slots::{Asked, Bounds, Message, RouterId, Table, Ticket, Wish};
+use crate::slots::{Ask, Asked, Bounds, Message, Place, RouterId, Table, Ticket};
 
 /// Longest wait for an owner's answer; between data halls it takes 3 ms.
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
@@ -115,9 +115,9 @@
         }
     }
 
-    /// Asks for one slot at `target`; tells whether it is held now.
-    pub(super) async fn ask(&self, target: NameHash, chat: Key, wish: Wish) -> bool {
-        let mut pending = match self.begin_ask(target, chat, wish) {
+    /// Asks for one slot; tells whether it is held now.
+    pub(super) async fn ask(&self, now: Duration, ask: Ask) -> bool {
+        let mut pending = match self.begin_ask(now, ask) {
             Ok(decided) => return decided,
             Err(pending) => pending,
         };
@@ -126,9 +126,9 @@
     }
 
     /// Decides at once for a target owned here, else sends the ask to its owner.
-    fn begin_ask(&self, target: NameHash, chat: Key, wish: Wish) -> Result<bool, Pending<'_>> {
+    fn begin_ask(&self, now: Duration, ask: Ask) -> Result<bool, Pending<'_>> {
         let mut state = lock(&self.state);
-        let (to, ticket, message) = match state.table.ask(target, chat, wish, &self.bounds) {
+        let (to, ticket, message) = match state.table.ask(now, ask, &self.bounds) {
             Asked::Decided(granted) => return Ok(granted),
             Asked::Send { to, ticket, message } => (to, ticket, message),
         };
@@ -136,12 +136,12 @@
         state.waiting.insert((to, ticket), sender);
         drop(state);
         self.send(to, message);
-        Err(Pending { slots: self, to, ticket, target, answer })
+        Err(Pending { slots: self, to, ticket, place: ask.place, answer })
     }
 
     /// Gives a slot back.
-    pub(super) fn give(&self, target: NameHash) {
-        let given = lock(&self.state).table.give(target);
+    pub(super) fn give(&self, place: Place) {
+        let given = lock(&self.state).table.give(place);
         if let Some((to, message)) = given {
             self.send(to, message);
         }
@@ -169,7 +169,7 @@
     }
 
     /// Handles one datagram; one that this partner's key did not tag is dropped.
-    fn receive(&self, datagram: &[u8]) {
+    fn receive(&self, now: Duration, datagram: &[u8]) {
         let Some((tag, payload)) = datagram.split_at_checked(TAG_BYTES) else {
             return;
         };
@@ -188,7 +188,7 @@
             }
             return;
         }
-        let reply = state.table.receive(from, &message, &self.bounds);
+        let reply = state.table.receive(now, from, &message, &self.bounds);
         drop(state);
         if let Some(reply) = reply {
             self.send(from, reply);
@@ -201,7 +201,7 @@
     slots: &'a Slots,
     to: RouterId,
     ticket: Ticket,
-    target: NameHash,
+    place: Place,
     answer: oneshot::Receiver<bool>,
 }
 
@@ -215,7 +215,7 @@
         }
         drop(state);
         if let Ok(true) = self.answer.try_recv() {
-            self.slots.give(self.target);
+            self.slots.give(self.place);
         }
     }
 }
@@ -227,7 +227,7 @@
         match shared.slots.socket.recv_from(&mut datagram).await {
             Ok((len, _)) => {
                 shared.metrics.count_control("slots", 0, len);
-                shared.slots.receive(&datagram[..len]);
+                shared.slots.receive(shared.now(), &datagram[..len]);
             }
             Err(error) => {
                 warn!(shared.log, "datagram lost"; "event" => "slots_failed", "error" => %error);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,6 +90,8 @@
     pub load_bound: f64,
     /// The same for the first turn of a chat; lower, so that slots stay for chats that return.
     pub first_turn_bound: f64,
+    /// Most requests in flight at one engine from all routers; shares are parts of all of these.
+    pub engine_slots: usize,
     /// Chats whose prefixes one engine's cache holds.
     pub cached_chats: usize,
     /// Most requests in flight at one target from this router.
@@ -121,6 +123,7 @@
             max_connections: 10_000,
             load_bound: 1.25,
             first_turn_bound: 1.1,
+            engine_slots: 256,
             cached_chats: 1_500,
             max_in_flight_per_target: 256,
             queue_len: 64,
@@ -251,6 +254,7 @@
         Bounds {
             returning: self.load_bound,
             first_turn: self.first_turn_bound,
+            engine_slots: self.engine_slots,
             cached_chats: self.cached_chats,
         }
     }
@@ -282,6 +286,7 @@
         let counts = [
             ("router.max_body_kib", self.max_body_kib),
             ("router.max_connections", self.max_connections),
+            ("router.engine_slots", self.engine_slots),
             ("router.cached_chats", self.cached_chats),
             ("router.max_in_flight_per_target", self.max_in_flight_per_target),
         ];
--- a/src/slots/holder.rs
+++ b/src/slots/holder.rs
@@ -4,15 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Ticket;
-use crate::choice::NameHash;
-
+use super::{Place, Ticket};
 /// The slots that a router holds at the targets of one owner.
 #[derive(Clone, Debug, Default)]
 pub struct Holder {
     asked: Ticket,
-    open: BTreeMap<Ticket, NameHash>,
-    held: BTreeMap<NameHash, usize>,
+    open: BTreeMap<Ticket, Place>,
+    held: BTreeMap<Place, usize>,
     sequence: u32,
 }
 
@@ -23,26 +21,26 @@
     pub at: u32,
     /// Every ask up to this one has been answered or given up.
     pub settled: Ticket,
-    /// Slots held; targets not named hold none.
-    pub held: Vec<(NameHash, usize)>,
+    /// Slots held; places not named hold none.
+    pub held: Vec<(Place, usize)>,
 }
 
 impl Holder {
-    /// Numbers an ask for a slot at `target`.
-    pub fn ask(&mut self, target: NameHash) -> Ticket {
+    /// Numbers an ask for a slot at `place`.
+    pub fn ask(&mut self, place: Place) -> Ticket {
         self.asked += 1;
-        self.open.insert(self.asked, target);
+        self.open.insert(self.asked, place);
         self.asked
     }
 
     /// Takes the answer to an ask; tells whether a slot is held now. An answer to an ask that was
     /// given up is no slot.
     pub fn answered(&mut self, ticket: Ticket, granted: bool) -> bool {
-        let Some(target) = self.open.remove(&ticket) else {
+        let Some(place) = self.open.remove(&ticket) else {
             return false;
         };
         if granted {
-            *self.held.entry(target).or_default() += 1;
+            *self.held.entry(place).or_default() += 1;
         }
         granted
     }
@@ -53,8 +51,8 @@
     }
 
     /// Gives a slot back; returns the sequence to send with it.
-    pub fn give(&mut self, target: NameHash) -> u32 {
-        if let Some(count) = self.held.get_mut(&target) {
+    pub fn give(&mut self, place: Place) -> u32 {
+        if let Some(count) = self.held.get_mut(&place) {
             *count = count.saturating_sub(1);
         }
         self.held.retain(|_, count| *count > 0);
@@ -63,21 +61,21 @@
     }
 
     /// Takes out all slots, to go on under another owner; gives up every ask.
-    pub fn take_held(&mut self) -> BTreeMap<NameHash, usize> {
+    pub fn take_held(&mut self) -> BTreeMap<Place, usize> {
         self.open.clear();
         std::mem::take(&mut self.held)
     }
 
     /// Adds slots that another owner granted.
-    pub fn add_held(&mut self, target: NameHash, count: usize) {
-        *self.held.entry(target).or_default() += count;
+    pub fn add_held(&mut self, place: Place, count: usize) {
+        *self.held.entry(place).or_default() += count;
     }
 
     /// What is held now.
     pub fn statement(&mut self) -> Statement {
         self.sequence += 1;
         let settled = self.open.keys().next().map_or(self.asked, |first| first - 1);
-        let held = self.held.iter().map(|(target, count)| (*target, *count)).collect();
+        let held = self.held.iter().map(|(place, count)| (*place, *count)).collect();
         Statement { at: self.sequence, settled, held }
     }
 }
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -10,6 +10,7 @@
 mod holder;
 mod owner;
 mod recent;
+mod shares;
 mod table;
 
 use serde::{Deserialize, Serialize};
@@ -19,12 +20,36 @@
 pub use self::holder::{Holder, Statement};
 pub use self::owner::Owner;
 pub use self::recent::Recent;
-pub use self::table::{Asked, Grant, Table};
+pub use self::shares::Shares;
+pub use self::table::{Asked, Table};
 
 /// A router, by the hash of its host's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RouterId(pub u64);
 
+/// A team, by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TeamId(pub u32);
+
+impl TeamId {
+    pub(crate) const MIN: TeamId = TeamId(u32::MIN);
+    pub(crate) const MAX: TeamId = TeamId(u32::MAX);
+
+    /// The team of this name.
+    pub fn new(name: &str) -> Self {
+        TeamId(NameHash::new(name).0 as u32)
+    }
+}
+
+/// Where a slot is held, and for whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Place {
+    /// The target.
+    pub target: NameHash,
+    /// The team.
+    pub team: TeamId,
+}
+
 /// Number of an ask, counted by each router for each owner.
 pub type Ticket = u32;
 
@@ -41,6 +66,8 @@
     pub returning: f64,
     /// Lower multiple for a chat's first turn, which keeps the last slots for those that return.
     pub first_turn: f64,
+    /// Most requests at one target.
+    pub engine_slots: usize,
     /// Chats whose prefixes one target's cache holds.
     pub cached_chats: usize,
 }
@@ -50,8 +77,10 @@
 pub struct Ask {
     /// Number of the ask.
     pub ticket: Ticket,
-    /// The target.
-    pub target: NameHash,
+    /// The target and the team.
+    pub place: Place,
+    /// Share of the pool that the team is sure of, in thousandths.
+    pub share: u16,
     /// The chat.
     pub chat: Key,
     /// On which condition.
@@ -94,8 +123,8 @@
     Give {
         /// Sequence, as of [`Holder::give`].
         at: u32,
-        /// The target.
-        target: NameHash,
+        /// Where it was held.
+        place: Place,
     },
     /// Router to owner: all slots held.
     Statement(Statement),
--- a/src/slots/owner.rs
+++ b/src/slots/owner.rs
@@ -2,16 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Ask, Bounds, Pool, Recent, RouterId, Statement, Ticket, Wish};
+use super::{Ask, Bounds, Place, Pool, Recent, RouterId, Statement, TeamId, Ticket, Wish};
 use crate::choice::{NameHash, cap};
 
-/// Slots of one router at one target.
+/// Slots of one router and team at one target.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Held {
     /// As the router last reported it, less what it gave back since.
     reported: usize,
-    /// Sequence of that report.
-    at: u32,
     /// Grants that the report does not cover yet.
     granted: BTreeSet<Ticket>,
 }
@@ -21,21 +19,13 @@
         self.reported + self.granted.len()
     }
 
-    /// Takes a report unless a newer one is known; tells whether it was taken.
-    fn take_report(&mut self, at: u32, settled: Ticket, count: usize) -> bool {
-        if at < self.at {
-            return false;
-        }
-        self.at = at;
+    /// Takes the newest statement.
+    fn take_report(&mut self, settled: Ticket, count: usize) {
         self.reported = count;
         self.granted.retain(|ticket| *ticket > settled);
-        true
     }
 
-    fn give(&mut self, at: u32) {
-        if at < self.at {
-            return;
-        }
+    fn give(&mut self) {
         if self.reported > 0 {
             self.reported -= 1;
         } else {
@@ -47,9 +37,10 @@
 /// Slots at one target.
 #[derive(Clone, Debug, Default)]
 struct Target {
-    held: BTreeMap<RouterId, Held>,
-    /// Sum of all that is held.
+    held: BTreeMap<(RouterId, TeamId), Held>,
+    /// Sum of all that is held, and by team.
     load: usize,
+    by_team: BTreeMap<TeamId, usize>,
     /// Routers that have reported since this target is owned here.
     reported: BTreeSet<RouterId>,
     /// Chats that it saw last.
@@ -57,27 +48,52 @@
 }
 
 impl Target {
-    /// Changes what a router holds and keeps the sum right.
-    fn change<T>(&mut self, router: RouterId, change: impl FnOnce(&mut Held) -> T) -> T {
-        let held = self.held.entry(router).or_default();
+    /// Changes what a router holds for a team and keeps the sums right.
+    fn change(&mut self, router: RouterId, team: TeamId, change: impl FnOnce(&mut Held)) {
+        let held = self.held.entry((router, team)).or_default();
         let before = held.count();
-        let result = change(held);
-        self.load = self.load - before + held.count();
-        result
+        change(held);
+        let after = held.count();
+        self.load = self.load - before + after;
+        let of_team = self.by_team.entry(team).or_default();
+        *of_team = *of_team - before + after;
     }
 
     fn keep_only(&mut self, live: &BTreeSet<RouterId>) {
-        self.held.retain(|router, _| live.contains(router));
+        self.held.retain(|(router, _), _| live.contains(router));
         self.reported.retain(|router| live.contains(router));
         self.load = self.held.values().map(Held::count).sum();
+        self.by_team.clear();
+        for ((_, team), held) in &self.held {
+            *self.by_team.entry(*team).or_default() += held.count();
+        }
+    }
+
+    /// Takes a router's complete statement: its slots here by team.
+    fn take_statement(&mut self, router: RouterId, statement: &Statement, by_team: &ByTeam) {
+        let known = self.held.range((router, TeamId::MIN)..=(router, TeamId::MAX));
+        let mut teams: BTreeSet<TeamId> = known.map(|((_, team), _)| *team).collect();
+        teams.extend(by_team.keys());
+        for team in teams {
+            let count = *by_team.get(&team).unwrap_or(&0);
+            self.change(router, team, |held| {
+                held.take_report(statement.settled, count);
+            });
+        }
+        self.held.retain(|_, held| held.count() > 0);
+        self.reported.insert(router);
     }
 }
 
+type ByTeam = BTreeMap<TeamId, usize>;
+
 /// The slots of the targets that one router owns.
 #[derive(Clone, Debug, Default)]
 pub struct Owner {
     live: BTreeSet<RouterId>,
     targets: BTreeMap<NameHash, Target>,
+    /// Sequence of each router's newest statement.
+    stated: BTreeMap<RouterId, u32>,
 }
 
 impl Owner {
@@ -89,6 +105,7 @@
         for target in targets {
             self.targets.entry(*target).or_default().keep_only(&live);
         }
+        self.stated.retain(|router, _| live.contains(router));
         self.live = live;
     }
 
@@ -97,6 +114,12 @@
         self.targets.get(&target).map_or(0, |target| target.load)
     }
 
+    /// The part of them that belongs to `team`.
+    pub fn load_of(&self, target: NameHash, team: TeamId) -> usize {
+        let target = self.targets.get(&target);
+        target.and_then(|target| target.by_team.get(&team)).copied().unwrap_or(0)
+    }
+
     /// Whether every live router has said what it holds at `target`.
     pub fn knows(&self, target: NameHash) -> bool {
         let target = self.targets.get(&target);
@@ -105,10 +128,10 @@
 
     /// Grants or refuses a slot for a chat.
     pub fn ask(&mut self, router: RouterId, ask: &Ask, pool: Pool, bounds: &Bounds) -> bool {
-        if !self.knows(ask.target) || !self.live.contains(&router) {
+        if !self.knows(ask.place.target) || !self.live.contains(&router) {
             return false;
         }
-        let Some(target) = self.targets.get_mut(&ask.target) else {
+        let Some(target) = self.targets.get_mut(&ask.place.target) else {
             return false;
         };
         let multiple = match ask.wish {
@@ -116,50 +139,41 @@
             Wish::Cached | Wish::Returning => bounds.returning,
         };
         let cached = ask.wish != Wish::Cached || target.recent.contains(ask.chat);
-        if !cached || target.load >= cap(pool.load + 1, pool.targets, multiple) {
+        let most = cap(pool.load + 1, pool.targets, multiple).min(bounds.engine_slots);
+        if !cached || target.load >= most {
             return false;
         }
         target.recent.touch(ask.chat, bounds.cached_chats);
-        target.change(router, |held| held.granted.insert(ask.ticket));
+        target.change(router, ask.place.team, |held| {
+            held.granted.insert(ask.ticket);
+        });
         true
     }
 
-    /// Takes a router's complete statement: `count` slots held at `target` when every ask up to
-    /// the ticket `settled` had been answered or given up.
-    pub fn report(
-        &mut self,
-        router: RouterId,
-        at: u32,
-        settled: Ticket,
-        target: NameHash,
-        count: usize,
-    ) {
-        if !self.live.contains(&router) {
+    /// Takes one slot back, unless a later statement covers that already.
+    pub fn give(&mut self, router: RouterId, at: u32, place: Place) {
+        if self.stated.get(&router).is_some_and(|stated| at < *stated) {
             return;
         }
-        let Some(target) = self.targets.get_mut(&target) else {
-            return;
-        };
-        let newest = target.change(router, |held| held.take_report(at, settled, count));
-        if newest {
-            target.reported.insert(router);
+        if let Some(target) = self.targets.get_mut(&place.target) {
+            target.change(router, place.team, Held::give);
         }
     }
 
-    /// Takes one slot back, unless a later report covers that already.
-    pub fn give(&mut self, router: RouterId, at: u32, target: NameHash) {
-        if let Some(target) = self.targets.get_mut(&target) {
-            target.change(router, |held| held.give(at));
-        }
-    }
-
-    /// Takes a router's complete statement about every target owned here.
+    /// Takes a router's complete statement about every target owned here, unless it is an old one.
     pub fn take_statement(&mut self, router: RouterId, statement: &Statement) {
-        let held: BTreeMap<NameHash, usize> = statement.held.iter().copied().collect();
-        let targets: Vec<NameHash> = self.targets.keys().copied().collect();
-        for target in targets {
-            let count = *held.get(&target).unwrap_or(&0);
-            self.report(router, statement.at, statement.settled, target, count);
+        let newest = self.stated.get(&router).is_none_or(|at| statement.at >= *at);
+        if !newest || !self.live.contains(&router) {
+            return;
+        }
+        self.stated.insert(router, statement.at);
+        let mut held: BTreeMap<NameHash, ByTeam> = BTreeMap::new();
+        for (place, count) in &statement.held {
+            held.entry(place.target).or_default().insert(place.team, *count);
+        }
+        let none = ByTeam::new();
+        for (name, target) in &mut self.targets {
+            target.take_statement(router, statement, held.get(name).unwrap_or(&none));
         }
     }
 }
--- a/src/slots/table.rs
+++ b/src/slots/table.rs
@@ -1,18 +1,10 @@
 //! One router's part in granting slots: owner of some targets, holder at all others.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-use super::{Ask, Bounds, Holder, Message, Owner, Pool, RouterId, Ticket, Wish, owner};
-use crate::choice::{Key, NameHash};
-
-/// A slot that is held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The owner that granted it.
-    pub owner: RouterId,
-    /// The target.
-    pub target: NameHash,
-}
+use super::{Ask, Bounds, Holder, Message, Owner, Place, Pool, RouterId, Shares, Ticket, owner};
+use crate::choice::NameHash;
 
 /// What came of asking for a slot.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +32,8 @@
     owner: Owner,
     /// What is held at each owner, this router included.
     holders: BTreeMap<RouterId, Holder>,
+    /// Which teams lack slots, in each pool owned here.
+    shares: BTreeMap<NameHash, Shares>,
 }
 
 impl Table {
@@ -51,6 +45,7 @@
             pools: BTreeMap::new(),
             owner: Owner::default(),
             holders: BTreeMap::new(),
+            shares: BTreeMap::new(),
         }
     }
 
@@ -88,14 +83,11 @@
         owner(*self.pools.get(&target)?, &self.routers)
     }
 
-    /// Load of the pool that `target` belongs to, all of which this router owns.
-    fn pool_of(&self, target: NameHash) -> Pool {
-        let Some(pool) = self.pools.get(&target) else {
-            return Pool::default();
-        };
-        let members = self.pools.iter().filter(|(_, of)| *of == pool);
-        let add = |sum: Pool, (member, _): (&NameHash, &NameHash)| Pool {
-            load: sum.load + self.owner.load(*member),
+    /// Load of a pool that this router owns.
+    fn pool(&self, name: NameHash) -> Pool {
+        let members = self.pools.iter().filter(|(_, of)| **of == name);
+        let add = |sum: Pool, (target, _): (&NameHash, &NameHash)| Pool {
+            load: sum.load + self.owner.load(*target),
             targets: sum.targets + 1,
         };
         members.fold(Pool::default(), add)
@@ -104,27 +96,40 @@
     /// Slots held at a target go on under its present owner; asks under way are given up.
     fn move_held(&mut self) {
         let held: Vec<_> = self.holders.values_mut().flat_map(Holder::take_held).collect();
-        for (target, count) in held {
-            if let Some(owner) = self.owner_of(target) {
-                self.holders.entry(owner).or_default().add_held(target, count);
+        for (place, count) in held {
+            if let Some(owner) = self.owner_of(place.target) {
+                self.holders.entry(owner).or_default().add_held(place, count);
             }
         }
     }
 
-    /// Asks for a slot at `target`.
-    pub fn ask(&mut self, target: NameHash, chat: Key, wish: Wish, bounds: &Bounds) -> Asked {
-        let Some(to) = self.owner_of(target) else {
+    /// Asks for a slot; `ask` needs no ticket yet.
+    pub fn ask(&mut self, now: Duration, mut ask: Ask, bounds: &Bounds) -> Asked {
+        let Some(to) = self.owner_of(ask.place.target) else {
             return Asked::Decided(false);
         };
-        let holder = self.holders.entry(to).or_default();
-        let ask = Ask { ticket: holder.ask(target), target, chat, wish };
+        ask.ticket = self.holders.entry(to).or_default().ask(ask.place);
         if to != self.me {
             return Asked::Send { to, ticket: ask.ticket, message: Message::Ask(ask) };
         }
-        let granted = self.owner.ask(self.me, &ask, self.pool_of(target), bounds);
+        let granted = self.decide(now, self.me, &ask, bounds);
         Asked::Decided(self.answered(to, ask.ticket, granted))
     }
 
+    /// Decides on an ask for a target owned here: by the team's share, then by the bound.
+    fn decide(&mut self, now: Duration, from: RouterId, ask: &Ask, bounds: &Bounds) -> bool {
+        let Some(name) = self.pools.get(&ask.place.target).copied() else {
+            return false;
+        };
+        let pool = self.pool(name);
+        let members = self.pools.iter().filter(|(_, of)| **of == name);
+        let used = members.map(|(target, _)| self.owner.load_of(*target, ask.place.team)).sum();
+        let capacity = pool.targets * bounds.engine_slots;
+        let shares = self.shares.entry(name).or_default();
+        let admitted = shares.admit(now, ask.place.team, ask.share, used, pool.load, capacity);
+        admitted && self.owner.ask(from, ask, pool, bounds)
+    }
+
     /// Takes the answer of an owner; tells whether a slot is held now.
     pub fn answered(&mut self, from: RouterId, ticket: Ticket, granted: bool) -> bool {
         let holder = self.holders.get_mut(&from);
@@ -139,14 +144,14 @@
     }
 
     /// Gives a slot back; returns what to send to its present owner.
-    pub fn give(&mut self, target: NameHash) -> Option<(RouterId, Message)> {
-        let to = self.owner_of(target)?;
-        let at = self.holders.entry(to).or_default().give(target);
+    pub fn give(&mut self, place: Place) -> Option<(RouterId, Message)> {
+        let to = self.owner_of(place.target)?;
+        let at = self.holders.entry(to).or_default().give(place);
         if to == self.me {
-            self.owner.give(self.me, at, target);
+            self.owner.give(self.me, at, place);
             return None;
         }
-        Some((to, Message::Give { at, target }))
+        Some((to, Message::Give { at, place }))
     }
 
     /// What this router holds, for every other owner; its own part is noted at once.
@@ -166,16 +171,17 @@
     /// Takes a message that an owner handles; returns the answer to send.
     pub fn receive(
         &mut self,
+        now: Duration,
         from: RouterId,
         message: &Message,
         bounds: &Bounds,
     ) -> Option<Message> {
         match message {
             Message::Ask(ask) => {
-                let granted = self.owner.ask(from, ask, self.pool_of(ask.target), bounds);
+                let granted = self.decide(now, from, ask, bounds);
                 return Some(Message::Answer { ticket: ask.ticket, granted });
             }
-            Message::Give { at, target } => self.owner.give(from, *at, *target),
+            Message::Give { at, place } => self.owner.give(from, *at, *place),
             Message::Statement(statement) => self.owner.take_statement(from, statement),
             Message::Answer { .. } => {}
         }
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -11,3 +11,4 @@
 mod not_run;
 mod own_answer;
 mod planned_stop;
+mod shares;
