--- a/src/claims.rs
+++ b/src/claims.rs
@@ -12,8 +12,8 @@
 pub const WINDOW: Duration = Duration::from_secs(600);
 /// How far a key's time may lie ahead of the leader's clock.
 pub const MAX_AHEAD: Duration = Duration::from_secs(30);
-/// Most claims kept; about 300 bytes each in memory.
-pub const MAX_CLAIMS: usize = 200_000;
+/// Most claims kept; about 360 bytes each in memory.
+pub const MAX_CLAIMS: usize = 80_000;
 
 /// Key of a request, chosen by its caller: a UUID of version 7.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -40,7 +40,7 @@
 /// Engines asked for a slot before a request waits.
 const MAX_ASKS: usize = 8;
 /// Engines at which a chat that returns looks for its prefix.
-const HOMES: usize = 4;
+const HOMES: usize = MAX_ASKS;
 /// Longest wait before engines are asked again for a slot.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
