Split the consensus node by part played; straighten main and the client

Cause: read as a newcomer, raft/node.rs (682 lines) mixed elections, replication and following; main had an arm that could not be reached; check guessed the kind of a file from its text; the path bench lacked the claim's cost and goodput.

Change: raft/{election,leader,follower}.rs; one function for each command in operator.rs; check looks at the document's fields; benches/path.rs measures claims and goodput.

Ruled out: any change of behaviour; the same tests pass.

Conclusion: each file has one job.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -10,7 +10,7 @@
 
 use hdrhistogram::Histogram;
 use serde_json::json;
-use support::engine::EngineOptions;
+use support::engine::{EngineOptions, Fault};
 use support::{Fleet, Shape};
 
 /// Requests a second while latency is measured.
@@ -148,16 +148,129 @@
     );
 }
 
-/// `cargo bench --bench path`, with `-- latency` or `-- streams` for one part only.
+/// What a claim adds to a call, and how many are granted a second.
+async fn claims() {
+    let fleet = Fleet::ready(Shape { controls: 5, routers: 2, ..Shape::default() }).await;
+    let mut taken =
+        [Histogram::<u64>::new(3).expect("a histogram"), Histogram::new(3).expect("one")];
+    for number in 0..2_000 {
+        for (at, taken) in taken.iter_mut().enumerate() {
+            let key = request_key();
+            let headers = [("latchmount-request-key", key.as_str())];
+            let headers = if at == 0 { &[][..] } else { &headers[..] };
+            let started = Instant::now();
+            let answer = fleet.call(number % 2, "claimed", headers).await.expect("an answer");
+            assert!(answer.status().is_success());
+            answer.bytes().await.expect("a body");
+            taken.record(started.elapsed().as_micros() as u64).expect("a value in range");
+        }
+    }
+    let started = Instant::now();
+    let calls = (0..CALLERS).map(|caller| {
+        let fleet = &fleet;
+        async move {
+            let mut answered = 0u64;
+            while started.elapsed() < THROUGHPUT_TIME {
+                let key = request_key();
+                let headers = [("latchmount-request-key", key.as_str())];
+                let answer = fleet.call(caller % 2, "claimed", &headers).await.expect("an answer");
+                answered += u64::from(answer.status().is_success());
+            }
+            answered
+        }
+    });
+    let answered: u64 = futures_util::future::join_all(calls).await.into_iter().sum();
+    let [plain, claimed] = taken;
+    let added = |quantile| {
+        claimed.value_at_quantile(quantile) as i64 - plain.value_at_quantile(quantile) as i64
+    };
+    println!(
+        "{}",
+        json!({
+            "bench": "claims", "members": 5, "added_p50_us": added(0.5), "added_p99_us": added(0.99),
+            "claimed_per_s": (answered as f64 / started.elapsed().as_secs_f64()).round(),
+        })
+    );
+}
+
+fn request_key() -> String {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let random = rand::random::<u128>() & ((1 << 76) - 1);
+    let bits = now.expect("a clock").as_millis() << 80 | 7 << 76 | random;
+    let hex = format!("{bits:032x}");
+    format!("{}-{}-{}-{}-{}", &hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..])
+}
+
+/// Whole answers a second against what is offered, with half the engines failing for a third of the
+/// time or not at all.
+async fn goodput() {
+    const SLOTS: usize = 16;
+    const ENGINES: usize = 4;
+    const ANSWER_S: f64 = 0.2;
+    const TIME: Duration = Duration::from_secs(6);
+    let capacity = (SLOTS * ENGINES) as f64 / ANSWER_S;
+    for failing in [false, true] {
+        for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
+            let engine = EngineOptions { token_ms: 10, tokens: 20, ..EngineOptions::default() };
+            let router = json!({ "engine_slots": SLOTS, "queue_wait_ms": 200 });
+            let control = json!({ "freshness_lease_ms": 2_500 });
+            let shape = Shape { engine, engines: ENGINES, router, control, ..Shape::default() };
+            let fleet = Fleet::ready(shape).await;
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / (capacity * load)));
+            let (started, mut number, mut answers) = (Instant::now(), 0usize, Vec::new());
+            while started.elapsed() < TIME {
+                ticks.tick().await;
+                let middle = (TIME / 3..TIME * 2 / 3).contains(&started.elapsed());
+                if failing && middle && number.is_multiple_of(8) {
+                    fleet.engines[..2]
+                        .iter()
+                        .for_each(|engine| engine.fail_next(Fault::LoseAnswer));
+                }
+                number += 1;
+                let request = fleet.chat(number % 2, &number.to_string(), &["hello"], false);
+                answers.push(tokio::spawn(async move {
+                    let whole = request.send().await.is_ok_and(|answer| answer.status() == 200);
+                    u64::from(whole)
+                }));
+            }
+            let mut whole = 0;
+            for answer in answers {
+                whole += answer.await.expect("a task");
+            }
+            let mut retries = 0.0;
+            for router in 0..2 {
+                retries += fleet.metric(router, "latchmount_retries_total", "").await;
+            }
+            println!(
+                "{}",
+                json!({
+                    "bench": "goodput", "failing": failing, "offered": load,
+                    "capacity_per_s": capacity, "whole_per_s": whole as f64 / TIME.as_secs_f64(),
+                    "retries": retries, "retry_budget": 20.0 + whole as f64 * 0.1,
+                })
+            );
+        }
+    }
+}
+
+/// `cargo bench --bench path`; `-- latency`, `streams`, `claims` or `goodput` for one part only.
 #[tokio::main]
 async fn main() {
     let part = std::env::args().nth(1).filter(|arg| !arg.starts_with("--"));
-    if part.as_deref() != Some("streams") {
+    let wants = |name: &str| part.as_deref().is_none_or(|part| part == name);
+    if wants("latency") {
         compare_ways().await;
     }
-    if part.as_deref() != Some("latency") {
+    if wants("streams") {
         open_streams().await;
     }
+    if wants("claims") {
+        claims().await;
+    }
+    if wants("goodput") {
+        goodput().await;
+    }
 }
 
 async fn compare_ways() {
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -2,33 +2,31 @@
 
 use std::time::Duration;
 
-/// Monotonic time since the start of the process.
-pub type Time = Duration;
-
 /// Proof that a configuration was in force, and until when a router may serve on it.
 ///
 /// A leader whose lease held when it answered had the newest accepted configuration at some time
-/// after the request was sent; so the proof counts from the sending.
+/// after the request was sent; so the proof counts from the sending. Times are monotonic, since the
+/// start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
-    proven_at: Option<Time>,
-    until: Time,
+    proven_at: Option<Duration>,
+    until: Duration,
 }
 
 impl Freshness {
     /// Takes a leader's answer to a request sent at `sent_at`.
-    pub fn prove(&mut self, sent_at: Time, lease: Duration) {
+    pub fn prove(&mut self, sent_at: Duration, lease: Duration) {
         self.proven_at = self.proven_at.max(Some(sent_at));
         self.until = self.until.max(sent_at + lease);
     }
 
     /// Whether the router may admit requests.
-    pub fn holds(&self, now: Time) -> bool {
+    pub fn holds(&self, now: Duration) -> bool {
         self.proven_at.is_some() && now < self.until
     }
 
     /// Time since the configuration was last proven fresh; `None` when it never was.
-    pub fn age(&self, now: Time) -> Option<Duration> {
+    pub fn age(&self, now: Duration) -> Option<Duration> {
         self.proven_at.map(|at| now.saturating_sub(at))
     }
 }
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -84,6 +84,11 @@
     }
 }
 
+/// Whether `text` is an object with the field `name`.
+pub fn has_field(text: &str, name: &str) -> bool {
+    parse(text).is_ok_and(|value| value.get(name).is_some())
+}
+
 fn parse(text: &str) -> Result<Value, Fault> {
     let options = ParseOptions::default();
     match jsonc_parser::parse_to_serde_value::<Option<Value>>(text, &options) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use latchmount::cli::{Cli, TemplateCommand, cli};
-use latchmount::operator::{self, OperatorError, Session};
+use latchmount::cli::{Cli, Process, cli};
+use latchmount::operator::{self, OperatorError};
 use latchmount::process::{self, Roles};
 
 fn main() -> ExitCode {
@@ -23,48 +23,31 @@
 
 async fn run(command: Cli) -> ExitCode {
     match command {
-        Cli::Router(process) => finish(process::run(process, Roles::Router).await),
-        Cli::Control(process) => finish(process::run(process, Roles::Control).await),
-        Cli::Serve(process) => finish(process::run(process, Roles::All).await),
-        other => match ask(other).await {
-            Ok(text) => {
-                println!("{text}");
-                ExitCode::SUCCESS
-            }
-            Err(error) => fail(&error, error.exit_code()),
-        },
+        Cli::Router(process) => serve(process, Roles::Router).await,
+        Cli::Control(process) => serve(process, Roles::Control).await,
+        Cli::Serve(process) => serve(process, Roles::All).await,
+        Cli::Check { file } => print(operator::check(&file)),
+        Cli::Init(remote) => print(operator::form(&remote).await),
+        Cli::Status { json, remote } => print(operator::status(&remote, json).await),
+        Cli::Drain { undo, remote, name } => print(operator::drain(&remote, name, !undo).await),
+        Cli::Template { command } => print(operator::template(command).await),
     }
 }
 
-async fn ask(command: Cli) -> Result<String, OperatorError> {
-    match command {
-        Cli::Check { file } => {
-            let kind = operator::check(&file)?;
-            Ok(format!("{}: {kind}", file.display()))
-        }
-        Cli::Init(remote) => Session::open(&remote)?.form().await,
-        Cli::Status { json, remote } => Session::open(&remote)?.status(json).await,
-        Cli::Drain { undo, remote, name } => Session::open(&remote)?.drain(name, !undo).await,
-        Cli::Template { command } => {
-            let remote = match &command {
-                TemplateCommand::Submit(args) | TemplateCommand::Revise { args, .. } => {
-                    &args.remote
-                }
-                TemplateCommand::Show { remote, .. }
-                | TemplateCommand::List(remote)
-                | TemplateCommand::History { remote, .. }
-                | TemplateCommand::Wait { remote, .. } => remote,
-            };
-            Session::open(remote)?.template(command).await
-        }
-        Cli::Router(_) | Cli::Control(_) | Cli::Serve(_) => Ok(String::new()),
+async fn serve(process: Process, roles: Roles) -> ExitCode {
+    match process::run(process, roles).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&format!("{error:#}"), 1),
     }
 }
 
-fn finish(result: eyre::Result<()>) -> ExitCode {
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&format!("{error:#}"), 1),
+fn print(answer: Result<String, OperatorError>) -> ExitCode {
+    match answer {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error, error.exit_code()),
     }
 }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -18,6 +18,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest wait for a revision within one call.
 const WAIT_MS: u64 = 2_000;
+/// Field that a template has and settings have not.
+const TEMPLATE_MARK: &str = "teams";
 /// Between two tries.
 const TRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -78,15 +80,72 @@
 ///
 /// # Errors
 /// All faults, or that the file can't be read.
-pub fn check(path: &Path) -> Result<&'static str, OperatorError> {
+pub fn check(path: &Path) -> Result<String, OperatorError> {
     let text = read(path)?;
-    let is_template = text.contains("\"teams\"");
-    if is_template {
+    let kind = if jsonc::has_field(&text, TEMPLATE_MARK) {
         parse::<Template>(&text)?;
-        return Ok("a sound template");
+        "a sound template"
+    } else {
+        parse::<Settings>(&text)?;
+        "sound settings"
+    };
+    Ok(format!("{}: {kind}", path.display()))
+}
+
+/// Forms a group of blank members.
+///
+/// # Errors
+/// When a member is not reachable, not blank, or refuses.
+pub async fn form(remote: &Remote) -> Result<String, OperatorError> {
+    let session = Session::open(remote)?;
+    let formed = session.group.current().form(session.token.clone()).await;
+    let group = formed.map_err(ControlError::from)?;
+    Ok(format!("formed group {:016x}", group.0))
+}
+
+/// Runs a command on templates.
+///
+/// # Errors
+/// [`OperatorError`] as control or a file gives it.
+pub async fn template(command: TemplateCommand) -> Result<String, OperatorError> {
+    match command {
+        TemplateCommand::Submit(args) => Session::open(&args.remote)?.change(0, &args).await,
+        TemplateCommand::Revise { base, args } => {
+            Session::open(&args.remote)?.change(base, &args).await
+        }
+        TemplateCommand::Show { remote, name } => Session::open(&remote)?.show(&name).await,
+        TemplateCommand::List(remote) => Session::open(&remote)?.list().await,
+        TemplateCommand::History { remote, name } => Session::open(&remote)?.history(&name).await,
+        TemplateCommand::Wait { remote, revision } => Session::open(&remote)?.wait(revision).await,
     }
-    parse::<Settings>(&text)?;
-    Ok("sound settings")
+}
+
+/// Starts or ends a drain.
+///
+/// # Errors
+/// [`OperatorError`] as control gives it.
+pub async fn drain(remote: &Remote, name: String, on: bool) -> Result<String, OperatorError> {
+    let drain = Drain { name, on };
+    let answer = Session::open(remote)?
+        .call(async |client, token| client.drain(token, drain.clone()).await)
+        .await?;
+    match answer {
+        Answer::Accepted { revision, .. } => Ok(format!("accepted revision {revision}")),
+        other => Ok(other.label().to_owned()),
+    }
+}
+
+/// State of the group, as a table or JSON.
+///
+/// # Errors
+/// [`OperatorError`] as control gives it.
+pub async fn status(remote: &Remote, json: bool) -> Result<String, OperatorError> {
+    let status =
+        Session::open(remote)?.call(async |client, token| client.status(token).await).await?;
+    if json {
+        return Ok(serde_json::to_string_pretty(&status).unwrap_or_default());
+    }
+    Ok(table(&status))
 }
 
 fn parse<T: serde::de::DeserializeOwned + Validate>(text: &str) -> Result<T, OperatorError> {
@@ -99,7 +158,7 @@
 }
 
 /// A partner's control group, as an operator reaches it.
-pub struct Session {
+struct Session {
     group: Group,
     token: String,
     deadline: Instant,
@@ -107,10 +166,7 @@
 
 impl Session {
     /// Reads the token and prepares the calls.
-    ///
-    /// # Errors
-    /// When the token file can't be read or an address can't be used.
-    pub fn open(remote: &Remote) -> Result<Self, OperatorError> {
+    fn open(remote: &Remote) -> Result<Self, OperatorError> {
         let timeout = Duration::from_secs(remote.timeout_s);
         Ok(Session {
             group: Group::new(&remote.control, CALL_TIMEOUT)?,
@@ -145,42 +201,20 @@
         }
     }
 
-    /// Forms a group of blank members.
-    ///
-    /// # Errors
-    /// When a member is not reachable, not blank, or refuses.
-    pub async fn form(&mut self) -> Result<String, OperatorError> {
-        let formed = self.group.current().form(self.token.clone()).await;
-        let group = formed.map_err(ControlError::from)?;
-        Ok(format!("formed group {:016x}", group.0))
+    async fn show(&mut self, name: &str) -> Result<String, OperatorError> {
+        let stored = self.stored(name).await?;
+        Ok(serde_json::to_string_pretty(&stored.template).unwrap_or_default())
     }
 
-    /// Runs a command on templates.
-    ///
-    /// # Errors
-    /// [`OperatorError`] as control or a file gives it.
-    pub async fn template(&mut self, command: TemplateCommand) -> Result<String, OperatorError> {
-        match command {
-            TemplateCommand::Submit(args) => self.change(0, &args).await,
-            TemplateCommand::Revise { base, args } => self.change(base, &args).await,
-            TemplateCommand::Show { name, .. } => {
-                let stored = self.stored(&name).await?;
-                let text = serde_json::to_string_pretty(&stored.template);
-                Ok(text.unwrap_or_default())
-            }
-            TemplateCommand::List(_) => self.list().await,
-            TemplateCommand::History { name, .. } => {
-                let stored = self.stored(&name).await?;
-                let lines = stored.history.iter().map(|version| {
-                    format!(
-                        "version {} revision {} by {} change {}",
-                        version.version, version.revision, version.author, version.change
-                    )
-                });
-                Ok(lines.collect::<Vec<_>>().join("\n"))
-            }
-            TemplateCommand::Wait { revision, .. } => self.wait(revision).await,
-        }
+    async fn history(&mut self, name: &str) -> Result<String, OperatorError> {
+        let stored = self.stored(name).await?;
+        let lines = stored.history.iter().map(|version| {
+            format!(
+                "version {} revision {} by {} change {}",
+                version.version, version.revision, version.author, version.change
+            )
+        });
+        Ok(lines.collect::<Vec<_>>().join("\n"))
     }
 
     async fn change(&mut self, base: u64, args: &ChangeArgs) -> Result<String, OperatorError> {
@@ -242,32 +276,6 @@
             }
         }
     }
-
-    /// Starts or ends a drain.
-    ///
-    /// # Errors
-    /// [`OperatorError`] as control gives it.
-    pub async fn drain(&mut self, name: String, on: bool) -> Result<String, OperatorError> {
-        let drain = Drain { name, on };
-        let answer =
-            self.call(async |client, token| client.drain(token, drain.clone()).await).await?;
-        match answer {
-            Answer::Accepted { revision, .. } => Ok(format!("accepted revision {revision}")),
-            other => Ok(other.label().to_owned()),
-        }
-    }
-
-    /// State of the group, as a table or JSON.
-    ///
-    /// # Errors
-    /// [`OperatorError`] as control gives it.
-    pub async fn status(&mut self, json: bool) -> Result<String, OperatorError> {
-        let status = self.call(async |client, token| client.status(token).await).await?;
-        if json {
-            return Ok(serde_json::to_string_pretty(&status).unwrap_or_default());
-        }
-        Ok(table(&status))
-    }
 }
 
 /// The state as tables: group, members, routers, targets.
--- /dev/null
+++ b/src/raft/election.rs
@@ -0,0 +1,91 @@
+//! Elections: pre-votes, votes, and the silence that voters keep towards others while a leader lives.
+
+use rand::RngExt;
+
+use super::node::Node;
+use super::{Body, HardState, Position, Role, StoreId, Term, Time};
+
+impl Node {
+    /// Whether a leader was heard so recently that its lease may hold.
+    pub(super) fn hears_leader(&self, now: Time) -> bool {
+        match self.role {
+            Role::Leader => true,
+            _ => now < self.heard_at + self.timing.election_min,
+        }
+    }
+
+    pub(super) fn on_pre_vote(&mut self, now: Time, from: StoreId, term: Term, last: Position) {
+        let granted = term > self.hard.term && last >= self.log.last() && !self.hears_leader(now);
+        let reply_term = if granted { term } else { self.hard.term };
+        self.send_in(reply_term, from, Body::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_vote(&mut self, now: Time, from: StoreId, last: Position) {
+        let free = self.hard.vote.is_none() || self.hard.vote == Some(from);
+        let granted = free && last >= self.log.last() && self.role == Role::Follower;
+        if granted {
+            self.set_hard(HardState { vote: Some(from), ..self.hard });
+            self.reset_campaign(now);
+        }
+        self.send(from, Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        now: Time,
+        from: StoreId,
+        asked_as: Role,
+        granted: bool,
+    ) {
+        if self.role != asked_as || !granted {
+            return;
+        }
+        self.votes.insert(from);
+        let members = self.members();
+        let votes = members.voters().filter(|id| self.votes.contains(id)).count();
+        if votes < members.quorum() {
+            return;
+        }
+        match asked_as {
+            Role::PreCandidate => self.campaign(now),
+            _ => self.become_leader(now),
+        }
+    }
+
+    pub(super) fn pre_campaign(&mut self, now: Time) {
+        self.reset_campaign(now);
+        if !self.members().voters().any(|id| id == self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        let last = self.log.last();
+        self.ask_voters(self.hard.term + 1, Body::PreVote { last });
+        self.on_vote_reply(now, self.id, Role::PreCandidate, true);
+    }
+
+    pub(super) fn campaign(&mut self, now: Time) {
+        self.role = Role::Candidate;
+        self.votes.clear();
+        self.set_hard(HardState { term: self.hard.term + 1, vote: Some(self.id), ..self.hard });
+        self.reset_campaign(now);
+        let last = self.log.last();
+        self.ask_voters(self.hard.term, Body::Vote { last });
+        self.on_vote_reply(now, self.id, Role::Candidate, true);
+    }
+
+    pub(super) fn ask_voters(&mut self, term: Term, body: Body) {
+        let voters: Vec<StoreId> = self.members().voters().collect();
+        for id in voters {
+            if id != self.id {
+                self.send_in(term, id, body.clone());
+            }
+        }
+    }
+
+    pub(super) fn reset_campaign(&mut self, now: Time) {
+        let spread = self.timing.election_min..self.timing.election_max;
+        self.campaign_at = now + self.rng.random_range(spread);
+    }
+}
--- /dev/null
+++ b/src/raft/leader.rs
@@ -0,0 +1,168 @@
+//! What a leader does: replicates its log, counts who has it, and keeps its lease.
+
+use std::collections::BTreeSet;
+
+use super::node::{Node, Progress};
+use super::{AppendResult, Body, Index, Position, Role, StoreId, Time};
+
+/// Most entries in one message.
+const MAX_ENTRIES: usize = 256;
+
+impl Node {
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Time,
+        from: StoreId,
+        round: u64,
+        result: AppendResult,
+    ) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let sent_at = self.rounds.iter().find(|(sent, _)| *sent == round).map(|(_, at)| *at);
+        let last = self.log.last().index;
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.acked_at = progress.acked_at.max(sent_at);
+        match result {
+            AppendResult::Matched(index) => {
+                progress.matched = progress.matched.max(index);
+                progress.next = progress.next.max(progress.matched + 1);
+                progress.snapshot_sent = None;
+                self.advance_commit();
+            }
+            AppendResult::Rejected { hint } => {
+                progress.next = (hint + 1).clamp(progress.matched + 1, last + 1);
+            }
+        }
+        if self.progress[&from].next <= last {
+            self.send_entries(now, from);
+        }
+    }
+
+    pub(super) fn advance_commit(&mut self) {
+        let members = self.members();
+        let mut matched: Vec<Index> = members.voters().map(|id| self.matched(id)).collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&agreed) = matched.get(members.quorum() - 1) else {
+            return;
+        };
+        // Only entries of the own term commit by counting (Raft, section 5.4.2).
+        if agreed > self.commit && self.log.term_at(agreed) == Some(self.hard.term) {
+            self.commit = agreed;
+        }
+    }
+
+    pub(super) fn matched(&self, id: StoreId) -> Index {
+        if id == self.id {
+            return self.log.last().index;
+        }
+        self.progress.get(&id).map_or(0, |progress| progress.matched)
+    }
+
+    /// Sending time of the newest heartbeat that a quorum has answered.
+    pub(super) fn quorum_acked(&self, now: Time) -> Option<Time> {
+        let members = self.members();
+        let mut acked: Vec<Option<Time>> = members
+            .voters()
+            .map(|id| {
+                if id == self.id {
+                    return Some(now);
+                }
+                self.progress.get(&id).and_then(|progress| progress.acked_at)
+            })
+            .collect();
+        acked.sort_unstable_by(|a, b| b.cmp(a));
+        acked.get(members.quorum() - 1).copied().flatten()
+    }
+
+    pub(super) fn recently_heard(&self, now: Time, id: StoreId) -> bool {
+        let acked = self.progress.get(&id).and_then(|progress| progress.acked_at);
+        id == self.id || acked.is_some_and(|at| now < at + self.timing.election_max)
+    }
+
+    pub(super) fn check_quorum(&mut self, now: Time) {
+        let elected_or_acked = self.quorum_acked(now).unwrap_or(Time::ZERO).max(self.heard_at);
+        if now >= elected_or_acked + self.timing.election_max {
+            self.become_follower(now, self.hard.term);
+        }
+    }
+
+    /// Starts a new round and sends it to every member.
+    pub(super) fn broadcast(&mut self, now: Time) {
+        self.round += 1;
+        self.rounds.push_back((self.round, now));
+        let oldest = now.saturating_sub(self.timing.election_max);
+        while self.rounds.front().is_some_and(|(_, at)| *at < oldest) {
+            self.rounds.pop_front();
+        }
+        self.heartbeat_at = now + self.timing.heartbeat;
+        self.send_to_all(now);
+    }
+
+    pub(super) fn send_to_all(&mut self, now: Time) {
+        let ids: Vec<StoreId> = self.progress.keys().copied().collect();
+        for id in ids {
+            self.send_entries(now, id);
+        }
+    }
+
+    /// Sends what the member lacks, or a heartbeat.
+    pub(super) fn send_entries(&mut self, now: Time, to: StoreId) {
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        let round = self.round;
+        let index = progress.next - 1;
+        let Some(term) = self.log.term_at(index) else {
+            self.send_snapshot(now, to);
+            return;
+        };
+        let missing = self.log.from(progress.next);
+        let entries = missing[..missing.len().min(MAX_ENTRIES)].to_vec();
+        progress.next += entries.len() as Index;
+        let body =
+            Body::Append { prev: Position { term, index }, entries, commit: self.commit, round };
+        self.send(to, body);
+    }
+
+    /// Sends the snapshot, at most once in an election period; heartbeats in between.
+    pub(super) fn send_snapshot(&mut self, now: Time, to: StoreId) {
+        let round = self.round;
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        let due = progress.snapshot_sent.is_none_or(|at| now >= at + self.timing.election_max);
+        let body = if due {
+            progress.snapshot_sent = Some(now);
+            let snapshot = Box::new(self.log.snapshot().clone());
+            Body::Install { snapshot, round }
+        } else {
+            Body::Append {
+                prev: self.log.snapshot().at,
+                entries: Vec::new(),
+                commit: self.commit,
+                round,
+            }
+        };
+        self.send(to, body);
+    }
+
+    /// Keeps a progress for each other member, and for no one else.
+    pub(super) fn track_members(&mut self) {
+        let ids: BTreeSet<StoreId> = self.members().0.iter().map(|member| member.id).collect();
+        self.progress.retain(|id, _| ids.contains(id));
+        let next = self.log.last().index;
+        for id in ids {
+            if id != self.id {
+                self.progress.entry(id).or_insert(Progress {
+                    matched: 0,
+                    next,
+                    acked_at: None,
+                    snapshot_sent: None,
+                });
+            }
+        }
+    }
+}
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -4,6 +4,9 @@
 //! [`Node`] is a pure state machine: it takes messages and an explicit time and leaves what is to
 //! be written, sent and applied in a [`Ready`]. [`Replica`] joins it to a [`Wal`] and the store.
 
+mod election;
+mod follower;
+mod leader;
 mod log;
 mod message;
 mod node;
