Leave engines that take no work out of the mean

Cause: the owner of a pool took the mean over all listed engines. With three of four drained, or with circuits open, the one left was held to 1.25 times a quarter of the load, which then shrank to almost nothing.

Ruled out: retries (119 of a budget of 121), and engines still failing (the other half alone gives more).

Change: an ask tells how many targets of the pool its router sees as usable. Also tests for the refusals slow_caller, deadline_passed and claim_failed, and for 200 routers at one control member; a failing test shows the last lines of every log.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -311,7 +311,7 @@
 }
 
 fn ask(ticket: u32, target: NameHash, chat: u64, wish: Wish) -> Ask {
-    Ask { ticket, place: place(target), share: 1_000, chat: Key(chat), wish }
+    Ask { ticket, place: place(target), usable: u16::MAX, share: 1_000, chat: Key(chat), wish }
 }
 
 fn run(scenario: Scenario, way: Way, arrivals: &[Arrival], ideal: Option<f64>) -> f64 {
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -280,7 +280,8 @@
         let config = self.config();
         let closed = |name: &str| config.closed(name);
         let mut choices = lock(&self.targets).candidates(self.now(), need, closed);
-        if choices.is_empty() {
+        let usable = choices.len();
+        if usable == 0 {
             return Err(Reason::NoTarget);
         }
         if choices.iter().any(|choice| !tried.contains(&choice.name)) {
@@ -289,7 +290,7 @@
         let most = self.settings.max_in_flight_per_target;
         if matches!(need, Need::Model(_)) && self.slots.ready() {
             choices.retain(|choice| choice.candidate.load < most);
-            return self.ask_owners(work, choices).await;
+            return self.ask_owners(work, choices, usable).await;
         }
         let candidates: Vec<Candidate> = choices.iter().map(|choice| choice.candidate).collect();
         let total = candidates.iter().map(|candidate| candidate.load).sum::<usize>() + 1;
@@ -304,7 +305,9 @@
         self: &Arc<Self>,
         work: &Work,
         mut choices: Vec<Choice>,
+        usable: usize,
     ) -> Result<Slot, Reason> {
+        let usable = u16::try_from(usable).unwrap_or(u16::MAX);
         let by_score = |choice: &Choice| Reverse(choice::score(work.key, choice.candidate.name));
         choices.sort_by_cached_key(by_score);
         choices.truncate(MAX_ASKS);
@@ -315,7 +318,7 @@
         let cached = (0..homes).map(|at| (at, Wish::Cached));
         for (at, wish) in cached.chain((0..choices.len()).map(|at| (at, wish))) {
             let place = Place { target: choices[at].candidate.name, team };
-            let ask = Ask { ticket: 0, place, share, chat: work.key, wish };
+            let ask = Ask { ticket: 0, place, usable, share, chat: work.key, wish };
             if self.slots.ask(self.now(), ask).await {
                 return Ok(Slot::take(self.clone(), choices.swap_remove(at), Some(place)));
             }
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -79,6 +79,8 @@
     pub ticket: Ticket,
     /// The target and the team.
     pub place: Place,
+    /// Targets of the pool that can take work, as the asking router sees them.
+    pub usable: u16,
     /// Share of the pool that the team is sure of, in thousandths.
     pub share: u16,
     /// The chat.
--- a/src/slots/table.rs
+++ b/src/slots/table.rs
@@ -121,7 +121,9 @@
         let Some(name) = self.pools.get(&ask.place.target).copied() else {
             return false;
         };
-        let pool = self.pool(name);
+        let mut pool = self.pool(name);
+        // Targets that take no work carry none either, and would only lower the mean.
+        pool.targets = pool.targets.min(usize::from(ask.usable));
         let members = self.pools.iter().filter(|(_, of)| **of == name);
         let used = members.map(|(target, _)| self.owner.load_of(*target, ask.place.team)).sum();
         let capacity = pool.targets * bounds.engine_slots;
--- a/tests/promises/accepted_config.rs
+++ b/tests/promises/accepted_config.rs
@@ -364,3 +364,24 @@
     assert!(matches!(error, Err(ControlError::Invalid(_))), "{error:?}");
     assert_eq!(status(&fleet).await.commit, commit);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn more_than_a_hundred_routers_are_served_at_once() {
+    let fleet = Fleet::ready(group_of(1, LONG_LEASE_MS)).await;
+    let syncs = (0..200).map(|router| {
+        let client = connect(fleet.control_addr(0), Duration::from_secs(30)).unwrap();
+        let request = SyncRequest {
+            router: format!("router-{router}"),
+            addr: None,
+            routers_known: 0,
+            group: Default::default(),
+            known: 1_000_000,
+            wait_ms: 2_000,
+            report: Default::default(),
+        };
+        async move { client.sync(KEY.into(), request).await }
+    });
+    for reply in futures_util::future::join_all(syncs).await {
+        reply.expect("an answer to every router");
+    }
+}
--- a/tests/promises/load_bound.rs
+++ b/tests/promises/load_bound.rs
@@ -102,3 +102,17 @@
     assert_bound(&fleet, "in the end");
     drop(open);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_take_no_work_do_not_count_in_the_mean() {
+    let fleet = Fleet::ready(shape()).await;
+    slots_ready(&fleet).await;
+    for engine in ["engine-0", "engine-1", "engine-2"] {
+        assert!(fleet.operator(&["drain", engine]).status.success());
+    }
+    let revision = fleet.operator(&["drain", "engine-2"]);
+    let revision = crate::support::word_after(&crate::support::text(&revision.stdout), "revision");
+    assert!(fleet.operator(&["template", "wait", &revision]).status.success());
+    let open = surge(&fleet).await;
+    assert_eq!(open.len(), STREAMS, "the engine left was held to a mean that counts the drained");
+}
--- a/tests/promises/not_run.rs
+++ b/tests/promises/not_run.rs
@@ -5,6 +5,7 @@
 use latchmount::targets::Serves;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::own_answer::{call_hostile, with_hostile};
 use crate::support::engine::{EngineOptions, Fault};
@@ -144,3 +145,38 @@
         fleet.healthy(0).await;
     }
 }
+
+/// Sends a call whose body comes after a pause, if at all; gives the whole answer.
+async fn call_with_late_body(fleet: &Fleet, headers: &str, pause: Option<Duration>) -> String {
+    let addr = fleet.router_url(0).replace("http://", "");
+    let mut stream = tokio::net::TcpStream::connect(addr).await.expect("a connection");
+    let head = format!(
+        "POST /services/porting/late HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         latchmount-team: agents\r\nx-call-id: late\r\n{headers}content-length: 4\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    if let Some(pause) = pause {
+        tokio::time::sleep(pause).await;
+        stream.write_all(b"body").await.expect("a body");
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_callers_passed_deadlines_and_failed_claims_ran_nowhere() {
+    let router = json!({ "body_timeout_ms": 500 });
+    let fleet = Fleet::ready(Shape { router, ..Shape::default() }).await;
+    let slow = call_with_late_body(&fleet, "", None).await;
+    assert!(slow.contains("408") && slow.contains("slow_caller"), "{slow}");
+    let hurry = "latchmount-deadline-ms: 20\r\n";
+    let late = call_with_late_body(&fleet, hurry, Some(Duration::from_millis(200))).await;
+    assert!(late.contains("504") && late.contains("deadline_passed"), "{late}");
+    fleet.controls[0].signal(Signal::SIGSTOP);
+    let key = ("latchmount-request-key", "01890a5d-ac96-774b-bcce-b302099a8057");
+    let unclaimed = fleet.call(0, "late", &[key, ("latchmount-deadline-ms", "300")]).await.unwrap();
+    assert_eq!(refusal(unclaimed).await, ("claim_failed".into(), true));
+    fleet.controls[0].signal(Signal::SIGCONT);
+    assert_eq!(fleet.service.runs("late"), 0);
+}
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -102,7 +102,7 @@
 
     fn ask(&mut self, router: u64, target: u64) {
         let (place, chat) = (place(target), Key(target));
-        let ask = Ask { ticket: 0, place, share: 500, chat, wish: Wish::Returning };
+        let ask = Ask { ticket: 0, place, usable: 9, share: 500, chat, wish: Wish::Returning };
         match self.table(router).ask(Duration::ZERO, ask, &BOUNDS) {
             Asked::Decided(false) => {}
             Asked::Decided(true) => *self.held.entry((router, target)).or_default() += 1,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -36,6 +36,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(60);
 pub const TOKEN: &str = "an operator's token";
 pub const KEY: &str = "a secret of this partner's hosts";
+/// Lines of each log that a failing test shows.
+const LOG_LINES_SHOWN: usize = 12;
 const CONTROL_PORT: u16 = 7000;
 const LINK_PORT: u16 = 9000;
 const ROUTER_PORT: u16 = 8080;
@@ -365,6 +367,23 @@
     }
 }
 
+impl Drop for Fleet {
+    /// Shows what the processes wrote last when a test fails.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let entries = std::fs::read_dir(self.folder.path()).into_iter().flatten().flatten();
+        let names = entries.filter_map(|entry| entry.file_name().into_string().ok());
+        for name in names.filter_map(|name| name.strip_suffix(".log").map(str::to_owned)) {
+            let log = self.log_of(&name);
+            let lines: Vec<&str> = log.lines().collect();
+            let last = &lines[lines.len().saturating_sub(LOG_LINES_SHOWN)..];
+            eprintln!("== {name}\n{}", last.join("\n"));
+        }
+    }
+}
+
 /// The template that most tests put in force.
 pub fn template() -> Value {
     json!({
