--- a/src/operator.rs
+++ b/src/operator.rs
@@ -97,8 +97,8 @@
 /// # Errors
 /// When a member is not reachable, not blank, or refuses.
 pub async fn form(remote: &Remote) -> Result<String, OperatorError> {
-    let session = Session::open(remote)?;
-    let formed = session.group.current().form(session.token.clone()).await;
+    let client = Client::open(remote)?;
+    let formed = client.group.current().form(client.token.clone()).await;
     let group = formed.map_err(ControlError::from)?;
     Ok(format!("formed group {:016x}", group.0))
 }
@@ -109,14 +109,14 @@
 /// [`OperatorError`] as control or a file gives it.
 pub async fn template(command: TemplateCommand) -> Result<String, OperatorError> {
     match command {
-        TemplateCommand::Submit(args) => Session::open(&args.remote)?.change(0, &args).await,
+        TemplateCommand::Submit(args) => Client::open(&args.remote)?.change(0, &args).await,
         TemplateCommand::Revise { base, args } => {
-            Session::open(&args.remote)?.change(base, &args).await
+            Client::open(&args.remote)?.change(base, &args).await
         }
-        TemplateCommand::Show { remote, name } => Session::open(&remote)?.show(&name).await,
-        TemplateCommand::List(remote) => Session::open(&remote)?.list().await,
-        TemplateCommand::History { remote, name } => Session::open(&remote)?.history(&name).await,
-        TemplateCommand::Wait { remote, revision } => Session::open(&remote)?.wait(revision).await,
+        TemplateCommand::Show { remote, name } => Client::open(&remote)?.show(&name).await,
+        TemplateCommand::List(remote) => Client::open(&remote)?.list().await,
+        TemplateCommand::History { remote, name } => Client::open(&remote)?.history(&name).await,
+        TemplateCommand::Wait { remote, revision } => Client::open(&remote)?.wait(revision).await,
     }
 }
 
@@ -126,7 +126,7 @@
 /// [`OperatorError`] as control gives it.
 pub async fn drain(remote: &Remote, name: String, on: bool) -> Result<String, OperatorError> {
     let drain = Drain { name, on };
-    let answer = Session::open(remote)?
+    let answer = Client::open(remote)?
         .call(async |client, token| client.drain(token, drain.clone()).await)
         .await?;
     match answer {
@@ -141,7 +141,7 @@
 /// [`OperatorError`] as control gives it.
 pub async fn status(remote: &Remote, json: bool) -> Result<String, OperatorError> {
     let status =
-        Session::open(remote)?.call(async |client, token| client.status(token).await).await?;
+        Client::open(remote)?.call(async |client, token| client.status(token).await).await?;
     if json {
         return Ok(serde_json::to_string_pretty(&status).unwrap_or_default());
     }
@@ -158,17 +158,17 @@
 }
 
 /// A partner's control group, as an operator reaches it.
-struct Session {
+struct Client {
     group: Group,
     token: String,
     deadline: Instant,
 }
 
-impl Session {
+impl Client {
     /// Reads the token and prepares the calls.
     fn open(remote: &Remote) -> Result<Self, OperatorError> {
         let timeout = Duration::from_secs(remote.timeout_s);
-        Ok(Session {
+        Ok(Client {
             group: Group::new(&remote.control, CALL_TIMEOUT)?,
             token: read(&remote.token_file)?.trim().to_owned(),
             deadline: Instant::now() + timeout,
