Walk a pool once for each ask; drop a constant that another implies

Cause: read once more. The owner of a pool walked all targets twice for each ask, for the load and for the team's part; the number of homes equalled the number of asks, so one constant and a minimum stood for nothing.

Change: one walk gives both; the homes are the engines asked.

Conclusion: behaviour is the same.

--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -37,10 +37,8 @@
 /// Set by a target that is leaving, to its incarnation.
 const LEAVING: &str = "x-leaving";
 
-/// Engines asked for a slot before a request waits.
+/// Engines asked for a slot before a request waits, and for the prefix of a chat that returns.
 const MAX_ASKS: usize = 8;
-/// Engines at which a chat that returns looks for its prefix.
-const HOMES: usize = MAX_ASKS;
 /// Longest wait before engines are asked again for a slot.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -300,7 +298,7 @@
     }
 
     /// Asks for a slot at one engine after the other, in the chat's order. A chat that returns first
-    /// looks for its prefix at its first homes.
+    /// looks for its prefix at all of them.
     async fn ask_owners(
         self: &Arc<Self>,
         work: &Work,
@@ -313,7 +311,7 @@
         choices.truncate(MAX_ASKS);
         let team = TeamId::new(&work.team);
         let share = (work.policy.share_percent * 10.0) as u16;
-        let homes = if work.first_turn { 0 } else { HOMES.min(choices.len()) };
+        let homes = if work.first_turn { 0 } else { choices.len() };
         let wish = if work.first_turn { Wish::FirstTurn } else { Wish::Returning };
         let cached = (0..homes).map(|at| (at, Wish::Cached));
         for (at, wish) in cached.chain((0..choices.len()).map(|at| (at, wish))) {
--- a/src/slots/table.rs
+++ b/src/slots/table.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{Ask, Bounds, Holder, Message, Owner, Place, Pool, RouterId, Shares, Ticket, owner};
+use super::{
+    Ask, Bounds, Holder, Message, Owner, Place, Pool, RouterId, Shares, TeamId, Ticket, owner,
+};
 use crate::choice::NameHash;
 
 /// What came of asking for a slot.
@@ -83,14 +85,16 @@
         owner(*self.pools.get(&target)?, &self.routers)
     }
 
-    /// Load of a pool that this router owns.
-    fn pool(&self, name: NameHash) -> Pool {
+    /// Load of a pool that this router owns, and the part of it that belongs to `team`.
+    fn pool(&self, name: NameHash, team: TeamId) -> (Pool, usize) {
         let members = self.pools.iter().filter(|(_, of)| **of == name);
-        let add = |sum: Pool, (target, _): (&NameHash, &NameHash)| Pool {
-            load: sum.load + self.owner.load(*target),
-            targets: sum.targets + 1,
-        };
-        members.fold(Pool::default(), add)
+        let (mut pool, mut of_team) = (Pool::default(), 0);
+        for (target, _) in members {
+            pool.load += self.owner.load(*target);
+            pool.targets += 1;
+            of_team += self.owner.load_of(*target, team);
+        }
+        (pool, of_team)
     }
 
     /// Slots held at a target go on under its present owner; asks under way are given up.
@@ -121,11 +125,9 @@
         let Some(name) = self.pools.get(&ask.place.target).copied() else {
             return false;
         };
-        let mut pool = self.pool(name);
+        let (mut pool, used) = self.pool(name, ask.place.team);
         // Targets that take no work carry none either, and would only lower the mean.
         pool.targets = pool.targets.min(usize::from(ask.usable));
-        let members = self.pools.iter().filter(|(_, of)| **of == name);
-        let used = members.map(|(target, _)| self.owner.load_of(*target, ask.place.team)).sum();
         let capacity = pool.targets * bounds.engine_slots;
         let shares = self.shares.entry(name).or_default();
         let admitted = shares.admit(now, ask.place.team, ask.share, used, pool.load, capacity);
