--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,6 +20,12 @@
     /// Run whatever the settings have a section for: a router, a control member or both.
     #[bpaf(command)]
     Serve(#[bpaf(external(process))] Process),
+    /// Run a gateway: it takes requests by host and path.
+    #[bpaf(command)]
+    Gateway(#[bpaf(external(process))] Process),
+    /// Run a member of a control group that forms and mends itself.
+    #[bpaf(command)]
+    Member(#[bpaf(external(process))] Process),
     /// Print every fault of a settings or template file.
     #[bpaf(command)]
     Check {
@@ -69,6 +75,9 @@
     /// Write events of debugging too.
     #[bpaf(short, long)]
     pub verbose: bool,
+    /// Dialect that the outside speaks; only for gateways and members.
+    #[bpaf(long, argument("NAME"))]
+    pub dialect: Option<String>,
 }
 
 /// How to reach a partner's control members.
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -18,7 +18,7 @@
 use crate::jsonc;
 use crate::platform::Platform;
 use crate::raft::{
-    Envelope, FolderDisk, GroupId, Members, Replica, Standing, StoreId, Time, Timing,
+    BoxedDisk, Envelope, GroupId, Members, Replica, Standing, StoreId, Time, Timing,
 };
 use crate::rpc::{
     ControlClient, ControlError, ControlServer, Identity, MemberStatus, Newcomer, Status,
@@ -141,7 +141,7 @@
     /// Runs `ask` on the replica of a leader whose lease holds.
     pub(super) async fn lead<T: Send + 'static>(
         &self,
-        ask: impl FnOnce(&Replica<FolderDisk>, Time) -> T + Send + 'static,
+        ask: impl FnOnce(&Replica<BoxedDisk>, Time) -> T + Send + 'static,
     ) -> Result<T, ControlError> {
         self.member
             .query(move |replica, now| {
@@ -203,7 +203,7 @@
 }
 
 /// Address of the leader, unless it is this member, whose lease does not hold.
-fn other_leader(replica: &Replica<FolderDisk>) -> Option<SocketAddr> {
+fn other_leader(replica: &Replica<BoxedDisk>) -> Option<SocketAddr> {
     let node = replica.node();
     let leader = node.leader().filter(|id| *id != node.id())?;
     node.members().get(leader).map(|member| member.addr)
@@ -365,7 +365,7 @@
     }
 }
 
-fn status_of(partner: String, replica: &Replica<FolderDisk>, now: Time) -> Status {
+fn status_of(partner: String, replica: &Replica<BoxedDisk>, now: Time) -> Status {
     let node = replica.node();
     let members = node.members().0.iter().map(|member| {
         let (live, matched) = node.heard(now, member.id);
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -1,24 +1,26 @@
 //! The thread that owns a member's replica: takes inputs in batches, one disk sync for each batch.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use slog::{Logger, error, info};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::directory::Directory;
+use crate::document::Document;
 use crate::raft::{
-    Disk, Envelope, FolderDisk, GroupId, Index, Members, Position, Replica, Role, Time, WalError,
+    BoxedDisk, Disk, Envelope, GroupId, Index, Members, Position, Replica, Role, Time, WalError,
 };
 use crate::rpc::ControlError;
 use crate::store::{Answer, Command, Revision};
 
-/// Longest time between two ticks.
-const TICK: Duration = Duration::from_millis(20);
 /// Most inputs in one batch.
 const MAX_BATCH: usize = 512;
 
-type Query = Box<dyn FnOnce(&mut Replica<FolderDisk>, Time) + Send>;
+type Query = Box<dyn FnOnce(&mut Replica<BoxedDisk>, Time) + Send>;
 type AnswerSender = oneshot::Sender<Result<Answer, ControlError>>;
 
 enum Input {
@@ -29,35 +31,74 @@
 
 /// Handle of the thread.
 #[derive(Clone)]
-pub(super) struct Member {
+pub(crate) struct Member {
     inputs: Sender<Input>,
     revision: watch::Receiver<Revision>,
+    published: watch::Receiver<Published>,
+    standing: watch::Receiver<Standing>,
+}
+
+/// What the store holds, for readers that must not wait for the disk.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Published {
+    /// Last entry applied.
+    pub(crate) applied: Index,
+    /// Revision in force.
+    pub(crate) revision: Revision,
+    /// Configuration document held.
+    pub(crate) document: Option<Document>,
+    /// Targets that announced themselves.
+    pub(crate) directory: Arc<Directory>,
+    /// Members of the group, as of the newest entry in the log.
+    pub(crate) members: Members,
+}
+
+/// What the member believes of the group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Standing {
+    /// Newest term seen.
+    pub(crate) term: u64,
+    /// Whether this member leads.
+    pub(crate) leads: bool,
+    /// Where the leader is reached, where known.
+    pub(crate) leader: Option<SocketAddr>,
+    /// Until when what is published counts as fresh.
+    pub(crate) fresh_until: Option<Instant>,
+}
+
+impl Standing {
+    /// Whether what is published counts as fresh.
+    pub(crate) fn fresh(&self, now: Instant) -> bool {
+        self.fresh_until.is_some_and(|until| now < until)
+    }
 }
 
 /// A member just started.
-pub(super) struct Started {
+pub(crate) struct Started {
     /// Handle of its thread.
-    pub(super) member: Member,
+    pub(crate) member: Member,
     /// Messages to send.
-    pub(super) outbox: Outbox,
+    pub(crate) outbox: Outbox,
     /// Gets the error that stops the thread.
-    pub(super) failed: oneshot::Receiver<WalError>,
+    pub(crate) failed: oneshot::Receiver<WalError>,
 }
 
 /// Messages to send, in batches.
-pub(super) type Outbox = mpsc::UnboundedReceiver<Vec<Envelope>>;
+pub(crate) type Outbox = mpsc::UnboundedReceiver<Vec<Envelope>>;
 
 impl Member {
     /// Opens the replica and starts its thread.
-    pub(super) fn start(
+    pub(crate) fn start(
         log: &Logger,
-        open: impl FnOnce(Time) -> Result<Replica<FolderDisk>, WalError>,
+        open: impl FnOnce(Time) -> Result<Replica<BoxedDisk>, WalError>,
     ) -> Result<Started, WalError> {
         let started = Instant::now();
         let replica = open(Time::ZERO)?;
         let (inputs, received) = channel();
         let (sent, outbox) = mpsc::unbounded_channel();
         let (revision, watched) = watch::channel(replica.store().revision());
+        let (published, watched_published) = watch::channel(Published::default());
+        let (standing, watched_standing) = watch::channel(Standing::default());
         let (failed, failure) = oneshot::channel();
         let mut driver = Driver {
             started,
@@ -65,6 +106,8 @@
             replica,
             sent,
             revision,
+            published,
+            standing,
             waiting: BTreeMap::new(),
             log: log.clone(),
         };
@@ -74,22 +117,37 @@
                 let _ = failed.send(error);
             }
         });
-        let member = Member { inputs, revision: watched };
+        let member = Member {
+            inputs,
+            revision: watched,
+            published: watched_published,
+            standing: watched_standing,
+        };
         Ok(Started { member, outbox, failed: failure })
     }
 
     /// Changes with each revision applied.
-    pub(super) fn revision(&self) -> watch::Receiver<Revision> {
+    pub(crate) fn revision(&self) -> watch::Receiver<Revision> {
         self.revision.clone()
     }
 
+    /// Changes with each entry applied.
+    pub(crate) fn published(&self) -> watch::Receiver<Published> {
+        self.published.clone()
+    }
+
+    /// What the member believes of the group now.
+    pub(crate) fn standing(&self) -> Standing {
+        *self.standing.borrow()
+    }
+
     /// Hands over messages of other members.
-    pub(super) fn deliver(&self, messages: Vec<Envelope>) {
+    pub(crate) fn deliver(&self, messages: Vec<Envelope>) {
         let _ = self.inputs.send(Input::Deliver(messages));
     }
 
     /// Proposes a command and waits for its answer.
-    pub(super) async fn propose(&self, command: Command) -> Result<Answer, ControlError> {
+    pub(crate) async fn propose(&self, command: Command) -> Result<Answer, ControlError> {
         let (sender, answer) = oneshot::channel();
         let sent = self.inputs.send(Input::Propose(command, sender));
         sent.map_err(|_| ControlError::Stopping)?;
@@ -97,9 +155,9 @@
     }
 
     /// Runs `ask` on the replica.
-    pub(super) async fn query<T: Send + 'static>(
+    pub(crate) async fn query<T: Send + 'static>(
         &self,
-        ask: impl FnOnce(&mut Replica<FolderDisk>, Time) -> T + Send + 'static,
+        ask: impl FnOnce(&mut Replica<BoxedDisk>, Time) -> T + Send + 'static,
     ) -> Result<T, ControlError> {
         let (sender, answer) = oneshot::channel();
         let query: Query = Box::new(move |replica, now| {
@@ -111,7 +169,7 @@
     }
 
     /// Makes this blank member the first of a new group.
-    pub(super) async fn form(&self, group: GroupId, members: Members) -> Result<(), ControlError> {
+    pub(crate) async fn form(&self, group: GroupId, members: Members) -> Result<(), ControlError> {
         self.query(move |replica, _| {
             if !replica.blank() {
                 return Err(ControlError::Form("this member belongs to a group already".into()));
@@ -134,17 +192,19 @@
     role: Role,
     sent: mpsc::UnboundedSender<Vec<Envelope>>,
     revision: watch::Sender<Revision>,
+    published: watch::Sender<Published>,
+    standing: watch::Sender<Standing>,
     /// Proposals under way, by index.
     waiting: BTreeMap<Index, Waiting>,
     log: Logger,
 }
 
-impl Driver<FolderDisk> {
+impl Driver<BoxedDisk> {
     /// Runs until every handle is gone or the disk fails.
     fn run(&mut self, inputs: &Receiver<Input>) -> Result<(), WalError> {
-        let mut next_tick = Instant::now();
+        self.flush()?;
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
+            let wait = self.replica.node().next_tick().saturating_sub(self.started.elapsed());
             match inputs.recv_timeout(wait) {
                 Ok(input) => {
                     self.take(input);
@@ -153,9 +213,9 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
-            if Instant::now() >= next_tick {
-                self.replica.tick(self.started.elapsed());
-                next_tick = Instant::now() + TICK;
+            let now = self.started.elapsed();
+            if now >= self.replica.node().next_tick() {
+                self.replica.tick(now);
             }
             self.flush()?;
         }
@@ -201,11 +261,41 @@
             }
         }
         self.note_role();
+        self.publish();
         let revision = self.replica.store().revision();
         self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
         Ok(())
     }
 
+    /// Shows what was applied, and what the member believes.
+    fn publish(&mut self) {
+        let applied = self.replica.applied().index;
+        let store = self.replica.store();
+        let members = self.replica.node().members();
+        self.published.send_if_modified(|shown| {
+            if shown.applied == applied && shown.members == *members {
+                return false;
+            }
+            shown.members.clone_from(members);
+            if shown.directory.revision() != store.directory().revision() {
+                shown.directory = Arc::new(store.directory().clone());
+            }
+            shown.applied = applied;
+            shown.revision = store.revision();
+            shown.document = store.document().cloned();
+            true
+        });
+        let node = self.replica.node();
+        let leader = node.leader().and_then(|id| node.members().get(id));
+        let fresh_until = node.fresh_until(self.started.elapsed());
+        self.standing.send_replace(Standing {
+            term: node.hard().term,
+            leads: node.role() == Role::Leader,
+            leader: leader.map(|member| member.addr),
+            fresh_until: fresh_until.map(|until| self.started + until),
+        });
+    }
+
     /// Logs a change of role; proposals of a leader that lost its place have an unknown outcome.
     fn note_role(&mut self) {
         let role = self.replica.node().role();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! A control member: one of the few processes that hold a partner's durable state.
 
 mod calls;
-mod member;
+pub(crate) mod member;
 mod peers;
 mod placing;
 mod registry;
@@ -14,7 +14,7 @@
 use slog::{Logger, info, o};
 use tokio::sync::oneshot;
 
-use crate::raft::{FolderDisk, Replica, WalError, fresh_store};
+use crate::raft::{BoxedDisk, FolderDisk, Replica, WalError, fresh_store};
 use crate::rpc::{ControlServer, MAX_CALL_BYTES};
 use crate::settings::{ControlSettings, Settings};
 
@@ -70,7 +70,7 @@
             .map_err(|source| MemberError::Folder { path: control.data_dir.clone(), source })?;
         let started = Member::start(&log, |now| {
             Replica::open(
-                disk,
+                Box::new(disk) as BoxedDisk,
                 fresh_store(),
                 control.timing(),
                 control.compact_after_entries,
--- /dev/null
+++ b/src/dialect.rs
@@ -0,0 +1,232 @@
+//! How the outside speaks: names of headers, paths of calls and forms of bodies.
+//!
+//! Routers and members decide nothing by these names; they ask a [`Dialect`]. [`OwnDialect`] is the
+//! project's own. Another one may be given to a process at its start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{HeaderName, Method};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Configuration;
+use crate::directory::{Announcement, TargetState};
+use crate::jsonc::{self, Fault, Validate};
+
+/// Names of the headers that routers read and write.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Identity of a request; targets echo it.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender still waits.
+    pub deadline_ms: HeaderName,
+    /// Key of the caller.
+    pub credential: HeaderName,
+    /// Tenant that holds the key, told to targets.
+    pub tenant: HeaderName,
+    /// Identity of the target that a request is meant for.
+    pub expect_target: HeaderName,
+    /// In an answer: the target did not run the request.
+    pub not_run: HeaderName,
+    /// In an answer: signature of the target.
+    pub stamp: HeaderName,
+    /// In an answer: load of the target.
+    pub load: HeaderName,
+    /// Parts of the prompt.
+    pub prompt: HeaderName,
+    /// Rank of a request, told to targets.
+    pub priority: HeaderName,
+    /// Last event of a stream that the sender has.
+    pub last_event_id: HeaderName,
+}
+
+/// A call at the door of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door<'a> {
+    /// An operator sends a configuration.
+    PutConfiguration,
+    /// An operator reads the configuration.
+    GetConfiguration,
+    /// A target sends a heartbeat.
+    Announce {
+        /// The target.
+        id: &'a str,
+    },
+    /// A target leaves.
+    Remove {
+        /// The target.
+        id: &'a str,
+    },
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart<'a> {
+    /// Identity of the text.
+    pub id: &'a str,
+    /// Its length, in tokens.
+    pub tokens: u64,
+}
+
+/// Load of a target, by its own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// How the outside speaks.
+pub trait Dialect: Send + Sync + 'static {
+    /// Names of the headers.
+    fn headers(&self) -> &Headers;
+
+    /// Path at which a router tells whether it is ready.
+    fn ready_path(&self) -> &str;
+
+    /// The call that a method and path make.
+    fn door<'a>(&self, method: &Method, path: &'a str) -> Option<Door<'a>>;
+
+    /// Decodes a configuration; its values are checked by the caller.
+    ///
+    /// # Errors
+    /// What can't be read, with the path of the field.
+    fn configuration(&self, bytes: &[u8]) -> Result<Configuration, Vec<Fault>>;
+
+    /// Decodes a heartbeat of the target `id`.
+    ///
+    /// # Errors
+    /// What can't be read, with the path of the field.
+    fn announcement(&self, id: &str, bytes: &[u8]) -> Result<Announcement, Vec<Fault>>;
+
+    /// Body of the answer to a heartbeat; later ones are best sent to `next`.
+    fn heartbeat_answer(&self, next: Option<SocketAddr>) -> String;
+
+    /// Parts of a prompt, in order.
+    fn prompt<'a>(&self, value: &'a str) -> Vec<PromptPart<'a>>;
+
+    /// Load that a target tells of itself.
+    fn load(&self, value: &str) -> Option<TargetLoad>;
+}
+
+/// A dialect shared by the parts of a process.
+pub type SharedDialect = Arc<dyn Dialect>;
+
+/// The project's own dialect.
+pub struct OwnDialect {
+    headers: Headers,
+}
+
+impl Default for OwnDialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        OwnDialect {
+            headers: Headers {
+                request_id: name("latchmount-request-id"),
+                deadline_ms: name("latchmount-deadline-ms"),
+                credential: name("latchmount-key"),
+                tenant: name("latchmount-tenant"),
+                expect_target: name("latchmount-expect-target"),
+                not_run: name("latchmount-not-run"),
+                stamp: name("latchmount-stamp"),
+                load: name("latchmount-load"),
+                prompt: name("latchmount-prompt"),
+                priority: name("latchmount-priority"),
+                last_event_id: name("last-event-id"),
+            },
+        }
+    }
+}
+
+/// A heartbeat in the project's own form.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnHeartbeat {
+    service: String,
+    addr: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: TargetState,
+    sequence: u64,
+}
+
+impl Validate for OwnHeartbeat {
+    fn faults(&self) -> Vec<Fault> {
+        let silent = self.state == TargetState::Silent;
+        let fault = Fault::new("state", "must be ready or draining");
+        if silent { vec![fault] } else { Vec::new() }
+    }
+}
+
+/// The answer to a heartbeat in the project's own form.
+#[derive(Debug, Serialize)]
+struct OwnHeartbeatAnswer {
+    next: Option<SocketAddr>,
+}
+
+const CONFIGURATION_PATH: &str = "/v1/configuration";
+const TARGETS_PATH: &str = "/v1/targets/";
+
+impl Dialect for OwnDialect {
+    fn headers(&self) -> &Headers {
+        &self.headers
+    }
+
+    fn ready_path(&self) -> &str {
+        "/healthz"
+    }
+
+    fn door<'a>(&self, method: &Method, path: &'a str) -> Option<Door<'a>> {
+        if path == CONFIGURATION_PATH {
+            return match *method {
+                Method::PUT => Some(Door::PutConfiguration),
+                Method::GET => Some(Door::GetConfiguration),
+                _ => None,
+            };
+        }
+        let id = path.strip_prefix(TARGETS_PATH).filter(|id| !id.is_empty())?;
+        match *method {
+            Method::PUT => Some(Door::Announce { id }),
+            Method::DELETE => Some(Door::Remove { id }),
+            _ => None,
+        }
+    }
+
+    fn configuration(&self, bytes: &[u8]) -> Result<Configuration, Vec<Fault>> {
+        jsonc::from_slice(bytes)
+    }
+
+    fn announcement(&self, id: &str, bytes: &[u8]) -> Result<Announcement, Vec<Fault>> {
+        let heartbeat: OwnHeartbeat = jsonc::from_slice(bytes)?;
+        Ok(Announcement {
+            id: id.to_owned(),
+            service: heartbeat.service,
+            addr: heartbeat.addr,
+            zone: heartbeat.zone,
+            slots: heartbeat.slots,
+            state: heartbeat.state,
+            sequence: heartbeat.sequence,
+        })
+    }
+
+    fn heartbeat_answer(&self, next: Option<SocketAddr>) -> String {
+        serde_json::to_string(&OwnHeartbeatAnswer { next }).unwrap_or_default()
+    }
+
+    fn prompt<'a>(&self, value: &'a str) -> Vec<PromptPart<'a>> {
+        let part = |text: &'a str| {
+            let (id, tokens) = text.trim().split_once(':')?;
+            Some(PromptPart { id, tokens: tokens.parse().ok()? })
+        };
+        value.split(',').filter_map(part).collect()
+    }
+
+    fn load(&self, value: &str) -> Option<TargetLoad> {
+        let (running, waiting) = value.split_once(',')?;
+        Some(TargetLoad {
+            running: running.trim().parse().ok()?,
+            waiting: waiting.trim().parse().ok()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,153 @@
+//! One sending of a request to one target.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderName, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::connection::{ConnectError, Connection, ConnectionLimits, Reuse, connect};
+use super::target::{InFlight, Target};
+use crate::dialect::Headers;
+
+/// A request as it goes out, whatever the target.
+pub(super) struct Outgoing {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// Headers of the client without those that concern one connection, with those of this gateway.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) id: HeaderValue,
+    /// When the client or the route gives the request up.
+    pub(super) deadline: Instant,
+    pub(super) reuse: Reuse,
+}
+
+/// The head of an answer, with all that must live until its body has been read.
+pub(super) struct Answer {
+    pub(super) target: Arc<Target>,
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
+    pub(super) in_flight: InFlight,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptError {
+    /// Nothing was sent.
+    NotSent(ConnectError),
+    /// The target said that it did not run the request.
+    NotRun,
+    /// The request was sent, and the connection broke.
+    Lost,
+    /// The request was sent, and there was no answer before the deadline.
+    Late,
+    /// The answer belonged to another request, or bore no signature.
+    Wrong,
+}
+
+/// Sends the request and waits for the head of the answer.
+pub(super) async fn send(
+    target: &Arc<Target>,
+    outgoing: &Outgoing,
+    names: &Headers,
+    limits: ConnectionLimits,
+) -> Result<Answer, AttemptError> {
+    let in_flight = target.begin();
+    let mut reuse = outgoing.reuse;
+    loop {
+        let connecting = connect(target, reuse, limits);
+        let deadline = tokio::time::Instant::from_std(outgoing.deadline);
+        let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
+            Ok(connected) => connected.map_err(AttemptError::NotSent)?,
+            Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
+        };
+        let request = build(target, outgoing, names);
+        let sending = connection.sender.try_send_request(request);
+        match tokio::time::timeout_at(deadline, sending).await {
+            Ok(Ok(response)) => {
+                return judge(target, response, connection, in_flight, outgoing, names);
+            }
+            Ok(Err(mut error)) => {
+                // The connection closed before any byte was written: a new one is needed.
+                if error.take_message().is_none() {
+                    return Err(AttemptError::Lost);
+                }
+                reuse = Reuse::JustUsed;
+            }
+            Err(_) => return Err(AttemptError::Late),
+        }
+    }
+}
+
+fn build(target: &Target, outgoing: &Outgoing, names: &Headers) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = outgoing.headers.clone();
+    let headers = request.headers_mut();
+    let left = outgoing.deadline.saturating_duration_since(Instant::now());
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.as_millis().max(1) as u64));
+    if let Ok(id) = HeaderValue::from_str(&target.announcement.id) {
+        headers.insert(names.expect_target.clone(), id);
+    }
+    request
+}
+
+/// Tells whether the answer is one to this request.
+fn judge(
+    target: &Arc<Target>,
+    response: Response<Incoming>,
+    connection: Connection,
+    in_flight: InFlight,
+    outgoing: &Outgoing,
+    names: &Headers,
+) -> Result<Answer, AttemptError> {
+    let (head, body) = response.into_parts();
+    let echoed = head.headers.get(&names.request_id);
+    if echoed.is_some_and(|id| *id != outgoing.id) {
+        return Err(AttemptError::Wrong);
+    }
+    let not_run = head.headers.contains_key(&names.not_run);
+    if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::NotRun);
+    }
+    let signed = head.headers.contains_key(&names.stamp) && echoed.is_some();
+    if head.status.is_success() && !signed {
+        return Err(AttemptError::Wrong);
+    }
+    let target = target.clone();
+    Ok(Answer { target, status: head.status, headers: head.headers, body, connection, in_flight })
+}
+
+/// Headers that concern one connection only, besides those that `Connection` names.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    CONNECTION,
+    TRANSFER_ENCODING,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::UPGRADE,
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+];
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .into_iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,173 @@
+//! Connections to targets: made, kept for a while, and used for one request at a time.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderMap};
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::target::Target;
+use crate::link::give_up_after;
+
+/// How long a target is taken to keep an idle connection when it does not say.
+const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
+/// Part of the stated time for which a connection is used again.
+const KEPT_PART: f64 = 0.6;
+/// Idle time beyond which a request that may run only once gets a new connection: a connection that
+/// the target has silently forgotten would leave its outcome unknown.
+const SURE_FOR: Duration = Duration::from_millis(400);
+/// Longest wait for a kept connection to become ready again.
+const READY_WITHIN: Duration = Duration::from_millis(5);
+/// Idle connections kept for one target.
+const MAX_IDLE: usize = 64;
+
+/// Whether an attempt may leave the outcome unknown without harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Any kept connection will do.
+    Any,
+    /// Only one used just now.
+    JustUsed,
+}
+
+/// No connection could be made; nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum ConnectError {
+    /// Nobody answered in time.
+    #[error("no connection in time")]
+    Timeout,
+    /// The connection was refused or broke at once.
+    #[error("connection refused")]
+    Refused,
+    /// This gateway has as many connections to the target as it may.
+    #[error("too many connections")]
+    TooMany,
+}
+
+/// An idle connection.
+pub(super) struct Idle {
+    connection: Connection,
+    since: Instant,
+    keep_for: Duration,
+}
+
+/// An open connection to a target; closes when dropped.
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    target: Arc<Target>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.target.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Limits on connections to a target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ConnectionLimits {
+    /// Longest time to connect.
+    pub(super) connect: Duration,
+    /// Longest time that sent bytes stay unacknowledged.
+    pub(super) unacknowledged: Duration,
+    /// Most connections of this gateway to the target.
+    pub(super) most: u32,
+}
+
+/// A kept connection, or a new one.
+pub(super) async fn connect(
+    target: &Arc<Target>,
+    reuse: Reuse,
+    limits: ConnectionLimits,
+) -> Result<Connection, ConnectError> {
+    while let Some(mut idle) = take_idle(target, reuse) {
+        let ready = tokio::time::timeout(READY_WITHIN, idle.connection.sender.ready()).await;
+        if matches!(ready, Ok(Ok(()))) {
+            return Ok(idle.connection);
+        }
+    }
+    open(target, limits).await
+}
+
+fn take_idle(target: &Arc<Target>, reuse: Reuse) -> Option<Idle> {
+    let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    let now = Instant::now();
+    idle.retain(|idle| !idle.connection.sender.is_closed() && now < idle.since + idle.keep_for);
+    let newest = idle.pop()?;
+    if reuse == Reuse::JustUsed && now > newest.since + SURE_FOR {
+        idle.push(newest);
+        return None;
+    }
+    Some(newest)
+}
+
+async fn open(target: &Arc<Target>, limits: ConnectionLimits) -> Result<Connection, ConnectError> {
+    if target.connections.load(Ordering::Relaxed) >= limits.most && !drop_one_idle(target) {
+        return Err(ConnectError::TooMany);
+    }
+    target.connections.fetch_add(1, Ordering::Relaxed);
+    let opened = open_counted(target, limits).await;
+    if opened.is_err() {
+        target.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+    opened
+}
+
+/// Closes the connection that has been idle the longest, to make room for a new one.
+fn drop_one_idle(target: &Arc<Target>) -> bool {
+    let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    if idle.is_empty() {
+        return false;
+    }
+    drop(idle.remove(0));
+    true
+}
+
+async fn open_counted(
+    target: &Arc<Target>,
+    limits: ConnectionLimits,
+) -> Result<Connection, ConnectError> {
+    let connecting = TcpStream::connect(target.announcement.addr);
+    let connected = tokio::time::timeout(limits.connect, connecting).await;
+    let stream = connected.map_err(|_| ConnectError::Timeout)?;
+    let stream = stream.map_err(|_| ConnectError::Refused)?;
+    give_up_after(&stream, limits.unacknowledged).map_err(|_| ConnectError::Refused)?;
+    let (sender, driver) =
+        handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError::Refused)?;
+    tokio::spawn(driver);
+    Ok(Connection { sender, target: target.clone() })
+}
+
+impl Connection {
+    /// Keeps the connection for a later request, if the answer's head allows it.
+    pub(super) fn keep(self, answer: &HeaderMap) {
+        if self.sender.is_closed() || closes(answer) || self.target.draining() {
+            return;
+        }
+        let keep_for = stated_keep(answer).unwrap_or(KEPT_BY_DEFAULT).mul_f64(KEPT_PART);
+        let target = self.target.clone();
+        let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { connection: self, since: Instant::now(), keep_for });
+        }
+    }
+}
+
+fn closes(answer: &HeaderMap) -> bool {
+    let values = answer.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// How long the target says that it keeps an idle connection.
+fn stated_keep(answer: &HeaderMap) -> Option<Duration> {
+    let value = answer.get("keep-alive")?.to_str().ok()?;
+    let mut words = value.split(',').map(str::trim);
+    let seconds = words.find_map(|word| word.strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,318 @@
+//! One request of a client, from its head to the head of its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use slog::{debug, info};
+
+use super::Gateway;
+use super::answer::{AnswerBody, refuse};
+use super::attempt::{self, Answer, AttemptError, Outgoing, strip_hop_by_hop};
+use super::connection::{ConnectError, ConnectionLimits, Reuse};
+use super::health::AttemptOutcome;
+use super::reason::Refusal;
+use super::relay;
+use super::target::Target;
+use crate::configuration::Route;
+use crate::route_table::{Caller, RouteTable};
+
+/// Targets that could not be connected to before a request is given up on.
+const MAX_CONNECT_FAILURES: u32 = 4;
+/// Longest time for a client's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that a request of a client that names none may take.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// What is known of a request once its head has been read.
+pub(super) struct Plan {
+    pub(super) route: Arc<Route>,
+    /// Service that the route's weights drew.
+    pub(super) service: String,
+    pub(super) outgoing: Outgoing,
+    pub(super) affinity: Option<u64>,
+    /// Version of the configuration that decided.
+    pub(super) version: u64,
+    pub(super) arrived: Instant,
+    /// Targets that the request was sent to, or that could not be reached.
+    pub(super) tried: Vec<u64>,
+    pub(super) sends: u32,
+    connect_failures: u32,
+    /// The first failure after which a target may have run the request.
+    may_have_run: Option<Refusal>,
+}
+
+/// Serves one request.
+pub(super) async fn serve(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let _open = gateway.open_request();
+    let (head, body) = request.into_parts();
+    let mut response = match prepare(gateway, &head, body, arrived).await {
+        Ok(plan) => run(gateway, plan).await,
+        Err(refusal) => {
+            gateway.metrics.refused(refusal);
+            info!(gateway.log, "refused"; "event" => "refused", "reason" => refusal.code(),
+                "id" => text(head.headers.get(&gateway.names().request_id)),
+                "path" => head.uri.path(), "version" => gateway.version());
+            refuse(refusal)
+        }
+    };
+    if gateway.stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+pub(super) fn text(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+/// Finds the route and the caller, and reads the body.
+async fn prepare(
+    gateway: &Gateway,
+    head: &Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Plan, Refusal> {
+    let table = gateway.table().ok_or(Refusal::NoConfiguration)?;
+    if gateway.refuses_as_stale() {
+        return Err(Refusal::Stale);
+    }
+    let names = gateway.names();
+    let host = head.uri.host().unwrap_or_else(|| text(head.headers.get(HOST)));
+    let route = table.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+    let key = head.headers.get(&names.credential).and_then(|key| key.to_str().ok());
+    let caller = table.caller(&route, key);
+    if caller == Caller::Unknown {
+        return Err(Refusal::UnknownKey);
+    }
+    let id = head.headers.get(&names.request_id).ok_or(Refusal::BadRequest)?.clone();
+    let limits = table.limits();
+    let head_bytes: usize =
+        head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if head_bytes > limits.max_header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    let waits = match head.headers.get(&names.deadline_ms) {
+        Some(value) => text(Some(value)).parse().map(Duration::from_millis),
+        None => Ok(DEFAULT_DEADLINE),
+    };
+    let waits = waits.map_err(|_| Refusal::BadRequest)?;
+    let deadline = arrived + waits.min(route.timeout);
+    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let service = draw_service(&table, &route);
+    gateway.count_request(&service);
+    let outgoing = Outgoing {
+        method: head.method.clone(),
+        uri: head.uri.path_and_query().map_or_else(Default::default, |path| path.clone().into()),
+        headers: outgoing_headers(gateway, head, &caller, &route, body.len()),
+        body,
+        id,
+        deadline,
+        reuse: if route.kind.idempotent() { Reuse::Any } else { Reuse::JustUsed },
+    };
+    let affinity = gateway.affinity(&route, &head.headers);
+    Ok(Plan {
+        route,
+        service,
+        outgoing,
+        affinity,
+        version: table.version(),
+        arrived,
+        tried: Vec::new(),
+        sends: 0,
+        connect_failures: 0,
+        may_have_run: None,
+    })
+}
+
+async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let until = deadline.min(Instant::now() + BODY_TIMEOUT);
+    let reading = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(until.into(), reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Err(_) => Err(Refusal::BodyTooSlow),
+    }
+}
+
+fn outgoing_headers(
+    gateway: &Gateway,
+    head: &Parts,
+    caller: &Caller,
+    route: &Route,
+    body_len: usize,
+) -> HeaderMap {
+    let names = gateway.names();
+    let mut headers = head.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    headers.remove(&names.credential);
+    headers.remove(&names.tenant);
+    headers.remove(http::header::EXPECT);
+    headers.remove(CONTENT_LENGTH);
+    let has_body = head.headers.contains_key(CONTENT_LENGTH)
+        || head.headers.contains_key(http::header::TRANSFER_ENCODING);
+    if has_body {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(body_len));
+    }
+    let mut rank = route.priority;
+    if let Caller::Tenant(tenant) = caller {
+        rank = tenant.priority.saturating_mul(3).saturating_add(route.priority.min(2));
+        if let Ok(name) = HeaderValue::from_str(&tenant.name) {
+            headers.insert(names.tenant.clone(), name);
+        }
+    }
+    if route.kind.streams() {
+        headers.insert(names.priority.clone(), HeaderValue::from(rank.min(9)));
+    }
+    headers
+}
+
+/// Draws one of the route's services by weight.
+fn draw_service(_table: &RouteTable, route: &Route) -> String {
+    let total: u64 = route.services.iter().map(|weighted| weighted.weight).sum();
+    let mut at = rand::random_range(0..total.max(1));
+    for weighted in &route.services {
+        if at < weighted.weight {
+            return weighted.service.clone();
+        }
+        at -= weighted.weight;
+    }
+    route.services.last().map_or_else(String::new, |last| last.service.clone())
+}
+
+/// Sends the request until there is an answer to pass on, or nothing more may be tried.
+async fn run(gateway: &Arc<Gateway>, mut plan: Plan) -> Response<AnswerBody> {
+    loop {
+        let answer = match next_answer(gateway, &mut plan).await {
+            Ok(answer) => answer,
+            Err(refusal) => return give_up(gateway, &plan, refusal),
+        };
+        let retried = match relay::pass_on(gateway, plan, answer).await {
+            relay::PassedOn::Answer(response) => return response,
+            relay::PassedOn::Retry(retried) => *retried,
+        };
+        plan = retried;
+    }
+}
+
+fn give_up(gateway: &Gateway, plan: &Plan, refusal: Refusal) -> Response<AnswerBody> {
+    gateway.metrics.refused(refusal);
+    let elapsed = plan.arrived.elapsed().as_millis() as u64;
+    let left = plan.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+    info!(gateway.log, "given up"; "event" => "given_up", "id" => text(Some(&plan.outgoing.id)),
+        "reason" => refusal.code(), "route" => &plan.route.name, "service" => &plan.service,
+        "sends" => plan.sends, "version" => plan.version, "elapsed_ms" => elapsed,
+        "left_ms" => left);
+    refuse(refusal)
+}
+
+/// Sends the request until a target answers.
+pub(super) async fn next_answer(
+    gateway: &Arc<Gateway>,
+    plan: &mut Plan,
+) -> Result<Answer, Refusal> {
+    loop {
+        if Instant::now() >= plan.outgoing.deadline {
+            return Err(plan.may_have_run.unwrap_or(Refusal::TooLate));
+        }
+        if plan.sends > 0 && !gateway.may_send_again(plan) {
+            return Err(plan.may_have_run.unwrap_or(Refusal::NotRun));
+        }
+        let Some(target) = gateway.choose(plan) else {
+            let refusal =
+                if plan.connect_failures > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget };
+            return Err(plan.may_have_run.unwrap_or(refusal));
+        };
+        match attempt_at(gateway, plan, &target).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => after_failure(plan, refusal)?,
+        }
+    }
+}
+
+/// Decides whether a request that failed for `refusal` goes on.
+fn after_failure(plan: &mut Plan, refusal: Refusal) -> Result<(), Refusal> {
+    if refusal == Refusal::ConnectFailed {
+        plan.connect_failures += 1;
+        if plan.connect_failures >= MAX_CONNECT_FAILURES {
+            return Err(plan.may_have_run.unwrap_or(refusal));
+        }
+        return Ok(());
+    }
+    if refusal.may_have_run() {
+        plan.may_have_run = plan.may_have_run.or(Some(refusal));
+        if !plan.route.kind.idempotent() {
+            return Err(refusal);
+        }
+    }
+    Ok(())
+}
+
+impl Plan {
+    /// Notes that a target ran the request, at least in part, and failed.
+    pub(super) fn note_ran(&mut self, refusal: Refusal) {
+        self.may_have_run = self.may_have_run.or(Some(refusal));
+    }
+}
+
+async fn attempt_at(
+    gateway: &Arc<Gateway>,
+    plan: &mut Plan,
+    target: &Arc<Target>,
+) -> Result<Answer, Refusal> {
+    plan.tried.push(target.key);
+    let limits = ConnectionLimits {
+        connect: gateway.settings.connect_timeout(),
+        unacknowledged: Duration::from_millis(gateway.settings.unacknowledged_ms),
+        most: gateway.connections_to(&plan.service),
+    };
+    let began = Instant::now();
+    let sent = attempt::send(target, &plan.outgoing, gateway.names(), limits).await;
+    let (refusal, outcome) = match &sent {
+        Ok(answer) => {
+            gateway.note_answer(target, &answer.headers);
+            (None, answered(answer.status))
+        }
+        Err(AttemptError::NotSent(ConnectError::TooMany)) => (Some(Refusal::ConnectFailed), None),
+        Err(AttemptError::NotSent(_)) => {
+            (Some(Refusal::ConnectFailed), Some(AttemptOutcome::Unreachable))
+        }
+        Err(AttemptError::NotRun) => (Some(Refusal::NotRun), None),
+        Err(AttemptError::Lost) => (Some(Refusal::AnswerLost), Some(AttemptOutcome::Unreachable)),
+        Err(AttemptError::Late) => (Some(Refusal::AnswerLate), Some(AttemptOutcome::Failed)),
+        Err(AttemptError::Wrong) => (Some(Refusal::WrongAnswer), Some(AttemptOutcome::Failed)),
+    };
+    if !matches!(sent, Err(AttemptError::NotSent(_))) {
+        plan.sends += 1;
+    }
+    if let Some(outcome) = outcome {
+        gateway.note_outcome(target, outcome);
+    }
+    if let Some(refusal) = refusal {
+        gateway.metrics.attempt_failed(refusal);
+        info!(gateway.log, "attempt failed"; "event" => "attempt_failed",
+            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
+            "reason" => refusal.code(), "error" => ?sent.as_ref().err(), "sends" => plan.sends,
+            "in_flight" => target.in_flight(), "took_ms" => began.elapsed().as_millis() as u64);
+    } else {
+        debug!(gateway.log, "answered"; "event" => "answered",
+            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
+            "took_ms" => began.elapsed().as_millis() as u64);
+    }
+    sent.map_err(|_| refusal.unwrap_or(Refusal::AnswerLost))
+}
+
+fn answered(status: StatusCode) -> Option<AttemptOutcome> {
+    Some(if status.is_server_error() { AttemptOutcome::Failed } else { AttemptOutcome::Answered })
+}
--- /dev/null
+++ b/src/gateway/feed.rs
@@ -0,0 +1,174 @@
+//! Follows the members: takes configurations and the directory of targets from one of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+
+use super::{Gateway, lock};
+use crate::document::{Document, Packed};
+use crate::group::message::{FromMember, Subscription, ToMember, Update};
+use crate::link::{LinkError, LinkTiming, dial};
+use crate::route_table::RouteTable;
+
+/// Silence of a member after which another one is followed.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// How long a member that hears no leader is followed.
+const LEADERLESS: Duration = Duration::from_millis(800);
+/// Pause after a member could not be followed.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How fast connections to members give up.
+const TIMING: LinkTiming = LinkTiming {
+    connect: Duration::from_millis(400),
+    unacknowledged: Duration::from_millis(1_000),
+};
+
+/// Follows members for ever.
+pub(super) async fn follow(gateway: Arc<Gateway>) {
+    let mut follower = Follower {
+        members: gateway.settings.member_peers(),
+        document: None,
+        at: rand::random_range(0..usize::from(u16::MAX)),
+        lost: false,
+        gateway,
+    };
+    loop {
+        let member = follower.members[follower.at % follower.members.len()];
+        let error = follower.follow_one(member).await;
+        follower.note_lost(member, &error);
+        follower.at += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+struct Follower {
+    gateway: Arc<Gateway>,
+    /// Members that have been told of, and those of the settings.
+    members: Vec<SocketAddr>,
+    document: Option<Document>,
+    at: usize,
+    /// Whether the members are out of reach, and that was logged.
+    lost: bool,
+}
+
+impl Follower {
+    /// Follows one member until it falls silent or hears no leader.
+    async fn follow_one(&mut self, member: SocketAddr) -> LinkError {
+        match self.try_follow(member).await {
+            Ok(()) => LinkError::Timeout,
+            Err(error) => error,
+        }
+    }
+
+    async fn try_follow(&mut self, member: SocketAddr) -> Result<(), LinkError> {
+        let (mut sender, mut receiver) = dial(member, TIMING).await?;
+        let subscription = Subscription {
+            router: self.gateway.settings.host.clone(),
+            version: self.document.as_ref().map_or(0, |document| document.version),
+            directory: self.directory_revision(),
+        };
+        sender.send(&ToMember::Subscribe(subscription)).await?;
+        let mut fresh_at = Instant::now();
+        loop {
+            let update = tokio::time::timeout(SILENCE, receiver.receive()).await;
+            let FromMember::Update(update) = update.map_err(|_| LinkError::Timeout)?? else {
+                return Err(LinkError::Garbled);
+            };
+            if update.fresh {
+                fresh_at = Instant::now();
+                *lock(&self.gateway.fresh_at) = Some(fresh_at);
+                self.note_found(member);
+            }
+            self.take(*update)?;
+            if fresh_at.elapsed() >= LEADERLESS {
+                return Ok(());
+            }
+        }
+    }
+
+    fn directory_revision(&self) -> u64 {
+        self.gateway.targets.read().unwrap_or_else(PoisonError::into_inner).revision()
+    }
+
+    fn take(&mut self, update: Update) -> Result<(), LinkError> {
+        if let Some(packed) = update.document {
+            self.take_document(&packed)?;
+        }
+        if let Some(delta) = update.directory {
+            let mut targets = self.gateway.targets.write().unwrap_or_else(PoisonError::into_inner);
+            let (changed, removed) = (delta.changed.len(), delta.removed.len());
+            if targets.apply(delta) {
+                self.gateway.metrics.targets.set(targets.len() as i64);
+                info!(self.gateway.log, "targets changed"; "event" => "targets",
+                    "revision" => targets.revision(), "targets" => targets.len(),
+                    "changed" => changed, "removed" => removed);
+            }
+        }
+        if let Some(members) = update.members {
+            self.learn(members);
+        }
+        let before = self.gateway.gateways.swap(update.routers, Ordering::Relaxed);
+        if before != update.routers {
+            self.gateway.metrics.gateways.set(i64::from(update.routers));
+            info!(self.gateway.log, "gateways alive"; "event" => "gateways",
+                "gateways" => update.routers, "before" => before);
+        }
+        Ok(())
+    }
+
+    fn take_document(&mut self, packed: &Packed) -> Result<(), LinkError> {
+        let held = self.document.as_ref().map_or(0, |document| document.version);
+        if packed.version <= held {
+            return Ok(());
+        }
+        let document = packed.unpack(self.document.as_ref()).map_err(|_| LinkError::Garbled)?;
+        match self.gateway.dialect.configuration(&document.bytes) {
+            Ok(configuration) => {
+                let table = Arc::new(RouteTable::new(configuration));
+                let mut shown = self.gateway.table.write().unwrap_or_else(PoisonError::into_inner);
+                *shown = Some(table);
+                self.gateway.metrics.version.set(document.version as i64);
+                info!(self.gateway.log, "configuration in force"; "event" => "configuration",
+                    "version" => document.version, "before" => held,
+                    "bytes" => document.bytes.len(), "packed_bytes" => packed.bytes.len());
+            }
+            Err(faults) => {
+                warn!(self.gateway.log, "configuration can't be read";
+                    "event" => "configuration_unreadable", "version" => document.version,
+                    "fault" => %faults[0]);
+            }
+        }
+        self.document = Some(document);
+        Ok(())
+    }
+
+    /// Remembers where members are, and keeps those of the settings.
+    fn learn(&mut self, members: Vec<SocketAddr>) {
+        let current = self.members[self.at % self.members.len()];
+        let mut known = members;
+        known.extend(self.gateway.settings.member_peers());
+        known.sort_unstable();
+        known.dedup();
+        self.at = known.iter().position(|addr| *addr == current).unwrap_or(self.at);
+        self.members = known;
+    }
+
+    fn note_found(&mut self, member: SocketAddr) {
+        if std::mem::replace(&mut self.lost, false) {
+            info!(self.gateway.log, "members in reach"; "event" => "members_found",
+                "member" => %member);
+        }
+    }
+
+    /// Logs once that the members are out of reach.
+    fn note_lost(&mut self, member: SocketAddr, error: &LinkError) {
+        let long = lock(&self.gateway.fresh_at).is_none_or(|at| at.elapsed() >= SILENCE * 2);
+        if long && !std::mem::replace(&mut self.lost, true) {
+            warn!(self.gateway.log, "members out of reach"; "event" => "members_lost",
+                "member" => %member, "error" => %error, "version" => self.gateway.version());
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/listener.rs
@@ -0,0 +1,112 @@
+//! Listens for clients, for the balancer and for scrapes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Gateway, exchange};
+use crate::configuration::ClientLimits;
+use crate::link::give_up_after;
+
+/// Pause after a listener fails, for example without descriptors.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest time that bytes sent to a client stay unacknowledged.
+const CLIENT_SILENCE: Duration = Duration::from_secs(10);
+/// Smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// Takes connections of clients for ever.
+pub(super) async fn serve_clients(gateway: Arc<Gateway>, listener: TcpListener) {
+    let open = Arc::new(AtomicUsize::new(0));
+    // Half of the descriptors are for clients, the rest for targets.
+    let most = gateway.settings.max_descriptors / 2;
+    loop {
+        if open.load(Ordering::Relaxed) >= most {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let (gateway, open) = (gateway.clone(), open.clone());
+        open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            serve_client(gateway, stream).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream) {
+    let _ = give_up_after(&stream, CLIENT_SILENCE);
+    let limits = gateway.table().map_or_else(ClientLimits::default, |table| table.limits());
+    let service = service_fn(|request: Request<Incoming>| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(exchange::serve(&gateway, request).await) }
+    });
+    // A connection ends with its client; whatever broke it has been dealt with.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size((limits.max_header_bytes * 2).max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Tells the balancer whether new clients are welcome.
+pub(super) async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
+    serve_simple(listener, move |request| {
+        let known = request.uri().path() == gateway.dialect.ready_path();
+        let status = match (known, gateway.ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        (status, Vec::new())
+    })
+    .await;
+}
+
+/// Serves metrics.
+pub(super) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
+    serve_simple(listener, move |_| (StatusCode::OK, gateway.metrics.render())).await;
+}
+
+/// Answers every request from memory.
+async fn serve_simple(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> (StatusCode, Vec<u8>) + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, body) = answer(&request);
+                let mut response = Response::new(Full::new(Bytes::from(body)));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(CLIENT_SILENCE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,328 @@
+//! A gateway: takes requests by host and path, and gives each to a target of its route's service.
+//!
+//! A gateway decides on what the members of a control group tell it (the configuration and the
+//! directory of targets) and on what it has itself seen of the targets.
+
+mod answer;
+mod attempt;
+pub mod balance;
+pub mod budget;
+mod connection;
+pub mod events;
+mod exchange;
+mod feed;
+pub mod health;
+mod listener;
+mod metrics;
+pub mod reason;
+mod relay;
+pub mod settings;
+mod target;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use xxhash_rust::xxh3::xxh3_64;
+
+use self::balance::{Candidate, Wish, choose};
+use self::budget::{BudgetRule, ServiceBudget};
+use self::exchange::Plan;
+use self::health::AttemptOutcome;
+use self::metrics::GatewayMetrics;
+use self::settings::{GatewaySettings, OnStale};
+use self::target::{Target, Targets};
+use crate::configuration::Route;
+use crate::dialect::{Headers, SharedDialect};
+use crate::route_table::RouteTable;
+
+/// Connections to one target where its service states no bound, for all gateways together.
+const DEFAULT_CONNECTIONS: u32 = 512;
+/// How often a planned stop looks whether it may end.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+/// Shortest time from the notice of a planned stop to its end: the balancer must have noticed.
+const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Time without a request after which a planned stop ends.
+const STOP_QUIET: Duration = Duration::from_millis(300);
+
+/// A gateway can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// A setting that the checks demand is missing.
+    #[error("{field}: missing")]
+    Missing {
+        /// The setting.
+        field: &'static str,
+    },
+    /// An address can't be listened on.
+    #[error("listen {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The metrics library refused a name.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// A running gateway.
+pub struct RunningGateway(Arc<Gateway>);
+
+/// What the tasks of a gateway share.
+pub(crate) struct Gateway {
+    settings: GatewaySettings,
+    dialect: SharedDialect,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    targets: RwLock<Targets>,
+    /// Gateways alive, as the members tell; 0 while not told.
+    gateways: AtomicU32,
+    /// When a member that hears a leader was last heard.
+    fresh_at: Mutex<Option<Instant>>,
+    budgets: Mutex<HashMap<String, ServiceBudget>>,
+    stopping: AtomicBool,
+    open: AtomicU32,
+    last_request: Mutex<Instant>,
+    started: Instant,
+    metrics: GatewayMetrics,
+    log: Logger,
+}
+
+/// Counts a request of a client until dropped.
+pub(crate) struct OpenRequest(Arc<Gateway>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        *lock(&self.0.last_request) = Instant::now();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn listen_on(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(addr).await.map_err(|source| GatewayError::Listen { addr, source })
+}
+
+impl RunningGateway {
+    /// Starts to listen, and to follow the members.
+    ///
+    /// # Errors
+    /// [`GatewayError`] when an address can't be used.
+    pub async fn start(
+        settings: GatewaySettings,
+        dialect: SharedDialect,
+        log: &Logger,
+    ) -> Result<Self, GatewayError> {
+        let listen = settings.listen.ok_or(GatewayError::Missing { field: "listen" })?;
+        let log = log.new(o!("role" => "gateway"));
+        let clients = listen_on(listen).await?;
+        let ready = match settings.ready_listen {
+            Some(addr) => Some(listen_on(addr).await?),
+            None => None,
+        };
+        let scrapes = match settings.metrics_listen {
+            Some(addr) => Some(listen_on(addr).await?),
+            None => None,
+        };
+        info!(log, "gateway started"; "event" => "gateway_started",
+            "version" => env!("CARGO_PKG_VERSION"), "listen" => %listen,
+            "on_stale" => ?settings.on_stale, "load_bound" => settings.load_bound,
+            "retry_ratio" => settings.retry_ratio, "retry_slack" => settings.retry_slack);
+        let gateway = Arc::new(Gateway {
+            settings,
+            dialect,
+            table: RwLock::default(),
+            targets: RwLock::default(),
+            gateways: AtomicU32::new(0),
+            fresh_at: Mutex::default(),
+            budgets: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            open: AtomicU32::new(0),
+            last_request: Mutex::new(Instant::now()),
+            started: Instant::now(),
+            metrics: GatewayMetrics::new()?,
+            log,
+        });
+        tokio::spawn(feed::follow(gateway.clone()));
+        tokio::spawn(listener::serve_clients(gateway.clone(), clients));
+        if let Some(ready) = ready {
+            tokio::spawn(listener::serve_ready(gateway.clone(), ready));
+        }
+        if let Some(scrapes) = scrapes {
+            tokio::spawn(listener::serve_metrics(gateway.clone(), scrapes));
+        }
+        Ok(RunningGateway(gateway))
+    }
+
+    /// Stops as planned: not ready at once, serving on until nothing comes and nothing is left.
+    pub async fn stop(self) {
+        let gateway = self.0;
+        gateway.stopping.store(true, Ordering::Relaxed);
+        let began = Instant::now();
+        let longest = Duration::from_millis(gateway.settings.stop_within_ms);
+        loop {
+            tokio::time::sleep(STOP_LOOK).await;
+            let open = gateway.open.load(Ordering::Relaxed);
+            let quiet = open == 0 && lock(&gateway.last_request).elapsed() >= STOP_QUIET;
+            let over = began.elapsed() >= longest;
+            if over || (quiet && began.elapsed() >= STOP_NOTICE.min(longest)) {
+                info!(gateway.log, "stopped"; "event" => "stopped", "open" => open,
+                    "took_ms" => began.elapsed().as_millis() as u64);
+                return;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Monotonic time since the start.
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn names(&self) -> &Headers {
+        self.dialect.headers()
+    }
+
+    fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Version of the configuration in force here; 0 for none.
+    fn version(&self) -> u64 {
+        self.table().map_or(0, |table| table.version())
+    }
+
+    fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether new clients are welcome.
+    fn ready(&self) -> bool {
+        !self.stopping() && self.table().is_some() && !self.refuses_as_stale()
+    }
+
+    /// Whether the settings demand that requests are refused for want of news.
+    fn refuses_as_stale(&self) -> bool {
+        let longest = Duration::from_millis(self.settings.stale_after_ms);
+        let stale = lock(&self.fresh_at).is_none_or(|at| at.elapsed() >= longest);
+        self.settings.on_stale == OnStale::Refuse && stale
+    }
+
+    fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(self.clone())
+    }
+
+    fn gateways(&self) -> u32 {
+        self.gateways.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request for a service.
+    fn count_request(&self, service: &str) {
+        let now = self.now();
+        self.metrics.requested(service);
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    fn with_budget<T>(&self, service: &str, with: impl FnOnce(&mut ServiceBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if !budgets.contains_key(service) {
+            let rule = BudgetRule {
+                ratio: self.settings.retry_ratio,
+                window: Duration::from_secs_f64(self.settings.retry_window_s),
+                slack: self.settings.retry_slack,
+            };
+            budgets.insert(service.to_owned(), ServiceBudget::new(rule));
+        }
+        with(budgets.get_mut(service).expect("just put in"))
+    }
+
+    /// Whether the request could be sent to one more target.
+    fn could_send_again(&self, plan: &Plan) -> bool {
+        let (now, gateways) = (self.now(), self.gateways());
+        plan.sends < plan.route.max_attempts
+            && Instant::now() < plan.outgoing.deadline
+            && self.with_budget(&plan.service, |budget| budget.left(now, gateways) >= 1.0)
+    }
+
+    /// Takes one further arrival out of the budget, if the request may have it.
+    fn may_send_again(&self, plan: &Plan) -> bool {
+        let (now, gateways) = (self.now(), self.gateways());
+        plan.sends < plan.route.max_attempts
+            && self.with_budget(&plan.service, |budget| budget.spend(now, gateways))
+    }
+
+    /// Most connections of this gateway to a target of the service.
+    fn connections_to(&self, service: &str) -> u32 {
+        let table = self.table();
+        let stated = table.and_then(|table| table.service(service)?.max_connections);
+        (stated.unwrap_or(DEFAULT_CONNECTIONS) / self.gateways().max(1)).max(1)
+    }
+
+    /// What a request shares with others that came before: the last part of its prompt but one,
+    /// since the last is its own.
+    fn affinity(&self, route: &Route, headers: &HeaderMap) -> Option<u64> {
+        if !route.sticky {
+            return None;
+        }
+        let value = headers.get(&self.names().prompt)?.to_str().ok()?;
+        let parts = self.dialect.prompt(value);
+        let shared = parts.iter().rev().nth(1).or(parts.last())?;
+        Some(xxh3_64(shared.id.as_bytes()))
+    }
+
+    /// Chooses a target that the request has not tried.
+    fn choose(&self, plan: &Plan) -> Option<Arc<Target>> {
+        let (now, gateways) = (self.now(), self.gateways());
+        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let usable =
+            |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
+        let targets: Vec<&Arc<Target>> = targets.of(&plan.service).iter().filter(usable).collect();
+        let candidate = |target: &&Arc<Target>| Candidate {
+            key: target.key,
+            load: target.load(now, gateways),
+            slots: target.announcement.slots,
+            near: target.announcement.zone == self.settings.data_hall,
+            doubtful: self.doubtful(now, target),
+        };
+        let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
+        let wish = Wish { affinity: plan.affinity, load_bound: self.settings.load_bound };
+        let at = choose(&candidates, wish, &mut rand::rng())?;
+        Some(targets[at].clone())
+    }
+
+    /// Whether a target should be left alone if another will do.
+    fn doubtful(&self, now: Duration, target: &Target) -> bool {
+        let health = target.health();
+        let answered_lately =
+            health.last_answer().is_some_and(|at| now < at + Duration::from_secs(3));
+        let on_trial_and_busy = health.on_trial(now) && target.in_flight() > 0;
+        health.paused(now) || on_trial_and_busy || (target.silent() && !answered_lately)
+    }
+
+    fn note_answer(&self, target: &Target, headers: &HeaderMap) {
+        let value = headers.get(&self.names().load).and_then(|value| value.to_str().ok());
+        if let Some(load) = value.and_then(|value| self.dialect.load(value)) {
+            target.note_load(self.now(), load);
+        }
+    }
+
+    fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
+        let mut health = target.health();
+        if health.note(self.now(), outcome) {
+            info!(self.log, "target left alone"; "event" => "target_paused",
+                "target" => &target.announcement.id, "service" => &target.announcement.service,
+                "outcome" => ?outcome, "failure_rate" => health.failure_rate());
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/reason.rs
@@ -0,0 +1,118 @@
+//! Why a request was refused or given up on.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+/// Why a request was refused or given up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The configuration is stale, and the settings say to refuse then.
+    Stale,
+    /// No route fits.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The request has no id or a faulty header.
+    BadRequest,
+    /// The head is too large.
+    HeadTooLarge,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The body came too slowly.
+    BodyTooSlow,
+    /// No target of the service is known.
+    NoTarget,
+    /// No target could be connected to, and nothing was sent.
+    ConnectFailed,
+    /// A target said that it did not run the request.
+    NotRun,
+    /// The time was over before the request was sent.
+    TooLate,
+    /// The request was sent, and the connection broke before there was an answer.
+    AnswerLost,
+    /// The request was sent, and there was no answer in time.
+    AnswerLate,
+    /// The answer belonged to another request, or was not a target's.
+    WrongAnswer,
+}
+
+impl Refusal {
+    /// Every reason.
+    pub const ALL: [Refusal; 15] = [
+        Refusal::NoConfiguration,
+        Refusal::Stale,
+        Refusal::NoRoute,
+        Refusal::UnknownKey,
+        Refusal::BadRequest,
+        Refusal::HeadTooLarge,
+        Refusal::BodyTooLarge,
+        Refusal::BodyTooSlow,
+        Refusal::NoTarget,
+        Refusal::ConnectFailed,
+        Refusal::NotRun,
+        Refusal::TooLate,
+        Refusal::AnswerLost,
+        Refusal::AnswerLate,
+        Refusal::WrongAnswer,
+    ];
+
+    /// Stable code for logs, metrics and bodies.
+    pub fn code(self) -> &'static str {
+        match self {
+            Refusal::NoConfiguration => "no_configuration",
+            Refusal::Stale => "stale_configuration",
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::BadRequest => "bad_request",
+            Refusal::HeadTooLarge => "head_too_large",
+            Refusal::BodyTooLarge => "body_too_large",
+            Refusal::BodyTooSlow => "body_too_slow",
+            Refusal::NoTarget => "no_target",
+            Refusal::ConnectFailed => "connect_failed",
+            Refusal::NotRun => "not_run",
+            Refusal::TooLate => "too_late",
+            Refusal::AnswerLost => "answer_lost",
+            Refusal::AnswerLate => "answer_late",
+            Refusal::WrongAnswer => "wrong_answer",
+        }
+    }
+
+    /// Status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::BadRequest => StatusCode::BAD_REQUEST,
+            Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Refusal::AnswerLost | Refusal::WrongAnswer => StatusCode::BAD_GATEWAY,
+            Refusal::AnswerLate => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::NoConfiguration
+            | Refusal::Stale
+            | Refusal::NoTarget
+            | Refusal::ConnectFailed
+            | Refusal::NotRun
+            | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Whether a target may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Refusal::AnswerLost | Refusal::AnswerLate | Refusal::WrongAnswer)
+    }
+
+    /// When the caller should come back, for requests that did not run.
+    pub fn come_back_in(self) -> Option<Duration> {
+        match self {
+            Refusal::NoConfiguration | Refusal::Stale => Some(Duration::from_millis(300)),
+            Refusal::NoTarget | Refusal::ConnectFailed | Refusal::NotRun | Refusal::TooLate => {
+                Some(Duration::from_millis(60))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,290 @@
+//! Passes an answer on to the client: whole, or event by event.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use slog::info;
+
+use super::Gateway;
+use super::answer::{AnswerBody, BrokenOff, refuse};
+use super::attempt::{Answer, strip_hop_by_hop};
+use super::events::EventSplitter;
+use super::exchange::{Plan, next_answer, text};
+use super::health::AttemptOutcome;
+use super::reason::Refusal;
+
+/// Answers in one piece that are longer are passed on as they come.
+const WHOLE_UP_TO: usize = 256 * 1024;
+
+/// What became of an answer.
+pub(super) enum PassedOn {
+    /// This goes to the client.
+    Answer(Response<AnswerBody>),
+    /// The request is sent again.
+    Retry(Box<Plan>),
+}
+
+/// Passes an answer on, or finds that the request had better be sent again.
+pub(super) async fn pass_on(gateway: &Arc<Gateway>, mut plan: Plan, answer: Answer) -> PassedOn {
+    let again = plan.route.kind.idempotent() && answer.status.is_server_error();
+    if again && gateway.could_send_again(&plan) {
+        plan.note_ran(Refusal::AnswerLost);
+        gateway.metrics.retried("server_error");
+        return PassedOn::Retry(Box::new(plan));
+    }
+    let events = answer.headers.get(CONTENT_TYPE);
+    let events = text(events).starts_with("text/event-stream") && answer.status == StatusCode::OK;
+    if events && plan.route.kind.streams() {
+        return start_stream(gateway, plan, answer).await;
+    }
+    whole(gateway, plan, answer).await
+}
+
+/// Reads the whole answer before the client gets a byte, so that a broken one never looks complete.
+async fn whole(gateway: &Arc<Gateway>, mut plan: Plan, answer: Answer) -> PassedOn {
+    let Answer { target, status, headers, mut body, connection, in_flight } = answer;
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout_at(plan.outgoing.deadline.into(), body.frame()).await;
+        let refusal = match frame {
+            Ok(Some(Ok(frame))) => {
+                bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+                if bytes.len() <= WHOLE_UP_TO {
+                    continue;
+                }
+                let rest = Rest {
+                    body,
+                    connection,
+                    _in_flight: in_flight,
+                    deadline: plan.outgoing.deadline,
+                };
+                return PassedOn::Answer(long(status, headers, bytes.freeze(), rest));
+            }
+            Ok(None) => break,
+            Ok(Some(Err(_))) => Refusal::AnswerLost,
+            Err(_) => Refusal::AnswerLate,
+        };
+        gateway.note_outcome(&target, AttemptOutcome::Failed);
+        gateway.metrics.attempt_failed(refusal);
+        info!(gateway.log, "answer broke off"; "event" => "answer_broken",
+            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
+            "bytes" => bytes.len(), "reason" => refusal.code());
+        plan.note_ran(refusal);
+        if plan.route.kind.idempotent() && gateway.could_send_again(&plan) {
+            return PassedOn::Retry(Box::new(plan));
+        }
+        gateway.metrics.refused(refusal);
+        return PassedOn::Answer(refuse(refusal));
+    }
+    connection.keep(&headers);
+    if promises_not_run(status) {
+        // The target did not say that it has not run the request; that must not be promised.
+        gateway.metrics.refused(Refusal::WrongAnswer);
+        return PassedOn::Answer(refuse(Refusal::WrongAnswer));
+    }
+    gateway.metrics.answered(status);
+    let mut response = Response::new(AnswerBody::Whole(Some(bytes.freeze())));
+    *response.status_mut() = status;
+    *response.headers_mut() = passed_headers(headers);
+    PassedOn::Answer(response)
+}
+
+/// Statuses that tell a client that its request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn passed_headers(mut headers: HeaderMap) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
+
+/// What is left of a long answer.
+struct Rest {
+    body: hyper::body::Incoming,
+    connection: super::connection::Connection,
+    _in_flight: super::target::InFlight,
+    deadline: Instant,
+}
+
+/// Passes a long answer on as it comes.
+fn long(status: StatusCode, headers: HeaderMap, first: Bytes, rest: Rest) -> Response<AnswerBody> {
+    let kept = headers.clone();
+    let pieces = futures_util::stream::unfold(Some((Some(first), rest)), move |state| {
+        let kept = kept.clone();
+        async move {
+            let (first, mut rest) = state?;
+            if let Some(first) = first {
+                return Some((Ok(first), Some((None, rest))));
+            }
+            match tokio::time::timeout_at(rest.deadline.into(), rest.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let piece = frame.into_data().unwrap_or_default();
+                    Some((Ok(piece), Some((None, rest))))
+                }
+                Ok(None) => {
+                    rest.connection.keep(&kept);
+                    None
+                }
+                _ => Some((Err(BrokenOff), None)),
+            }
+        }
+    });
+    let mut response = Response::new(AnswerBody::Pieces(pieces.boxed()));
+    *response.status_mut() = status;
+    let length = headers.get(CONTENT_LENGTH).cloned();
+    *response.headers_mut() = passed_headers(headers);
+    if let Some(length) = length {
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+    }
+    response
+}
+
+/// A stream on its way to the client.
+struct Relay {
+    gateway: Arc<Gateway>,
+    plan: Plan,
+    answer: Answer,
+    splitter: EventSplitter,
+    /// Whether the client has any event.
+    begun: bool,
+}
+
+/// Why a stream stopped before its end.
+enum Stopped {
+    Broke,
+    Late,
+}
+
+/// Waits for the first event, since until then nothing has been promised to the client.
+async fn start_stream(gateway: &Arc<Gateway>, plan: Plan, answer: Answer) -> PassedOn {
+    let (status, headers) = (answer.status, passed_headers(answer.headers.clone()));
+    let mut relay = Relay {
+        gateway: gateway.clone(),
+        plan,
+        answer,
+        splitter: EventSplitter::default(),
+        begun: false,
+    };
+    let first = match relay.next().await {
+        Ok(first) => first,
+        Err(refusal) => {
+            gateway.metrics.refused(refusal);
+            return PassedOn::Answer(refuse(refusal));
+        }
+    };
+    gateway.metrics.answered(status);
+    let Some(first) = first else {
+        relay.end();
+        let mut response = Response::new(AnswerBody::Whole(None));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        return PassedOn::Answer(response);
+    };
+    let open = gateway.open_request();
+    let state = Some((Some(first), relay, open));
+    let pieces = futures_util::stream::unfold(state, |state| async move {
+        let (first, mut relay, open) = state?;
+        if let Some(first) = first {
+            return Some((Ok(first), Some((None, relay, open))));
+        }
+        match relay.next().await {
+            Ok(Some(events)) => Some((Ok(events), Some((None, relay, open)))),
+            Ok(None) => {
+                relay.end();
+                None
+            }
+            Err(_) => Some((Err(BrokenOff), None)),
+        }
+    });
+    let mut response = Response::new(AnswerBody::Pieces(pieces.boxed()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    PassedOn::Answer(response)
+}
+
+impl Relay {
+    /// The next whole events, or `None` at the end; goes on at another target where that is allowed.
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        loop {
+            match self.next_here().await {
+                Ok(events) => {
+                    self.begun |= events.is_some();
+                    return Ok(events);
+                }
+                Err(stopped) => self.resume(stopped).await?,
+            }
+        }
+    }
+
+    async fn next_here(&mut self) -> Result<Option<Bytes>, Stopped> {
+        loop {
+            let deadline = self.plan.outgoing.deadline.into();
+            let frame = tokio::time::timeout_at(deadline, self.answer.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    let whole = self.splitter.push(&bytes).map_err(|_| Stopped::Broke)?;
+                    if !whole.is_empty() {
+                        return Ok(Some(whole));
+                    }
+                }
+                Ok(None) if self.splitter.at_boundary() => return Ok(None),
+                Ok(None | Some(Err(_))) => return Err(Stopped::Broke),
+                Err(_) => return Err(Stopped::Late),
+            }
+        }
+    }
+
+    /// Goes on with the stream at another target, after the last whole event.
+    async fn resume(&mut self, stopped: Stopped) -> Result<(), Refusal> {
+        let refusal = match stopped {
+            Stopped::Broke => Refusal::AnswerLost,
+            Stopped::Late => Refusal::AnswerLate,
+        };
+        let gateway = self.gateway.clone();
+        gateway.note_outcome(&self.answer.target, AttemptOutcome::Failed);
+        gateway.metrics.attempt_failed(refusal);
+        info!(gateway.log, "stream broke off"; "event" => "stream_broken",
+            "id" => text(Some(&self.plan.outgoing.id)), "reason" => refusal.code(),
+            "target" => &self.answer.target.announcement.id, "begun" => self.begun,
+            "last_event" => self.splitter.last_id().unwrap_or(""));
+        self.plan.note_ran(refusal);
+        if !self.plan.route.kind.idempotent() {
+            return Err(refusal);
+        }
+        self.splitter.drop_partial();
+        if let Some(last) = self.splitter.last_id()
+            && let Ok(last) = HeaderValue::from_str(last)
+        {
+            self.plan.outgoing.headers.insert(gateway.names().last_event_id.clone(), last);
+        } else if self.begun {
+            return Err(refusal);
+        }
+        let answer = next_answer(&gateway, &mut self.plan).await?;
+        let kind = text(answer.headers.get(CONTENT_TYPE));
+        if answer.status != StatusCode::OK || !kind.starts_with("text/event-stream") {
+            return Err(refusal);
+        }
+        gateway.metrics.retried("resumed");
+        self.answer = answer;
+        Ok(())
+    }
+
+    /// Keeps the connection of a stream that has ended.
+    fn end(self) {
+        self.answer.connection.keep(&self.answer.headers);
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,140 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::jsonc::{Fault, Validate};
+
+/// What a gateway does when it has long heard no member that hears a leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OnStale {
+    /// Refuse requests, so that an accepted change is in force wherever requests are served.
+    #[default]
+    Refuse,
+    /// Serve on what was last known.
+    Serve,
+}
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct GatewaySettings {
+    /// Name of this host.
+    pub host: String,
+    /// Data hall of this host.
+    pub data_hall: String,
+    /// Where clients connect.
+    pub listen: Option<SocketAddr>,
+    /// Where the balancer asks whether this gateway is ready.
+    pub ready_listen: Option<SocketAddr>,
+    /// Where metrics are served, if anywhere.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Addresses of some members, as operators reach them.
+    pub members: Vec<SocketAddr>,
+    /// Port of members for gateways, the same on every host.
+    pub peer_port: u16,
+    /// What to do without news.
+    pub on_stale: OnStale,
+    /// Time without news from which the gateway's beliefs are stale.
+    pub stale_after_ms: u64,
+    /// Further arrivals at a service, as a part of the requests for it.
+    pub retry_ratio: f64,
+    /// Length of the window that the budget of retries holds for, in seconds.
+    pub retry_window_s: f64,
+    /// Further arrivals at a service in a window beyond the ratio, for all gateways together.
+    pub retry_slack: f64,
+    /// No engine gets more than this multiple of the mean load, and some.
+    pub load_bound: f64,
+    /// Longest time to connect to a target.
+    pub connect_timeout_ms: u64,
+    /// Longest time that bytes sent to a target stay unacknowledged.
+    pub unacknowledged_ms: u64,
+    /// Longest time that a planned stop takes.
+    pub stop_within_ms: u64,
+    /// Descriptors that the process may use.
+    pub max_descriptors: usize,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        GatewaySettings {
+            host: String::new(),
+            data_hall: String::new(),
+            listen: None,
+            ready_listen: None,
+            metrics_listen: None,
+            members: Vec::new(),
+            peer_port: 0,
+            on_stale: OnStale::Refuse,
+            stale_after_ms: 6_000,
+            retry_ratio: 0.1,
+            retry_window_s: 10.0,
+            retry_slack: 10.0,
+            load_bound: 1.25,
+            connect_timeout_ms: 300,
+            unacknowledged_ms: 500,
+            stop_within_ms: 10_000,
+            max_descriptors: 4_096,
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// Where the members in the settings are reached by gateways.
+    pub fn member_peers(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| SocketAddr::new(member.ip(), self.peer_port)).collect()
+    }
+
+    /// Longest time to connect to a target.
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+}
+
+impl Validate for GatewaySettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut fault = |path: &str, message: &str| faults.push(Fault::new(path, message));
+        if self.host.is_empty() {
+            fault("host", "must name this host");
+        }
+        if self.listen.is_none() {
+            fault("listen", "must be an address such as 10.0.0.4:8080");
+        }
+        if self.members.is_empty() {
+            fault("members", "must name at least one member");
+        }
+        if self.peer_port == 0 {
+            fault("peer_port", "must be a port above 0");
+        }
+        if !(0.0..=10.0).contains(&self.retry_ratio) {
+            fault("retry_ratio", "must be from 0 to 10");
+        }
+        if self.retry_window_s.is_nan() || self.retry_window_s <= 0.0 {
+            fault("retry_window_s", "must be above 0");
+        }
+        if self.retry_slack.is_nan() || self.retry_slack < 0.0 {
+            fault("retry_slack", "must be at least 0");
+        }
+        if self.load_bound.is_nan() || self.load_bound < 1.0 {
+            fault("load_bound", "must be at least 1");
+        }
+        for (path, value) in [
+            ("stale_after_ms", self.stale_after_ms),
+            ("connect_timeout_ms", self.connect_timeout_ms),
+            ("unacknowledged_ms", self.unacknowledged_ms),
+            ("stop_within_ms", self.stop_within_ms),
+        ] {
+            if value == 0 {
+                fault(path, "must be above 0");
+            }
+        }
+        if self.max_descriptors < 64 {
+            fault("max_descriptors", "must be at least 64");
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/src/gateway/target.rs
@@ -0,0 +1,199 @@
+//! The targets that a gateway knows, with what it has itself seen of each.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::connection::Idle;
+use super::health::Health;
+use crate::dialect::TargetLoad;
+use crate::directory::{Announcement, DirectoryDelta, TargetState};
+use crate::store::Revision;
+
+/// Age from which a target's own word about its load is not used any more.
+const LOAD_HOLDS_FOR: Duration = Duration::from_millis(600);
+
+/// Load as a target told it, and what this gateway had in flight there then.
+#[derive(Clone, Copy, Debug)]
+struct LoadReport {
+    at: Duration,
+    load: u32,
+    own: u32,
+}
+
+/// One target.
+pub(super) struct Target {
+    /// What it announced.
+    pub(super) announcement: Announcement,
+    /// Hash of its identity.
+    pub(super) key: u64,
+    draining: AtomicBool,
+    silent: AtomicBool,
+    in_flight: AtomicU32,
+    /// Connections open or being made.
+    pub(super) connections: AtomicU32,
+    pub(super) idle: Mutex<Vec<Idle>>,
+    health: Mutex<Health>,
+    report: Mutex<Option<LoadReport>>,
+}
+
+impl Target {
+    fn new(announcement: Announcement) -> Self {
+        let target = Target {
+            key: xxh3_64(announcement.id.as_bytes()),
+            draining: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            idle: Mutex::default(),
+            health: Mutex::default(),
+            report: Mutex::default(),
+            announcement,
+        };
+        target.set_state(target.announcement.state);
+        target
+    }
+
+    /// Closes idle connections; each of them holds on to its target.
+    fn close_idle(&self) {
+        lock(&self.idle).clear();
+    }
+
+    fn set_state(&self, state: TargetState) {
+        self.draining.store(state == TargetState::Draining, Ordering::Relaxed);
+        self.silent.store(state == TargetState::Silent, Ordering::Relaxed);
+        if state != TargetState::Ready {
+            self.close_idle();
+        }
+    }
+
+    /// Whether it takes no new work.
+    pub(super) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether it has not been heard for long by the members.
+    pub(super) fn silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
+    /// Requests in flight from this gateway.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Health as this gateway has seen it.
+    pub(super) fn health(&self) -> MutexGuard<'_, Health> {
+        lock(&self.health)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(super) fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// Notes the load that the target told of itself.
+    pub(super) fn note_load(&self, now: Duration, load: TargetLoad) {
+        let own = self.in_flight();
+        *lock(&self.report) = Some(LoadReport { at: now, load: load.running + load.waiting, own });
+    }
+
+    /// Requests that the target is thought to have from all of `gateways`.
+    pub(super) fn load(&self, now: Duration, gateways: u32) -> f64 {
+        let own = self.in_flight();
+        match *lock(&self.report) {
+            Some(report) if now < report.at + LOAD_HOLDS_FOR => {
+                let since = f64::from(own) - f64::from(report.own);
+                (f64::from(report.load) + since).max(f64::from(own))
+            }
+            _ => f64::from(own) * f64::from(gateways.max(1)),
+        }
+    }
+}
+
+/// A request in flight at a target.
+pub(super) struct InFlight(Arc<Target>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// All targets that a gateway knows.
+#[derive(Default)]
+pub(super) struct Targets {
+    revision: Revision,
+    by_id: HashMap<String, Arc<Target>>,
+    by_service: HashMap<String, Vec<Arc<Target>>>,
+}
+
+impl Targets {
+    /// Revision of the directory that these are from.
+    pub(super) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Number of targets.
+    pub(super) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Targets of a service.
+    pub(super) fn of(&self, service: &str) -> &[Arc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes news, unless they are older than what is known; tells whether they were taken.
+    pub(super) fn apply(&mut self, delta: DirectoryDelta) -> bool {
+        if delta.revision <= self.revision {
+            return false;
+        }
+        self.revision = delta.revision;
+        if delta.whole {
+            let kept = |id: &String| delta.changed.iter().any(|changed| changed.id == *id);
+            let gone: Vec<String> = self.by_id.keys().filter(|id| !kept(id)).cloned().collect();
+            gone.iter().for_each(|id| self.remove(id));
+        }
+        delta.removed.iter().for_each(|id| self.remove(id));
+        for announcement in delta.changed {
+            self.change(announcement);
+        }
+        self.by_service.clear();
+        for target in self.by_id.values() {
+            let service = target.announcement.service.clone();
+            self.by_service.entry(service).or_default().push(target.clone());
+        }
+        for targets in self.by_service.values_mut() {
+            targets.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        }
+        true
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(target) = self.by_id.remove(id) {
+            // Requests that hold the target must not keep its connections.
+            target.set_state(TargetState::Draining);
+        }
+    }
+
+    fn change(&mut self, announcement: Announcement) {
+        if let Some(known) = self.by_id.get(&announcement.id)
+            && known.announcement.addr == announcement.addr
+            && known.announcement.service == announcement.service
+        {
+            known.set_state(announcement.state);
+            return;
+        }
+        self.remove(&announcement.id);
+        self.by_id.insert(announcement.id.clone(), Arc::new(Target::new(announcement)));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/group/doors.rs
@@ -0,0 +1,208 @@
+//! Calls of operators and targets.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{info, warn};
+use tokio::net::TcpListener;
+
+use super::message::{Call, Reply};
+use super::{Shared, Unavailable};
+use crate::dialect::Door;
+use crate::document::{Document, MAX_DOCUMENT_BYTES};
+use crate::jsonc::{Fault, Validate};
+use crate::store::{Answer, Command};
+
+/// Longest time that a connection is idle, or takes for the head of a call.
+const IDLE: Duration = Duration::from_secs(30);
+/// Longest time for the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after the listener fails, for example without descriptors.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Tries to put a document in the log; more than one when others come in between.
+const CONFIGURE_TRIES: usize = 6;
+/// What callers are told when the group can't answer, in seconds.
+const COME_BACK_S: &str = "0.3";
+
+type Answered = Response<Full<Bytes>>;
+
+/// Takes connections for ever.
+pub(super) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let _ = crate::link::give_up_after(&stream, IDLE);
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let shared = shared.clone();
+                async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+            });
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(shared: &Shared, request: Request<Incoming>) -> Answered {
+    let (head, body) = request.into_parts();
+    let Some(door) = shared.dialect.door(&head.method, head.uri.path()) else {
+        return faulty(StatusCode::NOT_FOUND, &[Fault::new("", "no such call")]);
+    };
+    let body = Limited::new(body, MAX_DOCUMENT_BYTES).collect();
+    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            return faulty(StatusCode::PAYLOAD_TOO_LARGE, &[Fault::new("", error.to_string())]);
+        }
+        Err(_) => return faulty(StatusCode::REQUEST_TIMEOUT, &[Fault::new("", "body too slow")]),
+    };
+    match door {
+        Door::PutConfiguration => put_configuration(shared, body).await,
+        Door::GetConfiguration => get_configuration(shared).await,
+        Door::Announce { id } => announce(shared, id, &body).await,
+        Door::Remove { id } => remove(shared, id).await,
+    }
+}
+
+async fn put_configuration(shared: &Shared, body: Bytes) -> Answered {
+    let parsed = shared.dialect.configuration(&body);
+    let checked = parsed.and_then(|configuration| match configuration.faults() {
+        faults if faults.is_empty() => Ok(configuration.version),
+        faults => Err(faults),
+    });
+    let version = match checked {
+        Ok(version) => version,
+        Err(faults) => {
+            info!(shared.log, "configuration refused"; "event" => "configuration_refused",
+                "bytes" => body.len(), "fault" => %faults[0]);
+            return faulty(StatusCode::BAD_REQUEST, &faults);
+        }
+    };
+    let document = Document { version, bytes: body };
+    match configure(shared, &document).await {
+        Ok(held) => {
+            info!(shared.log, "configuration acknowledged"; "event" => "configuration_acknowledged",
+                "version" => version, "held" => held, "bytes" => document.bytes.len());
+            empty(StatusCode::OK)
+        }
+        Err(Unavailable) => unavailable(shared, "configuration"),
+    }
+}
+
+/// Puts a document in the log unless its version, or a higher one, is held; returns what is held.
+async fn configure(shared: &Shared, document: &Document) -> Result<u64, Unavailable> {
+    for _ in 0..CONFIGURE_TRIES {
+        let published = shared.published();
+        let base = published.document.as_ref();
+        if let Some(held) = base.filter(|held| held.version >= document.version) {
+            return Ok(held.version);
+        }
+        let packed = document.pack(base).map_err(|_| Unavailable)?;
+        match shared.propose(Command::Configure(packed)).await? {
+            Answer::Configured { held } => return Ok(held),
+            Answer::WrongBase => {
+                let mut changes = shared.member.published();
+                let later = changes.wait_for(|now| now.applied > published.applied);
+                let _ = tokio::time::timeout(Duration::from_millis(100), later).await;
+            }
+            _ => return Err(Unavailable),
+        }
+    }
+    let packed = document.pack(None).map_err(|_| Unavailable)?;
+    match shared.propose(Command::Configure(packed)).await? {
+        Answer::Configured { held } => Ok(held),
+        _ => Err(Unavailable),
+    }
+}
+
+async fn get_configuration(shared: &Shared) -> Answered {
+    match shared.read().await {
+        Ok(published) => match published.document {
+            Some(document) => json(StatusCode::OK, document.bytes),
+            None => unavailable(shared, "read_configuration"),
+        },
+        Err(Unavailable) => unavailable(shared, "read_configuration"),
+    }
+}
+
+async fn announce(shared: &Shared, id: &str, body: &[u8]) -> Answered {
+    let announcement = match shared.dialect.announcement(id, body) {
+        Ok(announcement) => announcement,
+        Err(faults) => {
+            info!(shared.log, "heartbeat refused"; "event" => "heartbeat_refused",
+                "target" => id, "fault" => %faults[0]);
+            return faulty(StatusCode::BAD_REQUEST, &faults);
+        }
+    };
+    match shared.call_leader(Call::Announce(announcement.clone())).await {
+        Ok(Reply::Answer(_)) => {
+            info!(shared.log, "target announced"; "event" => "target_announced", "target" => id,
+                "service" => &announcement.service, "state" => ?announcement.state,
+                "addr" => %announcement.addr, "sequence" => announcement.sequence);
+            heartbeat_answer(shared)
+        }
+        Ok(Reply::Done) => heartbeat_answer(shared),
+        _ => unavailable(shared, "heartbeat"),
+    }
+}
+
+fn heartbeat_answer(shared: &Shared) -> Answered {
+    let next = shared.leader_door();
+    json(StatusCode::OK, shared.dialect.heartbeat_answer(next).into())
+}
+
+async fn remove(shared: &Shared, id: &str) -> Answered {
+    if shared.published().directory.was_removed(id) {
+        return empty(StatusCode::OK);
+    }
+    match shared.propose(Command::Remove(id.to_owned())).await {
+        Ok(_) => {
+            info!(shared.log, "target removed"; "event" => "target_removed", "target" => id);
+            empty(StatusCode::OK)
+        }
+        Err(Unavailable) => unavailable(shared, "remove"),
+    }
+}
+
+fn unavailable(shared: &Shared, call: &'static str) -> Answered {
+    let standing = shared.member.standing();
+    warn!(shared.log, "call not answered"; "event" => "unavailable", "call" => call,
+        "term" => standing.term, "leader" => ?standing.leader, "leads" => standing.leads);
+    let mut response = faulty(StatusCode::SERVICE_UNAVAILABLE, &[Fault::new("", "no leader")]);
+    response.headers_mut().insert(RETRY_AFTER, http::HeaderValue::from_static(COME_BACK_S));
+    response
+}
+
+fn faulty(status: StatusCode, faults: &[Fault]) -> Answered {
+    let text = serde_json::to_vec(&serde_json::json!({ "faults": faults })).unwrap_or_default();
+    json(status, text.into())
+}
+
+fn json(status: StatusCode, body: Bytes) -> Answered {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+fn empty(status: StatusCode) -> Answered {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/group/feed.rs
@@ -0,0 +1,93 @@
+//! Tells routers of every change, and that the member still hears a leader.
+
+use std::time::{Duration, Instant};
+
+use super::message::{FromMember, Subscription, ToMember, Update};
+use super::{Shared, lock};
+use crate::control::member::Published;
+use crate::link::{FrameReceiver, FrameSender, LinkError};
+
+/// Between two signs of life to a router.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
+
+/// What a router has been sent.
+struct Cursor {
+    version: u64,
+    directory: u64,
+    members: Vec<std::net::SocketAddr>,
+    routers: u32,
+    fresh: bool,
+}
+
+/// Serves one router until its connection ends.
+pub(super) async fn serve(
+    shared: &Shared,
+    subscription: Subscription,
+    sender: FrameSender,
+    mut receiver: FrameReceiver,
+) -> Result<(), LinkError> {
+    let router = subscription.router.clone();
+    lock(&shared.presence).connect(&router);
+    let closed = async {
+        loop {
+            receiver.receive::<ToMember>().await?;
+        }
+    };
+    let ended = tokio::select! {
+        ended = push(shared, subscription, sender) => ended,
+        ended = closed => ended,
+    };
+    let now = shared.now();
+    lock(&shared.presence).disconnect(now, &router);
+    ended
+}
+
+async fn push(
+    shared: &Shared,
+    subscription: Subscription,
+    mut sender: FrameSender,
+) -> Result<(), LinkError> {
+    let mut cursor = Cursor {
+        version: subscription.version,
+        directory: subscription.directory,
+        members: Vec::new(),
+        routers: 0,
+        fresh: false,
+    };
+    let mut published = shared.member.published();
+    let mut sign_at = tokio::time::Instant::now();
+    loop {
+        let now = published.borrow_and_update().clone();
+        let (update, news) = next_update(shared, &now, &mut cursor);
+        let due = tokio::time::Instant::now() >= sign_at;
+        if news || due {
+            sender.send(&FromMember::Update(Box::new(update))).await?;
+            sign_at = tokio::time::Instant::now() + SIGN_OF_LIFE;
+        }
+        tokio::select! {
+            changed = published.changed() => changed.map_err(|_| LinkError::Closed)?,
+            () = tokio::time::sleep_until(sign_at) => {}
+        }
+    }
+}
+
+/// What the router lacks, and whether it is worth a frame before the next sign of life.
+fn next_update(shared: &Shared, published: &Published, cursor: &mut Cursor) -> (Update, bool) {
+    let newest = published.document.as_ref();
+    let document = newest.and_then(|newest| lock(&shared.archive).pack(newest, cursor.version));
+    let directory = published.directory.since(cursor.directory);
+    let directory = directory.filter(|delta| delta.revision > cursor.directory);
+    let addrs: Vec<_> = published.members.0.iter().map(|member| member.addr).collect();
+    let members = (addrs != cursor.members).then(|| addrs.clone());
+    let fresh = shared.member.standing().fresh(Instant::now());
+    let now = shared.now();
+    let routers = lock(&shared.presence).alive(now);
+    let news = document.is_some() || directory.is_some() || members.is_some();
+    let news = news || routers != cursor.routers || fresh != cursor.fresh;
+    cursor.version = document.as_ref().map_or(cursor.version, |document| document.version);
+    cursor.directory = directory.as_ref().map_or(cursor.directory, |delta| delta.revision);
+    cursor.members = addrs;
+    cursor.routers = routers;
+    cursor.fresh = fresh;
+    (Update { fresh, document, directory, members, routers }, news)
+}
--- /dev/null
+++ b/src/group/liveness.rs
@@ -0,0 +1,55 @@
+//! Which targets have not been heard for long, as the leader sees it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::directory::{Directory, TargetState};
+
+/// Heartbeats that a target may miss before it counts as silent.
+const MISSED: u32 = 4;
+
+/// When each target was last heard; kept in memory by the leader.
+#[derive(Debug)]
+pub(super) struct Liveness {
+    patience: Duration,
+    heard: HashMap<String, Duration>,
+    /// Since when this member leads, without a break.
+    leading_since: Option<Duration>,
+}
+
+impl Liveness {
+    pub(super) fn new(heartbeat: Duration) -> Self {
+        Liveness { patience: heartbeat * MISSED, heard: HashMap::new(), leading_since: None }
+    }
+
+    /// Notes a heartbeat.
+    pub(super) fn hear(&mut self, now: Duration, id: &str) {
+        match self.heard.get_mut(id) {
+            Some(heard) => *heard = now,
+            None => {
+                self.heard.insert(id.to_owned(), now);
+            }
+        }
+    }
+
+    /// Targets that have become silent. A new leader gives every target the whole time.
+    pub(super) fn silent(
+        &mut self,
+        now: Duration,
+        leads: bool,
+        directory: &Directory,
+    ) -> Vec<String> {
+        if !leads {
+            self.leading_since = None;
+            self.heard.clear();
+            return Vec::new();
+        }
+        let since = *self.leading_since.get_or_insert(now);
+        self.heard.retain(|id, _| directory.get(id).is_some());
+        let overdue = directory.targets().filter(|target| {
+            let heard = self.heard.get(&target.id).copied().unwrap_or(since).max(since);
+            target.state != TargetState::Silent && now >= heard + self.patience
+        });
+        overdue.map(|target| target.id.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/group/message.rs
@@ -0,0 +1,106 @@
+//! Messages between members, and between members and routers.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{Announcement, DirectoryDelta};
+use crate::document::Packed;
+use crate::raft::{Envelope, Index, StoreId};
+use crate::store::{Answer, Command, Revision};
+
+/// A frame on a connection that a member or a router made to a member.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToMember {
+    /// Messages of the agreement.
+    Agreement {
+        /// Where the sender is reached.
+        from: SocketAddr,
+        /// The messages.
+        messages: Vec<Envelope>,
+    },
+    /// A call that awaits a [`Reply`].
+    Call {
+        /// Chosen by the caller.
+        id: u64,
+        /// The call.
+        call: Call,
+    },
+    /// Routers that are connected to the sender.
+    Presence(Vec<String>),
+    /// A router wants to be told of every change.
+    Subscribe(Subscription),
+}
+
+/// A frame on the way back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum FromMember {
+    /// The answer to a call.
+    Reply {
+        /// Id of the call.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// News for a router; without any, a sign of life.
+    Update(Box<Update>),
+}
+
+/// A call to a member.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Call {
+    /// Put a command in the log.
+    Propose(Command),
+    /// The index up to which a reader must have applied to see all that is acknowledged.
+    ReadIndex,
+    /// Take a heartbeat of a target.
+    Announce(Announcement),
+    /// Take a store in.
+    Join {
+        /// Its identity.
+        store: StoreId,
+        /// Where it is reached.
+        addr: SocketAddr,
+    },
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// The store's answer to a command.
+    Answer(Answer),
+    /// The index for a reader.
+    ReadIndex(Index),
+    /// Taken.
+    Done,
+    /// This member does not lead.
+    NotLeader(Option<SocketAddr>),
+    /// The outcome is not known; the same may be called again.
+    Unknown,
+}
+
+/// What a router has when it connects.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Subscription {
+    /// Name of the router.
+    pub router: String,
+    /// Version of the configuration in force there; 0 for none.
+    pub version: u64,
+    /// Revision of its directory; 0 for none.
+    pub directory: Revision,
+}
+
+/// News for a router.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Update {
+    /// Whether the member has heard a leader lately.
+    pub fresh: bool,
+    /// The configuration, if the router's is older.
+    pub document: Option<Packed>,
+    /// What the router lacks of the directory.
+    pub directory: Option<DirectoryDelta>,
+    /// Where members are reached, when that changed.
+    pub members: Option<Vec<SocketAddr>>,
+    /// Routers alive.
+    pub routers: u32,
+}
--- /dev/null
+++ b/src/group/mod.rs
@@ -0,0 +1,349 @@
+//! A control group that forms and mends itself, for configurations sent whole and targets that
+//! announce themselves.
+//!
+//! The members agree by [`crate::raft`]. Any member takes a call: it passes changes on to the leader
+//! and answers reads from its own store, once that holds all that was acknowledged before the call.
+
+mod archive;
+mod doors;
+mod feed;
+mod incoming;
+mod liveness;
+pub mod message;
+mod peers;
+mod presence;
+pub mod settings;
+mod upkeep;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::control::member::{Member, Published, Started};
+use crate::dialect::SharedDialect;
+use crate::directory::{Announcement, Heartbeat};
+use crate::raft::{
+    BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
+    WalError, fresh_store,
+};
+use crate::store::{Answer, Command};
+
+use self::archive::Archive;
+use self::liveness::Liveness;
+use self::message::{Call, Reply};
+use self::peers::Peers;
+use self::presence::Presence;
+use self::settings::MemberSettings;
+
+/// Longest time to wait for one member before the leader is looked up again.
+const ONE_TRY: Duration = Duration::from_millis(450);
+/// Pause before the leader is looked up again.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
+/// A member can't start, or had to stop.
+#[derive(Debug, thiserror::Error)]
+pub enum GroupError {
+    /// A setting that the checks demand is missing.
+    #[error("{field}: missing")]
+    Missing {
+        /// The setting.
+        field: &'static str,
+    },
+    /// The data folder can't be used.
+    #[error("data_dir {path}: {source}")]
+    Folder {
+        /// The folder.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The log can't be read or written.
+    #[error(transparent)]
+    Wal(#[from] WalError),
+    /// An address can't be listened on.
+    #[error("listen {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// The group can't be reached or has no leader; nothing is known of the outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the group has no leader within reach")]
+pub struct Unavailable;
+
+/// A running member.
+pub struct GroupMember {
+    failed: oneshot::Receiver<WalError>,
+}
+
+/// What the tasks of a member share.
+pub(crate) struct Shared {
+    settings: MemberSettings,
+    /// Where other members reach this one.
+    own: SocketAddr,
+    store: StoreId,
+    member: Member,
+    peers: Peers,
+    dialect: SharedDialect,
+    /// Where stores are reached, by their own word.
+    book: Mutex<HashMap<StoreId, SocketAddr>>,
+    presence: Mutex<Presence>,
+    liveness: Mutex<Liveness>,
+    archive: Mutex<Archive>,
+    started: Instant,
+    log: Logger,
+}
+
+impl GroupMember {
+    /// Recovers the member, forms the group if this is the first start, and starts to listen.
+    ///
+    /// # Errors
+    /// [`GroupError`] when the data folder or an address can't be used.
+    pub async fn start(
+        settings: MemberSettings,
+        dialect: SharedDialect,
+        log: &Logger,
+    ) -> Result<Self, GroupError> {
+        let listen = settings.listen.ok_or(GroupError::Missing { field: "listen" })?;
+        let own = settings.peer_addr().ok_or(GroupError::Missing { field: "peer_port" })?;
+        let log = log.new(o!("role" => "member"));
+        let peer_listener = listen_on(own).await?;
+        let door_listener = listen_on(listen).await?;
+        let founders = founders(&settings);
+        let founder = founders.0.iter().find(|member| member.addr == own).map(|member| member.id);
+        let Started { member, outbox, failed } = open(&settings, founder, &log)?;
+        let identity = member.query(|replica, _| (replica.node().id(), replica.blank()));
+        let (store, blank) = identity.await.unwrap_or((StoreId(0), false));
+        if blank && founder == Some(store) {
+            let _ = member.form(group_id(&settings), founders).await;
+        }
+        info!(log, "member started"; "event" => "member_started",
+            "version" => env!("CARGO_PKG_VERSION"), "store" => %store, "blank" => blank,
+            "founder" => founder.is_some(), "listen" => %listen, "peer" => %own);
+        let heartbeat = Duration::from_millis(settings.target_heartbeat_ms);
+        let shared = Arc::new(Shared {
+            own,
+            store,
+            member,
+            peers: Peers::default(),
+            dialect,
+            book: Mutex::default(),
+            presence: Mutex::default(),
+            liveness: Mutex::new(Liveness::new(heartbeat)),
+            archive: Mutex::default(),
+            started: Instant::now(),
+            settings,
+            log,
+        });
+        tokio::spawn(incoming::listen(shared.clone(), peer_listener));
+        tokio::spawn(doors::listen(shared.clone(), door_listener));
+        tokio::spawn(upkeep::dispatch(shared.clone(), outbox));
+        tokio::spawn(upkeep::join(shared.clone()));
+        tokio::spawn(upkeep::gossip(shared.clone()));
+        tokio::spawn(upkeep::watch_targets(shared.clone()));
+        tokio::spawn(upkeep::log_beliefs(shared));
+        Ok(GroupMember { failed })
+    }
+
+    /// Waits until the member had to stop because its disk failed.
+    pub async fn failed(&mut self) -> WalError {
+        match (&mut self.failed).await {
+            Ok(error) => error,
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+async fn listen_on(addr: SocketAddr) -> Result<TcpListener, GroupError> {
+    TcpListener::bind(addr).await.map_err(|source| GroupError::Listen { addr, source })
+}
+
+fn open(
+    settings: &MemberSettings,
+    founder: Option<StoreId>,
+    log: &Logger,
+) -> Result<Started, GroupError> {
+    let folder = |source| GroupError::Folder { path: settings.data_dir.clone(), source };
+    let disk = PatientDisk::new(FolderDisk::open(&settings.data_dir).map_err(folder)?);
+    let fresh = founder.unwrap_or_else(fresh_store);
+    let started = Member::start(log, |now| {
+        let mut replica = Replica::open_with(
+            Box::new(disk) as BoxedDisk,
+            Tail::Unsynced,
+            fresh,
+            settings.timing(),
+            settings.compact_after_entries,
+            now,
+            rand::random(),
+        )?;
+        replica.keep_up(settings.upkeep());
+        Ok(replica)
+    });
+    Ok(started?)
+}
+
+/// The first members: the seeds, under identities that follow from their addresses, so that every
+/// seed forms the same group without asking the others.
+fn founders(settings: &MemberSettings) -> Members {
+    if !settings.found {
+        return Members::default();
+    }
+    let seeds = settings.seed_peers();
+    let founder = |addr: SocketAddr| crate::raft::Member {
+        id: StoreId(xxh3_64(format!("founder {addr}").as_bytes())),
+        addr,
+        standing: Standing::Voter,
+    };
+    let mut members: Vec<_> = seeds.into_iter().map(founder).collect();
+    members.sort_by_key(|member| member.id);
+    members.dedup();
+    Members(members)
+}
+
+fn group_id(settings: &MemberSettings) -> GroupId {
+    let mut seeds = settings.seed_peers();
+    seeds.sort_unstable();
+    GroupId(xxh3_64(format!("group {seeds:?}").as_bytes()))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Monotonic time since the start.
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn published(&self) -> Published {
+        self.member.published().borrow().clone()
+    }
+
+    /// Whether this member leads and surely no other does.
+    fn leads(&self) -> bool {
+        let standing = self.member.standing();
+        standing.leads && standing.fresh(Instant::now())
+    }
+
+    /// Where members are reached: the group's, the seeds and whoever has called.
+    fn known_members(&self) -> Vec<SocketAddr> {
+        let mut addrs: Vec<SocketAddr> =
+            self.published().members.0.iter().map(|member| member.addr).collect();
+        addrs.extend(self.settings.seed_peers());
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs
+    }
+
+    /// Where targets best send their next heartbeat: the leader's door.
+    fn leader_door(&self) -> Option<SocketAddr> {
+        let port = self.settings.listen?.port();
+        self.member.standing().leader.map(|leader| SocketAddr::new(leader.ip(), port))
+    }
+
+    /// Calls the leader, here or elsewhere, until it answers or time is up.
+    ///
+    /// Every call may be repeated without harm, so lost replies are answered by calling again.
+    async fn call_leader(&self, call: Call) -> Result<Reply, Unavailable> {
+        let deadline = Instant::now() + Duration::from_millis(self.settings.answer_within_ms);
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(Unavailable);
+            }
+            let standing = self.member.standing();
+            let reply = if standing.leads {
+                tokio::time::timeout(left, self.carry_out(call.clone())).await.ok()
+            } else if let Some(leader) = standing.leader {
+                self.peers.call(leader, call.clone(), left.min(ONE_TRY)).await.ok()
+            } else {
+                None
+            };
+            match reply {
+                Some(Reply::NotLeader(_) | Reply::Unknown) | None => {}
+                Some(reply) => return Ok(reply),
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Carries out a call as the leader.
+    async fn carry_out(&self, call: Call) -> Reply {
+        let standing = self.member.standing();
+        if !standing.leads {
+            return Reply::NotLeader(standing.leader);
+        }
+        match call {
+            Call::Propose(command) => self.propose_here(command).await,
+            Call::Announce(announcement) => self.announce_here(announcement).await,
+            Call::ReadIndex => self.read_index().await,
+            Call::Join { store, addr } => {
+                lock(&self.book).insert(store, addr);
+                let joined = self.member.query(move |replica, now| replica.join(now, store, addr));
+                joined.await.map_or(Reply::Unknown, |()| Reply::Done)
+            }
+        }
+    }
+
+    async fn propose_here(&self, command: Command) -> Reply {
+        match self.member.propose(command).await {
+            Ok(answer) => Reply::Answer(answer),
+            Err(_) => Reply::Unknown,
+        }
+    }
+
+    async fn announce_here(&self, announcement: Announcement) -> Reply {
+        let now = self.now();
+        lock(&self.liveness).hear(now, &announcement.id);
+        let heartbeat = self.published().directory.judge(&announcement);
+        match heartbeat {
+            Heartbeat::News => self.propose_here(Command::Announce(announcement)).await,
+            Heartbeat::Known | Heartbeat::Late if self.leads() => Reply::Done,
+            Heartbeat::Known | Heartbeat::Late => Reply::Unknown,
+        }
+    }
+
+    async fn read_index(&self) -> Reply {
+        let index = self.member.query(|replica, now| {
+            let node = replica.node();
+            node.lease_valid(now).then(|| node.commit())
+        });
+        match index.await {
+            Ok(Some(index)) => Reply::ReadIndex(index),
+            _ => Reply::Unknown,
+        }
+    }
+
+    /// Puts a command in the log.
+    async fn propose(&self, command: Command) -> Result<Answer, Unavailable> {
+        match self.call_leader(Call::Propose(command)).await? {
+            Reply::Answer(answer) => Ok(answer),
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// What is published here once it holds all that was acknowledged before the call.
+    async fn read(&self) -> Result<Published, Unavailable> {
+        let Reply::ReadIndex(index) = self.call_leader(Call::ReadIndex).await? else {
+            return Err(Unavailable);
+        };
+        let mut published = self.member.published();
+        let wait = Duration::from_millis(self.settings.answer_within_ms);
+        let applied = published.wait_for(|published| published.applied >= index);
+        let applied = tokio::time::timeout(wait, applied).await;
+        let applied = applied.map_err(|_| Unavailable)?.map_err(|_| Unavailable)?;
+        Ok(applied.clone())
+    }
+}
--- /dev/null
+++ b/src/group/peers.rs
@@ -0,0 +1,118 @@
+//! Connections to other members: messages of the agreement, and calls with their replies.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::message::{Call, FromMember, Reply, ToMember};
+use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
+
+/// Frames that wait for a peer; what does not fit is dropped, as the agreement allows.
+const QUEUE_LEN: usize = 256;
+/// Pause after a failed connection, in which frames for the peer are dropped.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How fast connections between members give up.
+pub(super) const TIMING: LinkTiming = LinkTiming {
+    connect: Duration::from_millis(500),
+    unacknowledged: Duration::from_millis(1_000),
+};
+
+/// A call failed.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum CallError {
+    /// There was no reply in time; the call may have been carried out.
+    #[error("no reply in time")]
+    NoReply,
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+/// Connections to every other member that was ever spoken to.
+#[derive(Clone, Default)]
+pub(super) struct Peers {
+    queues: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<ToMember>>>>,
+    pending: Pending,
+    next_call: Arc<AtomicU64>,
+}
+
+impl Peers {
+    /// Sends a frame, if there is room for it.
+    pub(super) fn send(&self, addr: SocketAddr, frame: ToMember) {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = queues.entry(addr).or_insert_with(|| {
+            let (queue, frames) = mpsc::channel(QUEUE_LEN);
+            tokio::spawn(run(addr, frames, self.pending.clone()));
+            queue
+        });
+        let _ = queue.try_send(frame);
+    }
+
+    /// Calls a member and waits for its reply.
+    pub(super) async fn call(
+        &self,
+        addr: SocketAddr,
+        call: Call,
+        timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        let id = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (sender, reply) = oneshot::channel();
+        self.pending().insert(id, sender);
+        self.send(addr, ToMember::Call { id, call });
+        let reply = tokio::time::timeout(timeout, reply).await;
+        self.pending().remove(&id);
+        match reply {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(CallError::NoReply),
+        }
+    }
+
+    fn pending(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Reply>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps a connection to one peer for as long as there is something to send.
+async fn run(addr: SocketAddr, mut frames: mpsc::Receiver<ToMember>, pending: Pending) {
+    while let Some(first) = frames.recv().await {
+        let Ok((sender, receiver)) = dial(addr, TIMING).await else {
+            tokio::time::sleep(PAUSE).await;
+            while frames.try_recv().is_ok() {}
+            continue;
+        };
+        let _ = exchange(first, &mut frames, sender, receiver, &pending).await;
+    }
+}
+
+async fn exchange(
+    first: ToMember,
+    frames: &mut mpsc::Receiver<ToMember>,
+    mut sender: FrameSender,
+    mut receiver: FrameReceiver,
+    pending: &Pending,
+) -> Result<(), LinkError> {
+    let sending = async {
+        sender.send(&first).await?;
+        while let Some(frame) = frames.recv().await {
+            sender.send(&frame).await?;
+        }
+        Err::<(), LinkError>(LinkError::Closed)
+    };
+    let receiving = async {
+        loop {
+            if let FromMember::Reply { id, reply } = receiver.receive().await? {
+                let waiting = pending.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+                if let Some(waiting) = waiting {
+                    let _ = waiting.send(reply);
+                }
+            }
+        }
+    };
+    tokio::select! {
+        ended = sending => ended,
+        ended = receiving => ended,
+    }
+}
--- /dev/null
+++ b/src/group/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of a member of a self-forming group.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::jsonc::{Fault, Validate};
+use crate::raft::{Timing, Upkeep};
+
+/// Most losses that a group may be asked to bear.
+const MAX_LOSSES: usize = 4;
+
+/// Settings of a member of a self-forming group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct MemberSettings {
+    /// Name of this host.
+    pub host: String,
+    /// Where operators and targets call.
+    pub listen: Option<SocketAddr>,
+    /// Port for members and routers, the same on every host.
+    pub peer_port: u16,
+    /// Where metrics are served, if anywhere.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Addresses of some members, as operators reach them.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, so that the seeds form the group.
+    pub found: bool,
+    /// Folder for the durable state.
+    pub data_dir: PathBuf,
+    /// Members that may be lost at once.
+    pub bear_losses: usize,
+    /// Between two heartbeats of the leader.
+    pub heartbeat_ms: u64,
+    /// Shortest silence of the leader before an election.
+    pub election_min_ms: u64,
+    /// Longest silence of the leader before an election.
+    pub election_max_ms: u64,
+    /// Silence after which a voter gives its place to a member that stands by.
+    pub replace_after_ms: u64,
+    /// Entries in the log before a snapshot takes their place.
+    pub compact_after_entries: usize,
+    /// Between two heartbeats of a target.
+    pub target_heartbeat_ms: u64,
+    /// Longest time to answer an operator or a target.
+    pub answer_within_ms: u64,
+}
+
+impl Default for MemberSettings {
+    fn default() -> Self {
+        MemberSettings {
+            host: String::new(),
+            listen: None,
+            peer_port: 0,
+            metrics_listen: None,
+            seeds: Vec::new(),
+            found: false,
+            data_dir: PathBuf::new(),
+            bear_losses: 2,
+            heartbeat_ms: 150,
+            election_min_ms: 700,
+            election_max_ms: 1_400,
+            replace_after_ms: 1_500,
+            compact_after_entries: 300,
+            target_heartbeat_ms: 1_000,
+            answer_within_ms: 900,
+        }
+    }
+}
+
+impl MemberSettings {
+    /// Intervals of the agreement protocol.
+    pub fn timing(&self) -> Timing {
+        Timing {
+            heartbeat: Duration::from_millis(self.heartbeat_ms),
+            election_min: Duration::from_millis(self.election_min_ms),
+            election_max: Duration::from_millis(self.election_max_ms),
+        }
+    }
+
+    /// Rules for the number of voters.
+    pub fn upkeep(&self) -> Upkeep {
+        Upkeep {
+            voters: 2 * self.bear_losses + 1,
+            silence: Duration::from_millis(self.replace_after_ms),
+            forget: Duration::from_millis(self.replace_after_ms) * 20,
+        }
+    }
+
+    /// Where other members reach this one.
+    pub fn peer_addr(&self) -> Option<SocketAddr> {
+        self.listen.map(|listen| SocketAddr::new(listen.ip(), self.peer_port))
+    }
+
+    /// Where the seeds are reached by members.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
+    }
+}
+
+impl Validate for MemberSettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut fault = |path: &str, message: &str| faults.push(Fault::new(path, message));
+        if self.host.is_empty() {
+            fault("host", "must name this host");
+        }
+        if self.listen.is_none() {
+            fault("listen", "must be an address such as 10.0.0.4:8229");
+        }
+        if self.peer_port == 0 {
+            fault("peer_port", "must be a port above 0");
+        }
+        if self.seeds.is_empty() {
+            fault("seeds", "must name at least one member");
+        }
+        if self.data_dir.as_os_str().is_empty() {
+            fault("data_dir", "must name a folder");
+        }
+        if self.bear_losses > MAX_LOSSES {
+            fault("bear_losses", "must be at most 4");
+        }
+        if self.heartbeat_ms == 0 {
+            fault("heartbeat_ms", "must be above 0");
+        }
+        if self.election_min_ms < 2 * self.heartbeat_ms {
+            fault("election_min_ms", "must be at least twice heartbeat_ms");
+        }
+        if self.election_max_ms <= self.election_min_ms {
+            fault("election_max_ms", "must be above election_min_ms");
+        }
+        if self.replace_after_ms < self.election_max_ms {
+            fault("replace_after_ms", "must be at least election_max_ms");
+        }
+        if self.compact_after_entries == 0 {
+            fault("compact_after_entries", "must be above 0");
+        }
+        if self.target_heartbeat_ms == 0 {
+            fault("target_heartbeat_ms", "must be above 0");
+        }
+        if self.answer_within_ms == 0 {
+            fault("answer_within_ms", "must be above 0");
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/src/group/upkeep.rs
@@ -0,0 +1,142 @@
+//! What a member does by itself: sends what the agreement wants sent, joins the group, tells the
+//! others of its routers, and looks after targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::info;
+
+use super::message::{Call, Reply, ToMember};
+use super::{Shared, lock};
+use crate::control::member::Outbox;
+use crate::raft::{Envelope, Members, StoreId};
+use crate::store::Command;
+
+/// Between two looks at whether this member belongs to the group.
+const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+/// Time without a leader after which a member asks to be taken in again.
+const LOST_AFTER: Duration = Duration::from_millis(1_500);
+/// Longest time for one request to be taken in.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Between two messages to the other members about routers.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Between two looks at the targets.
+const TARGETS_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Sends the messages of the agreement.
+pub(super) async fn dispatch(shared: Arc<Shared>, mut outbox: Outbox) {
+    while let Some(messages) = outbox.recv().await {
+        let members = shared.published().members;
+        let mut batches: Vec<(SocketAddr, Vec<Envelope>)> = Vec::new();
+        for message in messages {
+            let Some(addr) = address(&shared, &members, message.to) else {
+                continue;
+            };
+            match batches.iter_mut().find(|(to, _)| *to == addr) {
+                Some((_, batch)) => batch.push(message),
+                None => batches.push((addr, vec![message])),
+            }
+        }
+        for (addr, messages) in batches {
+            shared.peers.send(addr, ToMember::Agreement { from: shared.own, messages });
+        }
+    }
+}
+
+/// Where `id` is reached, by the members or else by its own word.
+fn address(shared: &Shared, members: &Members, id: StoreId) -> Option<SocketAddr> {
+    let known = members.get(id).map(|member| member.addr);
+    known.or_else(|| lock(&shared.book).get(&id).copied())
+}
+
+/// Asks to be taken in while this store is no member, or has heard no leader for long.
+pub(super) async fn join(shared: Arc<Shared>) {
+    let mut heard = Instant::now();
+    loop {
+        tokio::time::sleep(JOIN_INTERVAL).await;
+        let now = Instant::now();
+        if shared.member.standing().fresh(now) {
+            heard = now;
+        }
+        let member = shared.published().members.get(shared.store).is_some();
+        if member && now < heard + LOST_AFTER {
+            continue;
+        }
+        ask_to_join(&shared).await;
+    }
+}
+
+async fn ask_to_join(shared: &Shared) {
+    let mut asked: Vec<SocketAddr> = vec![shared.own];
+    let mut waiting = shared.known_members();
+    while let Some(addr) = waiting.pop() {
+        if asked.contains(&addr) {
+            continue;
+        }
+        asked.push(addr);
+        let call = Call::Join { store: shared.store, addr: shared.own };
+        match shared.peers.call(addr, call, JOIN_TIMEOUT).await {
+            Ok(Reply::Done) => return,
+            Ok(Reply::NotLeader(Some(leader))) => waiting.push(leader),
+            _ => {}
+        }
+    }
+}
+
+/// Tells the others which routers are connected here.
+pub(super) async fn gossip(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(GOSSIP_INTERVAL).await;
+        let routers = lock(&shared.presence).connected();
+        if routers.is_empty() {
+            continue;
+        }
+        for addr in shared.known_members() {
+            if addr != shared.own {
+                shared.peers.send(addr, ToMember::Presence(routers.clone()));
+            }
+        }
+    }
+}
+
+/// While this member leads, marks targets that have become silent.
+pub(super) async fn watch_targets(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(TARGETS_INTERVAL).await;
+        let (now, leads) = (shared.now(), shared.leads());
+        let directory = shared.published().directory;
+        let silent = lock(&shared.liveness).silent(now, leads, &directory);
+        if !silent.is_empty() {
+            info!(shared.log, "targets silent"; "event" => "targets_silent", "ids" => ?silent);
+            shared.propose_here(Command::Silence(silent)).await;
+        }
+    }
+}
+
+/// Logs what the member believes of the group and of the configuration, when that changes.
+pub(super) async fn log_beliefs(shared: Arc<Shared>) {
+    let mut published = shared.member.published();
+    let mut version = 0;
+    let mut members = Members::default();
+    while published.changed().await.is_ok() {
+        let now = published.borrow_and_update().clone();
+        let term = shared.member.standing().term;
+        let newest = now.document.as_ref().map_or(0, |document| document.version);
+        if newest != version {
+            version = newest;
+            info!(shared.log, "configuration held"; "event" => "configuration",
+                "version" => version, "index" => now.applied, "term" => term);
+        }
+        if now.members != members {
+            members = now.members;
+            let list: Vec<String> = members
+                .0
+                .iter()
+                .map(|member| format!("{}={:?}", member.addr, member.standing))
+                .collect();
+            info!(shared.log, "members changed"; "event" => "members",
+                "members" => list.join(","), "term" => term);
+        }
+    }
+}
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+/// The three bytes that some editors put before UTF-8.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// One thing wrong with a document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
@@ -49,6 +52,10 @@
 /// # Errors
 /// All faults found, ordered by line.
 pub fn from_str<T: DeserializeOwned + Validate>(text: &str) -> Result<T, Vec<Fault>> {
+    if text.as_bytes().starts_with(BYTE_ORDER_MARK) {
+        let message = "the file begins with a byte-order mark; save it as plain UTF-8";
+        return Err(vec![Fault { line: 1, ..Fault::new("", message) }]);
+    }
     let value = parse(text).map_err(|fault| vec![fault])?;
     from_value(value).map_err(|mut faults| {
         for fault in &mut faults {
@@ -59,6 +66,41 @@
     })
 }
 
+/// Decodes the body of a call and checks it.
+///
+/// # Errors
+/// All faults found, ordered by line.
+pub fn from_slice<T: DeserializeOwned + Validate>(bytes: &[u8]) -> Result<T, Vec<Fault>> {
+    if bytes.starts_with(BYTE_ORDER_MARK) {
+        return Err(vec![Fault::new("", "begins with a byte-order mark; send plain UTF-8")]);
+    }
+    let value: Value = serde_json::from_slice(bytes).map_err(|error| {
+        vec![Fault { path: String::new(), line: error.line(), message: error.to_string() }]
+    })?;
+    from_value(value)
+}
+
+/// Decodes the body of a call that may have fields unknown here, and checks it.
+///
+/// # Errors
+/// The first field that can't be read, or else every impossible value.
+pub fn from_open_slice<T: DeserializeOwned + Validate>(bytes: &[u8]) -> Result<T, Vec<Fault>> {
+    if bytes.starts_with(BYTE_ORDER_MARK) {
+        return Err(vec![Fault::new("", "begins with a byte-order mark; send plain UTF-8")]);
+    }
+    let mut reader = serde_json::Deserializer::from_slice(bytes);
+    let document: T = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        let path = if path == "." { String::new() } else { path };
+        vec![Fault { path, line: error.inner().line(), message: error.inner().to_string() }]
+    })?;
+    reader.end().map_err(|error| {
+        vec![Fault { path: String::new(), line: error.line(), message: error.to_string() }]
+    })?;
+    let faults = document.faults();
+    if faults.is_empty() { Ok(document) } else { Err(faults) }
+}
+
 /// Decodes a value that came without a text, for example in a remote call, and checks it.
 ///
 /// # Errors
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,142 @@
+//! Framed connections between the processes of the project.
+//!
+//! A frame is a length, a byte that tells whether the rest is compressed, and a message in postcard.
+//! Connections give up soon when the other side falls silent, since a cut network says nothing.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+/// Largest frame, in bytes.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+/// Messages from this length on are compressed.
+const COMPRESS_FROM_BYTES: usize = 1_024;
+/// Compression level: the cheapest.
+const LEVEL: i32 = 1;
+const PLAIN: u8 = 0;
+const COMPRESSED: u8 = 1;
+
+/// How fast a connection gives up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkTiming {
+    /// Longest time to connect.
+    pub connect: Duration,
+    /// Longest time that sent bytes stay unacknowledged.
+    pub unacknowledged: Duration,
+}
+
+/// A link failed.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// The connection could not be made, or broke.
+    #[error("connection: {0}")]
+    Io(#[from] io::Error),
+    /// The other side did not answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The other side closed the connection.
+    #[error("closed by the other side")]
+    Closed,
+    /// A frame can't be read.
+    #[error("a frame can't be read")]
+    Garbled,
+}
+
+/// The half of a connection that sends.
+pub struct FrameSender(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
+
+/// The half of a connection that receives.
+pub struct FrameReceiver(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+
+/// Connects to `addr`.
+///
+/// # Errors
+/// [`LinkError`] when no connection comes about in time.
+pub async fn dial(
+    addr: SocketAddr,
+    timing: LinkTiming,
+) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let connecting = tokio::time::timeout(timing.connect, TcpStream::connect(addr));
+    let stream = connecting.await.map_err(|_| LinkError::Timeout)??;
+    Ok(frames(stream, timing)?)
+}
+
+/// Makes frames of a connection.
+///
+/// # Errors
+/// When the socket takes none of the options that make it give up.
+pub fn frames(stream: TcpStream, timing: LinkTiming) -> io::Result<(FrameSender, FrameReceiver)> {
+    give_up_after(&stream, timing.unacknowledged)?;
+    let (read, write) = stream.into_split();
+    let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let sender = FrameSender(FramedWrite::new(write, codec()));
+    Ok((sender, FrameReceiver(FramedRead::new(read, codec()))))
+}
+
+/// Lets a socket fail when sent bytes stay unacknowledged for `silence`, or when the other side
+/// answers no probe for about as long.
+///
+/// # Errors
+/// When the socket takes none of the options.
+pub fn give_up_after(stream: &TcpStream, silence: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(silence))?;
+    let whole_second = Duration::from_secs(1);
+    let probes =
+        TcpKeepalive::new().with_time(silence.max(whole_second)).with_interval(whole_second);
+    socket.set_tcp_keepalive(&probes)
+}
+
+impl FrameSender {
+    /// Sends a message.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the connection is broken.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+        let payload = postcard::to_stdvec(message).map_err(|_| LinkError::Garbled)?;
+        let mut frame = Vec::with_capacity(payload.len() + 1);
+        if payload.len() < COMPRESS_FROM_BYTES {
+            frame.push(PLAIN);
+            frame.extend(payload);
+        } else {
+            frame.push(COMPRESSED);
+            frame.extend((payload.len() as u32).to_le_bytes());
+            frame.extend(zstd::bulk::compress(&payload, LEVEL)?);
+        }
+        Ok(self.0.send(Bytes::from(frame)).await?)
+    }
+}
+
+impl FrameReceiver {
+    /// Waits for the next message.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the connection is broken or closed.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
+        let frame = self.0.next().await.ok_or(LinkError::Closed)??;
+        match frame.split_first() {
+            Some((&PLAIN, payload)) => decode(payload),
+            Some((&COMPRESSED, rest)) => {
+                let (len, packed) = rest.split_at_checked(4).ok_or(LinkError::Garbled)?;
+                let len = u32::from_le_bytes(len.try_into().map_err(|_| LinkError::Garbled)?);
+                let len = (len as usize).min(MAX_FRAME_BYTES);
+                decode(&zstd::bulk::decompress(packed, len)?)
+            }
+            _ => Err(LinkError::Garbled),
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, LinkError> {
+    postcard::from_bytes(payload).map_err(|_| LinkError::Garbled)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,16 @@
 //! The `latchmount` binary: parses the command line, calls the library and prints.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use latchmount::cli::{Cli, Process, cli};
+use latchmount::dialect::{OwnDialect, SharedDialect};
 use latchmount::operator::{self, OperatorError};
-use latchmount::process::{self, Roles};
+use latchmount::process::{self, Outside, Roles};
+use tokio::runtime::{Builder, Runtime};
+
+#[path = "../platform/mod.rs"]
+mod platform;
 
 fn main() -> ExitCode {
     let command = match cli().run_inner(bpaf::Args::current_args()) {
@@ -14,18 +20,47 @@
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
         }
     };
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match runtime(&command) {
         Ok(runtime) => runtime,
         Err(error) => return fail(&error, 1),
     };
     runtime.block_on(run(command))
 }
 
+/// Gateways and members run on small machines, where a second thread costs more than it gives.
+fn runtime(command: &Cli) -> std::io::Result<Runtime> {
+    match command {
+        Cli::Gateway(_) | Cli::Member(_) => Builder::new_current_thread().enable_all().build(),
+        _ => Runtime::new(),
+    }
+}
+
+/// The dialect that a command names; the project's own without a name.
+fn dialect(process: &Process) -> Option<SharedDialect> {
+    match process.dialect.as_deref() {
+        None => Some(Arc::new(OwnDialect::default())),
+        Some(platform::NAME) => Some(Arc::new(platform::Platform::default())),
+        Some(_) => None,
+    }
+}
+
+async fn outside(process: Process, role: Outside) -> ExitCode {
+    let Some(dialect) = dialect(&process) else {
+        return fail(&"--dialect: no such dialect", 2);
+    };
+    match process::run_outside(process, role, dialect).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&format!("{error:#}"), 1),
+    }
+}
+
 async fn run(command: Cli) -> ExitCode {
     match command {
         Cli::Router(process) => serve(process, Roles::Router).await,
         Cli::Control(process) => serve(process, Roles::Control).await,
         Cli::Serve(process) => serve(process, Roles::All).await,
+        Cli::Gateway(process) => outside(process, Outside::Gateway).await,
+        Cli::Member(process) => outside(process, Outside::Member).await,
         Cli::Check { file } => print(operator::check(&file)),
         Cli::Init(remote) => print(operator::form(&remote).await),
         Cli::Status { json, remote } => print(operator::status(&remote, json).await),
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -232,7 +232,11 @@
             Answer::Conflict { in_force } => Err(OperatorError::Conflict { in_force }),
             Answer::Rejected { faults } => Err(OperatorError::Faulty(faults)),
             Answer::IdReused => Err(OperatorError::IdReused),
-            Answer::Claim(_) | Answer::Released => Err(ControlError::Unknown.into()),
+            Answer::Claim(_)
+            | Answer::Released
+            | Answer::Configured { .. }
+            | Answer::WrongBase
+            | Answer::Listed => Err(ControlError::Unknown.into()),
         }
     }
 
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,14 +1,22 @@
 //! One process: starts the roles of its settings and stops them as planned on a signal.
 
+use std::path::Path;
+
 use eyre::{OptionExt, WrapErr, bail};
 use slog::{Level, Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::Process;
 use crate::control::Control;
+use crate::dialect::SharedDialect;
+use crate::gateway::RunningGateway;
+use crate::gateway::settings::GatewaySettings;
+use crate::group::GroupMember;
+use crate::group::settings::MemberSettings;
+use crate::jsonc::{self, Validate};
 use crate::logging;
 use crate::router::Router;
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 
 /// Roles that a command asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,3 +119,63 @@
         _ = interrupt.recv() => warn!(log, "second signal"; "event" => "stop_now"),
     }
 }
+
+/// Roles that speak a dialect with the outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outside {
+    /// A gateway.
+    Gateway,
+    /// A member of a control group that forms itself.
+    Member,
+}
+
+/// Runs a gateway or a member until a signal ends it as planned.
+///
+/// # Errors
+/// When the settings have faults, an address can't be used, or the disk of a member fails.
+pub async fn run_outside(
+    process: Process,
+    role: Outside,
+    dialect: SharedDialect,
+) -> eyre::Result<()> {
+    let level = if process.verbose { Level::Debug } else { Level::Info };
+    let mut stop = signal(SignalKind::terminate()).wrap_err("SIGTERM can't be handled")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be handled")?;
+    match role {
+        Outside::Gateway => {
+            let settings: GatewaySettings = read(&process.settings)?;
+            let log = logging::logger(&settings.host, level);
+            let gateway = RunningGateway::start(settings, dialect, &log).await?;
+            tokio::select! {
+                _ = stop.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            info!(log, "planned stop"; "event" => "stop");
+            tokio::select! {
+                () = gateway.stop() => {}
+                _ = interrupt.recv() => warn!(log, "second signal"; "event" => "stop_now"),
+            }
+        }
+        Outside::Member => {
+            let settings: MemberSettings = read(&process.settings)?;
+            let log = logging::logger(&settings.host, level);
+            let mut member = GroupMember::start(settings, dialect, &log).await?;
+            tokio::select! {
+                _ = stop.recv() => info!(log, "planned stop"; "event" => "stop"),
+                _ = interrupt.recv() => info!(log, "planned stop"; "event" => "stop"),
+                error = member.failed() => {
+                    return Err(error).wrap_err("the member had to stop");
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Reads and checks a settings file.
+fn read<T: serde::de::DeserializeOwned + Validate>(path: &Path) -> Result<T, SettingsError> {
+    let unreadable = |source| SettingsError::Unreadable { path: path.to_owned(), source };
+    let text = std::fs::read_to_string(path).map_err(unreadable)?;
+    let faulty = |faults| SettingsError::Faulty { path: path.to_owned(), faults };
+    jsonc::from_str(&text).map_err(faulty)
+}
--- /dev/null
+++ b/src/raft/disk.rs
@@ -0,0 +1,179 @@
+//! Disks that hold a log: a file in a folder, and one that waits while it is full.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Write as _};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use super::Disk;
+
+const LOG_FILE: &str = "log";
+const NEW_FILE: &str = "log.new";
+const LOCK_FILE: &str = "lock";
+/// Between two tries to write to a full disk.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
+/// A log file in a folder that one process holds.
+pub struct FolderDisk {
+    folder: PathBuf,
+    file: Option<File>,
+    _lock: File,
+}
+
+impl FolderDisk {
+    /// Takes hold of `folder`, made if it is missing.
+    ///
+    /// # Errors
+    /// When the folder can't be made or another process holds it.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let lock = File::create(folder.join(LOCK_FILE))?;
+        lock.try_lock().map_err(|_| {
+            io::Error::new(io::ErrorKind::ResourceBusy, "another process holds the data folder")
+        })?;
+        Ok(FolderDisk { folder: folder.to_owned(), file: None, _lock: lock })
+    }
+
+    fn file(&mut self) -> io::Result<&mut File> {
+        if self.file.is_none() {
+            let path = self.folder.join(LOG_FILE);
+            self.file = Some(OpenOptions::new().append(true).open(path)?);
+        }
+        self.file.as_mut().ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FolderDisk {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let mut bytes = Vec::new();
+        match File::open(self.folder.join(LOG_FILE)) {
+            Ok(mut file) => file.read_to_end(&mut bytes).map(|_| Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let new = self.folder.join(NEW_FILE);
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&new, self.folder.join(LOG_FILE))?;
+        self.file = None;
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file()?.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file()?.sync_data()
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        let file = self.file()?;
+        file.set_len(len as u64)?;
+        file.sync_all()
+    }
+}
+
+/// A disk of any kind, owned by the thread of a member.
+pub type BoxedDisk = Box<dyn Disk + Send>;
+
+impl Disk for BoxedDisk {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        (**self).read()
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        (**self).replace(bytes)
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        (**self).append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        (**self).sync()
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        (**self).truncate(len)
+    }
+}
+
+/// A disk that is waited for while it is full.
+///
+/// The member that owns it says nothing meanwhile, so that the others go on without it, and loses
+/// nothing.
+pub struct PatientDisk<D> {
+    disk: D,
+    /// Length of the file up to the last sync.
+    synced: usize,
+    /// What was added since.
+    unsynced: Vec<u8>,
+}
+
+impl<D: Disk> PatientDisk<D> {
+    /// Waits for `disk`.
+    pub fn new(disk: D) -> Self {
+        PatientDisk { disk, synced: 0, unsynced: Vec::new() }
+    }
+
+    fn patiently(&mut self, mut step: impl FnMut(&mut Self) -> io::Result<()>) -> io::Result<()> {
+        loop {
+            match step(self) {
+                Err(error) if full(&error) => std::thread::sleep(FULL_PAUSE),
+                done => return done,
+            }
+        }
+    }
+}
+
+fn full(error: &io::Error) -> bool {
+    use io::ErrorKind::{QuotaExceeded, StorageFull};
+    matches!(error.kind(), StorageFull | QuotaExceeded)
+}
+
+impl<D: Disk> Disk for PatientDisk<D> {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let bytes = self.disk.read()?;
+        self.synced = bytes.as_ref().map_or(0, Vec::len);
+        Ok(bytes)
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.patiently(|patient| patient.disk.replace(bytes))?;
+        self.synced = bytes.len();
+        self.unsynced.clear();
+        Ok(())
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.unsynced.extend(bytes);
+        let mut torn = false;
+        self.patiently(|patient| {
+            if torn {
+                patient.disk.truncate(patient.synced)?;
+                return patient.disk.append(&patient.unsynced);
+            }
+            torn = true;
+            patient.disk.append(bytes)
+        })
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.patiently(|patient| patient.disk.sync())?;
+        self.synced += self.unsynced.len();
+        self.unsynced.clear();
+        Ok(())
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        self.patiently(|patient| patient.disk.truncate(len))?;
+        self.synced = len;
+        self.unsynced.clear();
+        Ok(())
+    }
+}
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -1,12 +1,15 @@
 //! What a leader does: replicates its log, counts who has it, and keeps its lease.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::node::{Node, Progress};
 use super::{AppendResult, Body, Index, Position, Role, StoreId, Time};
 
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 256;
+/// Longest time until the others are told of a new commit index.
+const COMMIT_NEWS: Duration = Duration::from_millis(5);
 
 impl Node {
     pub(super) fn on_append_reply(
@@ -51,6 +54,7 @@
         // Only entries of the own term commit by counting (Raft, section 5.4.2).
         if agreed > self.commit && self.log.term_at(agreed) == Some(self.hard.term) {
             self.commit = agreed;
+            self.heartbeat_at = self.heartbeat_at.min(self.now + COMMIT_NEWS);
         }
     }
 
@@ -154,6 +158,7 @@
         let ids: BTreeSet<StoreId> = self.members().0.iter().map(|member| member.id).collect();
         self.progress.retain(|id, _| ids.contains(id));
         let next = self.log.last().index;
+        let since = self.now;
         for id in ids {
             if id != self.id {
                 self.progress.entry(id).or_insert(Progress {
@@ -161,6 +166,7 @@
                     next,
                     acked_at: None,
                     snapshot_sent: None,
+                    since,
                 });
             }
         }
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -4,10 +4,12 @@
 //! [`Node`] is a pure state machine: it takes messages and an explicit time and leaves what is to
 //! be written, sent and applied in a [`Ready`]. [`Replica`] joins it to a [`Wal`] and the store.
 
+mod disk;
 mod election;
 mod follower;
 mod leader;
 mod log;
+mod membership;
 mod message;
 mod node;
 mod replica;
@@ -21,11 +23,13 @@
 
 use crate::store::{Command, Store};
 
+pub use self::disk::{BoxedDisk, FolderDisk, PatientDisk};
 pub use self::log::Log;
+pub use self::membership::{Health, Upkeep};
 pub use self::message::{AppendResult, Body, Envelope};
 pub use self::node::{Node, NotLeader, Ready, Role, Timing, Write};
 pub use self::replica::{Answered, Replica, fresh_store};
-pub use self::wal::{Disk, FolderDisk, Recovered, Wal, WalError};
+pub use self::wal::{Disk, Recovered, Tail, Wal, WalError};
 
 /// Monotonic time since the start of the process.
 pub type Time = Duration;
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AppendResult, Body, Entry, Envelope, GroupId, HardState, Index, Log, Members, Payload,
-    Position, Snapshot, StoreId, Term, Time,
+    Position, Snapshot, StoreId, Term, Time, Upkeep,
 };
 
 /// Intervals of the protocol.
@@ -87,6 +87,8 @@
     pub(super) acked_at: Option<Time>,
     /// When a snapshot was last sent.
     pub(super) snapshot_sent: Option<Time>,
+    /// When the leader began to send to the member.
+    pub(super) since: Time,
 }
 
 /// The consensus state of one member.
@@ -112,6 +114,10 @@
     pub(super) campaign_at: Time,
     /// When a leader was last heard; at the start taken as just now, for a vote may be forgotten.
     pub(super) heard_at: Time,
+    /// Time of the newest input.
+    pub(super) now: Time,
+    /// Keeps the number of voters up by itself, where set.
+    pub(super) upkeep: Option<Upkeep>,
     pub(super) ready: Ready,
 }
 
@@ -144,6 +150,8 @@
             heartbeat_at: now,
             campaign_at: now,
             heard_at: now,
+            now,
+            upkeep: None,
             ready: Ready::default(),
         };
         node.reset_campaign(now);
@@ -214,6 +222,16 @@
         self.quorum_acked(now).is_some_and(|acked| now < acked + self.timing.lease())
     }
 
+    /// Until when what this member has applied is surely not outdated by more than the time that
+    /// it takes a leader's news to arrive; `None` when it hears no leader.
+    pub fn fresh_until(&self, now: Time) -> Option<Time> {
+        match self.role {
+            Role::Leader if self.commit < self.term_start => None,
+            Role::Leader => Some(self.quorum_acked(now)? + self.timing.lease()),
+            _ => self.leader.map(|_| self.heard_at + self.timing.election_min),
+        }
+    }
+
     /// Since when this member leads.
     pub fn leading_since(&self) -> Option<Time> {
         (self.role == Role::Leader).then_some(self.heard_at)
@@ -224,11 +242,18 @@
         (self.recently_heard(now, id), self.matched(id))
     }
 
+    /// When time must pass next, by [`Node::tick`], unless an input comes first.
+    pub fn next_tick(&self) -> Time {
+        if self.role == Role::Leader { self.heartbeat_at } else { self.campaign_at }
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Time) {
+        self.now = now;
         if self.role == Role::Leader {
             self.check_quorum(now);
             if self.role == Role::Leader && now >= self.heartbeat_at {
+                self.maintain(now);
                 self.broadcast(now);
             }
         } else if now >= self.campaign_at {
@@ -241,6 +266,7 @@
     /// # Errors
     /// [`NotLeader`] unless this member leads.
     pub fn propose(&mut self, now: Time, payload: Payload) -> Result<Position, NotLeader> {
+        self.now = now;
         if self.role != Role::Leader {
             return Err(NotLeader { leader: self.leader });
         }
@@ -284,6 +310,7 @@
 
     /// Takes a message.
     pub fn receive(&mut self, now: Time, message: Envelope) {
+        self.now = now;
         let blank = self.hard.group == GroupId::default();
         if message.to != self.id || (message.group != self.hard.group && !blank) {
             return;
--- a/src/raft/replica.rs
+++ b/src/raft/replica.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    Disk, Envelope, GroupId, Members, Node, NotLeader, Payload, Position, StoreId, Time, Timing,
-    Wal, WalError,
+    Disk, Envelope, GroupId, Members, Node, NotLeader, Payload, Position, StoreId, Tail, Time,
+    Timing, Upkeep, Wal, WalError,
 };
 use crate::store::{Answer, Command, Store};
 
@@ -43,7 +43,23 @@
         now: Time,
         seed: u64,
     ) -> Result<Self, WalError> {
-        let (wal, recovered) = Wal::open(disk, fresh)?;
+        Self::open_with(disk, Tail::Strict, fresh, timing, compact_after, now, seed)
+    }
+
+    /// The same, with a rule for a damaged tail of the log.
+    ///
+    /// # Errors
+    /// [`WalError`] when the log can't be read.
+    pub fn open_with(
+        disk: D,
+        tail: Tail,
+        fresh: StoreId,
+        timing: Timing,
+        compact_after: usize,
+        now: Time,
+        seed: u64,
+    ) -> Result<Self, WalError> {
+        let (wal, recovered) = Wal::open(disk, tail, fresh)?;
         let snapshot = recovered.log.snapshot();
         let store = snapshot.store.clone();
         let applied = snapshot.at;
@@ -76,6 +92,16 @@
         self.node.form(group, members);
     }
 
+    /// Lets the group keep its number of voters up by itself.
+    pub fn keep_up(&mut self, upkeep: Upkeep) {
+        self.node.keep_up(upkeep);
+    }
+
+    /// Takes a store in as a learner, if this member leads.
+    pub fn join(&mut self, now: Time, id: StoreId, addr: SocketAddr) {
+        self.node.join(now, id, addr);
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Time) {
         self.node.tick(now);
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -3,9 +3,7 @@
 //! A record is a header of three little-endian `u32` (payload length, CRC-32 of the payload, CRC-32
 //! of the two before) and a payload in postcard. A snapshot replaces the whole file.
 
-use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Write as _};
-use std::path::{Path, PathBuf};
+use std::io;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,9 +11,6 @@
 
 const HEADER_BYTES: usize = 12;
 const FORMAT: u32 = 1;
-const LOG_FILE: &str = "log";
-const NEW_FILE: &str = "log.new";
-const LOCK_FILE: &str = "lock";
 
 /// The log can't be read or written; the member must stop.
 #[derive(Debug, thiserror::Error)]
@@ -69,7 +64,30 @@
     Hard(HardState),
     Truncate(Index),
     Append(Entry),
-    Snapshot(Snapshot),
+    Snapshot(Box<Snapshot>),
+    /// All that one write brought, so that it counts whole or not at all.
+    Batch(Vec<Record>),
+}
+
+impl From<&Write> for Record {
+    fn from(write: &Write) -> Self {
+        match write {
+            Write::Hard(hard) => Record::Hard(*hard),
+            Write::Truncate(index) => Record::Truncate(*index),
+            Write::Append(entry) => Record::Append(entry.clone()),
+            Write::Snapshot(snapshot) => Record::Snapshot(snapshot.clone()),
+        }
+    }
+}
+
+/// What to make of a last record that is damaged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tail {
+    /// Cut it off only if it was plainly cut short; else stop the member.
+    Strict,
+    /// Cut it off whenever nothing sound follows: for disks that never damage what was synced, so
+    /// that a damaged last record is one whose sync did not return.
+    Unsynced,
 }
 
 /// What a disk held.
@@ -95,12 +113,12 @@
     ///
     /// # Errors
     /// [`WalError`] when the disk fails or a record below the tail is damaged.
-    pub fn open(mut disk: D, fresh: StoreId) -> Result<(Self, Recovered), WalError> {
+    pub fn open(mut disk: D, tail: Tail, fresh: StoreId) -> Result<(Self, Recovered), WalError> {
         let bytes = disk.read().map_err(failed("read"))?.unwrap_or_default();
         if bytes.is_empty() {
             return Self::start(disk, fresh);
         }
-        let (records, end) = decode(&bytes)?;
+        let (records, end) = decode(&bytes, tail)?;
         if end < bytes.len() {
             disk.truncate(end).map_err(failed("cut"))?;
         }
@@ -127,16 +145,17 @@
         if writes.iter().any(|write| matches!(write, Write::Snapshot(_))) {
             return self.rewrite(hard, log);
         }
+        let mut records: Vec<Record> = writes.iter().map(Record::from).collect();
+        let record = match records.pop() {
+            Some(only) if records.is_empty() => only,
+            Some(last) => {
+                records.push(last);
+                Record::Batch(records)
+            }
+            None => return Ok(()),
+        };
         let mut bytes = Vec::new();
-        for write in writes {
-            let record = match write {
-                Write::Hard(hard) => Record::Hard(*hard),
-                Write::Truncate(index) => Record::Truncate(*index),
-                Write::Append(entry) => Record::Append(entry.clone()),
-                Write::Snapshot(snapshot) => Record::Snapshot((**snapshot).clone()),
-            };
-            encode(&mut bytes, &record);
-        }
+        encode(&mut bytes, &record);
         self.disk.append(&bytes).map_err(failed("written"))?;
         self.disk.sync().map_err(failed("synced"))
     }
@@ -146,7 +165,7 @@
         let identity = Record::Identity { format: FORMAT, store: self.store };
         encode(&mut bytes, &identity);
         encode(&mut bytes, &Record::Hard(hard));
-        encode(&mut bytes, &Record::Snapshot(log.snapshot().clone()));
+        encode(&mut bytes, &Record::Snapshot(Box::new(log.snapshot().clone())));
         for entry in log.from(0) {
             encode(&mut bytes, &Record::Append(entry.clone()));
         }
@@ -170,7 +189,7 @@
 }
 
 /// Reads records up to a torn tail; returns them and where they end.
-fn decode(bytes: &[u8]) -> Result<(Vec<Record>, usize), WalError> {
+fn decode(bytes: &[u8], tail: Tail) -> Result<(Vec<Record>, usize), WalError> {
     let mut records = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
@@ -182,12 +201,18 @@
                 at += HEADER_BYTES + payload.len();
             }
             None if torn(rest) => break,
+            None if tail == Tail::Unsynced && !sound_record_follows(rest) => break,
             None => return Err(WalError::Damaged { at }),
         }
     }
     Ok((records, at))
 }
 
+/// Whether a sound record begins anywhere behind the first byte.
+fn sound_record_follows(rest: &[u8]) -> bool {
+    (1..rest.len()).any(|at| split(&rest[at..]).is_some_and(|payload| !payload.is_empty()))
+}
+
 /// The payload of the record that `rest` begins with, if it is whole and sound.
 fn split(rest: &[u8]) -> Option<&[u8]> {
     let (len, check) = header(rest)?;
@@ -229,78 +254,25 @@
     };
     let mut recovered = Recovered { store, hard: HardState::default(), log: Log::default() };
     for record in records {
-        match record {
-            Record::Identity { .. } => return Err(WalError::Damaged { at: 0 }),
-            Record::Hard(hard) => recovered.hard = hard,
-            Record::Truncate(index) => recovered.log.truncate(index),
-            Record::Append(entry) => recovered.log.push(entry),
-            Record::Snapshot(snapshot) => recovered.log = Log::new(snapshot),
-        }
+        recovered.take(record)?;
     }
     Ok(recovered)
 }
 
-/// A log file in a folder that one process holds.
-pub struct FolderDisk {
-    folder: PathBuf,
-    file: Option<File>,
-    _lock: File,
-}
-
-impl FolderDisk {
-    /// Takes hold of `folder`, made if it is missing.
-    ///
-    /// # Errors
-    /// When the folder can't be made or another process holds it.
-    pub fn open(folder: &Path) -> io::Result<Self> {
-        std::fs::create_dir_all(folder)?;
-        let lock = File::create(folder.join(LOCK_FILE))?;
-        lock.try_lock().map_err(|_| {
-            io::Error::new(io::ErrorKind::ResourceBusy, "another process holds the data folder")
-        })?;
-        Ok(FolderDisk { folder: folder.to_owned(), file: None, _lock: lock })
-    }
-
-    fn file(&mut self) -> io::Result<&mut File> {
-        if self.file.is_none() {
-            let path = self.folder.join(LOG_FILE);
-            self.file = Some(OpenOptions::new().append(true).open(path)?);
-        }
-        self.file.as_mut().ok_or_else(|| io::ErrorKind::NotFound.into())
-    }
-}
-
-impl Disk for FolderDisk {
-    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
-        let mut bytes = Vec::new();
-        match File::open(self.folder.join(LOG_FILE)) {
-            Ok(mut file) => file.read_to_end(&mut bytes).map(|_| Some(bytes)),
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-            Err(error) => Err(error),
+impl Recovered {
+    fn take(&mut self, record: Record) -> Result<(), WalError> {
+        match record {
+            Record::Identity { .. } => return Err(WalError::Damaged { at: 0 }),
+            Record::Hard(hard) => self.hard = hard,
+            Record::Truncate(index) => self.log.truncate(index),
+            Record::Append(entry) => self.log.push(entry),
+            Record::Snapshot(snapshot) => self.log = Log::new(*snapshot),
+            Record::Batch(records) => {
+                for record in records {
+                    self.take(record)?;
+                }
+            }
         }
-    }
-
-    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let new = self.folder.join(NEW_FILE);
-        let mut file = File::create(&new)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        std::fs::rename(&new, self.folder.join(LOG_FILE))?;
-        self.file = None;
-        File::open(&self.folder)?.sync_all()
-    }
-
-    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.file()?.write_all(bytes)
-    }
-
-    fn sync(&mut self) -> io::Result<()> {
-        self.file()?.sync_data()
-    }
-
-    fn truncate(&mut self, len: usize) -> io::Result<()> {
-        let file = self.file()?;
-        file.set_len(len as u64)?;
-        file.sync_all()
+        Ok(())
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claims::{Claim, Claims, Release, Verdict};
+use crate::directory::{Announcement, Directory};
+use crate::document::{Document, Packed};
 use crate::jsonc::{Fault, Validate};
 use crate::template::{Policy, Spec, Template, check_name};
 
@@ -34,6 +36,14 @@
     Claim(Claim),
     /// A router gives a claim back.
     Release(Release),
+    /// An operator sends a whole configuration.
+    Configure(Packed),
+    /// A target announces something new.
+    Announce(Announcement),
+    /// A target leaves for good.
+    Remove(String),
+    /// Targets have not been heard for long.
+    Silence(Vec<String>),
 }
 
 /// The move of an engine to another model, during which it gets no new work.
@@ -115,6 +125,15 @@
     Claim(Verdict),
     /// The claim was given back.
     Released,
+    /// The configuration with this version, or a higher one, is held.
+    Configured {
+        /// Version held.
+        held: u64,
+    },
+    /// The configuration came as a difference from a version that is not held; send it whole.
+    WrongBase,
+    /// The directory of targets holds it.
+    Listed,
 }
 
 impl Answer {
@@ -127,6 +146,9 @@
             Answer::IdReused => "id_reused",
             Answer::Claim(_) => "claim",
             Answer::Released => "released",
+            Answer::Configured { .. } => "configured",
+            Answer::WrongBase => "wrong_base",
+            Answer::Listed => "listed",
         }
     }
 }
@@ -177,6 +199,8 @@
     answers: BTreeMap<String, FirstAnswer>,
     answer_order: VecDeque<String>,
     claims: Claims,
+    document: Option<Document>,
+    directory: Directory,
 }
 
 impl Store {
@@ -195,6 +219,16 @@
         &self.drains
     }
 
+    /// The configuration document held.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Targets that announced themselves.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
     /// Claims on request keys.
     pub fn claims(&self) -> &Claims {
         &self.claims
@@ -216,6 +250,40 @@
                 self.claims.release(release);
                 Answer::Released
             }
+            Command::Configure(packed) => self.apply_document(index, &packed),
+            Command::Announce(announcement) => {
+                self.directory.announce(index, announcement);
+                self.listed()
+            }
+            Command::Remove(id) => {
+                self.directory.remove(index, &id);
+                self.listed()
+            }
+            Command::Silence(ids) => {
+                self.directory.silence(index, &ids);
+                self.listed()
+            }
+        }
+    }
+
+    fn listed(&mut self) -> Answer {
+        self.revision = self.revision.max(self.directory.revision());
+        Answer::Listed
+    }
+
+    /// The highest version holds; the first content that came under a version is its content.
+    fn apply_document(&mut self, index: u64, packed: &Packed) -> Answer {
+        let held = self.document.as_ref().map_or(0, |held| held.version);
+        if packed.version <= held {
+            return Answer::Configured { held };
+        }
+        match packed.unpack(self.document.as_ref()) {
+            Ok(document) => {
+                self.document = Some(document);
+                self.revision = index;
+                Answer::Configured { held: packed.version }
+            }
+            Err(_) => Answer::WrongBase,
         }
     }
 
