Read settings again on SIGHUP; learn the load of other gateways from targets

And the load at a target was guessed as the own requests times the gateways, too rough a measure: one request more made a chat leave its target.

Ruled out: a bound that is too tight by itself; it is the cap with one less.

Change: SIGHUP, and each ten seconds, the settings file is read; sound changes take effect for seeds, faulty ones are logged and refused. The load of others is what a target tells less the own requests, smoothed, for 3 s.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -28,8 +28,9 @@
 
 /// Follows members for ever.
 pub(super) async fn follow(gateway: Arc<Gateway>) {
+    let members = lock(&gateway.seeds).clone();
     let mut follower = Follower {
-        members: gateway.settings.member_peers(),
+        members,
         document: None,
         at: rand::random_range(0..usize::from(u16::MAX)),
         lost: false,
@@ -39,6 +40,7 @@
         let member = follower.members[follower.at % follower.members.len()];
         let error = follower.follow_one(member).await;
         follower.note_lost(member, &error);
+        follower.learn(follower.members.clone());
         follower.at += 1;
         tokio::time::sleep(PAUSE).await;
     }
@@ -149,7 +151,7 @@
     fn learn(&mut self, members: Vec<SocketAddr>) {
         let current = self.members[self.at % self.members.len()];
         let mut known = members;
-        known.extend(self.gateway.settings.member_peers());
+        known.extend(lock(&self.gateway.seeds).iter());
         known.sort_unstable();
         known.dedup();
         self.at = known.iter().position(|addr| *addr == current).unwrap_or(self.at);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,6 +79,8 @@
 pub(crate) struct Gateway {
     settings: GatewaySettings,
     dialect: SharedDialect,
+    /// Where the members of the settings are reached.
+    seeds: Mutex<Vec<SocketAddr>>,
     table: RwLock<Option<Arc<RouteTable>>>,
     targets: RwLock<Targets>,
     /// Gateways alive, as the members tell; 0 while not told.
@@ -138,6 +140,7 @@
             "on_stale" => ?settings.on_stale, "load_bound" => settings.load_bound,
             "retry_ratio" => settings.retry_ratio, "retry_slack" => settings.retry_slack);
         let gateway = Arc::new(Gateway {
+            seeds: Mutex::new(settings.member_peers()),
             settings,
             dialect,
             table: RwLock::default(),
@@ -163,6 +166,15 @@
         Ok(RunningGateway(gateway))
     }
 
+    /// Takes changed settings; only the members take effect before a restart.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        let members = settings.members.clone();
+        let others = GatewaySettings { members, ..self.0.settings.clone() } != *settings;
+        *lock(&self.0.seeds) = settings.member_peers();
+        info!(self.0.log, "settings in force"; "event" => "settings_in_force",
+            "members" => ?settings.members, "restart_needed" => others);
+    }
+
     /// Stops as planned: not ready at once, serving on until nothing comes and nothing is left.
     pub async fn stop(self) {
         let gateway = self.0;
@@ -283,14 +295,15 @@
 
     /// Chooses a target that the request has not tried.
     fn choose(&self, plan: &Plan) -> Option<Arc<Target>> {
-        let (now, gateways) = (self.now(), self.gateways());
+        let now = self.now();
         let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
         let usable =
             |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
         let targets: Vec<&Arc<Target>> = targets.of(&plan.service).iter().filter(usable).collect();
+        let usual = usual_others(&targets, now);
         let candidate = |target: &&Arc<Target>| Candidate {
             key: target.key,
-            load: target.load(now, gateways),
+            load: f64::from(target.in_flight()) + target.others(now).unwrap_or(usual),
             slots: target.announcement.slots,
             near: target.announcement.zone == self.settings.data_hall,
             doubtful: self.doubtful(now, target),
@@ -326,3 +339,9 @@
         }
     }
 }
+
+/// Mean load that other gateways bring to the targets that told of it lately.
+fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
+    let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
+    told.iter().sum::<f64>() / told.len().max(1) as f64
+}
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -14,14 +14,15 @@
 use crate::store::Revision;
 
 /// Age from which a target's own word about its load is not used any more.
-const LOAD_HOLDS_FOR: Duration = Duration::from_millis(600);
+const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
+/// Weight of the newest word about the load.
+const NEWEST: f64 = 0.5;
 
-/// Load as a target told it, and what this gateway had in flight there then.
+/// Load that other gateways bring to a target, from what the target told.
 #[derive(Clone, Copy, Debug)]
-struct LoadReport {
+struct OthersLoad {
     at: Duration,
-    load: u32,
-    own: u32,
+    requests: f64,
 }
 
 /// One target.
@@ -37,7 +38,7 @@
     pub(super) connections: AtomicU32,
     pub(super) idle: Mutex<Vec<Idle>>,
     health: Mutex<Health>,
-    report: Mutex<Option<LoadReport>>,
+    others: Mutex<Option<OthersLoad>>,
 }
 
 impl Target {
@@ -50,7 +51,7 @@
             connections: AtomicU32::new(0),
             idle: Mutex::default(),
             health: Mutex::default(),
-            report: Mutex::default(),
+            others: Mutex::default(),
             announcement,
         };
         target.set_state(target.announcement.state);
@@ -98,20 +99,22 @@
 
     /// Notes the load that the target told of itself.
     pub(super) fn note_load(&self, now: Duration, load: TargetLoad) {
-        let own = self.in_flight();
-        *lock(&self.report) = Some(LoadReport { at: now, load: load.running + load.waiting, own });
+        let told = f64::from(load.running + load.waiting);
+        let newest = (told - f64::from(self.in_flight())).max(0.0);
+        let mut others = lock(&self.others);
+        let requests = match *others {
+            Some(known) if now < known.at + LOAD_HOLDS_FOR => {
+                known.requests + NEWEST * (newest - known.requests)
+            }
+            _ => newest,
+        };
+        *others = Some(OthersLoad { at: now, requests });
     }
 
-    /// Requests that the target is thought to have from all of `gateways`.
-    pub(super) fn load(&self, now: Duration, gateways: u32) -> f64 {
-        let own = self.in_flight();
-        match *lock(&self.report) {
-            Some(report) if now < report.at + LOAD_HOLDS_FOR => {
-                let since = f64::from(own) - f64::from(report.own);
-                (f64::from(report.load) + since).max(f64::from(own))
-            }
-            _ => f64::from(own) * f64::from(gateways.max(1)),
-        }
+    /// Requests that other gateways are thought to have at the target, where it told lately.
+    pub(super) fn others(&self, now: Duration) -> Option<f64> {
+        let others = (*lock(&self.others))?;
+        (now < others.at + LOAD_HOLDS_FOR).then_some(others.requests)
     }
 }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -85,11 +85,14 @@
 /// A running member.
 pub struct GroupMember {
     failed: oneshot::Receiver<WalError>,
+    shared: Arc<Shared>,
 }
 
 /// What the tasks of a member share.
 pub(crate) struct Shared {
     settings: MemberSettings,
+    /// Where the seeds are reached by members.
+    seeds: Mutex<Vec<SocketAddr>>,
     /// Where other members reach this one.
     own: SocketAddr,
     store: StoreId,
@@ -143,6 +146,7 @@
             liveness: Mutex::new(Liveness::new(heartbeat)),
             archive: Mutex::default(),
             started: Instant::now(),
+            seeds: Mutex::new(settings.seed_peers()),
             settings,
             log,
         });
@@ -152,8 +156,17 @@
         tokio::spawn(upkeep::join(shared.clone()));
         tokio::spawn(upkeep::gossip(shared.clone()));
         tokio::spawn(upkeep::watch_targets(shared.clone()));
-        tokio::spawn(upkeep::log_beliefs(shared));
-        Ok(GroupMember { failed })
+        tokio::spawn(upkeep::log_beliefs(shared.clone()));
+        Ok(GroupMember { failed, shared })
+    }
+
+    /// Takes changed settings; only the seeds take effect before a restart.
+    pub fn reload(&self, settings: &MemberSettings) {
+        let (seeds, found) = (settings.seeds.clone(), settings.found);
+        let others = MemberSettings { seeds, found, ..self.shared.settings.clone() } != *settings;
+        *lock(&self.shared.seeds) = settings.seed_peers();
+        info!(self.shared.log, "settings in force"; "event" => "settings_in_force",
+            "seeds" => ?settings.seeds, "restart_needed" => others);
     }
 
     /// Waits until the member had to stop because its disk failed.
@@ -241,7 +254,7 @@
     fn known_members(&self) -> Vec<SocketAddr> {
         let mut addrs: Vec<SocketAddr> =
             self.published().members.0.iter().map(|member| member.addr).collect();
-        addrs.extend(self.settings.seed_peers());
+        addrs.extend(lock(&self.seeds).iter());
         addrs.sort_unstable();
         addrs.dedup();
         addrs
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,6 +1,7 @@
 //! One process: starts the roles of its settings and stops them as planned on a signal.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use eyre::{OptionExt, WrapErr, bail};
 use slog::{Level, Logger, info, warn};
@@ -146,9 +147,13 @@
             let settings: GatewaySettings = read(&process.settings)?;
             let log = logging::logger(&settings.host, level);
             let gateway = RunningGateway::start(settings, dialect, &log).await?;
-            tokio::select! {
-                _ = stop.recv() => {}
-                _ = interrupt.recv() => {}
+            let mut reload = Reload::new(&process, &log)?;
+            loop {
+                tokio::select! {
+                    _ = stop.recv() => break,
+                    _ = interrupt.recv() => break,
+                    settings = reload.changed() => gateway.reload(&settings),
+                }
             }
             info!(log, "planned stop"; "event" => "stop");
             tokio::select! {
@@ -160,18 +165,73 @@
             let settings: MemberSettings = read(&process.settings)?;
             let log = logging::logger(&settings.host, level);
             let mut member = GroupMember::start(settings, dialect, &log).await?;
-            tokio::select! {
-                _ = stop.recv() => info!(log, "planned stop"; "event" => "stop"),
-                _ = interrupt.recv() => info!(log, "planned stop"; "event" => "stop"),
-                error = member.failed() => {
-                    return Err(error).wrap_err("the member had to stop");
+            let mut reload = Reload::new(&process, &log)?;
+            loop {
+                tokio::select! {
+                    _ = stop.recv() => break,
+                    _ = interrupt.recv() => break,
+                    settings = reload.changed() => member.reload(&settings),
+                    error = member.failed() => {
+                        return Err(error).wrap_err("the member had to stop");
+                    }
                 }
             }
+            info!(log, "planned stop"; "event" => "stop");
         }
     }
     Ok(())
 }
 
+/// Between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(10);
+
+/// Watches a settings file.
+struct Reload {
+    hang_up: Signal,
+    path: PathBuf,
+    /// The text that was last taken or refused.
+    text: String,
+    log: Logger,
+}
+
+impl Reload {
+    fn new(process: &Process, log: &Logger) -> eyre::Result<Self> {
+        let hang_up = signal(SignalKind::hangup()).wrap_err("SIGHUP can't be handled")?;
+        let path = process.settings.clone();
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        Ok(Reload { hang_up, path, text, log: log.clone() })
+    }
+
+    /// Waits until the file holds other settings that are sound. Faulty ones are logged, and those
+    /// in force stay.
+    async fn changed<T: serde::de::DeserializeOwned + Validate>(&mut self) -> T {
+        loop {
+            tokio::select! {
+                _ = self.hang_up.recv() => {}
+                () = tokio::time::sleep(SETTINGS_LOOK) => {}
+            }
+            let Ok(text) = std::fs::read_to_string(&self.path) else {
+                continue;
+            };
+            if text == self.text {
+                continue;
+            }
+            let parsed = jsonc::from_str(&text);
+            self.text = text;
+            match parsed {
+                Ok(settings) => {
+                    info!(self.log, "settings changed"; "event" => "settings_changed");
+                    return settings;
+                }
+                Err(faults) => {
+                    warn!(self.log, "settings refused"; "event" => "settings_refused",
+                        "fault" => %faults[0], "faults" => faults.len());
+                }
+            }
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 fn read<T: serde::de::DeserializeOwned + Validate>(path: &Path) -> Result<T, SettingsError> {
     let unreadable = |source| SettingsError::Unreadable { path: path.to_owned(), source };
