Stop a gateway in stages

Change: not ready and serving on with closed connections; after 0.55 of the time no new connections, and new requests are refused as not run; it ends when quiet, or after 0.95 of the time.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use slog::{debug, info};
 
-use super::Gateway;
 use super::answer::{AnswerBody, refuse};
 use super::attempt::{self, Answer, AttemptError, Outgoing, strip_hop_by_hop};
 use super::connection::{ConnectError, ConnectionLimits, Reuse};
@@ -19,6 +18,7 @@
 use super::reason::Refusal;
 use super::relay;
 use super::target::Target;
+use super::{Gateway, Stage};
 use crate::configuration::Route;
 use crate::route_table::{Caller, RouteTable};
 
@@ -65,7 +65,7 @@
             refuse(refusal)
         }
     };
-    if gateway.stopping() {
+    if gateway.stage() != Stage::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
@@ -83,6 +83,9 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<Plan, Refusal> {
+    if gateway.stage() == Stage::Closed {
+        return Err(Refusal::Stopping);
+    }
     let table = gateway.table().ok_or(Refusal::NoConfiguration)?;
     if gateway.refuses_as_stale() {
         return Err(Refusal::Stale);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Gateway, exchange};
+use super::{Gateway, Stage, exchange};
 use crate::configuration::ClientLimits;
 use crate::link::give_up_after;
 
@@ -30,12 +30,18 @@
     let open = Arc::new(AtomicUsize::new(0));
     // Half of the descriptors are for clients, the rest for targets.
     let most = gateway.settings.max_descriptors / 2;
+    let mut stage = gateway.stage.subscribe();
     loop {
         if open.load(Ordering::Relaxed) >= most {
             tokio::time::sleep(PAUSE).await;
             continue;
         }
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // New connections are refused from here on, so that clients turn elsewhere at once.
+            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,13 +21,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
 use slog::{Logger, info, o};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::balance::{Candidate, Wish, choose};
@@ -47,6 +48,10 @@
 const STOP_LOOK: Duration = Duration::from_millis(50);
 /// Shortest time from the notice of a planned stop to its end: the balancer must have noticed.
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Part of a planned stop's longest time in which new work is taken.
+const STOP_TAKES_PART: f64 = 0.55;
+/// Part of a planned stop's longest time after which it ends whatever is left.
+const STOP_ENDS_PART: f64 = 0.95;
 /// Time without a request after which a planned stop ends.
 const STOP_QUIET: Duration = Duration::from_millis(300);
 
@@ -88,7 +93,7 @@
     /// When a member that hears a leader was last heard.
     fresh_at: Mutex<Option<Instant>>,
     budgets: Mutex<HashMap<String, ServiceBudget>>,
-    stopping: AtomicBool,
+    stage: watch::Sender<Stage>,
     open: AtomicU32,
     last_request: Mutex<Instant>,
     started: Instant,
@@ -96,6 +101,17 @@
     log: Logger,
 }
 
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// There is none.
+    Serving,
+    /// Not ready, but serving all that comes; every answer closes its connection.
+    Leaving,
+    /// No new connections, and new requests are refused as not run; what is open ends.
+    Closed,
+}
+
 /// Counts a request of a client until dropped.
 pub(crate) struct OpenRequest(Arc<Gateway>);
 
@@ -148,7 +164,7 @@
             gateways: AtomicU32::new(0),
             fresh_at: Mutex::default(),
             budgets: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            stage: watch::Sender::new(Stage::Serving),
             open: AtomicU32::new(0),
             last_request: Mutex::new(Instant::now()),
             started: Instant::now(),
@@ -178,15 +194,19 @@
     /// Stops as planned: not ready at once, serving on until nothing comes and nothing is left.
     pub async fn stop(self) {
         let gateway = self.0;
-        gateway.stopping.store(true, Ordering::Relaxed);
+        gateway.stage.send_replace(Stage::Leaving);
         let began = Instant::now();
         let longest = Duration::from_millis(gateway.settings.stop_within_ms);
         loop {
             tokio::time::sleep(STOP_LOOK).await;
             let open = gateway.open.load(Ordering::Relaxed);
+            let elapsed = began.elapsed();
+            if elapsed >= longest.mul_f64(STOP_TAKES_PART) {
+                gateway.stage.send_replace(Stage::Closed);
+            }
             let quiet = open == 0 && lock(&gateway.last_request).elapsed() >= STOP_QUIET;
-            let over = began.elapsed() >= longest;
-            if over || (quiet && began.elapsed() >= STOP_NOTICE.min(longest)) {
+            let over = elapsed >= longest.mul_f64(STOP_ENDS_PART);
+            if over || (quiet && elapsed >= STOP_NOTICE.min(longest)) {
                 info!(gateway.log, "stopped"; "event" => "stopped", "open" => open,
                     "took_ms" => began.elapsed().as_millis() as u64);
                 return;
@@ -214,13 +234,13 @@
         self.table().map_or(0, |table| table.version())
     }
 
-    fn stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+    fn stage(&self) -> Stage {
+        *self.stage.borrow()
     }
 
     /// Whether new clients are welcome.
     fn ready(&self) -> bool {
-        !self.stopping() && self.table().is_some() && !self.refuses_as_stale()
+        self.stage() == Stage::Serving && self.table().is_some() && !self.refuses_as_stale()
     }
 
     /// Whether the settings demand that requests are refused for want of news.
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -9,6 +9,8 @@
 pub enum Refusal {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The gateway is about to end.
+    Stopping,
     /// The configuration is stale, and the settings say to refuse then.
     Stale,
     /// No route fits.
@@ -41,8 +43,9 @@
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 15] = [
+    pub const ALL: [Refusal; 16] = [
         Refusal::NoConfiguration,
+        Refusal::Stopping,
         Refusal::Stale,
         Refusal::NoRoute,
         Refusal::UnknownKey,
@@ -63,6 +66,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Refusal::NoConfiguration => "no_configuration",
+            Refusal::Stopping => "stopping",
             Refusal::Stale => "stale_configuration",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
@@ -92,6 +96,7 @@
             Refusal::AnswerLost | Refusal::WrongAnswer => StatusCode::BAD_GATEWAY,
             Refusal::AnswerLate => StatusCode::GATEWAY_TIMEOUT,
             Refusal::NoConfiguration
+            | Refusal::Stopping
             | Refusal::Stale
             | Refusal::NoTarget
             | Refusal::ConnectFailed
@@ -109,9 +114,11 @@
     pub fn come_back_in(self) -> Option<Duration> {
         match self {
             Refusal::NoConfiguration | Refusal::Stale => Some(Duration::from_millis(300)),
-            Refusal::NoTarget | Refusal::ConnectFailed | Refusal::NotRun | Refusal::TooLate => {
-                Some(Duration::from_millis(60))
-            }
+            Refusal::Stopping
+            | Refusal::NoTarget
+            | Refusal::ConnectFailed
+            | Refusal::NotRun
+            | Refusal::TooLate => Some(Duration::from_millis(60)),
             _ => None,
         }
     }
