Members know at their start what was committed; cut a last record with holes

Cause: after all members had been killed, gateways had no configuration until a leader was elected and had committed something: 1.5 to 2 s of refusals. And a power loss may leave holes in the last, unsynced batch, which read as damage.

Change: the commit index is noted beside the log, unsynced, and read at the start. A batch is one record; where the disk keeps what was synced, a damaged last record is cut. A planned stop takes new work for 0.35 of its time and ends after 0.98.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,9 +49,9 @@
 /// Shortest time from the notice of a planned stop to its end: the balancer must have noticed.
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
 /// Part of a planned stop's longest time in which new work is taken.
-const STOP_TAKES_PART: f64 = 0.55;
+const STOP_TAKES_PART: f64 = 0.35;
 /// Part of a planned stop's longest time after which it ends whatever is left.
-const STOP_ENDS_PART: f64 = 0.95;
+const STOP_ENDS_PART: f64 = 0.98;
 /// Time without a request after which a planned stop ends.
 const STOP_QUIET: Duration = Duration::from_millis(300);
 
--- a/src/raft/disk.rs
+++ b/src/raft/disk.rs
@@ -10,6 +10,7 @@
 const LOG_FILE: &str = "log";
 const NEW_FILE: &str = "log.new";
 const LOCK_FILE: &str = "lock";
+const HINT_FILE: &str = "commit";
 /// Between two tries to write to a full disk.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
@@ -76,6 +77,17 @@
         file.set_len(len as u64)?;
         file.sync_all()
     }
+
+    fn write_hint(&mut self, bytes: &[u8]) {
+        // A hint that can't be written is one that is missing at the next start.
+        let path = self.folder.join(HINT_FILE);
+        let file = OpenOptions::new().write(true).create(true).truncate(false).open(path);
+        let _ = file.and_then(|mut file| file.write_all(bytes));
+    }
+
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        std::fs::read(self.folder.join(HINT_FILE)).ok()
+    }
 }
 
 /// A disk of any kind, owned by the thread of a member.
@@ -101,6 +113,14 @@
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         (**self).truncate(len)
     }
+
+    fn write_hint(&mut self, bytes: &[u8]) {
+        (**self).write_hint(bytes);
+    }
+
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        (**self).read_hint()
+    }
 }
 
 /// A disk that is waited for while it is full.
@@ -176,4 +196,12 @@
         self.unsynced.clear();
         Ok(())
     }
+
+    fn write_hint(&mut self, bytes: &[u8]) {
+        self.disk.write_hint(bytes);
+    }
+
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        self.disk.read_hint()
+    }
 }
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -158,6 +158,11 @@
         node
     }
 
+    /// Learns from its own disk that the entries up to `commit` are committed.
+    pub(super) fn know_committed(&mut self, commit: Index) {
+        self.commit = self.commit.max(commit.min(self.log.last().index));
+    }
+
     /// Identity of this member's store.
     pub fn id(&self) -> StoreId {
         self.id
--- a/src/raft/replica.rs
+++ b/src/raft/replica.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use super::{
-    Disk, Envelope, GroupId, Members, Node, NotLeader, Payload, Position, StoreId, Tail, Time,
-    Timing, Upkeep, Wal, WalError,
+    Disk, Envelope, GroupId, Index, Members, Node, NotLeader, Payload, Position, StoreId, Tail,
+    Time, Timing, Upkeep, Wal, WalError,
 };
 use crate::store::{Answer, Command, Store};
 
@@ -26,6 +26,8 @@
     store: Store,
     applied: Position,
     compact_after: usize,
+    /// Commit index last noted beside the log.
+    noted: Index,
 }
 
 impl<D: Disk> Replica<D> {
@@ -63,8 +65,10 @@
         let snapshot = recovered.log.snapshot();
         let store = snapshot.store.clone();
         let applied = snapshot.at;
-        let node = Node::new(recovered.store, timing, recovered.hard, recovered.log, now, seed);
-        Ok(Replica { node, wal, store, applied, compact_after })
+        let commit = recovered.commit;
+        let mut node = Node::new(recovered.store, timing, recovered.hard, recovered.log, now, seed);
+        node.know_committed(commit);
+        Ok(Replica { node, wal, store, applied, compact_after, noted: commit })
     }
 
     /// The consensus state.
@@ -147,6 +151,10 @@
             }
             self.applied = at;
         }
+        if self.applied.index > self.noted {
+            self.noted = self.applied.index;
+            self.wal.note_commit(self.noted);
+        }
         self.compact()?;
         Ok((ready.messages, answers))
     }
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -52,6 +52,12 @@
     fn sync(&mut self) -> io::Result<()>;
     /// Cuts the file to `len` bytes; durable on return.
     fn truncate(&mut self, len: usize) -> io::Result<()>;
+    /// Writes a few bytes beside the file, that may be lost or torn; nothing waits for them.
+    fn write_hint(&mut self, _bytes: &[u8]) {}
+    /// Reads those bytes.
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        None
+    }
 }
 
 #[derive(Serialize, Deserialize)]
@@ -98,6 +104,8 @@
     pub hard: HardState,
     /// Snapshot and entries.
     pub log: Log,
+    /// An index up to which the entries are surely committed.
+    pub commit: Index,
 }
 
 /// An open log.
@@ -122,13 +130,15 @@
         if end < bytes.len() {
             disk.truncate(end).map_err(failed("cut"))?;
         }
-        let recovered = replay(records)?;
+        let mut recovered = replay(records)?;
+        let hint = disk.read_hint().and_then(|hint| decode_hint(&hint)).unwrap_or(0);
+        recovered.commit = hint.min(recovered.log.last().index);
         let store = recovered.store;
         Ok((Wal { disk, store }, recovered))
     }
 
     fn start(disk: D, store: StoreId) -> Result<(Self, Recovered), WalError> {
-        let recovered = Recovered { store, hard: HardState::default(), log: Log::default() };
+        let recovered = Recovered::blank(store);
         let mut wal = Wal { disk, store };
         wal.rewrite(recovered.hard, &recovered.log)?;
         Ok((wal, recovered))
@@ -160,6 +170,14 @@
         self.disk.sync().map_err(failed("synced"))
     }
 
+    /// Notes beside the log up to where it is committed, so that a member knows so much at its next
+    /// start without asking the others. The note may be lost; it is never ahead of the log.
+    pub fn note_commit(&mut self, commit: Index) {
+        let mut bytes = commit.to_le_bytes().to_vec();
+        bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
+        self.disk.write_hint(&bytes);
+    }
+
     fn rewrite(&mut self, hard: HardState, log: &Log) -> Result<(), WalError> {
         let mut bytes = Vec::new();
         let identity = Record::Identity { format: FORMAT, store: self.store };
@@ -188,6 +206,12 @@
     bytes.extend(payload);
 }
 
+fn decode_hint(hint: &[u8]) -> Option<Index> {
+    let (commit, check) = hint.split_at_checked(size_of::<Index>())?;
+    let sound = crc32fast::hash(commit).to_le_bytes() == check;
+    sound.then(|| Index::from_le_bytes(commit.try_into().expect("split at its size")))
+}
+
 /// Reads records up to a torn tail; returns them and where they end.
 fn decode(bytes: &[u8], tail: Tail) -> Result<(Vec<Record>, usize), WalError> {
     let mut records = Vec::new();
@@ -252,7 +276,7 @@
         Some(Record::Identity { format, .. }) => return Err(WalError::Format { found: format }),
         _ => return Err(WalError::Damaged { at: 0 }),
     };
-    let mut recovered = Recovered { store, hard: HardState::default(), log: Log::default() };
+    let mut recovered = Recovered::blank(store);
     for record in records {
         recovered.take(record)?;
     }
@@ -260,6 +284,10 @@
 }
 
 impl Recovered {
+    fn blank(store: StoreId) -> Self {
+        Recovered { store, hard: HardState::default(), log: Log::default(), commit: 0 }
+    }
+
     fn take(&mut self, record: Record) -> Result<(), WalError> {
         match record {
             Record::Identity { .. } => return Err(WalError::Damaged { at: 0 }),
--- a/tests/agreement/disk.rs
+++ b/tests/agreement/disk.rs
@@ -20,6 +20,9 @@
     synced: Option<Vec<u8>>,
     unsynced: Vec<u8>,
     failure: Option<Failure>,
+    hint: Option<Vec<u8>>,
+    /// The hint before the newest one, which a crash may bring back.
+    older_hint: Option<Vec<u8>>,
 }
 
 /// A handle on a disk; clones share it.
@@ -40,6 +43,11 @@
             synced.extend(&tail[..kept]);
         }
         state.failure = None;
+        match torn % 3 {
+            0 => {}
+            1 => state.hint = state.older_hint.clone(),
+            _ => state.hint = state.hint.take().map(|hint| hint[..hint.len() / 2].to_vec()),
+        }
     }
 
     pub fn bytes(&self) -> Vec<u8> {
@@ -86,6 +94,15 @@
         Ok(())
     }
 
+    fn write_hint(&mut self, bytes: &[u8]) {
+        let mut state = self.0.borrow_mut();
+        state.older_hint = state.hint.replace(bytes.to_vec());
+    }
+
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        self.0.borrow().hint.clone()
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         if let Some(synced) = &mut self.0.borrow_mut().synced {
             synced.truncate(len);
--- a/tests/agreement/wal.rs
+++ b/tests/agreement/wal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use latchmount::raft::{GroupId, Member, Members, Replica, Standing, StoreId, WalError};
+use latchmount::raft::{GroupId, Member, Members, Replica, Standing, StoreId, Tail, WalError};
 use latchmount::store::Command;
 use rstest::rstest;
 
@@ -95,6 +95,60 @@
     }
 }
 
+#[test]
+fn a_restarted_member_knows_what_was_committed_without_asking() {
+    let (disk, _) = written(3);
+    let mut replica = open(&disk).expect("a sound disk");
+    replica.flush().expect("a sound disk");
+    assert_eq!(replica.store().templates()["t0"].version, 3);
+}
+
+#[test]
+fn a_lost_or_torn_note_of_the_commit_index_is_passed_over() {
+    for torn in [1, 2] {
+        let (disk, replica) = written(3);
+        drop(replica);
+        disk.crash(torn);
+        assert_eq!(reopened_version(&disk), 3);
+    }
+}
+
+/// Opens a log on a disk that never damages what was synced.
+fn open_unsynced(disk: &FakeDisk) -> Result<Replica<FakeDisk>, WalError> {
+    let (id, now) = (StoreId(7), Duration::ZERO);
+    Replica::open_with(disk.clone(), Tail::Unsynced, id, timing(), COMPACT_AFTER, now, 1)
+}
+
+#[test]
+fn a_last_record_with_holes_is_cut_where_the_disk_keeps_what_was_synced() {
+    let (disk, mut replica) = written(3);
+    let whole = disk.bytes().len();
+    accept(&mut replica, 3).expect("a sound disk");
+    let sound = disk.bytes();
+    for at in whole..sound.len() {
+        disk.edit(|bytes| bytes[at] ^= 0x10);
+        let mut replica = open_unsynced(&disk).expect("only the last record is damaged");
+        lead(&mut replica);
+        assert_eq!(replica.store().templates()["t0"].version, 3, "a hole at byte {at}");
+        disk.edit(|bytes| bytes.clone_from(&sound));
+    }
+}
+
+#[test]
+fn a_damaged_record_with_sound_ones_behind_it_always_stops_the_member() {
+    let (disk, _) = written(3);
+    let first = disk.bytes().len();
+    let (disk, mut replica) = written(3);
+    accept(&mut replica, 3).expect("a sound disk");
+    let sound = disk.bytes();
+    for at in 0..first {
+        disk.edit(|bytes| bytes[at] ^= 0x10);
+        let opened = open_unsynced(&disk);
+        assert!(matches!(opened, Err(WalError::Damaged { .. })), "a flip at byte {at} went unseen");
+        disk.edit(|bytes| bytes.clone_from(&sound));
+    }
+}
+
 #[rstest]
 #[case::full_disk(Failure::Full)]
 #[case::failing_sync(Failure::Sync)]
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,347 @@
+//! The gateway's decisions, and those that it shares with the members, each against a naive version
+//! or by cases.
+//!
+//! `LATCHMOUNT_SEED` sets the seed of the random cases.
+
+#[path = "seeds/seed.rs"]
+mod seeds;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use latchmount::configuration::{
+    ClientLimits, Configuration, Route, RouteKind, Service, Tenant, Weighted,
+};
+use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
+use latchmount::document::{Document, PackError};
+use latchmount::gateway::balance::{Candidate, Wish, choose};
+use latchmount::gateway::budget::{BudgetRule, ServiceBudget};
+use latchmount::gateway::events::EventSplitter;
+use latchmount::gateway::health::{AttemptOutcome, Health};
+use latchmount::gateway::reason::Refusal;
+use latchmount::jsonc::Validate;
+use latchmount::route_table::{Caller, RouteTable};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_millis(100),
+        gap_goal: None,
+        priority: 0,
+        services: vec![Weighted { service: "s".into(), weight: 1 }],
+        max_attempts: 2,
+        public: false,
+        sticky: false,
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    Configuration {
+        version: 3,
+        routes,
+        services: vec![Service {
+            name: "s".into(),
+            max_connections: None,
+            slots: None,
+            engine: false,
+        }],
+        limits: ClientLimits::default(),
+        tenants: None,
+    }
+}
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    let keys = keys.iter().map(|key| key.to_string()).collect();
+    Tenant { name: name.into(), keys, priority: 0 }
+}
+
+#[rstest]
+#[case::the_longest_prefix_wins("a.example", "/x/y/z", Some("/x/y/"))]
+#[case::a_shorter_prefix_takes_the_rest("a.example", "/x/q", Some("/x/"))]
+#[case::a_port_does_not_count("a.example:8080", "/x/q", Some("/x/"))]
+#[case::the_case_of_the_host_does_not_count("A.Example", "/x/q", Some("/x/"))]
+#[case::a_prefix_is_no_part_of_a_name("a.example", "/xylophone", None)]
+#[case::another_host("b.example", "/x/q", None)]
+fn routes_are_found(#[case] host: &str, #[case] path: &str, #[case] prefix: Option<&str>) {
+    let routes = vec![route("a.example", "/x/"), route("a.example", "/x/y/")];
+    let table = RouteTable::new(configuration(routes));
+    assert_eq!(table.route(host, path).map(|route| route.prefix.as_str()), prefix);
+}
+
+#[test]
+fn callers_are_known_by_their_key() {
+    let mut whole = configuration(vec![route("h", "/a/"), route("h", "/b/")]);
+    whole.routes[1].public = true;
+    whole.tenants = Some(vec![tenant("t", &["k1", "k2"])]);
+    let table = RouteTable::new(whole);
+    let private = table.route("h", "/a/").expect("a route").clone();
+    let public = table.route("h", "/b/").expect("a route").clone();
+    assert!(matches!(table.caller(&private, Some("k2")), Caller::Tenant(t) if t.name == "t"));
+    assert_eq!(table.caller(&private, Some("k3")), Caller::Unknown);
+    assert_eq!(table.caller(&private, None), Caller::Unknown);
+    assert_eq!(table.caller(&public, None), Caller::Anyone);
+    let without = RouteTable::new(configuration(vec![route("h", "/a/")]));
+    assert_eq!(without.caller(&private, None), Caller::Anyone);
+}
+
+#[rstest]
+#[case::unknown_service(|whole: &mut Configuration| whole.services.clear(), "routes[0].service")]
+#[case::no_weight(|whole: &mut Configuration| whole.routes[0].services[0].weight = 0, "routes[0].service")]
+#[case::no_timeout(|whole: &mut Configuration| whole.routes[0].timeout = Duration::ZERO, "routes[0].timeout")]
+#[case::same_place(|whole: &mut Configuration| whole.routes.push(route("h", "/a/")), "routes[1].prefix")]
+#[case::shared_key(|whole: &mut Configuration| whole.tenants = Some(vec![tenant("t", &["k"]), tenant("u", &["k"])]), "tenants[1].keys")]
+fn a_faulty_configuration_names_the_field(
+    #[case] spoil: fn(&mut Configuration),
+    #[case] path: &str,
+) {
+    let mut whole = configuration(vec![route("h", "/a/")]);
+    assert_eq!(whole.faults(), Vec::new());
+    spoil(&mut whole);
+    let faults = whole.faults();
+    assert!(faults.iter().any(|fault| fault.path == path), "{faults:?}");
+}
+
+#[test]
+fn documents_travel_as_differences_byte_for_byte() {
+    let text = |version: u64| {
+        let routes: Vec<String> = (0..400).map(|at| format!("{{\"route\":{at}}}")).collect();
+        format!("{{\"version\":{version},\n \"routes\":[{}]}}", routes.join(","))
+    };
+    let document = |version| Document { version, bytes: Bytes::from(text(version)) };
+    let (held, newer) = (document(7), document(9));
+    let packed = newer.pack(Some(&held)).expect("small");
+    assert!(packed.bytes.len() < 100, "{} bytes for a change of one number", packed.bytes.len());
+    assert_eq!(packed.unpack(Some(&held)), Ok(newer.clone()));
+    assert_eq!(packed.unpack(None), Err(PackError::WrongBase { base: 7 }));
+    assert_eq!(packed.unpack(Some(&document(8))), Err(PackError::WrongBase { base: 7 }));
+    assert_eq!(newer.pack(None).expect("small").unpack(Some(&held)), Ok(newer));
+}
+
+fn heartbeat(id: &str, state: TargetState, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "s".into(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: "z".into(),
+        slots: 8,
+        state,
+        sequence,
+    }
+}
+
+#[test]
+fn heartbeats_are_news_known_or_late() {
+    let mut directory = Directory::default();
+    let ready = heartbeat("a", TargetState::Ready, 5);
+    assert_eq!(directory.judge(&ready), Heartbeat::News);
+    directory.announce(10, ready);
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 6)), Heartbeat::Known);
+    directory.announce(11, heartbeat("a", TargetState::Draining, 8));
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 7)), Heartbeat::Late);
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Draining, 9)), Heartbeat::Known);
+    directory.remove(12, "a");
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 99)), Heartbeat::Late);
+    assert!(directory.targets().next().is_none());
+}
+
+/// Routers that follow by differences see the same targets as one that asks for all.
+#[test]
+fn differences_of_the_directory_add_up() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut directory = Directory::default();
+    let mut followers: Vec<(u64, BTreeMap<String, Announcement>)> = vec![Default::default(); 3];
+    for index in 1..2_000u64 {
+        let id = format!("t{}", rng.random_range(0..400));
+        match rng.random_range(0..10) {
+            0..6 => directory.announce(index, heartbeat(&id, TargetState::Ready, index)),
+            6 => directory.announce(index, heartbeat(&id, TargetState::Draining, index)),
+            7 => directory.silence(index, &[id]),
+            _ => directory.remove(index, &id),
+        }
+        let at = rng.random_range(0..followers.len());
+        let (known, targets) = &mut followers[at];
+        if let Some(delta) = directory.since(*known) {
+            if delta.whole {
+                targets.clear();
+            }
+            for id in &delta.removed {
+                targets.remove(id);
+            }
+            for changed in delta.changed {
+                targets.insert(changed.id.clone(), changed);
+            }
+            *known = delta.revision;
+        }
+        let all: BTreeMap<String, Announcement> =
+            directory.targets().map(|target| (target.id.clone(), target.clone())).collect();
+        assert_eq!(*targets, all, "seed {seed}, index {index}");
+    }
+}
+
+/// The sum over all gateways holds the rule in every window, whatever they do.
+#[test]
+fn budgets_of_all_gateways_hold_the_rule_in_every_window() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let rule = BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    for round in 0..8 {
+        let gateways = rng.random_range(1..12u32);
+        let mut budgets = vec![ServiceBudget::new(rule); gateways as usize];
+        let mut events: Vec<(f64, bool)> = Vec::new();
+        let mut now = 0.0;
+        while now < 60.0 {
+            now += rng.random_range(0.0..0.02);
+            let at = rng.random_range(0..budgets.len());
+            let time = Duration::from_secs_f64(now);
+            budgets[at].request(time);
+            events.push((now, false));
+            for _ in 0..rng.random_range(0..4) {
+                if budgets[at].spend(time, gateways) {
+                    events.push((now, true));
+                }
+            }
+        }
+        let mut within: VecDeque<(f64, bool)> = VecDeque::new();
+        for event in events {
+            within.push_back(event);
+            while within.front().is_some_and(|(at, _)| *at <= event.0 - 10.0) {
+                within.pop_front();
+            }
+            let further = within.iter().filter(|(_, further)| *further).count() as f64;
+            let requests = within.len() as f64 - further;
+            assert!(
+                further <= 0.2 * requests + 56.0,
+                "seed {seed} round {round}: {further} for {requests} at {}",
+                event.0
+            );
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_knows_of_no_other_takes_no_slack() {
+    let rule = BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let mut budget = ServiceBudget::new(rule);
+    assert!(!budget.spend(Duration::ZERO, 0));
+    assert!(budget.spend(Duration::ZERO, 8));
+}
+
+#[rstest]
+#[case::one_event("id: 1\ndata: x\n\n", 1)]
+#[case::in_single_bytes("id: 1\ndata: x\n\nid: 2\ndata: y\n\n", 2)]
+#[case::with_carriage_returns("id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n", 2)]
+fn streams_are_cut_into_whole_events(#[case] text: &str, #[case] last: u32) {
+    for piece in [1, 2, 3, 7, 1_000] {
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        for bytes in text.as_bytes().chunks(piece) {
+            let whole = splitter.push(bytes).expect("short events");
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n") || whole.ends_with(b"\n\r\n"));
+            passed.extend(whole);
+        }
+        assert_eq!(passed, text.as_bytes(), "in pieces of {piece}");
+        assert_eq!(splitter.last_id(), Some(last.to_string().as_str()));
+        assert!(splitter.at_boundary());
+    }
+}
+
+#[test]
+fn an_event_that_did_not_become_whole_is_never_passed_on() {
+    let mut splitter = EventSplitter::default();
+    let whole = splitter.push(b"id: 1\ndata: x\n\nid: 2\ndata").expect("short");
+    assert_eq!(&whole[..], b"id: 1\ndata: x\n\n");
+    assert!(!splitter.at_boundary());
+    assert_eq!(splitter.last_id(), Some("1"));
+    splitter.drop_partial();
+    assert_eq!(&splitter.push(b"id: 2\n\n").expect("short")[..], b"id: 2\n\n");
+}
+
+fn candidate(key: u64, load: f64) -> Candidate {
+    Candidate { key, load, slots: 64, near: false, doubtful: false }
+}
+
+#[test]
+fn an_affinity_always_meets_the_same_target_and_moves_only_with_it() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let all: Vec<Candidate> = (0..18).map(|key| candidate(key, 1.0)).collect();
+    for affinity in 0..500 {
+        let wish = Wish { affinity: Some(affinity), load_bound: 2.0 };
+        let first = choose(&all, wish, &mut rng).expect("candidates");
+        let without: Vec<Candidate> = all.iter().copied().filter(|c| c.key != 5).collect();
+        let then = choose(&without, wish, &mut rng).expect("candidates");
+        if all[first].key != 5 {
+            assert_eq!(without[then].key, all[first].key);
+        }
+    }
+}
+
+#[test]
+fn no_target_is_chosen_beyond_its_bound_while_another_is_below() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    for _ in 0..2_000 {
+        let count = rng.random_range(2..20);
+        let loads = |key| candidate(key, f64::from(rng.random_range(0..40u32)));
+        let all: Vec<Candidate> = (0..count).map(loads).collect();
+        let wish = Wish { affinity: Some(7), load_bound: 2.0 };
+        let at = choose(&all, wish, &mut StdRng::seed_from_u64(2)).expect("candidates");
+        let mean = all.iter().map(|c| c.load).sum::<f64>() / count as f64;
+        assert!(all[at].load <= 2.0 * mean + 3.0, "seed {seed}: {all:?} chose {at}");
+    }
+}
+
+#[test]
+fn doubtful_targets_are_chosen_only_when_there_is_no_other() {
+    let mut rng = StdRng::seed_from_u64(3);
+    for affinity in [None, Some(4)] {
+        let wish = Wish { affinity, load_bound: 2.0 };
+        let mut all = vec![candidate(1, 0.0), candidate(2, 9.0)];
+        all[0].doubtful = true;
+        assert_eq!(choose(&all, wish, &mut rng), Some(1));
+        all[1].doubtful = true;
+        assert!(choose(&all, wish, &mut rng).is_some());
+        assert_eq!(choose(&[], wish, &mut rng), None);
+    }
+}
+
+#[test]
+fn a_target_out_of_reach_is_left_alone_longer_each_time_and_comes_back() {
+    let mut health = Health::default();
+    let mut now = Duration::ZERO;
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        assert!(health.note(now, AttemptOutcome::Unreachable));
+        let began = now;
+        while health.paused(now) {
+            now += Duration::from_millis(10);
+        }
+        pauses.push(now - began);
+        assert!(health.on_trial(now));
+    }
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(pauses[5] <= Duration::from_secs(5));
+    for _ in 0..20 {
+        health.note(now, AttemptOutcome::Answered);
+    }
+    assert!(!health.paused(now) && !health.on_trial(now));
+}
+
+#[test]
+fn a_refusal_that_promises_that_nothing_ran_is_never_given_when_something_may_have() {
+    for refusal in Refusal::ALL {
+        let status = refusal.status().as_u16();
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        assert!(!(promises && refusal.may_have_run()), "{refusal:?}");
+        assert_eq!(refusal.come_back_in().is_some(), status == 503, "{refusal:?}");
+    }
+}
