--- a/src/directory.rs
+++ b/src/directory.rs
@@ -2,6 +2,11 @@
 //!
 //! The directory is part of the replicated store. First sights, changes of state and removals are
 //! entries of the log; heartbeats that bring nothing new are not.
+//!
+//! Each target of a service has a *home*: a number that requests with an affinity are hashed to. A
+//! target that leaves gives its home to one that came to replace it, so that only its own requests
+//! meet a target that has not seen their prompts; a target that comes without another leaving gets
+//! a home of its own a while later.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -51,6 +56,17 @@
     pub announcement: Announcement,
     /// Revision that brought it.
     pub revision: Revision,
+    /// Its home, once it has one.
+    pub home: Option<u32>,
+}
+
+/// A target as gateways are told of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// What it said when it last brought something new.
+    pub announcement: Announcement,
+    /// Its home, once it has one.
+    pub home: Option<u32>,
 }
 
 /// What became of a heartbeat.
@@ -84,11 +100,17 @@
     /// Whether it holds all targets, so that others are to be dropped.
     pub whole: bool,
     /// New and changed targets.
-    pub changed: Vec<Announcement>,
+    pub changed: Vec<Listed>,
     /// Removed targets.
     pub removed: Vec<String>,
 }
 
+impl DirectoryEntry {
+    fn listed(&self) -> Listed {
+        Listed { announcement: self.announcement.clone(), home: self.home }
+    }
+}
+
 impl Directory {
     /// Revision of the last change.
     pub fn revision(&self) -> Revision {
@@ -130,9 +152,80 @@
         if self.judge(&heartbeat) != Heartbeat::News {
             return;
         }
-        let entry = DirectoryEntry { revision: index, announcement: heartbeat };
-        self.targets.insert(entry.announcement.id.clone(), entry);
+        let id = heartbeat.id.clone();
+        let service = heartbeat.service.clone();
+        let state = heartbeat.state;
+        let home = self.targets.get(&id).and_then(|entry| entry.home);
+        let entry = DirectoryEntry { revision: index, announcement: heartbeat, home };
+        self.targets.insert(id.clone(), entry);
         self.revision = index;
+        match state {
+            TargetState::Draining => self.vacate(index, &service, &id),
+            _ if home.is_none() => self.move_into_gap(index, &service, &id),
+            _ => {}
+        }
+    }
+
+    /// Gives homes of their own to targets that have been there for a while.
+    pub fn settle(&mut self, index: Revision, ids: &[String]) {
+        for id in ids {
+            let Some(entry) = self.targets.get(id) else {
+                continue;
+            };
+            let ready = entry.announcement.state == TargetState::Ready;
+            if entry.home.is_none() && ready {
+                let homes = self.homes(&entry.announcement.service.clone());
+                let free = (0..).find(|home| !homes.contains(home));
+                self.house(index, id, free);
+            }
+        }
+    }
+
+    /// Targets that take new work and have no home.
+    pub fn unsettled(&self) -> impl Iterator<Item = &Announcement> {
+        let ready = |entry: &&DirectoryEntry| entry.announcement.state == TargetState::Ready;
+        let unsettled = self.targets.values().filter(|entry| entry.home.is_none());
+        unsettled.filter(ready).map(|entry| &entry.announcement)
+    }
+
+    fn homes(&self, service: &str) -> BTreeSet<u32> {
+        let of_service =
+            self.targets.values().filter(|entry| entry.announcement.service == service);
+        of_service.filter_map(|entry| entry.home).collect()
+    }
+
+    fn house(&mut self, index: Revision, id: &str, home: Option<u32>) {
+        if let Some(entry) = self.targets.get_mut(id) {
+            entry.home = home;
+            entry.revision = index;
+            self.revision = index;
+        }
+    }
+
+    /// Gives a newcomer the home that somebody has left, if there is one.
+    fn move_into_gap(&mut self, index: Revision, service: &str, id: &str) {
+        let homes = self.homes(service);
+        let highest = homes.last().copied().unwrap_or(0);
+        let gap = (0..highest).find(|home| !homes.contains(home));
+        if gap.is_some() {
+            self.house(index, id, gap);
+        }
+    }
+
+    /// Takes the home of a target that leaves, and gives it to the newest one without.
+    fn vacate(&mut self, index: Revision, service: &str, id: &str) {
+        let Some(home) = self.targets.get_mut(id).and_then(|entry| entry.home.take()) else {
+            return;
+        };
+        let waiting = self.targets.values().filter(|entry| {
+            let announcement = &entry.announcement;
+            let ready = announcement.state == TargetState::Ready;
+            entry.home.is_none() && ready && announcement.service == service
+        });
+        let newest = waiting.max_by_key(|entry| entry.revision);
+        if let Some(newest) = newest.map(|entry| entry.announcement.id.clone()) {
+            self.house(index, &newest, Some(home));
+        }
     }
 
     /// Marks targets that have not been heard for long.
@@ -153,6 +246,9 @@
         if !self.removed_ids.insert(id.to_owned()) {
             return;
         }
+        if let Some(service) = self.get(id).map(|target| target.service.clone()) {
+            self.vacate(index, &service, id);
+        }
         self.targets.remove(id);
         self.removed.push_back((id.to_owned(), index));
         self.revision = index;
@@ -176,7 +272,7 @@
         Some(DirectoryDelta {
             revision: self.revision,
             whole,
-            changed: changed.map(|entry| entry.announcement.clone()).collect(),
+            changed: changed.map(DirectoryEntry::listed).collect(),
             removed: removed.map(|(id, _)| id.clone()).collect(),
         })
     }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -1,7 +1,7 @@
 //! Which target a request goes to.
 //!
 //! Requests with an affinity go to the target that is first in an order that depends on the affinity
-//! and the target's identity alone (rendezvous hashing), so that every gateway chooses the same one
+//! and the target's home alone (rendezvous hashing), so that every gateway chooses the same one
 //! without shared state; when that target is at its bound, to the next in the order. Others go to
 //! the less loaded of two drawn at random, those in the same data hall first.
 
@@ -14,8 +14,8 @@
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
-    /// Hash of its identity.
-    pub key: u64,
+    /// Number that affinities are hashed to, if it has one.
+    pub home: Option<u32>,
     /// Requests that it is thought to have, from all gateways.
     pub load: f64,
     /// Requests that it works on at once.
@@ -57,13 +57,13 @@
     let total: f64 = usable.iter().map(|at| candidates[*at].load).sum();
     let mean = (total + 1.0) / usable.len().max(1) as f64;
     let bound = load_bound * mean + BOUND_SLACK;
-    let rank = |at: &usize| xxh3_64_with_seed(&candidates[*at].key.to_le_bytes(), affinity);
-    let fits = |at: &&usize| {
-        let candidate = &candidates[**at];
+    let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity);
+    let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
     };
-    let first = usable.iter().filter(fits).max_by_key(|at| rank(at));
-    first.or_else(|| least_loaded(candidates, usable)).copied()
+    let homes = usable.iter().filter_map(|at| Some((candidates[*at].home?, at)));
+    let first = homes.filter(|(_, at)| fits(&candidates[**at])).max_by_key(|(home, _)| rank(*home));
+    first.map(|(_, at)| at).or_else(|| least_loaded(candidates, usable)).copied()
 }
 
 fn least_loaded<'a>(candidates: &[Candidate], usable: &'a [usize]) -> Option<&'a usize> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -321,9 +321,10 @@
             |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
         let targets: Vec<&Arc<Target>> = targets.of(&plan.service).iter().filter(usable).collect();
         let usual = usual_others(&targets, now);
+        let gateways = self.gateways();
         let candidate = |target: &&Arc<Target>| Candidate {
-            key: target.key,
-            load: f64::from(target.in_flight()) + target.others(now).unwrap_or(usual),
+            home: target.home(),
+            load: target.load(now, usual, gateways),
             slots: target.announcement.slots,
             near: target.announcement.zone == self.settings.data_hall,
             doubtful: self.doubtful(now, target),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -10,11 +10,13 @@
 use super::connection::Idle;
 use super::health::Health;
 use crate::dialect::TargetLoad;
-use crate::directory::{Announcement, DirectoryDelta, TargetState};
+use crate::directory::{Announcement, DirectoryDelta, Listed, TargetState};
 use crate::store::Revision;
 
 /// Age from which a target's own word about its load is not used any more.
 const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
+/// Stands for no home.
+const NO_HOME: u32 = u32::MAX;
 /// Weight of the newest word about the load.
 const NEWEST: f64 = 0.5;
 
@@ -32,6 +34,8 @@
     /// Hash of its identity.
     pub(super) key: u64,
     draining: AtomicBool,
+    /// Its home, or [`NO_HOME`].
+    home: AtomicU32,
     silent: AtomicBool,
     in_flight: AtomicU32,
     /// Connections open or being made.
@@ -46,6 +50,7 @@
         let target = Target {
             key: xxh3_64(announcement.id.as_bytes()),
             draining: AtomicBool::new(false),
+            home: AtomicU32::new(NO_HOME),
             silent: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             connections: AtomicU32::new(0),
@@ -71,6 +76,16 @@
         }
     }
 
+    /// Number that affinities are hashed to, if it has one.
+    pub(super) fn home(&self) -> Option<u32> {
+        let home = self.home.load(Ordering::Relaxed);
+        (home != NO_HOME).then_some(home)
+    }
+
+    fn set_home(&self, home: Option<u32>) {
+        self.home.store(home.unwrap_or(NO_HOME), Ordering::Relaxed);
+    }
+
     /// Whether it takes no new work.
     pub(super) fn draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
@@ -111,6 +126,14 @@
         *others = Some(OthersLoad { at: now, requests });
     }
 
+    /// Requests that the target is thought to have. Where it has not told lately, the other gateways
+    /// are taken to have as many as usual there, or as many as this one each.
+    pub(super) fn load(&self, now: Duration, usual_others: f64, gateways: u32) -> f64 {
+        let own = f64::from(self.in_flight());
+        let as_this_one = own * f64::from(gateways.saturating_sub(1));
+        own + self.others(now).unwrap_or(usual_others.max(as_this_one))
+    }
+
     /// Requests that other gateways are thought to have at the target, where it told lately.
     pub(super) fn others(&self, now: Duration) -> Option<f64> {
         let others = (*lock(&self.others))?;
@@ -158,13 +181,14 @@
         }
         self.revision = delta.revision;
         if delta.whole {
-            let kept = |id: &String| delta.changed.iter().any(|changed| changed.id == *id);
+            let kept =
+                |id: &String| delta.changed.iter().any(|changed| changed.announcement.id == *id);
             let gone: Vec<String> = self.by_id.keys().filter(|id| !kept(id)).cloned().collect();
             gone.iter().for_each(|id| self.remove(id));
         }
         delta.removed.iter().for_each(|id| self.remove(id));
-        for announcement in delta.changed {
-            self.change(announcement);
+        for listed in delta.changed {
+            self.change(listed);
         }
         self.by_service.clear();
         for target in self.by_id.values() {
@@ -184,16 +208,20 @@
         }
     }
 
-    fn change(&mut self, announcement: Announcement) {
+    fn change(&mut self, listed: Listed) {
+        let Listed { announcement, home } = listed;
         if let Some(known) = self.by_id.get(&announcement.id)
             && known.announcement.addr == announcement.addr
             && known.announcement.service == announcement.service
         {
             known.set_state(announcement.state);
+            known.set_home(home);
             return;
         }
         self.remove(&announcement.id);
-        self.by_id.insert(announcement.id.clone(), Arc::new(Target::new(announcement)));
+        let target = Target::new(announcement);
+        target.set_home(home);
+        self.by_id.insert(target.announcement.id.clone(), Arc::new(target));
     }
 }
 
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -100,13 +100,18 @@
     }
 }
 
-/// While this member leads, marks targets that have become silent.
+/// While this member leads, marks targets that have become silent, and settles new ones.
 pub(super) async fn watch_targets(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(TARGETS_INTERVAL).await;
         let (now, leads) = (shared.now(), shared.leads());
         let directory = shared.published().directory;
         let silent = lock(&shared.liveness).silent(now, leads, &directory);
+        let due = lock(&shared.liveness).due_for_home(now, leads, &directory);
+        if !due.is_empty() {
+            info!(shared.log, "targets settled"; "event" => "targets_settled", "ids" => ?due);
+            shared.propose_here(Command::Settle(due)).await;
+        }
         if !silent.is_empty() {
             info!(shared.log, "targets silent"; "event" => "targets_silent", "ids" => ?silent);
             shared.propose_here(Command::Silence(silent)).await;
--- a/src/store.rs
+++ b/src/store.rs
@@ -44,6 +44,8 @@
     Remove(String),
     /// Targets have not been heard for long.
     Silence(Vec<String>),
+    /// Targets have been there for a while.
+    Settle(Vec<String>),
 }
 
 /// The move of an engine to another model, during which it gets no new work.
@@ -259,6 +261,10 @@
                 self.directory.remove(index, &id);
                 self.listed()
             }
+            Command::Settle(ids) => {
+                self.directory.settle(index, &ids);
+                self.listed()
+            }
             Command::Silence(ids) => {
                 self.directory.silence(index, &ids);
                 self.listed()
--- /dev/null
+++ b/tests/fleet/group.rs
@@ -0,0 +1,144 @@
+//! The group forms and mends itself, and gateways go on with what they know.
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::doors::configuration;
+use crate::harness::{Fleet, Process, call, eventually};
+use crate::refusals::Ask;
+use crate::standin::Standin;
+
+/// Waits until the members' log shows so many voters at one of them.
+async fn voters(fleet: &Fleet, expected: usize) {
+    eventually(&format!("{expected} voters"), async || {
+        let shown = fleet.members.iter().any(|member| {
+            let log = member.log();
+            let last = log.lines().rev().find(|line| line.contains("event=members"));
+            last.is_some_and(|line| line.matches("=Voter").count() == expected)
+        });
+        shown.then_some(())
+    })
+    .await;
+}
+
+async fn reads(fleet: &Fleet, member: usize, version: u64) {
+    let text = configuration(version).to_string();
+    eventually(&format!("member {member} reads version {version}"), async || {
+        let answer = call(fleet.door(member), "GET", "/config", "").await?;
+        (answer.status == 200 && answer.body == text).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn five_members_of_which_three_are_seeds_become_five_voters() {
+    let fleet = Fleet::start(5, 0).await;
+    voters(&fleet, 5).await;
+    fleet.submit(4, &configuration(2)).await;
+    for member in 0..5 {
+        reads(&fleet, member, 2).await;
+    }
+}
+
+#[tokio::test]
+async fn two_lost_disks_of_five_lose_nothing_and_their_members_count_again() {
+    let mut fleet = Fleet::start(5, 0).await;
+    voters(&fleet, 5).await;
+    fleet.submit(0, &configuration(2)).await;
+    for member in [0, 3] {
+        fleet.members[member].kill();
+        fleet.members[member].lose_disk();
+    }
+    fleet.members[0].start();
+    fleet.members[3].start();
+    reads(&fleet, 0, 2).await;
+    reads(&fleet, 3, 2).await;
+    voters(&fleet, 5).await;
+    fleet.submit(3, &configuration(4)).await;
+    for member in 0..5 {
+        reads(&fleet, member, 4).await;
+    }
+}
+
+#[tokio::test]
+async fn a_member_at_another_address_takes_the_place_of_one_that_is_gone() {
+    let mut fleet = Fleet::start(5, 0).await;
+    voters(&fleet, 5).await;
+    fleet.submit(0, &configuration(2)).await;
+    fleet.members[1].kill();
+    let ip = fleet.addresses.host();
+    fleet.add_member(ip, false);
+    fleet.members[5].start();
+    reads(&fleet, 5, 2).await;
+    eventually("the newcomer votes", async || {
+        let log = fleet.members[0].log();
+        let last = log.lines().rev().find(|line| line.contains("event=members"))?;
+        last.contains(&format!("{ip}:{}=Voter", fleet.addresses.ports.peer)).then_some(())
+    })
+    .await;
+    // Without the newcomer's vote there would be no quorum now.
+    fleet.members[0].kill();
+    fleet.members[2].kill();
+    fleet.submit(5, &configuration(3)).await;
+}
+
+#[tokio::test]
+async fn every_member_killed_at_once_comes_back_with_all_that_was_acknowledged() {
+    let mut fleet = Fleet::start(5, 1).await;
+    voters(&fleet, 5).await;
+    fleet.configure(&configuration(2)).await;
+    fleet.members.iter_mut().for_each(Process::kill);
+    fleet.members.iter_mut().for_each(Process::start);
+    reads(&fleet, 2, 2).await;
+    fleet.configure(&configuration(3)).await;
+}
+
+#[tokio::test]
+async fn a_gateway_serves_on_without_members_and_a_new_one_learns_from_a_member_without_a_leader() {
+    let mut fleet = Fleet::start(5, 2).await;
+    voters(&fleet, 5).await;
+    let _target = Standin::start("i-1", "s", fleet.doors()).await;
+    fleet.configure(&configuration(2)).await;
+    fleet.knows_targets(0, 1).await;
+    fleet.knows_targets(1, 1).await;
+    fleet.members.iter_mut().for_each(Process::kill);
+    fleet.gateways[1].kill();
+    let answer = Ask::new("/safe/x", "r-1").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    // One member of five elects nobody, but knows what was committed.
+    fleet.members[2].start();
+    fleet.gateways[1].start();
+    let front = fleet.front(1);
+    eventually("the new gateway serves", async || {
+        let answer = Ask::new("/safe/x", "r-2").send(front).await.ok()?;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    let answer = call(fleet.door(2), "GET", "/config", "").await.expect("an answer");
+    assert_eq!(answer.status, 503, "a member without a leader can't be sure of the newest");
+}
+
+#[tokio::test]
+async fn a_gateway_that_must_not_serve_on_stale_news_refuses() {
+    let mut fleet = Fleet::prepare(1, 1);
+    fleet.gateways[0].set("on_stale", json!("refuse"));
+    fleet.gateways[0].set("stale_after_ms", json!(500));
+    fleet.members[0].start();
+    fleet.gateways[0].start();
+    let _target = Standin::start("i-1", "s", fleet.doors()).await;
+    fleet.configure(&configuration(2)).await;
+    fleet.knows_targets(0, 1).await;
+    let front = fleet.front(0);
+    let answered = async |id: &str, status: u16| {
+        eventually("the answer", async || {
+            let answer = Ask::new("/safe/x", id).send(front).await.ok()?;
+            (answer.status == status).then_some(())
+        })
+        .await;
+    };
+    answered("r-1", 200).await;
+    fleet.members[0].signal(Signal::SIGSTOP);
+    answered("r-2", 503).await;
+    fleet.members[0].signal(Signal::SIGCONT);
+    answered("r-3", 200).await;
+}
--- /dev/null
+++ b/tests/fleet/harness.rs
@@ -0,0 +1,336 @@
+//! Starts, stops and speaks to the processes of one fleet on the loopback.
+
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest wait for anything that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Lines of each log that a failing test shows.
+const LOG_LINES_SHOWN: usize = 15;
+
+/// Waits until `done` gives a value, and says what did not happen otherwise.
+pub async fn eventually<T>(what: &str, mut done: impl AsyncFnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if let Some(value) = done().await {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what}: not within {PATIENCE:?}");
+}
+
+/// Ports of a fleet; every host has the same ones at an address of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    pub control: u16,
+    pub peer: u16,
+    pub front: u16,
+    pub ready: u16,
+}
+
+/// Addresses of the loopback that nothing else uses.
+pub struct Addresses {
+    high: u8,
+    middle: u8,
+    next: u8,
+    pub ports: Ports,
+}
+
+impl Addresses {
+    fn claim() -> Self {
+        static FLEETS: AtomicU8 = AtomicU8::new(1);
+        let [low, middle, ..] = std::process::id().to_le_bytes();
+        let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let (high, middle) = (1 + (low ^ fleet) % 250, middle.wrapping_add(fleet));
+        let probe = Ipv4Addr::new(127, high, middle, 254);
+        let free = || TcpListener::bind((probe, 0)).expect("a free port");
+        let held = [free(), free(), free(), free()];
+        let port = |at: usize| held[at].local_addr().expect("bound").port();
+        let ports = Ports { control: port(0), peer: port(1), front: port(2), ready: port(3) };
+        Addresses { high, middle, next: 1, ports }
+    }
+
+    /// The address of one more host.
+    pub fn host(&mut self) -> IpAddr {
+        let ip = Ipv4Addr::new(127, self.high, self.middle, self.next);
+        self.next += 1;
+        ip.into()
+    }
+}
+
+/// One process of the fleet; killed when dropped.
+pub struct Process {
+    pub name: String,
+    pub ip: IpAddr,
+    role: &'static str,
+    folder: PathBuf,
+    settings: Value,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts the process, which must not run.
+    pub fn start(&mut self) {
+        assert!(self.child.is_none(), "{} runs already", self.name);
+        std::fs::create_dir_all(&self.folder).expect("a folder");
+        self.write_settings(&self.settings.to_string());
+        let log = File::options().append(true).create(true).open(self.log_path());
+        let log = log.expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_latchmount"))
+            .args([self.role, "--dialect", "platform", "--settings"])
+            .arg(self.folder.join("settings.json"))
+            .stdout(log.try_clone().expect("the same file"))
+            .stderr(log)
+            .stdin(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the binary starts"));
+    }
+
+    /// Puts a text in place of the settings file.
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(self.folder.join("settings.json"), text).expect("a writable folder");
+    }
+
+    /// Changes a setting for the next start.
+    pub fn set(&mut self, field: &str, value: Value) {
+        self.settings[field] = value;
+    }
+
+    pub fn setting(&self, field: &str) -> Value {
+        self.settings[field].clone()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("a running process");
+        kill(Pid::from_raw(child.id() as i32), signal).expect("a process of this test");
+    }
+
+    /// Kills the process, as a crash does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process has ended by itself, and tells whether it did so well.
+    pub async fn ended(&mut self) -> bool {
+        let mut child = self.child.take().expect("a running process");
+        let what = format!("{} ends", self.name);
+        let status = eventually(&what, async || child.try_wait().expect("a child")).await;
+        status.success()
+    }
+
+    /// Whether the process has ended without being told to.
+    pub fn died(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().expect("a child").is_some())
+    }
+
+    /// Removes what the process has on disk.
+    pub fn lose_disk(&mut self) {
+        assert!(self.child.is_none(), "{} runs", self.name);
+        let _ = std::fs::remove_dir_all(self.folder.join("data"));
+        self.settings["found"] = json!(false);
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_path()).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let last = &lines[lines.len().saturating_sub(LOG_LINES_SHOWN)..];
+            eprintln!("--- {}\n{}", self.name, last.join("\n"));
+        }
+        self.kill();
+    }
+}
+
+/// Members and gateways.
+pub struct Fleet {
+    pub members: Vec<Process>,
+    pub gateways: Vec<Process>,
+    pub addresses: Addresses,
+    seeds: Vec<SocketAddr>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts so many members and gateways, and waits until the group has a leader.
+    pub async fn start(members: usize, gateways: usize) -> Self {
+        let mut fleet = Fleet::prepare(members, gateways);
+        fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
+        fleet.settled().await;
+        fleet
+    }
+
+    /// Lays out the processes without starting them.
+    pub fn prepare(members: usize, gateways: usize) -> Self {
+        let mut addresses = Addresses::claim();
+        let ips: Vec<IpAddr> = (0..members).map(|_| addresses.host()).collect();
+        let control = addresses.ports.control;
+        let seeds = ips.iter().take(3).map(|ip| SocketAddr::new(*ip, control)).collect();
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut fleet =
+            Fleet { members: Vec::new(), gateways: Vec::new(), addresses, seeds, folder };
+        for ip in ips {
+            fleet.add_member(ip, true);
+        }
+        for _ in 0..gateways {
+            fleet.add_gateway();
+        }
+        fleet
+    }
+
+    /// Lays out one more member.
+    pub fn add_member(&mut self, ip: IpAddr, found: bool) {
+        let name = format!("member-{ip}");
+        let folder = self.folder.path().join(&name);
+        let ports = self.addresses.ports;
+        let settings = json!({
+            "host": name,
+            "listen": SocketAddr::new(ip, ports.control),
+            "peer_port": ports.peer,
+            "seeds": self.seeds,
+            "found": found,
+            "data_dir": folder.join("data"),
+            "bear_losses": 2,
+            "target_heartbeat_ms": 300,
+        });
+        let role = "member";
+        self.members.push(Process { name, ip, role, folder, settings, child: None });
+    }
+
+    /// Lays out one more gateway.
+    pub fn add_gateway(&mut self) {
+        let ip = self.addresses.host();
+        let name = format!("gateway-{ip}");
+        let folder = self.folder.path().join(&name);
+        let ports = self.addresses.ports;
+        let settings = json!({
+            "host": name,
+            "data_hall": "hall-a",
+            "listen": SocketAddr::new(ip, ports.front),
+            "ready_listen": SocketAddr::new(ip, ports.ready),
+            "members": self.seeds,
+            "peer_port": ports.peer,
+            "on_stale": "serve",
+            "retry_ratio": 0.2,
+            "retry_slack": 1_000,
+            "load_bound": 2,
+            "stop_within_ms": 8_000,
+        });
+        let role = "gateway";
+        self.gateways.push(Process { name, ip, role, folder, settings, child: None });
+    }
+
+    /// Where clients reach a gateway.
+    pub fn front(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.gateways[gateway].ip, self.addresses.ports.front)
+    }
+
+    /// Where operators and targets reach a member.
+    pub fn door(&self, member: usize) -> SocketAddr {
+        SocketAddr::new(self.members[member].ip, self.addresses.ports.control)
+    }
+
+    /// Doors of all members.
+    pub fn doors(&self) -> Vec<SocketAddr> {
+        (0..self.members.len()).map(|member| self.door(member)).collect()
+    }
+
+    /// Waits until a member answers reads, be it that there is nothing to read yet.
+    pub async fn settled(&self) {
+        eventually("the group has a leader", async || {
+            let call = call(self.door(0), "DELETE", "/instances/nobody", "").await?;
+            (call.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a configuration until it is acknowledged, and waits until every gateway is ready.
+    pub async fn configure(&self, configuration: &Value) {
+        self.submit(0, configuration).await;
+        let version = &configuration["version"];
+        for gateway in 0..self.gateways.len() {
+            self.in_force(gateway, version.as_u64().expect("a version")).await;
+        }
+    }
+
+    /// Sends a configuration to a member until it is acknowledged.
+    pub async fn submit(&self, member: usize, configuration: &Value) {
+        let text = configuration.to_string();
+        eventually("the configuration is acknowledged", async || {
+            let answer = call(self.door(member), "PUT", "/config", &text).await?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until a gateway has a configuration in force.
+    pub async fn in_force(&self, gateway: usize, version: u64) {
+        let process = &self.gateways[gateway];
+        let line = format!("version={version} ");
+        eventually(&format!("version {version} at {}", process.name), async || {
+            let log = process.log();
+            let mut lines = log.lines().filter(|line| line.contains("configuration in force"));
+            lines.any(|found| format!("{found} ").contains(&line)).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until a gateway knows so many targets.
+    pub async fn knows_targets(&self, gateway: usize, targets: usize) {
+        let process = &self.gateways[gateway];
+        let word = format!(" targets={targets} ");
+        eventually(&format!("{targets} targets at {}", process.name), async || {
+            let log = process.log();
+            let last = log.lines().rev().find(|line| line.contains("event=targets"))?;
+            format!(" {last} ").contains(&word).then_some(())
+        })
+        .await;
+    }
+}
+
+/// An answer to a call.
+#[derive(Debug)]
+pub struct Called {
+    pub status: u16,
+    pub headers: reqwest::header::HeaderMap,
+    pub body: String,
+}
+
+impl Called {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Calls a process; `None` when no answer came.
+pub async fn call(addr: SocketAddr, method: &str, path: &str, body: &str) -> Option<Called> {
+    let client = reqwest::Client::builder().timeout(Duration::from_secs(5)).build().ok()?;
+    let method = reqwest::Method::from_bytes(method.as_bytes()).ok()?;
+    let sent = client.request(method, format!("http://{addr}{path}")).body(body.to_owned());
+    let response = sent.send().await.ok()?;
+    let status = response.status().as_u16();
+    let headers = response.headers().clone();
+    Some(Called { status, headers, body: response.text().await.ok()? })
+}
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,11 @@
+//! Gateways and members of a self-forming group as real processes, spoken to in the platform's
+//! dialect by stand-ins for clients, targets and operators.
+
+mod doors;
+mod group;
+mod harness;
+mod refusals;
+mod requests;
+mod standin;
+mod stops;
+mod streams;
--- /dev/null
+++ b/tests/fleet/refusals.rs
@@ -0,0 +1,125 @@
+//! Requests that a gateway refuses: each with its status, its code and, where it helps, a time.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::doors::configuration;
+use crate::harness::{Called, Fleet, eventually};
+use crate::standin::{Behaviour, Standin};
+
+/// A request of a client.
+pub struct Ask<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub headers: Vec<(&'a str, &'a str)>,
+    pub body: Vec<u8>,
+}
+
+impl<'a> Ask<'a> {
+    /// A proper request on a path, with this id.
+    pub fn new(path: &'a str, id: &'a str) -> Self {
+        let headers = vec![
+            ("host", "h.example"),
+            ("x-request-id", id),
+            ("x-credential", "key-a"),
+            ("x-deadline-ms", "3000"),
+        ];
+        Ask { method: "POST", path, headers, body: b"body".to_vec() }
+    }
+
+    pub fn without(mut self, name: &str) -> Self {
+        self.headers.retain(|(header, _)| *header != name);
+        self
+    }
+
+    pub fn with(mut self, name: &'a str, value: &'a str) -> Self {
+        self.headers.retain(|(header, _)| *header != name);
+        self.headers.push((name, value));
+        self
+    }
+
+    /// Sends the request; an error when the answer is not whole.
+    pub async fn send(&self, front: SocketAddr) -> Result<Called, reqwest::Error> {
+        let client = reqwest::Client::builder().timeout(std::time::Duration::from_secs(20));
+        let client = client.build().expect("a client");
+        let method = self.method.parse().expect("a method");
+        let mut request = client.request(method, format!("http://{front}{}", self.path));
+        for (name, value) in &self.headers {
+            request = request.header(*name, *value);
+        }
+        let response = request.body(self.body.clone()).send().await?;
+        let status = response.status().as_u16();
+        let headers = response.headers().clone();
+        Ok(Called { status, headers, body: response.text().await? })
+    }
+}
+
+/// Code of a refusal.
+pub fn code(answer: &Called) -> String {
+    let body: Value = serde_json::from_str(&answer.body).expect("JSON");
+    body["error"]["code"].as_str().expect("a code").to_owned()
+}
+
+#[tokio::test]
+async fn a_gateway_that_knows_nothing_says_come_back_and_is_not_ready() {
+    let mut fleet = Fleet::prepare(1, 1);
+    fleet.gateways[0].start();
+    let front = fleet.front(0);
+    let answer = eventually("the gateway listens", async || {
+        Ask::new("/safe/x", "r-1").send(front).await.ok()
+    });
+    let answer = answer.await;
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "no_configuration"));
+    let wait: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!(wait > 0.0 && wait < 5.0);
+    let ready = SocketAddr::new(fleet.gateways[0].ip, fleet.addresses.ports.ready);
+    let answer = crate::harness::call(ready, "GET", "/ready", "").await.expect("an answer");
+    assert_eq!(answer.status, 503);
+}
+
+#[tokio::test]
+async fn each_fault_of_a_request_has_its_answer_and_reaches_no_target() {
+    let fleet = Fleet::start(1, 1).await;
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    fleet.configure(&configuration(1)).await;
+    fleet.knows_targets(0, 1).await;
+    let big = "x".repeat(6_000);
+    let mut long = Ask::new("/safe/x", "r-7");
+    long.body = vec![b'x'; 20_000];
+    let cases = [
+        (Ask::new("/elsewhere/x", "r-1"), 404, "no_route"),
+        (Ask::new("/safe/x", "r-2").with("host", "other.example"), 404, "no_route"),
+        (Ask::new("/safe/x", "r-3").without("x-credential"), 401, "unknown_key"),
+        (Ask::new("/safe/x", "r-4").with("x-credential", "key-z"), 401, "unknown_key"),
+        (Ask::new("/safe/x", "r-5").without("x-request-id"), 400, "bad_request"),
+        (Ask::new("/safe/x", "r-6").with("x-deadline-ms", "soon"), 400, "bad_request"),
+        (long, 413, "body_too_large"),
+        (Ask::new("/safe/x", "r-8").with("x-large", &big), 431, "head_too_large"),
+    ];
+    for (ask, status, reason) in cases {
+        let answer = ask.send(fleet.front(0)).await.expect("an answer");
+        assert_eq!((answer.status, code(&answer).as_str()), (status, reason), "{}", ask.path);
+        assert_eq!(answer.header("x-server-stamp"), None);
+    }
+    assert!(target.arrivals().is_empty(), "{:?}", target.arrivals());
+    assert!(fleet.gateways[0].log().contains("reason=unknown_key"));
+}
+
+#[tokio::test]
+async fn a_request_that_no_target_took_is_answered_503_at_once_with_a_time() {
+    let fleet = Fleet::start(1, 1).await;
+    fleet.configure(&configuration(1)).await;
+    let answer = Ask::new("/safe/x", "r-1").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "no_target"));
+    assert!(answer.header("retry-after").is_some());
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    target.behave(Behaviour::TurnAway);
+    fleet.knows_targets(0, 1).await;
+    let answer = Ask::new("/unsafe/x", "r-2").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "not_run"));
+    assert!(answer.header("retry-after").is_some());
+    drop(target);
+    let answer = Ask::new("/unsafe/x", "r-3").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "connect_failed"));
+}
--- /dev/null
+++ b/tests/fleet/requests.rs
@@ -0,0 +1,149 @@
+//! Requests that are answered in one piece: passed on unchanged, and run as often as they may.
+
+use std::time::Duration;
+
+use crate::doors::configuration;
+use crate::harness::Fleet;
+use crate::refusals::{Ask, code};
+use crate::standin::{Behaviour, Standin};
+
+async fn fleet_with(targets: usize) -> (Fleet, Vec<Standin>) {
+    let fleet = Fleet::start(1, 1).await;
+    let mut standins = Vec::new();
+    for number in 0..targets {
+        standins.push(Standin::start(&format!("i-{number}"), "s", fleet.doors()).await);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.knows_targets(0, targets).await;
+    (fleet, standins)
+}
+
+fn arrivals(standins: &[Standin], id: &str) -> usize {
+    standins.iter().map(|standin| standin.counts().get(id).copied().unwrap_or(0)).sum()
+}
+
+#[tokio::test]
+async fn a_request_reaches_its_target_unchanged_but_for_what_the_gateway_sets() {
+    let (fleet, standins) = fleet_with(1).await;
+    let ask = Ask::new("/safe/a%20b?c=d&e", "r-1")
+        .with("x-other", "kept")
+        .with("x-tenant", "forged")
+        .with("connection", "x-hop")
+        .with("x-hop", "dropped");
+    let answer = ask.send(fleet.front(0)).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, "answer to r-1");
+    assert_eq!(answer.header("x-server-stamp"), Some("stamp-i-0-r-1"));
+    assert_eq!(answer.header("x-request-id"), Some("r-1"));
+    let arrival = &standins[0].arrivals()[0];
+    assert_eq!((arrival.method.as_str(), arrival.path.as_str()), ("POST", "/safe/a%20b?c=d&e"));
+    assert_eq!(&arrival.body[..], b"body");
+    let header = |name: &str| arrival.headers.get(name).and_then(|value| value.to_str().ok());
+    assert_eq!(header("host"), Some("h.example"));
+    assert_eq!(header("x-request-id"), Some("r-1"));
+    assert_eq!(header("x-tenant"), Some("tenant-a"));
+    assert_eq!(header("x-expect-instance"), Some("i-0"));
+    assert_eq!(header("x-other"), Some("kept"));
+    assert_eq!(header("x-credential"), None);
+    assert_eq!(header("x-hop"), None);
+    let left: u64 = header("x-deadline-ms").expect("a time").parse().expect("a number");
+    assert!(left <= 3_000);
+}
+
+#[tokio::test]
+async fn an_unsafe_request_whose_answer_is_lost_runs_once_and_is_never_called_not_run() {
+    let (fleet, standins) = fleet_with(3).await;
+    for (behaviour, id, reason) in [
+        (Behaviour::Lose, "r-1", "answer_lost"),
+        (Behaviour::AnswerAnother, "r-2", "wrong_answer"),
+        (Behaviour::Unsigned, "r-3", "wrong_answer"),
+    ] {
+        standins.iter().for_each(|standin| standin.behave(behaviour));
+        let answer = Ask::new("/retried/x", id).send(fleet.front(0)).await.expect("an answer");
+        assert_eq!((answer.status, code(&answer).as_str()), (502, reason));
+        assert_eq!(arrivals(&standins, id), 1);
+        assert_eq!(answer.header("x-server-stamp"), None);
+    }
+}
+
+#[tokio::test]
+async fn a_safe_request_goes_to_another_target_after_any_failure() {
+    let (fleet, standins) = fleet_with(2).await;
+    let faults = [Behaviour::Lose, Behaviour::Fail, Behaviour::AnswerAnother, Behaviour::TurnAway];
+    for (at, fault) in faults.into_iter().enumerate() {
+        for round in 0..4 {
+            standins[round % 2].behave(fault);
+            standins[(round + 1) % 2].behave(Behaviour::Answer);
+            let id = format!("r-{at}-{round}");
+            let answer = Ask::new("/safe/x", &id).send(fleet.front(0)).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{fault:?}: {}", answer.body);
+            assert_eq!(answer.body, format!("answer to {id}"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_failure_of_every_target_is_passed_on_and_attempts_are_bounded() {
+    let (fleet, standins) = fleet_with(5).await;
+    standins.iter().for_each(|standin| standin.behave(Behaviour::Fail));
+    let answer = Ask::new("/safe/x", "r-1").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert!(answer.header("x-server-stamp").is_some());
+    assert_eq!(arrivals(&standins, "r-1"), 3, "the route allows three attempts");
+    let answer = Ask::new("/unsafe/x", "r-2").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!(answer.status, 500);
+    assert_eq!(arrivals(&standins, "r-2"), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_was_not_run_goes_to_another_target_within_its_attempts() {
+    let (fleet, standins) = fleet_with(2).await;
+    standins[0].behave(Behaviour::TurnAway);
+    for round in 0..6 {
+        let id = format!("r-{round}");
+        let answer = Ask::new("/retried/x", &id).send(fleet.front(0)).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_request_without_an_answer_ends_at_its_deadline_and_is_not_called_not_run() {
+    let (fleet, standins) = fleet_with(1).await;
+    standins[0].behave(Behaviour::Mute);
+    let ask = Ask::new("/unsafe/x", "r-1").with("x-deadline-ms", "400");
+    let answer = ask.send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (504, "answer_late"));
+}
+
+#[tokio::test]
+async fn a_target_that_drains_gets_nothing_more_and_ends_what_it_has() {
+    let (fleet, standins) = fleet_with(2).await;
+    standins[0].behave(Behaviour::Slow(Duration::from_secs(1)));
+    standins[1].behave(Behaviour::Slow(Duration::from_secs(1)));
+    let front = fleet.front(0);
+    let asks: Vec<_> = (0..8)
+        .map(|at| {
+            let id = format!("before-{at}");
+            tokio::spawn(async move { Ask::new("/unsafe/x", &id).send(front).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    standins[0].drain(fleet.door(0)).await;
+    crate::harness::eventually("the gateway knows", async || {
+        fleet.gateways[0].log().lines().any(|line| line.contains("changed=1")).then_some(())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    standins.iter().for_each(|standin| standin.behave(Behaviour::Answer));
+    let before = standins[0].arrivals().len();
+    for at in 0..10 {
+        let id = format!("after-{at}");
+        let answer = Ask::new("/unsafe/x", &id).send(front).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(standins[0].arrivals().len(), before);
+    for ask in asks {
+        let answer = ask.await.expect("no panic").expect("an answer");
+        assert_eq!(answer.status, 200, "what was under way ends well");
+    }
+}
--- /dev/null
+++ b/tests/fleet/standin.rs
@@ -0,0 +1,314 @@
+//! A target that speaks the platform's dialect, and may misbehave.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::{HeaderMap, Request, Response};
+use http_body::Frame;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::harness::{Called, call};
+
+/// Between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// What a target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers.
+    Answer,
+    /// Answers after a while.
+    Slow(Duration),
+    /// Says that it did not run the request.
+    TurnAway,
+    /// Runs the request and closes the connection.
+    Lose,
+    /// Runs the request and fails.
+    Fail,
+    /// Answers for another request.
+    AnswerAnother,
+    /// Answers without a signature.
+    Unsigned,
+    /// Streams so many events.
+    Stream(u32),
+    /// Streams so many events, a while apart, and breaks off in the middle of the next one.
+    BreakAfter(u32),
+    /// Runs the request and says nothing.
+    Mute,
+}
+
+/// A request that reached a target.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    pub method: String,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A target; ends when dropped.
+pub struct Standin {
+    pub id: String,
+    pub addr: SocketAddr,
+    service: String,
+    behaviour: Arc<Mutex<Behaviour>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    open: Arc<AtomicUsize>,
+    tasks: Vec<JoinHandle<()>>,
+    state: Arc<Mutex<(&'static str, u64)>>,
+}
+
+impl Drop for Standin {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Standin {
+    /// Starts a target that announces itself at `doors`.
+    pub async fn start(id: &str, service: &str, doors: Vec<SocketAddr>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("bound");
+        let behaviour = Arc::new(Mutex::new(Behaviour::Answer));
+        let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let state = Arc::new(Mutex::new(("ready", 0)));
+        let open = Arc::new(AtomicUsize::new(0));
+        let serving =
+            Serving { id: id.to_owned(), behaviour: behaviour.clone(), arrivals: arrivals.clone() };
+        let mut standin = Standin {
+            id: id.to_owned(),
+            addr,
+            service: service.to_owned(),
+            behaviour,
+            arrivals,
+            open: open.clone(),
+            tasks: vec![tokio::spawn(listen(listener, Arc::new(serving), open))],
+            state,
+        };
+        standin.tasks.push(tokio::spawn(standin.heartbeats(doors)));
+        standin
+    }
+
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.behaviour.lock().expect("no panic") = behaviour;
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("no panic").clone()
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// How often each request arrived.
+    pub fn counts(&self) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for arrival in self.arrivals() {
+            *counts.entry(arrival.id).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Says that it drains, until that is acknowledged.
+    pub async fn drain(&self, door: SocketAddr) {
+        self.state.lock().expect("no panic").0 = "draining";
+        crate::harness::eventually("the drain is acknowledged", async || {
+            let answer = self.beat(door).await?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    async fn beat(&self, door: SocketAddr) -> Option<Called> {
+        beat(door, &self.id, &self.service, self.addr, &self.state).await
+    }
+
+    fn heartbeats(&self, doors: Vec<SocketAddr>) -> impl Future<Output = ()> + use<> {
+        let (id, service, addr) = (self.id.clone(), self.service.clone(), self.addr);
+        let state = self.state.clone();
+        async move {
+            let mut at = 0;
+            loop {
+                let door = doors[at % doors.len()];
+                let answered = beat(door, &id, &service, addr, &state).await;
+                if answered.is_none_or(|answer| answer.status != 200) {
+                    at += 1;
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+                tokio::time::sleep(HEARTBEAT).await;
+            }
+        }
+    }
+}
+
+async fn beat(
+    door: SocketAddr,
+    id: &str,
+    service: &str,
+    addr: SocketAddr,
+    state: &Mutex<(&'static str, u64)>,
+) -> Option<Called> {
+    let (word, sequence) = {
+        let mut state = state.lock().expect("no panic");
+        state.1 += 1;
+        *state
+    };
+    let body = json!({
+        "service": service, "address": addr, "zone": "hall-a", "version": "v1", "slots": 8,
+        "state": word, "cold-left-ms": 0, "stage": "both", "sequence": sequence,
+    });
+    call(door, "PUT", &format!("/instances/{id}"), &body.to_string()).await
+}
+
+struct Serving {
+    id: String,
+    behaviour: Arc<Mutex<Behaviour>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+/// Makes the library cut the connection.
+#[derive(Debug, thiserror::Error)]
+#[error("cut")]
+struct Cut;
+
+type Body = BoxBody<Bytes, Cut>;
+
+async fn listen(listener: TcpListener, serving: Arc<Serving>, open: Arc<AtomicUsize>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let (serving, open) = (serving.clone(), open.clone());
+        open.fetch_add(1, Ordering::Relaxed);
+        connections.spawn(async move {
+            let service = service_fn(|request| {
+                let serving = serving.clone();
+                async move { serving.answer(request).await }
+            });
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+fn whole(text: String) -> Body {
+    Full::new(Bytes::from(text)).map_err(|never: Infallible| match never {}).boxed()
+}
+
+impl Serving {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let (head, body) = request.into_parts();
+        let text = |name: &str| {
+            head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+        };
+        let id = text("x-request-id");
+        let expected = text("x-expect-instance");
+        let last: u32 = text("last-event-id").parse().unwrap_or(0);
+        let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
+        if expected != self.id {
+            return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
+        }
+        let behaviour = *self.behaviour.lock().expect("no panic");
+        self.arrivals.lock().expect("no panic").push(Arrival {
+            id: id.clone(),
+            method: head.method.to_string(),
+            path: head.uri.to_string(),
+            headers: head.headers.clone(),
+            body,
+        });
+        let mut answer = Response::builder()
+            .header("x-request-id", &id)
+            .header("x-server-load", "1,0,8")
+            .header("x-server-stamp", format!("stamp-{}-{id}", self.id));
+        let body = match behaviour {
+            Behaviour::Answer => whole(format!("answer to {id}")),
+            Behaviour::Slow(time) => {
+                tokio::time::sleep(time).await;
+                whole(format!("answer to {id}"))
+            }
+            Behaviour::TurnAway => {
+                let refusal = Response::builder().status(503).header("x-not-run", "1");
+                return Ok(refusal.body(whole(String::new())).expect("sound"));
+            }
+            Behaviour::Lose => return Err(Cut),
+            Behaviour::Fail => {
+                answer = answer.status(500);
+                whole("failed".into())
+            }
+            Behaviour::AnswerAnother => {
+                let another = Response::builder()
+                    .header("x-request-id", "another")
+                    .header("x-server-stamp", "stamp-of-another");
+                return Ok(another.body(whole("for another".into())).expect("sound"));
+            }
+            Behaviour::Unsigned => {
+                let unsigned = Response::builder().header("x-request-id", &id);
+                return Ok(unsigned.body(whole("unsigned".into())).expect("sound"));
+            }
+            Behaviour::Stream(events) => {
+                answer = answer.header("content-type", "text/event-stream");
+                stream(last, events, false)
+            }
+            Behaviour::BreakAfter(events) => {
+                answer = answer.header("content-type", "text/event-stream");
+                stream(last, events, true)
+            }
+            Behaviour::Mute => std::future::pending().await,
+        };
+        Ok(answer.body(body).expect("sound"))
+    }
+}
+
+/// Events after `last` up to `events`; then the end, or a break in the middle of the next one.
+fn stream(last: u32, events: u32, breaks: bool) -> Body {
+    let whole = (last + 1..=events).map(|at| Ok(event(at)));
+    let partial = format!("id: {}\nda", events + 1);
+    let rest = if breaks { vec![Ok(partial), Err(Cut)] } else { Vec::new() };
+    let pieces = futures_util::stream::iter(whole.chain(rest)).then(|piece| async move {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        piece.map(|text| Frame::data(Bytes::from(text)))
+    });
+    BodyExt::boxed(StreamBody::new(Box::pin(pieces).map(|frame| frame).boxed_sync()))
+}
+
+/// The text of one event.
+pub fn event(at: u32) -> String {
+    format!("id: {at}\ndata: event {at}\n\n")
+}
+
+/// Streams that may be shared.
+trait BoxedSync: Sized {
+    fn boxed_sync(self) -> SyncStream;
+}
+
+type SyncStream = std::pin::Pin<
+    Box<dyn futures_util::Stream<Item = Result<Frame<Bytes>, Cut>> + Send + Sync + 'static>,
+>;
+
+impl<S> BoxedSync for S
+where
+    S: futures_util::Stream<Item = Result<Frame<Bytes>, Cut>> + Send + Sync + 'static,
+{
+    fn boxed_sync(self) -> SyncStream {
+        Box::pin(self)
+    }
+}
--- /dev/null
+++ b/tests/fleet/streams.rs
@@ -0,0 +1,102 @@
+//! Streams: whole events only, each once and in order, and never complete before their end.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+
+use crate::doors::configuration;
+use crate::harness::{Fleet, eventually};
+use crate::refusals::{Ask, code};
+use crate::standin::{Behaviour, Standin, event};
+
+fn events(up_to: u32) -> String {
+    (1..=up_to).map(event).collect()
+}
+
+async fn fleet_with(behaviours: &[Behaviour]) -> (Fleet, Vec<Standin>) {
+    let fleet = Fleet::start(1, 1).await;
+    let mut standins = Vec::new();
+    for (number, behaviour) in behaviours.iter().enumerate() {
+        let standin = Standin::start(&format!("i-{number}"), "s", fleet.doors()).await;
+        standin.behave(*behaviour);
+        standins.push(standin);
+    }
+    fleet.configure(&configuration(1)).await;
+    fleet.knows_targets(0, behaviours.len()).await;
+    (fleet, standins)
+}
+
+#[tokio::test]
+async fn a_stream_arrives_whole() {
+    let (fleet, _standins) = fleet_with(&[Behaviour::Stream(30)]).await;
+    for path in ["/stream/x", "/resumable/x"] {
+        let answer = Ask::new(path, "r-1").send(fleet.front(0)).await.expect("a whole answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.body, events(30));
+    }
+}
+
+#[tokio::test]
+async fn a_resumable_stream_that_breaks_goes_on_after_the_last_event_under_its_first_head() {
+    let fleet = [Behaviour::BreakAfter(7), Behaviour::BreakAfter(7)];
+    let (fleet, standins) = fleet_with(&fleet).await;
+    let front = fleet.front(0);
+    let ask = tokio::spawn(async move { Ask::new("/resumable/x", "r-1").send(front).await });
+    eventually("the first attempt", async || {
+        let began = standins.iter().any(|standin| !standin.arrivals().is_empty());
+        began.then_some(())
+    })
+    .await;
+    standins.iter().for_each(|standin| standin.behave(Behaviour::Stream(20)));
+    let answer = ask.await.expect("no panic").expect("a whole answer");
+    assert_eq!(answer.body, events(20));
+    let first = standins.iter().find(|standin| {
+        standin.arrivals().iter().any(|arrival| !arrival.headers.contains_key("last-event-id"))
+    });
+    let first = first.expect("a first attempt");
+    assert_eq!(answer.header("x-server-stamp"), Some(format!("stamp-{}-r-1", first.id).as_str()));
+    let second = standins.iter().find(|standin| standin.id != first.id).expect("another");
+    let resumed = &second.arrivals()[0];
+    assert_eq!(resumed.headers.get("last-event-id").expect("where to go on"), "7");
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_and_breaks_never_looks_complete_and_runs_once() {
+    let (fleet, standins) = fleet_with(&[Behaviour::BreakAfter(5), Behaviour::BreakAfter(5)]).await;
+    let answer = Ask::new("/stream/x", "r-1").send(fleet.front(0)).await;
+    assert!(answer.is_err(), "{answer:?}");
+    let runs: usize = standins.iter().map(|standin| standin.arrivals().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_before_its_first_event_is_answered_502() {
+    let (fleet, _standins) = fleet_with(&[Behaviour::BreakAfter(0)]).await;
+    let answer = Ask::new("/stream/x", "r-1").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (502, "answer_lost"));
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_lets_its_target_go() {
+    let (fleet, standins) = fleet_with(&[Behaviour::Stream(100_000)]).await;
+    let client = reqwest::Client::new();
+    let request = client
+        .post(format!("http://{}/stream/x", fleet.front(0)))
+        .header("host", "h.example")
+        .header("x-request-id", "r-1")
+        .header("x-credential", "key-a")
+        .header("x-deadline-ms", "4000");
+    let response = request.send().await.expect("a head");
+    let mut body = response.bytes_stream();
+    body.next().await.expect("an event").expect("sound");
+    drop(body);
+    drop(client);
+    eventually("the gateway has let go", async || {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let metric = format!("http://{}/", fleet.front(0));
+        // A new request is served, and the old one is no longer open at the target.
+        let _ = reqwest::get(metric).await;
+        (standins[0].open() == 0).then_some(())
+    })
+    .await;
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -153,6 +153,43 @@
     assert!(directory.targets().next().is_none());
 }
 
+#[test]
+fn a_target_that_replaces_another_takes_its_home_and_moves_no_other() {
+    let mut directory = Directory::default();
+    let mut index = 0;
+    let mut next = || {
+        index += 1;
+        index
+    };
+    let ids: Vec<String> = (0..5).map(|at| format!("old{at}")).collect();
+    for id in &ids {
+        directory.announce(next(), heartbeat(id, TargetState::Ready, 1));
+    }
+    directory.settle(next(), &ids);
+    let homes = |directory: &Directory| -> BTreeMap<String, u32> {
+        let delta = directory.since(0).expect("changes");
+        let changed = delta.changed.into_iter();
+        changed.filter_map(|listed| Some((listed.announcement.id, listed.home?))).collect()
+    };
+    let before = homes(&directory);
+    assert_eq!(before.values().copied().collect::<Vec<_>>(), [0, 1, 2, 3, 4]);
+    directory.announce(next(), heartbeat("new", TargetState::Ready, 1));
+    assert_eq!(homes(&directory), before, "a newcomer waits for a home");
+    directory.announce(next(), heartbeat("old2", TargetState::Draining, 2));
+    let mut expected = before.clone();
+    let left = expected.remove("old2").expect("it had one");
+    expected.insert("new".into(), left);
+    assert_eq!(homes(&directory), expected);
+    directory.remove(next(), "old2");
+    assert_eq!(homes(&directory), expected);
+    directory.remove(next(), "old1");
+    expected.remove("old1");
+    assert_eq!(homes(&directory), expected, "without a newcomer there is a gap");
+    directory.announce(next(), heartbeat("later", TargetState::Ready, 1));
+    expected.insert("later".into(), 1);
+    assert_eq!(homes(&directory), expected, "which the next newcomer takes at once");
+}
+
 /// Routers that follow by differences see the same targets as one that asks for all.
 #[test]
 fn differences_of_the_directory_add_up() {
@@ -178,7 +215,7 @@
                 targets.remove(id);
             }
             for changed in delta.changed {
-                targets.insert(changed.id.clone(), changed);
+                targets.insert(changed.announcement.id.clone(), changed.announcement);
             }
             *known = delta.revision;
         }
@@ -266,8 +303,8 @@
     assert_eq!(&splitter.push(b"id: 2\n\n").expect("short")[..], b"id: 2\n\n");
 }
 
-fn candidate(key: u64, load: f64) -> Candidate {
-    Candidate { key, load, slots: 64, near: false, doubtful: false }
+fn candidate(home: u32, load: f64) -> Candidate {
+    Candidate { home: Some(home), load, slots: 64, near: false, doubtful: false }
 }
 
 #[test]
@@ -277,10 +314,10 @@
     for affinity in 0..500 {
         let wish = Wish { affinity: Some(affinity), load_bound: 2.0 };
         let first = choose(&all, wish, &mut rng).expect("candidates");
-        let without: Vec<Candidate> = all.iter().copied().filter(|c| c.key != 5).collect();
+        let without: Vec<Candidate> = all.iter().copied().filter(|c| c.home != Some(5)).collect();
         let then = choose(&without, wish, &mut rng).expect("candidates");
-        if all[first].key != 5 {
-            assert_eq!(without[then].key, all[first].key);
+        if all[first].home != Some(5) {
+            assert_eq!(without[then].home, all[first].home);
         }
     }
 }
@@ -291,7 +328,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     for _ in 0..2_000 {
         let count = rng.random_range(2..20);
-        let loads = |key| candidate(key, f64::from(rng.random_range(0..40u32)));
+        let loads = |home| candidate(home, f64::from(rng.random_range(0..40u32)));
         let all: Vec<Candidate> = (0..count).map(loads).collect();
         let wish = Wish { affinity: Some(7), load_bound: 2.0 };
         let at = choose(&all, wish, &mut StdRng::seed_from_u64(2)).expect("candidates");
