Tell each decision on a request in the logs, and explain a request from them

Cause: lines told only of failures, without the inputs of a choice; nothing led from a request's id to its cause. Found by the new tests: a repeatable request whose targets all failed was answered 502 where no other target was left, instead of the target's own answer.

Change: gateway/trace.rs writes one line for each attempt, answer, refusal, break, resumption, cut and departure, with load, candidates, list revision, version, budget and time left; lines of good answers are thinned out beyond 200 a second; logs of gateways and members go to standard output, and a reader that stands still delays neither requests nor the end of a process. latchmount explain REQUEST-ID FILES tells the story with the beliefs in force. A histogram of answers, counters of cuts, resumptions and departures. A target's failure is passed on when nobody else is left to ask. Loads: the bound is used to 0.8, and targets without a home that have not told count as empty.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -33,6 +33,18 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Tell the story of one request from log files.
+    #[bpaf(command)]
+    Explain {
+        /// Print JSON rather than text.
+        json: bool,
+        /// Id of the request.
+        #[bpaf(positional("REQUEST-ID"))]
+        id: String,
+        /// Log files of any processes; standard input without any.
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Form a group of blank control members; needed once.
     #[bpaf(command)]
     Init(#[bpaf(external(remote))] Remote),
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -9,7 +9,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Requests by which a target may exceed its bound, so that a fleet at rest can begin to grow.
-const BOUND_SLACK: f64 = 2.0;
+const BOUND_SLACK: f64 = 1.5;
+/// Part of the bound that is used, since what is known of loads is some hundred milliseconds old.
+const BOUND_PART: f64 = 0.8;
 
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,7 +58,7 @@
 ) -> Option<usize> {
     let total: f64 = usable.iter().map(|at| candidates[*at].load).sum();
     let mean = (total + 1.0) / usable.len().max(1) as f64;
-    let bound = load_bound * mean + BOUND_SLACK;
+    let bound = (load_bound * BOUND_PART).max(1.0) * mean + BOUND_SLACK;
     let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity);
     let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,7 +9,6 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use slog::{debug, info};
 
 use super::answer::{AnswerBody, refuse};
 use super::attempt::{self, Answer, AttemptError, Outgoing, strip_hop_by_hop};
@@ -17,8 +16,8 @@
 use super::health::AttemptOutcome;
 use super::reason::Refusal;
 use super::relay;
-use super::target::Target;
-use super::{Gateway, Stage};
+use super::trace::{self, Departure, text};
+use super::{Choice, Gateway, Stage};
 use crate::configuration::Route;
 use crate::route_table::{Caller, RouteTable};
 
@@ -43,6 +42,7 @@
     pub(super) tried: Vec<u64>,
     pub(super) sends: u32,
     connect_failures: u32,
+    pub(super) departure: Departure,
     /// The first failure after which a target may have run the request.
     may_have_run: Option<Refusal>,
 }
@@ -58,10 +58,9 @@
     let mut response = match prepare(gateway, &head, body, arrived).await {
         Ok(plan) => run(gateway, plan).await,
         Err(refusal) => {
-            gateway.metrics.refused(refusal);
-            info!(gateway.log, "refused"; "event" => "refused", "reason" => refusal.code(),
-                "id" => text(head.headers.get(&gateway.names().request_id)),
-                "path" => head.uri.path(), "version" => gateway.version());
+            let id = text(head.headers.get(&gateway.names().request_id));
+            let host = text(head.headers.get(HOST));
+            trace::refused(gateway, id, host, head.uri.path(), refusal);
             refuse(refusal)
         }
     };
@@ -72,13 +71,9 @@
     response
 }
 
-pub(super) fn text(value: Option<&HeaderValue>) -> &str {
-    value.and_then(|value| value.to_str().ok()).unwrap_or("")
-}
-
 /// Finds the route and the caller, and reads the body.
 async fn prepare(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     head: &Parts,
     body: Incoming,
     arrived: Instant,
@@ -124,6 +119,7 @@
         reuse: if route.kind.idempotent() { Reuse::Any } else { Reuse::JustUsed },
     };
     let affinity = gateway.affinity(&route, &head.headers);
+    let departure = Departure::new(gateway, &outgoing.id, arrived);
     Ok(Plan {
         route,
         service,
@@ -134,6 +130,7 @@
         tried: Vec::new(),
         sends: 0,
         connect_failures: 0,
+        departure,
         may_have_run: None,
     })
 }
@@ -199,7 +196,7 @@
     loop {
         let answer = match next_answer(gateway, &mut plan).await {
             Ok(answer) => answer,
-            Err(refusal) => return give_up(gateway, &plan, refusal),
+            Err(refusal) => return give_up(gateway, plan, refusal),
         };
         let retried = match relay::pass_on(gateway, plan, answer).await {
             relay::PassedOn::Answer(response) => return response,
@@ -209,14 +206,9 @@
     }
 }
 
-fn give_up(gateway: &Gateway, plan: &Plan, refusal: Refusal) -> Response<AnswerBody> {
-    gateway.metrics.refused(refusal);
-    let elapsed = plan.arrived.elapsed().as_millis() as u64;
-    let left = plan.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
-    info!(gateway.log, "given up"; "event" => "given_up", "id" => text(Some(&plan.outgoing.id)),
-        "reason" => refusal.code(), "route" => &plan.route.name, "service" => &plan.service,
-        "sends" => plan.sends, "version" => plan.version, "elapsed_ms" => elapsed,
-        "left_ms" => left);
+pub(super) fn give_up(gateway: &Gateway, mut plan: Plan, refusal: Refusal) -> Response<AnswerBody> {
+    trace::given_up(gateway, &plan, refusal);
+    plan.departure.finish();
     refuse(refusal)
 }
 
@@ -232,12 +224,12 @@
         if plan.sends > 0 && !gateway.may_send_again(plan) {
             return Err(plan.may_have_run.unwrap_or(Refusal::NotRun));
         }
-        let Some(target) = gateway.choose(plan) else {
+        let Some(choice) = gateway.choose(plan) else {
             let refusal =
                 if plan.connect_failures > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget };
             return Err(plan.may_have_run.unwrap_or(refusal));
         };
-        match attempt_at(gateway, plan, &target).await {
+        match attempt_at(gateway, plan, &choice).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => after_failure(plan, refusal)?,
         }
@@ -272,8 +264,9 @@
 async fn attempt_at(
     gateway: &Arc<Gateway>,
     plan: &mut Plan,
-    target: &Arc<Target>,
+    choice: &Choice,
 ) -> Result<Answer, Refusal> {
+    let target = &choice.target;
     plan.tried.push(target.key);
     let limits = ConnectionLimits {
         connect: gateway.settings.connect_timeout(),
@@ -282,40 +275,40 @@
     };
     let began = Instant::now();
     let sent = attempt::send(target, &plan.outgoing, gateway.names(), limits).await;
-    let (refusal, outcome) = match &sent {
+    if !matches!(sent, Err(AttemptError::NotSent(_))) {
+        plan.sends += 1;
+    }
+    match sent {
         Ok(answer) => {
             gateway.note_answer(target, &answer.headers);
-            (None, answered(answer.status))
+            gateway.note_outcome(target, answered(answer.status));
+            trace::attempt(gateway, plan, choice, began, Ok(answer.status));
+            Ok(answer)
         }
-        Err(AttemptError::NotSent(ConnectError::TooMany)) => (Some(Refusal::ConnectFailed), None),
-        Err(AttemptError::NotSent(_)) => {
-            (Some(Refusal::ConnectFailed), Some(AttemptOutcome::Unreachable))
+        Err(error) => {
+            let (refusal, outcome) = blame(error);
+            if let Some(outcome) = outcome {
+                gateway.note_outcome(target, outcome);
+            }
+            gateway.metrics.attempt_failed(refusal);
+            trace::attempt(gateway, plan, choice, began, Err((refusal, error)));
+            Err(refusal)
         }
-        Err(AttemptError::NotRun) => (Some(Refusal::NotRun), None),
-        Err(AttemptError::Lost) => (Some(Refusal::AnswerLost), Some(AttemptOutcome::Unreachable)),
-        Err(AttemptError::Late) => (Some(Refusal::AnswerLate), Some(AttemptOutcome::Failed)),
-        Err(AttemptError::Wrong) => (Some(Refusal::WrongAnswer), Some(AttemptOutcome::Failed)),
-    };
-    if !matches!(sent, Err(AttemptError::NotSent(_))) {
-        plan.sends += 1;
     }
-    if let Some(outcome) = outcome {
-        gateway.note_outcome(target, outcome);
-    }
-    if let Some(refusal) = refusal {
-        gateway.metrics.attempt_failed(refusal);
-        info!(gateway.log, "attempt failed"; "event" => "attempt_failed",
-            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
-            "reason" => refusal.code(), "error" => ?sent.as_ref().err(), "sends" => plan.sends,
-            "in_flight" => target.in_flight(), "took_ms" => began.elapsed().as_millis() as u64);
-    } else {
-        debug!(gateway.log, "answered"; "event" => "answered",
-            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
-            "took_ms" => began.elapsed().as_millis() as u64);
+}
+
+/// What a failed attempt means for the request, and what for the target's health.
+fn blame(error: AttemptError) -> (Refusal, Option<AttemptOutcome>) {
+    match error {
+        AttemptError::NotSent(ConnectError::TooMany) => (Refusal::ConnectFailed, None),
+        AttemptError::NotSent(_) => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
+        AttemptError::NotRun => (Refusal::NotRun, None),
+        AttemptError::Lost => (Refusal::AnswerLost, Some(AttemptOutcome::Unreachable)),
+        AttemptError::Late => (Refusal::AnswerLate, Some(AttemptOutcome::Failed)),
+        AttemptError::Wrong => (Refusal::WrongAnswer, Some(AttemptOutcome::Failed)),
     }
-    sent.map_err(|_| refusal.unwrap_or(Refusal::AnswerLost))
 }
 
-fn answered(status: StatusCode) -> Option<AttemptOutcome> {
-    Some(if status.is_server_error() { AttemptOutcome::Failed } else { AttemptOutcome::Answered })
+fn answered(status: StatusCode) -> AttemptOutcome {
+    if status.is_server_error() { AttemptOutcome::Failed } else { AttemptOutcome::Answered }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,10 +1,18 @@
 //! Metrics of a gateway.
 
+use std::time::Duration;
+
 use http::StatusCode;
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 use super::reason::Refusal;
 
+/// Upper bounds of the histogram of answers, in seconds.
+const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
 /// All metrics of one gateway.
 pub(super) struct GatewayMetrics {
     registry: Registry,
@@ -12,7 +20,10 @@
     answers: IntCounterVec,
     refused: IntCounterVec,
     attempts_failed: IntCounterVec,
-    retries: IntCounterVec,
+    cut: IntCounterVec,
+    resumed: IntCounter,
+    left: IntCounter,
+    seconds: HistogramVec,
     /// Version of the configuration in force.
     pub(super) version: IntGauge,
     /// Targets known.
@@ -35,6 +46,17 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let seconds = HistogramOpts::new(
+            "latchmount_gateway_answer_seconds",
+            "Time from a request's head to its answer, for streams to the first event.",
+        );
+        let seconds = HistogramVec::new(seconds.buckets(SECONDS.to_vec()), &["service"])?;
+        registry.register(Box::new(seconds.clone()))?;
         let metrics = GatewayMetrics {
             requests: counters(
                 "latchmount_gateway_requests_total",
@@ -56,11 +78,20 @@
                 "Attempts at a target that gave no whole answer.",
                 "reason",
             )?,
-            retries: counters(
-                "latchmount_gateway_retries_total",
-                "Requests sent again after an answer had begun.",
+            cut: counters(
+                "latchmount_gateway_streams_cut_total",
+                "Streams cut after they had begun.",
                 "reason",
             )?,
+            resumed: counter(
+                "latchmount_gateway_streams_resumed_total",
+                "Streams that went on at another target.",
+            )?,
+            left: counter(
+                "latchmount_gateway_clients_left_total",
+                "Clients that left before their final answer.",
+            )?,
+            seconds,
             version: gauge(
                 "latchmount_gateway_configuration_version",
                 "Version of the configuration in force.",
@@ -92,8 +123,20 @@
         self.attempts_failed.with_label_values(&[refusal.code()]).inc();
     }
 
-    pub(super) fn retried(&self, reason: &str) {
-        self.retries.with_label_values(&[reason]).inc();
+    pub(super) fn cut(&self, refusal: Refusal) {
+        self.cut.with_label_values(&[refusal.code()]).inc();
+    }
+
+    pub(super) fn resumed(&self) {
+        self.resumed.inc();
+    }
+
+    pub(super) fn left(&self) {
+        self.left.inc();
+    }
+
+    pub(super) fn took(&self, service: &str, time: Duration) {
+        self.seconds.with_label_values(&[service]).observe(time.as_secs_f64());
     }
 
     /// The text for a scrape.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod relay;
 pub mod settings;
 mod target;
+mod trace;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -41,6 +42,8 @@
 use crate::configuration::Route;
 use crate::dialect::{Headers, SharedDialect};
 use crate::route_table::RouteTable;
+use crate::sampler::Sampler;
+use crate::store::Revision;
 
 /// Connections to one target where its service states no bound, for all gateways together.
 const DEFAULT_CONNECTIONS: u32 = 512;
@@ -96,11 +99,25 @@
     stage: watch::Sender<Stage>,
     open: AtomicU32,
     last_request: Mutex<Instant>,
+    attempt_lines: Mutex<Sampler>,
+    answer_lines: Mutex<Sampler>,
     started: Instant,
     metrics: GatewayMetrics,
     log: Logger,
 }
 
+/// A target chosen for an attempt, and what the choice was made of.
+struct Choice {
+    target: Arc<Target>,
+    /// Requests that it is thought to have.
+    load: f64,
+    candidates: usize,
+    /// Candidates that are left alone if another will do.
+    doubtful: usize,
+    /// Revision of the directory.
+    list_revision: Revision,
+}
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -167,6 +184,8 @@
             stage: watch::Sender::new(Stage::Serving),
             open: AtomicU32::new(0),
             last_request: Mutex::new(Instant::now()),
+            attempt_lines: Mutex::default(),
+            answer_lines: Mutex::default(),
             started: Instant::now(),
             metrics: GatewayMetrics::new()?,
             log,
@@ -285,6 +304,7 @@
         plan.sends < plan.route.max_attempts
             && Instant::now() < plan.outgoing.deadline
             && self.with_budget(&plan.service, |budget| budget.left(now, gateways) >= 1.0)
+            && self.choose(plan).is_some()
     }
 
     /// Takes one further arrival out of the budget, if the request may have it.
@@ -314,12 +334,12 @@
     }
 
     /// Chooses a target that the request has not tried.
-    fn choose(&self, plan: &Plan) -> Option<Arc<Target>> {
+    fn choose(&self, plan: &Plan) -> Option<Choice> {
         let now = self.now();
-        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let known = self.targets.read().unwrap_or_else(PoisonError::into_inner);
         let usable =
             |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
-        let targets: Vec<&Arc<Target>> = targets.of(&plan.service).iter().filter(usable).collect();
+        let targets: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
         let usual = usual_others(&targets, now);
         let gateways = self.gateways();
         let candidate = |target: &&Arc<Target>| Candidate {
@@ -332,7 +352,29 @@
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
         let wish = Wish { affinity: plan.affinity, load_bound: self.settings.load_bound };
         let at = choose(&candidates, wish, &mut rand::rng())?;
-        Some(targets[at].clone())
+        Some(Choice {
+            target: targets[at].clone(),
+            load: candidates[at].load,
+            candidates: candidates.len(),
+            doubtful: candidates.iter().filter(|candidate| candidate.doubtful).count(),
+            list_revision: known.revision(),
+        })
+    }
+
+    /// Targets of a service that are known, whatever their state.
+    fn targets_of(&self, service: &str) -> usize {
+        self.targets.read().unwrap_or_else(PoisonError::into_inner).of(service).len()
+    }
+
+    /// Further arrivals at a service that the budget has left.
+    fn budget_left(&self, service: &str) -> i64 {
+        let (now, gateways) = (self.now(), self.gateways());
+        self.with_budget(service, |budget| budget.left(now, gateways)).floor() as i64
+    }
+
+    /// Time since a member that hears a leader was last heard, in milliseconds; -1 before.
+    fn news_age_ms(&self) -> i64 {
+        lock(&self.fresh_at).map_or(-1, |at| at.elapsed().as_millis() as i64)
     }
 
     /// Whether a target should be left alone if another will do.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,15 +8,15 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use slog::info;
 
 use super::Gateway;
-use super::answer::{AnswerBody, BrokenOff, refuse};
+use super::answer::{AnswerBody, BrokenOff};
 use super::attempt::{Answer, strip_hop_by_hop};
 use super::events::EventSplitter;
-use super::exchange::{Plan, next_answer, text};
+use super::exchange::{Plan, give_up, next_answer};
 use super::health::AttemptOutcome;
 use super::reason::Refusal;
+use super::trace::{self, text};
 
 /// Answers in one piece that are longer are passed on as they come.
 const WHOLE_UP_TO: usize = 256 * 1024;
@@ -34,7 +34,6 @@
     let again = plan.route.kind.idempotent() && answer.status.is_server_error();
     if again && gateway.could_send_again(&plan) {
         plan.note_ran(Refusal::AnswerLost);
-        gateway.metrics.retried("server_error");
         return PassedOn::Retry(Box::new(plan));
     }
     let events = answer.headers.get(CONTENT_TYPE);
@@ -57,6 +56,8 @@
                 if bytes.len() <= WHOLE_UP_TO {
                     continue;
                 }
+                trace::answered(gateway, &plan, &target, status);
+                plan.departure.finish();
                 let rest = Rest {
                     body,
                     connection,
@@ -70,24 +71,20 @@
             Err(_) => Refusal::AnswerLate,
         };
         gateway.note_outcome(&target, AttemptOutcome::Failed);
-        gateway.metrics.attempt_failed(refusal);
-        info!(gateway.log, "answer broke off"; "event" => "answer_broken",
-            "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
-            "bytes" => bytes.len(), "reason" => refusal.code());
+        trace::broke_off(gateway, &plan, &target, refusal, "");
         plan.note_ran(refusal);
         if plan.route.kind.idempotent() && gateway.could_send_again(&plan) {
             return PassedOn::Retry(Box::new(plan));
         }
-        gateway.metrics.refused(refusal);
-        return PassedOn::Answer(refuse(refusal));
+        return PassedOn::Answer(give_up(gateway, plan, refusal));
     }
     connection.keep(&headers);
     if promises_not_run(status) {
         // The target did not say that it has not run the request; that must not be promised.
-        gateway.metrics.refused(Refusal::WrongAnswer);
-        return PassedOn::Answer(refuse(Refusal::WrongAnswer));
+        return PassedOn::Answer(give_up(gateway, plan, Refusal::WrongAnswer));
     }
-    gateway.metrics.answered(status);
+    trace::answered(gateway, &plan, &target, status);
+    plan.departure.finish();
     let mut response = Response::new(AnswerBody::Whole(Some(bytes.freeze())));
     *response.status_mut() = status;
     *response.headers_mut() = passed_headers(headers);
@@ -180,12 +177,9 @@
     };
     let first = match relay.next().await {
         Ok(first) => first,
-        Err(refusal) => {
-            gateway.metrics.refused(refusal);
-            return PassedOn::Answer(refuse(refusal));
-        }
+        Err(refusal) => return PassedOn::Answer(give_up(gateway, relay.plan, refusal)),
     };
-    gateway.metrics.answered(status);
+    trace::answered(gateway, &relay.plan, &relay.answer.target, status);
     let Some(first) = first else {
         relay.end();
         let mut response = Response::new(AnswerBody::Whole(None));
@@ -206,7 +200,11 @@
                 relay.end();
                 None
             }
-            Err(_) => Some((Err(BrokenOff), None)),
+            Err(refusal) => {
+                trace::cut(&relay.gateway, &relay.plan, refusal);
+                relay.plan.departure.finish();
+                Some((Err(BrokenOff), None))
+            }
         }
     });
     let mut response = Response::new(AnswerBody::Pieces(pieces.boxed()));
@@ -256,11 +254,8 @@
         };
         let gateway = self.gateway.clone();
         gateway.note_outcome(&self.answer.target, AttemptOutcome::Failed);
-        gateway.metrics.attempt_failed(refusal);
-        info!(gateway.log, "stream broke off"; "event" => "stream_broken",
-            "id" => text(Some(&self.plan.outgoing.id)), "reason" => refusal.code(),
-            "target" => &self.answer.target.announcement.id, "begun" => self.begun,
-            "last_event" => self.splitter.last_id().unwrap_or(""));
+        let last = self.splitter.last_id().unwrap_or("");
+        trace::broke_off(&gateway, &self.plan, &self.answer.target, refusal, last);
         self.plan.note_ran(refusal);
         if !self.plan.route.kind.idempotent() {
             return Err(refusal);
@@ -278,13 +273,15 @@
         if answer.status != StatusCode::OK || !kind.starts_with("text/event-stream") {
             return Err(refusal);
         }
-        gateway.metrics.retried("resumed");
+        let last = self.splitter.last_id().unwrap_or("");
+        trace::resumed(&gateway, &self.plan, &answer.target, last);
         self.answer = answer;
         Ok(())
     }
 
     /// Keeps the connection of a stream that has ended.
-    fn end(self) {
+    fn end(mut self) {
+        self.plan.departure.finish();
         self.answer.connection.keep(&self.answer.headers);
     }
 }
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -127,11 +127,13 @@
     }
 
     /// Requests that the target is thought to have. Where it has not told lately, the other gateways
-    /// are taken to have as many as usual there, or as many as this one each.
+    /// are taken to have as many as usual there, or as many as this one each; a target without a home
+    /// gets little work from anybody.
     pub(super) fn load(&self, now: Duration, usual_others: f64, gateways: u32) -> f64 {
         let own = f64::from(self.in_flight());
         let as_this_one = own * f64::from(gateways.saturating_sub(1));
-        own + self.others(now).unwrap_or(usual_others.max(as_this_one))
+        let usual = if self.home().is_some() { usual_others } else { 0.0 };
+        own + self.others(now).unwrap_or(usual.max(as_this_one))
     }
 
     /// Requests that other gateways are thought to have at the target, where it told lately.
--- /dev/null
+++ b/src/gateway/trace.rs
@@ -0,0 +1,157 @@
+//! The log lines of a request: one for each decision, with what decided it.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::{HeaderValue, StatusCode};
+use slog::info;
+
+use super::attempt::AttemptError;
+use super::exchange::Plan;
+use super::reason::Refusal;
+use super::target::Target;
+use super::{Choice, Gateway, lock};
+
+/// The text of a header's value; empty when there is none.
+pub(super) fn text(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+fn millis_since(at: Instant) -> u64 {
+    at.elapsed().as_millis() as u64
+}
+
+fn millis_left(plan: &Plan) -> u64 {
+    plan.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
+}
+
+/// A request was refused before it had a plan.
+pub(super) fn refused(gateway: &Gateway, id: &str, host: &str, path: &str, refusal: Refusal) {
+    gateway.metrics.refused(refusal);
+    info!(gateway.log, "refused"; "event" => "refused", "id" => id, "reason" => refusal.code(),
+        "status" => refusal.status().as_u16(), "request_host" => host, "path" => path,
+        "version" => gateway.version(), "news_age_ms" => gateway.news_age_ms(),
+        "stage" => ?gateway.stage());
+}
+
+/// A request was given up on.
+pub(super) fn given_up(gateway: &Gateway, plan: &Plan, refusal: Refusal) {
+    gateway.metrics.refused(refusal);
+    info!(gateway.log, "given up"; "event" => "given_up", "id" => text(Some(&plan.outgoing.id)),
+        "reason" => refusal.code(), "status" => refusal.status().as_u16(),
+        "route" => &plan.route.name, "service" => &plan.service, "kind" => ?plan.route.kind,
+        "sends" => plan.sends, "max_attempts" => plan.route.max_attempts,
+        "budget_left" => gateway.budget_left(&plan.service), "gateways" => gateway.gateways(),
+        "version" => plan.version, "targets" => gateway.targets_of(&plan.service),
+        "news_age_ms" => gateway.news_age_ms(), "elapsed_ms" => millis_since(plan.arrived),
+        "left_ms" => millis_left(plan));
+}
+
+/// An attempt ended with an answer's head, or without.
+pub(super) fn attempt(
+    gateway: &Gateway,
+    plan: &Plan,
+    choice: &Choice,
+    began: Instant,
+    outcome: Result<StatusCode, (Refusal, AttemptError)>,
+) {
+    let failed = outcome.is_err();
+    let kept = lock(&gateway.attempt_lines).keep(gateway.now());
+    if !failed && kept.is_none() {
+        return;
+    }
+    let target = &choice.target;
+    let (result, error, status) = match outcome {
+        Ok(status) => ("answered", String::new(), status.as_u16()),
+        Err((refusal, error)) => (refusal.code(), format!("{error:?}"), 0),
+    };
+    info!(gateway.log, "attempt"; "event" => "attempt", "id" => text(Some(&plan.outgoing.id)),
+        "outcome" => result, "error" => error, "status" => status,
+        "target" => &target.announcement.id, "addr" => %target.announcement.addr,
+        "service" => &plan.service, "route" => &plan.route.name, "sends" => plan.sends,
+        "home" => ?target.home(), "affinity" => plan.affinity.is_some(),
+        "load" => format!("{:.1}", choice.load), "in_flight" => target.in_flight(),
+        "candidates" => choice.candidates, "doubtful" => choice.doubtful,
+        "list" => choice.list_revision, "version" => plan.version,
+        "budget_left" => gateway.budget_left(&plan.service), "took_ms" => millis_since(began),
+        "left_ms" => millis_left(plan), "stands_for" => kept.unwrap_or(1));
+}
+
+/// An answer went to the client, or, for a stream, its first event did.
+pub(super) fn answered(gateway: &Gateway, plan: &Plan, target: &Target, status: StatusCode) {
+    gateway.metrics.answered(status);
+    gateway.metrics.took(&plan.service, plan.arrived.elapsed());
+    let kept = lock(&gateway.answer_lines).keep(gateway.now());
+    let Some(stands_for) = kept else {
+        return;
+    };
+    info!(gateway.log, "answered"; "event" => "answered", "id" => text(Some(&plan.outgoing.id)),
+        "status" => status.as_u16(), "target" => &target.announcement.id,
+        "route" => &plan.route.name, "sends" => plan.sends, "version" => plan.version,
+        "elapsed_ms" => millis_since(plan.arrived), "stands_for" => stands_for);
+}
+
+/// An answer or a stream broke off on its way from the target.
+pub(super) fn broke_off(
+    gateway: &Gateway,
+    plan: &Plan,
+    target: &Target,
+    refusal: Refusal,
+    last_event: &str,
+) {
+    gateway.metrics.attempt_failed(refusal);
+    info!(gateway.log, "answer broke off"; "event" => "broke_off",
+        "id" => text(Some(&plan.outgoing.id)), "reason" => refusal.code(),
+        "target" => &target.announcement.id, "route" => &plan.route.name,
+        "kind" => ?plan.route.kind, "last_event" => last_event, "sends" => plan.sends,
+        "max_attempts" => plan.route.max_attempts, "version" => plan.version,
+        "budget_left" => gateway.budget_left(&plan.service),
+        "elapsed_ms" => millis_since(plan.arrived), "left_ms" => millis_left(plan));
+}
+
+/// A stream that had begun was cut, since it could not go on.
+pub(super) fn cut(gateway: &Gateway, plan: &Plan, refusal: Refusal) {
+    gateway.metrics.cut(refusal);
+    info!(gateway.log, "stream cut"; "event" => "stream_cut",
+        "id" => text(Some(&plan.outgoing.id)), "reason" => refusal.code(),
+        "route" => &plan.route.name, "sends" => plan.sends, "version" => plan.version,
+        "elapsed_ms" => millis_since(plan.arrived), "left_ms" => millis_left(plan));
+}
+
+/// A stream went on at another target.
+pub(super) fn resumed(gateway: &Gateway, plan: &Plan, target: &Target, last_event: &str) {
+    gateway.metrics.resumed();
+    info!(gateway.log, "stream resumed"; "event" => "resumed",
+        "id" => text(Some(&plan.outgoing.id)), "target" => &target.announcement.id,
+        "last_event" => last_event, "sends" => plan.sends,
+        "elapsed_ms" => millis_since(plan.arrived), "left_ms" => millis_left(plan));
+}
+
+/// Notes that a client left, unless its request was finished before.
+pub(super) struct Departure {
+    gateway: Arc<Gateway>,
+    id: HeaderValue,
+    arrived: Instant,
+    finished: bool,
+}
+
+impl Departure {
+    pub(super) fn new(gateway: &Arc<Gateway>, id: &HeaderValue, arrived: Instant) -> Self {
+        Departure { gateway: gateway.clone(), id: id.clone(), arrived, finished: false }
+    }
+
+    /// The client has its final answer, or is cut off by this gateway.
+    pub(super) fn finish(&mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.gateway.metrics.left();
+            info!(self.gateway.log, "client left"; "event" => "client_left",
+                "id" => text(Some(&self.id)), "elapsed_ms" => millis_since(self.arrived));
+        }
+    }
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,18 +1,26 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
+//!
+//! Lines wait in a bounded queue for a thread that writes them, so that a reader that stands still
+//! delays no request: what does not fit is dropped, and the count of dropped lines is logged.
 
 use slog::{Drain, FnValue, Level, LevelFilter, Logger, Record, o};
 use slog_logfmt::Logfmt;
+use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Lines that wait to be written before further ones are dropped and counted.
 const QUEUE_LEN: usize = 4_096;
 
-/// A logger for `host` that writes events of `level` and above.
+/// A logger for `host` that writes events of `level` and above to standard error.
 ///
 /// Values are quoted and escaped, so that no caller's bytes can forge a line.
 pub fn logger(host: &str, level: Level) -> Logger {
-    let format =
-        Logfmt::new(std::io::stderr()).no_prefix().print_level(true).print_msg(true).build().fuse();
+    logger_to(std::io::stderr(), host, level)
+}
+
+/// The same to any writer.
+pub fn logger_to(out: impl Write + Send + 'static, host: &str, level: Level) -> Logger {
+    let format = Logfmt::new(out).no_prefix().print_level(true).print_msg(true).build().fuse();
     let queue = slog_async::Async::new(format).chan_size(QUEUE_LEN).build().fuse();
     let filtered = LevelFilter::new(queue, level).fuse();
     let at = FnValue(|_: &Record<'_>| {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use latchmount::cli::{Cli, Process, cli};
 use latchmount::dialect::{OwnDialect, SharedDialect};
@@ -12,6 +13,9 @@
 #[path = "../platform/mod.rs"]
 mod platform;
 
+/// Longest time for the last log lines once a process has ended its work.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 fn main() -> ExitCode {
     let command = match cli().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
@@ -48,7 +52,14 @@
     let Some(dialect) = dialect(&process) else {
         return fail(&"--dialect: no such dialect", 2);
     };
-    match process::run_outside(process, role, dialect).await {
+    let ended = process::run_outside(process, role, dialect).await;
+    let code = i32::from(ended.is_err());
+    // The last lines may wait for a reader that stands still; the process must end all the same.
+    std::thread::spawn(move || {
+        std::thread::sleep(LAST_LINES);
+        std::process::exit(code);
+    });
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&format!("{error:#}"), 1),
     }
@@ -62,6 +73,7 @@
         Cli::Gateway(process) => outside(process, Outside::Gateway).await,
         Cli::Member(process) => outside(process, Outside::Member).await,
         Cli::Check { file } => print(operator::check(&file)),
+        Cli::Explain { json, id, files } => print(operator::explain(&id, &files, json)),
         Cli::Init(remote) => print(operator::form(&remote).await),
         Cli::Status { json, remote } => print(operator::status(&remote, json).await),
         Cli::Drain { undo, remote, name } => print(operator::drain(&remote, name, !undo).await),
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,12 +1,15 @@
 //! The operators' client: one command, one answer, and what to do next when it fails.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::HttpClient;
 
 use crate::cli::{ChangeArgs, Remote, TemplateCommand};
+use crate::explain::Story;
+use crate::gateway::settings::GatewaySettings;
+use crate::group::settings::MemberSettings;
 use crate::jsonc::{self, Fault, Validate};
 use crate::rpc::{ControlClient, ControlError, Group, Status};
 use crate::settings::Settings;
@@ -20,6 +23,10 @@
 const WAIT_MS: u64 = 2_000;
 /// Field that a template has and settings have not.
 const TEMPLATE_MARK: &str = "teams";
+/// Field that only settings of members of a self-forming group have.
+const MEMBER_MARK: &str = "data_dir";
+/// Field that settings of gateways have.
+const GATEWAY_MARK: &str = "peer_port";
 /// Between two tries.
 const TRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -76,6 +83,27 @@
     }
 }
 
+/// Tells the story of a request from log files, or from standard input without any.
+///
+/// # Errors
+/// [`OperatorError::Unreadable`].
+pub fn explain(id: &str, files: &[PathBuf], json: bool) -> Result<String, OperatorError> {
+    let mut texts = Vec::new();
+    for file in files {
+        texts.push(read(file)?);
+    }
+    if files.is_empty() {
+        let unreadable =
+            |source| OperatorError::Unreadable { path: "standard input".into(), source };
+        texts.push(std::io::read_to_string(std::io::stdin()).map_err(unreadable)?);
+    }
+    let story = Story::of(id, texts.iter().flat_map(|text| text.lines()));
+    if json {
+        return Ok(serde_json::to_string_pretty(&story).unwrap_or_default());
+    }
+    Ok(story.to_string())
+}
+
 /// Checks a settings or template file; `Ok` says what it is.
 ///
 /// # Errors
@@ -85,6 +113,12 @@
     let kind = if jsonc::has_field(&text, TEMPLATE_MARK) {
         parse::<Template>(&text)?;
         "a sound template"
+    } else if jsonc::has_field(&text, MEMBER_MARK) {
+        parse::<MemberSettings>(&text)?;
+        "sound settings of a member"
+    } else if jsonc::has_field(&text, GATEWAY_MARK) {
+        parse::<GatewaySettings>(&text)?;
+        "sound settings of a gateway"
     } else {
         parse::<Settings>(&text)?;
         "sound settings"
--- a/src/process.rs
+++ b/src/process.rs
@@ -145,7 +145,7 @@
     match role {
         Outside::Gateway => {
             let settings: GatewaySettings = read(&process.settings)?;
-            let log = logging::logger(&settings.host, level);
+            let log = logging::logger_to(std::io::stdout(), &settings.host, level);
             let gateway = RunningGateway::start(settings, dialect, &log).await?;
             let mut reload = Reload::new(&process, &log)?;
             loop {
@@ -163,7 +163,7 @@
         }
         Outside::Member => {
             let settings: MemberSettings = read(&process.settings)?;
-            let log = logging::logger(&settings.host, level);
+            let log = logging::logger_to(std::io::stdout(), &settings.host, level);
             let mut member = GroupMember::start(settings, dialect, &log).await?;
             let mut reload = Reload::new(&process, &log)?;
             loop {
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,119 @@
+//! Log lines are read back as they were written, and make the story of a request.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use latchmount::explain::Story;
+use latchmount::logging::logger_to;
+use latchmount::logline::LogLine;
+use latchmount::sampler::Sampler;
+use slog::{Level, info};
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no panic").extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_line_is_read_back_whatever_its_values_hold() {
+    let kept = Kept::default();
+    let values = ["plain", "two words", "a \"quote\"", "back\\slash", "a=b", "new\nline", ""];
+    let log = logger_to(kept.clone(), "host-1", Level::Info);
+    for value in values {
+        info!(log, "a message"; "event" => "tried", "id" => "r-1", "value" => value);
+    }
+    drop(log);
+    let text = String::from_utf8(kept.0.lock().expect("no panic").clone()).expect("text");
+    let lines: Vec<LogLine> = text.lines().filter_map(LogLine::parse).collect();
+    assert_eq!(lines.len(), values.len(), "{text}");
+    for (line, value) in lines.iter().zip(values) {
+        assert_eq!((line.host(), line.event(), line.get("id")), ("host-1", "tried", Some("r-1")));
+        if !value.contains('\n') {
+            assert_eq!(line.get("value"), Some(value), "{text}");
+        }
+    }
+}
+
+#[test]
+fn lines_of_others_are_passed_over() {
+    for line in ["", "thread 'main' panicked", "key=value", "event=x host=h", "a=\"unclosed"] {
+        assert_eq!(LogLine::parse(line), None, "{line}");
+    }
+}
+
+#[test]
+fn a_story_has_each_decision_in_order_with_what_its_host_believed_then() {
+    let lines = [
+        "level=INFO msg=x host=g2 at_ms=990 event=configuration version=9",
+        "level=INFO msg=x host=g1 at_ms=400 event=configuration version=3",
+        "level=INFO msg=x host=g1 at_ms=900 event=configuration version=4",
+        "level=INFO msg=x host=g1 at_ms=950 event=target_paused target=i-1 outcome=Failed",
+        "level=INFO msg=x host=g1 at_ms=960 event=target_paused target=i-2 outcome=Failed",
+        "level=INFO msg=x host=g1 at_ms=1200 event=given_up id=r-1 reason=not_run sends=1",
+        "level=INFO msg=x host=g1 at_ms=1000 event=attempt id=r-1 outcome=not_run target=i-1",
+        "level=INFO msg=x host=g1 at_ms=1100 event=configuration version=5",
+        "level=INFO msg=x host=g1 at_ms=1000 event=attempt id=r-2 outcome=answered target=i-1",
+    ];
+    let story = Story::of("r-1", lines.into_iter());
+    let events: Vec<&str> = story.steps.iter().map(|step| step.event.as_str()).collect();
+    assert_eq!(events, ["attempt", "given_up"]);
+    let told = |at: usize| -> Vec<(&str, u64, &str)> {
+        let beliefs = story.steps[at].beliefs.iter();
+        beliefs.map(|belief| (belief.matter, belief.age_ms, belief.told.as_str())).collect()
+    };
+    let paused = ("paused target", 50, "target=i-1 outcome=Failed");
+    assert_eq!(told(0), [("configuration", 100, "version=4"), paused]);
+    assert_eq!(told(1), [("configuration", 100, "version=5")]);
+    let text = story.to_string();
+    assert!(text.contains("reason=not_run") && text.contains("told 100 ms before"), "{text}");
+    assert!(Story::of("r-9", lines.into_iter()).to_string().contains("no line tells"));
+}
+
+/// A reader that never reads.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _bytes: &[u8]) -> io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stands_still_delays_nobody() {
+    let log = logger_to(Stuck, "host-1", Level::Info);
+    for at in 0..100_000 {
+        info!(log, "a message"; "event" => "tried", "at" => at);
+    }
+    // The thread that writes never ends, so the logger must not wait for it here.
+    std::mem::forget(log);
+}
+
+#[test]
+fn lines_are_thinned_out_only_beyond_many_in_a_second() {
+    let mut sampler = Sampler::default();
+    for second in 0..3 {
+        let now = |at: u64| Duration::from_secs(second) + Duration::from_micros(at * 100);
+        let few: u32 = (0..150).filter_map(|at| sampler.keep(now(at))).sum();
+        assert_eq!(few, 150, "few lines are all kept");
+        let many: Vec<u32> = (150..5_150).filter_map(|at| sampler.keep(now(at))).collect();
+        assert!(many.len() < 400, "{} lines kept of 5,000", many.len());
+        let stands_for: u32 = many.iter().sum();
+        assert!((4_900..=5_100).contains(&stands_for), "they stand for {stands_for}");
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,4 +8,5 @@
 mod requests;
 mod standin;
 mod stops;
+mod stories;
 mod streams;
--- /dev/null
+++ b/tests/fleet/stories.rs
@@ -0,0 +1,128 @@
+//! Whatever became of a request, the logs tell by its id why, and on what it was decided.
+
+use std::time::Duration;
+
+use latchmount::explain::{Step, Story};
+use rstest::rstest;
+
+use crate::doors::configuration;
+use crate::harness::{Fleet, eventually};
+use crate::refusals::Ask;
+use crate::standin::{Behaviour, Standin};
+
+/// The story of a request once its last step is there.
+async fn story(fleet: &Fleet, id: &str, last_event: &str) -> Story {
+    eventually(&format!("{last_event} of {id} is logged"), async || {
+        let log = fleet.gateways[0].log();
+        let story = Story::of(id, log.lines());
+        let last = story.steps.last()?;
+        (last.event == last_event).then_some(story)
+    })
+    .await
+}
+
+fn detail<'a>(step: &'a Step, key: &str) -> &'a str {
+    step.details.get(key).unwrap_or_else(|| panic!("{key} in {step:?}"))
+}
+
+#[rstest]
+#[case::unknown_key(Ask::new("/safe/x", "r-1").with("x-credential", "z"), "unknown_key")]
+#[case::no_route(Ask::new("/elsewhere/x", "r-1"), "no_route")]
+#[case::bad_request(Ask::new("/safe/x", "r-1").with("x-deadline-ms", "soon"), "bad_request")]
+#[tokio::test]
+async fn a_refusal_tells_its_reason_and_the_configuration(
+    #[case] ask: Ask<'static>,
+    #[case] reason: &str,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    fleet.configure(&configuration(4)).await;
+    ask.send(fleet.front(0)).await.expect("an answer");
+    let story = story(&fleet, "r-1", "refused").await;
+    let step = &story.steps[0];
+    assert_eq!((detail(step, "reason"), detail(step, "version")), (reason, "4"));
+    assert!(detail(step, "news_age_ms").parse::<i64>().is_ok());
+    let matters: Vec<&str> = step.beliefs.iter().map(|belief| belief.matter).collect();
+    assert!(matters.contains(&"configuration"), "{matters:?}");
+}
+
+#[rstest]
+#[case::turned_away("/unsafe/x", Behaviour::TurnAway, "not_run")]
+#[case::lost("/unsafe/x", Behaviour::Lose, "answer_lost")]
+#[case::for_another("/unsafe/x", Behaviour::AnswerAnother, "wrong_answer")]
+#[case::late("/unsafe/x", Behaviour::Mute, "answer_late")]
+#[tokio::test]
+async fn a_request_given_up_on_tells_each_attempt_and_the_reason(
+    #[case] path: &str,
+    #[case] behaviour: Behaviour,
+    #[case] reason: &str,
+) {
+    let fleet = Fleet::start(1, 1).await;
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    target.behave(behaviour);
+    fleet.configure(&configuration(4)).await;
+    fleet.knows_targets(0, 1).await;
+    let ask = Ask::new(path, "r-1").with("x-deadline-ms", "500");
+    ask.send(fleet.front(0)).await.expect("an answer");
+    let story = story(&fleet, "r-1", "given_up").await;
+    let [attempt, given_up] = &story.steps[..] else {
+        panic!("{story}");
+    };
+    assert_eq!((detail(attempt, "outcome"), detail(attempt, "target")), (reason, "i-1"));
+    for input in ["load", "in_flight", "candidates", "list", "version", "budget_left", "left_ms"] {
+        detail(attempt, input);
+    }
+    assert_eq!(detail(given_up, "reason"), reason);
+    assert_eq!((detail(given_up, "sends"), detail(given_up, "max_attempts")), ("1", "1"));
+}
+
+#[tokio::test]
+async fn a_retry_a_resumption_and_a_cut_are_told() {
+    let fleet = Fleet::start(1, 1).await;
+    let targets = [
+        Standin::start("i-1", "s", fleet.doors()).await,
+        Standin::start("i-2", "s", fleet.doors()).await,
+    ];
+    fleet.configure(&configuration(4)).await;
+    fleet.knows_targets(0, 2).await;
+    let front = fleet.front(0);
+    let behave = |behaviour| targets.iter().for_each(|target| target.behave(behaviour));
+
+    behave(Behaviour::Fail);
+    Ask::new("/safe/x", "retried").send(front).await.expect("an answer");
+    let retried = story(&fleet, "retried", "answered").await;
+    assert_eq!(retried.steps.len(), 3, "two attempts and the answer: {retried}");
+
+    behave(Behaviour::BreakAfter(3));
+    assert!(Ask::new("/stream/x", "cut").send(front).await.is_err());
+    let cut = story(&fleet, "cut", "stream_cut").await;
+    let events: Vec<&str> = cut.steps.iter().map(|step| step.event.as_str()).collect();
+    assert_eq!(events, ["attempt", "answered", "broke_off", "stream_cut"]);
+    assert_eq!(detail(&cut.steps[2], "last_event"), "3");
+
+    let asking = tokio::spawn(async move { Ask::new("/resumable/x", "resumed").send(front).await });
+    eventually("the first attempt", async || {
+        let began = targets.iter().any(|target| target.counts().contains_key("resumed"));
+        began.then_some(())
+    })
+    .await;
+    behave(Behaviour::Stream(6));
+    asking.await.expect("no panic").expect("a whole answer");
+    let resumed = story(&fleet, "resumed", "resumed").await;
+    let last = resumed.steps.last().expect("steps");
+    assert_eq!((detail(last, "last_event"), detail(last, "sends")), ("3", "2"));
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_is_told() {
+    let fleet = Fleet::start(1, 1).await;
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    target.behave(Behaviour::Mute);
+    fleet.configure(&configuration(4)).await;
+    fleet.knows_targets(0, 1).await;
+    let front = fleet.front(0);
+    let asking = Ask::new("/unsafe/x", "r-1");
+    let left = tokio::time::timeout(Duration::from_millis(300), asking.send(front)).await;
+    assert!(left.is_err(), "the client left before an answer");
+    let story = story(&fleet, "r-1", "client_left").await;
+    assert!(detail(&story.steps[0], "elapsed_ms").parse::<u64>().is_ok());
+}
