Take the mean load over all live targets; one home for locks and for the dialect's forms

Change: the mean counts every target that is not silent; the bound is used to 0.9; words about loads are spaced by 10 ms for each gateway alive. Duplicate locks and dialect forms have one place now (src/sync.rs, dialect.rs).

The spacing is not measured yet.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -77,16 +77,24 @@
     pub waiting: u32,
 }
 
+/// Paths of calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Paths {
+    /// Where a router tells whether it is ready.
+    pub ready: &'static str,
+    /// Where the configuration is put and read.
+    pub configuration: &'static str,
+    /// What precedes the identity of a target.
+    pub targets: &'static str,
+}
+
 /// How the outside speaks.
 pub trait Dialect: Send + Sync + 'static {
     /// Names of the headers.
     fn headers(&self) -> &Headers;
 
-    /// Path at which a router tells whether it is ready.
-    fn ready_path(&self) -> &str;
-
-    /// The call that a method and path make.
-    fn door<'a>(&self, method: &Method, path: &'a str) -> Option<Door<'a>>;
+    /// Paths of the calls.
+    fn paths(&self) -> Paths;
 
     /// Decodes a configuration; its values are checked by the caller.
     ///
@@ -103,11 +111,41 @@
     /// Body of the answer to a heartbeat; later ones are best sent to `next`.
     fn heartbeat_answer(&self, next: Option<SocketAddr>) -> String;
 
-    /// Parts of a prompt, in order.
-    fn prompt<'a>(&self, value: &'a str) -> Vec<PromptPart<'a>>;
+    /// The call that a method and path make.
+    fn door<'a>(&self, method: &Method, path: &'a str) -> Option<Door<'a>> {
+        let paths = self.paths();
+        if path == paths.configuration {
+            return match *method {
+                Method::PUT => Some(Door::PutConfiguration),
+                Method::GET => Some(Door::GetConfiguration),
+                _ => None,
+            };
+        }
+        let id = path.strip_prefix(paths.targets).filter(|id| !id.is_empty())?;
+        match *method {
+            Method::PUT => Some(Door::Announce { id }),
+            Method::DELETE => Some(Door::Remove { id }),
+            _ => None,
+        }
+    }
+
+    /// Parts of a prompt, in order: `ID:TOKENS`, joined by commas.
+    fn prompt<'a>(&self, value: &'a str) -> Vec<PromptPart<'a>> {
+        let part = |text: &'a str| {
+            let (id, tokens) = text.trim().split_once(':')?;
+            Some(PromptPart { id, tokens: tokens.parse().ok()? })
+        };
+        value.split(',').filter_map(part).collect()
+    }
 
-    /// Load that a target tells of itself.
-    fn load(&self, value: &str) -> Option<TargetLoad>;
+    /// Load that a target tells of itself: requests running and waiting, joined by a comma; more
+    /// numbers may follow.
+    fn load(&self, value: &str) -> Option<TargetLoad> {
+        let mut numbers = value.split(',').map(|number| number.trim().parse());
+        let running = numbers.next()?.ok()?;
+        let waiting = numbers.next()?.ok()?;
+        Some(TargetLoad { running, waiting })
+    }
 }
 
 /// A dialect shared by the parts of a process.
@@ -165,32 +203,13 @@
     next: Option<SocketAddr>,
 }
 
-const CONFIGURATION_PATH: &str = "/v1/configuration";
-const TARGETS_PATH: &str = "/v1/targets/";
-
 impl Dialect for OwnDialect {
     fn headers(&self) -> &Headers {
         &self.headers
     }
 
-    fn ready_path(&self) -> &str {
-        "/healthz"
-    }
-
-    fn door<'a>(&self, method: &Method, path: &'a str) -> Option<Door<'a>> {
-        if path == CONFIGURATION_PATH {
-            return match *method {
-                Method::PUT => Some(Door::PutConfiguration),
-                Method::GET => Some(Door::GetConfiguration),
-                _ => None,
-            };
-        }
-        let id = path.strip_prefix(TARGETS_PATH).filter(|id| !id.is_empty())?;
-        match *method {
-            Method::PUT => Some(Door::Announce { id }),
-            Method::DELETE => Some(Door::Remove { id }),
-            _ => None,
-        }
+    fn paths(&self) -> Paths {
+        Paths { ready: "/healthz", configuration: "/v1/configuration", targets: "/v1/targets/" }
     }
 
     fn configuration(&self, bytes: &[u8]) -> Result<Configuration, Vec<Fault>> {
@@ -213,20 +232,4 @@
     fn heartbeat_answer(&self, next: Option<SocketAddr>) -> String {
         serde_json::to_string(&OwnHeartbeatAnswer { next }).unwrap_or_default()
     }
-
-    fn prompt<'a>(&self, value: &'a str) -> Vec<PromptPart<'a>> {
-        let part = |text: &'a str| {
-            let (id, tokens) = text.trim().split_once(':')?;
-            Some(PromptPart { id, tokens: tokens.parse().ok()? })
-        };
-        value.split(',').filter_map(part).collect()
-    }
-
-    fn load(&self, value: &str) -> Option<TargetLoad> {
-        let (running, waiting) = value.split_once(',')?;
-        Some(TargetLoad {
-            running: running.trim().parse().ok()?,
-            waiting: waiting.trim().parse().ok()?,
-        })
-    }
 }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -11,7 +11,7 @@
 /// Requests by which a target may exceed its bound, so that a fleet at rest can begin to grow.
 const BOUND_SLACK: f64 = 1.5;
 /// Part of the bound that is used, since what is known of loads is some hundred milliseconds old.
-const BOUND_PART: f64 = 0.95;
+const BOUND_PART: f64 = 0.9;
 
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +35,8 @@
     pub affinity: Option<u64>,
     /// No target gets more than this multiple of the mean load, and some.
     pub load_bound: f64,
+    /// Targets of the service over which the mean is taken, those included that take no new work.
+    pub targets: usize,
 }
 
 /// Chooses a candidate; `None` when there is none.
@@ -45,7 +47,7 @@
     let all: Vec<usize> = (0..candidates.len()).collect();
     let usable = if sound.is_empty() { all } else { sound };
     match wish.affinity {
-        Some(affinity) => by_affinity(candidates, &usable, affinity, wish.load_bound),
+        Some(affinity) => by_affinity(candidates, &usable, affinity, wish),
         None => by_load(candidates, &usable, rng),
     }
 }
@@ -54,11 +56,11 @@
     candidates: &[Candidate],
     usable: &[usize],
     affinity: u64,
-    load_bound: f64,
+    wish: Wish,
 ) -> Option<usize> {
-    let total: f64 = usable.iter().map(|at| candidates[*at].load).sum();
-    let mean = (total + 1.0) / usable.len().max(1) as f64;
-    let bound = (load_bound * BOUND_PART).max(1.0) * mean + BOUND_SLACK;
+    let total: f64 = candidates.iter().map(|candidate| candidate.load).sum();
+    let mean = (total + 1.0) / wish.targets.max(1) as f64;
+    let bound = (wish.load_bound * BOUND_PART).max(1.0) * mean + BOUND_SLACK;
     let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity);
     let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -2,7 +2,6 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -14,6 +13,7 @@
 
 use super::target::Target;
 use crate::link::{connect_from, give_up_after};
+use crate::sync::lock;
 
 /// How long a target is taken to keep an idle connection when it does not say.
 const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
@@ -98,7 +98,7 @@
 }
 
 fn take_idle(target: &Arc<Target>, reuse: Reuse) -> Option<Idle> {
-    let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut idle = lock(&target.idle);
     let now = Instant::now();
     idle.retain(|idle| !idle.connection.sender.is_closed() && now < idle.since + idle.keep_for);
     let newest = idle.pop()?;
@@ -123,7 +123,7 @@
 
 /// Closes the connection that has been idle the longest, to make room for a new one.
 fn drop_one_idle(target: &Arc<Target>) -> bool {
-    let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut idle = lock(&target.idle);
     if idle.is_empty() {
         return false;
     }
@@ -154,7 +154,7 @@
         }
         let keep_for = stated_keep(answer).unwrap_or(KEPT_BY_DEFAULT).mul_f64(KEPT_PART);
         let target = self.target.clone();
-        let mut idle = target.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&target.idle);
         if idle.len() < MAX_IDLE {
             idle.push(Idle { connection: self, since: Instant::now(), keep_for });
         }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -2,24 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use slog::{info, warn};
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::document::{Document, Packed};
-use crate::group::message::{FromMember, Subscription, ToMember, Update};
+use crate::group::message::{FromMember, Subscription, ToMember, Update, loads_interval};
 use crate::link::{FrameSender, LinkError, LinkTiming, dial};
 use crate::route_table::RouteTable;
+use crate::sync::{lock, read, write};
 
 /// Silence of a member after which another one is followed.
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// How long a member that hears no leader is followed.
 const LEADERLESS: Duration = Duration::from_millis(800);
-/// Between two words about loads to the member.
-const LOADS_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a member could not be followed.
 const PAUSE: Duration = Duration::from_millis(50);
 /// How fast connections to members give up.
@@ -80,12 +78,12 @@
         sender.send(&ToMember::Subscribe(subscription)).await?;
         let mut fresh_at = Instant::now();
         let mut heard_at = Instant::now();
-        let mut loads_at = tokio::time::Instant::now() + LOADS_INTERVAL;
+        let mut loads_at = tokio::time::Instant::now() + loads_interval(0);
         loop {
             let update = tokio::select! {
                 update = receiver.receive() => update?,
                 () = tokio::time::sleep_until(loads_at) => {
-                    loads_at += LOADS_INTERVAL;
+                    loads_at += loads_interval(self.gateway.gateways());
                     if heard_at.elapsed() >= SILENCE {
                         return Err(LinkError::Timeout);
                     }
@@ -122,7 +120,7 @@
     }
 
     fn directory_revision(&self) -> u64 {
-        self.gateway.targets.read().unwrap_or_else(PoisonError::into_inner).revision()
+        read(&self.gateway.targets).revision()
     }
 
     fn take(&mut self, update: Update) -> Result<(), LinkError> {
@@ -130,7 +128,7 @@
             self.take_document(&packed)?;
         }
         if let Some(delta) = update.directory {
-            let mut targets = self.gateway.targets.write().unwrap_or_else(PoisonError::into_inner);
+            let mut targets = write(&self.gateway.targets);
             let (changed, removed) = (delta.changed.len(), delta.removed.len());
             if targets.apply(delta) {
                 self.gateway.metrics.targets.set(targets.len() as i64);
@@ -161,7 +159,7 @@
         match self.gateway.dialect.configuration(&document.bytes) {
             Ok(configuration) => {
                 let table = Arc::new(RouteTable::new(configuration));
-                let mut shown = self.gateway.table.write().unwrap_or_else(PoisonError::into_inner);
+                let mut shown = write(&self.gateway.table);
                 *shown = Some(table);
                 self.gateway.metrics.version.set(document.version as i64);
                 info!(self.gateway.log, "configuration in force"; "event" => "configuration",
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -73,7 +73,7 @@
 /// Tells the balancer whether new clients are welcome.
 pub(super) async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
     serve_simple(listener, move |request| {
-        let known = request.uri().path() == gateway.dialect.ready_path();
+        let known = request.uri().path() == gateway.dialect.paths().ready;
         let status = match (known, gateway.ready()) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
@@ -45,6 +45,7 @@
 use crate::route_table::RouteTable;
 use crate::sampler::Sampler;
 use crate::store::Revision;
+use crate::sync::{lock, read};
 
 /// Connections to one target where its service states no bound, for all gateways together.
 const DEFAULT_CONNECTIONS: u32 = 512;
@@ -140,10 +141,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn listen_on(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(addr).await.map_err(|source| GatewayError::Listen { addr, source })
 }
@@ -246,7 +243,7 @@
     }
 
     fn table(&self) -> Option<Arc<RouteTable>> {
-        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+        read(&self.table).clone()
     }
 
     /// Version of the configuration in force here; 0 for none.
@@ -337,7 +334,7 @@
     /// Chooses a target that the request has not tried.
     fn choose(&self, plan: &Plan) -> Option<Choice> {
         let now = self.now();
-        let known = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let known = read(&self.targets);
         let usable =
             |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
         let targets: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
@@ -351,7 +348,12 @@
             doubtful: self.doubtful(now, target),
         };
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
-        let wish = Wish { affinity: plan.affinity, load_bound: self.settings.load_bound };
+        let alive = known.of(&plan.service).iter().filter(|target| !target.silent());
+        let wish = Wish {
+            affinity: plan.affinity,
+            load_bound: self.settings.load_bound,
+            targets: alive.count(),
+        };
         let at = choose(&candidates, wish, &mut rand::rng())?;
         Some(Choice {
             target: targets[at].clone(),
@@ -364,7 +366,7 @@
 
     /// What this gateway has in flight, noted as told to a member.
     fn tell_loads(&self) -> Vec<TargetLoad> {
-        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let targets = read(&self.targets);
         let told = targets
             .all()
             .map(|target| TargetLoad { target: target.key, requests: target.tell_in_flight() });
@@ -376,7 +378,7 @@
         let now = self.now();
         let loads: HashMap<u64, u32> =
             loads.iter().map(|load| (load.target, load.requests)).collect();
-        let targets = self.targets.read().unwrap_or_else(PoisonError::into_inner);
+        let targets = read(&self.targets);
         for target in targets.all() {
             target.note_total(now, loads.get(&target.key).copied().unwrap_or(0));
         }
@@ -384,7 +386,7 @@
 
     /// Targets of a service that are known, whatever their state.
     fn targets_of(&self, service: &str) -> usize {
-        self.targets.read().unwrap_or_else(PoisonError::into_inner).of(service).len()
+        read(&self.targets).of(service).len()
     }
 
     /// Further arrivals at a service that the budget has left.
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,11 +12,12 @@
 use crate::dialect::TargetLoad;
 use crate::directory::{Announcement, DirectoryDelta, Listed, TargetState};
 use crate::store::Revision;
+use crate::sync::lock;
 
 /// Age from which a target's own word about its load is not used any more.
 const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
 /// Age from which the members' word about a target's load is not used any more.
-const TOTAL_HOLDS_FOR: Duration = Duration::from_millis(1_000);
+const TOTAL_HOLDS_FOR: Duration = Duration::from_millis(2_500);
 /// Stands for no home.
 const NO_HOME: u32 = u32::MAX;
 /// Weight of the newest word about the load.
@@ -257,7 +258,3 @@
         self.by_id.insert(target.announcement.id.clone(), Arc::new(target));
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -10,7 +10,8 @@
 use super::exchange::Plan;
 use super::reason::Refusal;
 use super::target::Target;
-use super::{Choice, Gateway, lock};
+use super::{Choice, Gateway};
+use crate::sync::lock;
 
 /// The text of a header's value; empty when there is none.
 pub(super) fn text(value: Option<&HeaderValue>) -> &str {
--- a/src/group/board.rs
+++ b/src/group/board.rs
@@ -7,7 +7,7 @@
 use super::message::TargetLoad;
 
 /// How long a word about loads counts.
-const COUNTS_FOR: Duration = Duration::from_millis(1_000);
+const COUNTS_FOR: Duration = Duration::from_millis(2_500);
 
 /// What was told, and when.
 #[derive(Debug)]
@@ -29,6 +29,11 @@
         self.routers.insert(router.to_owned(), Told { at: now, loads });
     }
 
+    /// The connection of a router ended.
+    pub(super) fn forget_router(&mut self, router: &str) {
+        self.routers.remove(router);
+    }
+
     /// Another member tells what its routers have in flight.
     pub(super) fn hear_member(
         &mut self,
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -2,15 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use super::message::{FromMember, Subscription, ToMember, Update};
-use super::{Shared, lock};
+use super::Shared;
+use super::message::{FromMember, Subscription, ToMember, Update, loads_interval};
 use crate::control::member::Published;
 use crate::link::{FrameReceiver, FrameSender, LinkError};
+use crate::sync::lock;
 
 /// Between two signs of life to a router while nothing is in flight.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
-/// Between two words about loads to a router.
-const LOADS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a router has been sent.
 struct Cursor {
@@ -44,6 +43,7 @@
     };
     let now = shared.now();
     lock(&shared.presence).disconnect(now, &router);
+    lock(&shared.board).forget_router(&router);
     ended
 }
 
@@ -66,7 +66,8 @@
         let (update, news) = next_update(shared, &now, &mut cursor);
         let due = tokio::time::Instant::now() >= sign_at;
         if news || due {
-            let pause = if update.loads.is_empty() { SIGN_OF_LIFE } else { LOADS_INTERVAL };
+            let pause =
+                if update.loads.is_empty() { SIGN_OF_LIFE } else { loads_interval(update.routers) };
             sender.send(&FromMember::Update(Box::new(update))).await?;
             sign_at = tokio::time::Instant::now() + pause;
         }
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -6,8 +6,9 @@
 use tokio::sync::mpsc;
 
 use super::message::{Call, FromMember, ToMember};
-use super::{Shared, feed, lock};
+use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, frames};
+use crate::sync::lock;
 
 /// Replies that wait to be sent on one connection.
 const REPLIES_LEN: usize = 256;
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -1,6 +1,7 @@
 //! Messages between members, and between members and routers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +10,11 @@
 use crate::raft::{Envelope, Index, StoreId};
 use crate::store::{Answer, Command, Revision};
 
+/// Shortest time between two words about loads.
+const SHORTEST_LOADS_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two words about loads for each router alive.
+const LOADS_INTERVAL_EACH: Duration = Duration::from_millis(10);
+
 /// A frame on a connection that a member or a router made to a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToMember {
@@ -50,6 +56,14 @@
     pub requests: u32,
 }
 
+/// Between two words about loads, while so many routers are alive.
+///
+/// Every router hears the loads of all, so that the bytes on a member's link grow with their number;
+/// this keeps them about the same.
+pub fn loads_interval(routers: u32) -> Duration {
+    SHORTEST_LOADS_INTERVAL.max(LOADS_INTERVAL_EACH * routers)
+}
+
 /// A frame on the way back.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum FromMember {
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -19,7 +19,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use slog::{Logger, info, o};
@@ -35,6 +35,7 @@
     WalError, fresh_store,
 };
 use crate::store::{Answer, Command};
+use crate::sync::lock;
 
 use self::archive::Archive;
 use self::board::LoadBoard;
@@ -235,10 +236,6 @@
     GroupId(xxh3_64(format!("group {seeds:?}").as_bytes()))
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Shared {
     /// Monotonic time since the start.
     fn now(&self) -> Duration {
--- a/src/group/peers.rs
+++ b/src/group/peers.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 
 use super::message::{Call, FromMember, Reply, ToMember};
 use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
+use crate::sync::lock;
 
 /// Frames that wait for a peer; what does not fit is dropped, as the agreement allows.
 const QUEUE_LEN: usize = 256;
@@ -48,7 +49,7 @@
 
     /// Sends a frame, if there is room for it.
     pub(super) fn send(&self, addr: SocketAddr, frame: ToMember) {
-        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queues = lock(&self.queues);
         let queue = queues.entry(addr).or_insert_with(|| {
             let (queue, frames) = mpsc::channel(QUEUE_LEN);
             tokio::spawn(run(self.source, addr, frames, self.pending.clone()));
@@ -76,8 +77,8 @@
         }
     }
 
-    fn pending(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Reply>>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    fn pending(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Reply>>> {
+        lock(&self.pending)
     }
 }
 
@@ -115,7 +116,7 @@
     let receiving = async {
         loop {
             if let FromMember::Reply { id, reply } = receiver.receive().await? {
-                let waiting = pending.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+                let waiting = lock(pending).remove(&id);
                 if let Some(waiting) = waiting {
                     let _ = waiting.send(reply);
                 }
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -7,11 +7,12 @@
 
 use slog::info;
 
-use super::message::{Call, Reply, ToMember};
-use super::{Shared, lock};
+use super::Shared;
+use super::message::{Call, Reply, ToMember, loads_interval};
 use crate::control::member::Outbox;
 use crate::raft::{Envelope, Members, StoreId};
 use crate::store::Command;
+use crate::sync::lock;
 
 /// Between two looks at whether this member belongs to the group.
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
@@ -19,8 +20,6 @@
 const LOST_AFTER: Duration = Duration::from_millis(1_500);
 /// Longest time for one request to be taken in.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Between two messages to the other members about routers.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Between two looks at the targets.
 const TARGETS_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -87,7 +86,9 @@
 /// Tells the others which routers are connected here, and what they have in flight.
 pub(super) async fn gossip(shared: Arc<Shared>) {
     loop {
-        tokio::time::sleep(GOSSIP_INTERVAL).await;
+        let now = shared.now();
+        let routers = lock(&shared.presence).alive(now);
+        tokio::time::sleep(loads_interval(routers)).await;
         let now = shared.now();
         let routers = lock(&shared.presence).connected();
         let loads = lock(&shared.board).here(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,5 +53,6 @@
 pub mod settings;
 pub mod slots;
 pub mod store;
+mod sync;
 pub mod targets;
 pub mod template;
--- a/src/link.rs
+++ b/src/link.rs
@@ -19,7 +19,7 @@
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// Messages from this length on are compressed.
-const COMPRESS_FROM_BYTES: usize = 1_024;
+const COMPRESS_FROM_BYTES: usize = 4_096;
 /// Compression level: the cheapest.
 const LEVEL: i32 = 1;
 const PLAIN: u8 = 0;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -312,7 +312,7 @@
     let mut rng = StdRng::seed_from_u64(1);
     let all: Vec<Candidate> = (0..18).map(|key| candidate(key, 1.0)).collect();
     for affinity in 0..500 {
-        let wish = Wish { affinity: Some(affinity), load_bound: 2.0 };
+        let wish = Wish { affinity: Some(affinity), load_bound: 2.0, targets: 18 };
         let first = choose(&all, wish, &mut rng).expect("candidates");
         let without: Vec<Candidate> = all.iter().copied().filter(|c| c.home != Some(5)).collect();
         let then = choose(&without, wish, &mut rng).expect("candidates");
@@ -330,7 +330,7 @@
         let count = rng.random_range(2..20);
         let loads = |home| candidate(home, f64::from(rng.random_range(0..40u32)));
         let all: Vec<Candidate> = (0..count).map(loads).collect();
-        let wish = Wish { affinity: Some(7), load_bound: 2.0 };
+        let wish = Wish { affinity: Some(7), load_bound: 2.0, targets: count as usize };
         let at = choose(&all, wish, &mut StdRng::seed_from_u64(2)).expect("candidates");
         let mean = all.iter().map(|c| c.load).sum::<f64>() / count as f64;
         assert!(all[at].load <= 2.0 * mean + 3.0, "seed {seed}: {all:?} chose {at}");
@@ -341,7 +341,7 @@
 fn doubtful_targets_are_chosen_only_when_there_is_no_other() {
     let mut rng = StdRng::seed_from_u64(3);
     for affinity in [None, Some(4)] {
-        let wish = Wish { affinity, load_bound: 2.0 };
+        let wish = Wish { affinity, load_bound: 2.0, targets: 18 };
         let mut all = vec![candidate(1, 0.0), candidate(2, 9.0)];
         all[0].doubtful = true;
         assert_eq!(choose(&all, wish, &mut rng), Some(1));
