Cheap requests leave a full home before dear ones; schedules where members take places

Change: the bound grows with the tokens that a request shares, from 0.6 to 0.95 of what the settings allow. The agreement's random schedules now also run groups that keep their number of voters up by themselves; the log's format is 2.

Two first failures of the new schedules were the test's: a disk lost beyond what three voters bear, and a forgotten member that did not ask.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -8,10 +8,13 @@
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Requests by which a target may exceed its bound, so that a fleet at rest can begin to grow.
-const BOUND_SLACK: f64 = 1.5;
-/// Part of the bound that is used, since what is known of loads is some hundred milliseconds old.
-const BOUND_PART: f64 = 0.9;
+/// Tokens in common with earlier requests from which a request is worth the most to its home.
+const DEAR_TOKENS: f64 = 4_096.0;
+/// Part of the bound that the cheapest and the dearest requests use: what is known of loads is some
+/// hundred milliseconds old, and the room beyond the first part is kept for dear ones.
+const BOUND_PARTS: (f64, f64) = (0.6, 0.95);
+/// Requests by which a target may exceed that part, so that a fleet at rest can begin to grow.
+const BOUND_SLACKS: (f64, f64) = (1.0, 2.0);
 
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,11 +31,20 @@
     pub doubtful: bool,
 }
 
+/// What a request shares with others that came before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Affinity {
+    /// Hash of the last part of the prompt that is shared.
+    pub hash: u64,
+    /// Tokens up to there, which need not be read again where they were read before.
+    pub tokens: u64,
+}
+
 /// What the choice depends on besides the candidates.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Wish {
-    /// Hash of what the request shares with others, if it does.
-    pub affinity: Option<u64>,
+    /// What the request shares with others, if it does.
+    pub affinity: Option<Affinity>,
     /// No target gets more than this multiple of the mean load, and some.
     pub load_bound: f64,
     /// Targets of the service over which the mean is taken, those included that take no new work.
@@ -55,13 +67,13 @@
 fn by_affinity(
     candidates: &[Candidate],
     usable: &[usize],
-    affinity: u64,
+    affinity: Affinity,
     wish: Wish,
 ) -> Option<usize> {
     let total: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     let mean = (total + 1.0) / wish.targets.max(1) as f64;
-    let bound = (wish.load_bound * BOUND_PART).max(1.0) * mean + BOUND_SLACK;
-    let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity);
+    let bound = bound(wish.load_bound, mean, affinity.tokens);
+    let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity.hash);
     let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
     };
@@ -70,6 +82,15 @@
     first.map(|(_, at)| at).or_else(|| least_loaded(candidates, usable)).copied()
 }
 
+/// Load that a target may have with one more request, which shares so many tokens with others.
+///
+/// Where a target is nearly full, cheap requests leave it first: elsewhere they cost little.
+fn bound(load_bound: f64, mean: f64, tokens: u64) -> f64 {
+    let dear = (tokens as f64 / DEAR_TOKENS).min(1.0);
+    let between = |(cheapest, dearest): (f64, f64)| cheapest + dear * (dearest - cheapest);
+    (load_bound * between(BOUND_PARTS)).max(1.0) * mean + between(BOUND_SLACKS)
+}
+
 fn least_loaded<'a>(candidates: &[Candidate], usable: &'a [usize]) -> Option<&'a usize> {
     usable.iter().min_by(|a, b| candidates[**a].load.total_cmp(&candidates[**b].load))
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 
 use super::answer::{AnswerBody, refuse};
 use super::attempt::{self, Answer, AttemptError, Outgoing, strip_hop_by_hop};
+use super::balance::Affinity;
 use super::connection::{ConnectError, ConnectionLimits, Reuse};
 use super::health::AttemptOutcome;
 use super::reason::Refusal;
@@ -34,7 +35,7 @@
     /// Service that the route's weights drew.
     pub(super) service: String,
     pub(super) outgoing: Outgoing,
-    pub(super) affinity: Option<u64>,
+    pub(super) affinity: Option<Affinity>,
     /// Version of the configuration that decided.
     pub(super) version: u64,
     pub(super) arrived: Instant,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,7 +32,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::balance::{Candidate, Wish, choose};
+use self::balance::{Affinity, Candidate, Wish, choose};
 use self::budget::{BudgetRule, ServiceBudget};
 use self::exchange::Plan;
 use self::health::AttemptOutcome;
@@ -321,14 +321,15 @@
 
     /// What a request shares with others that came before: the last part of its prompt but one,
     /// since the last is its own.
-    fn affinity(&self, route: &Route, headers: &HeaderMap) -> Option<u64> {
+    fn affinity(&self, route: &Route, headers: &HeaderMap) -> Option<Affinity> {
         if !route.sticky {
             return None;
         }
         let value = headers.get(&self.names().prompt)?.to_str().ok()?;
         let parts = self.dialect.prompt(value);
-        let shared = parts.iter().rev().nth(1).or(parts.last())?;
-        Some(xxh3_64(shared.id.as_bytes()))
+        let shared = &parts[..parts.len().saturating_sub(1).max(1).min(parts.len())];
+        let hash = xxh3_64(shared.last()?.id.as_bytes());
+        Some(Affinity { hash, tokens: shared.iter().map(|part| part.tokens).sum() })
     }
 
     /// Chooses a target that the request has not tried.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -70,7 +70,7 @@
         "outcome" => result, "error" => error, "status" => status,
         "target" => &target.announcement.id, "addr" => %target.announcement.addr,
         "service" => &plan.service, "route" => &plan.route.name, "sends" => plan.sends,
-        "home" => ?target.home(), "affinity" => plan.affinity.is_some(),
+        "home" => ?target.home(), "shared_tokens" => plan.affinity.map_or(0, |affinity| affinity.tokens),
         "load" => format!("{:.1}", choice.load), "in_flight" => target.in_flight(),
         "candidates" => choice.candidates, "doubtful" => choice.doubtful,
         "list" => choice.list_revision, "version" => plan.version,
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -10,7 +10,7 @@
 use super::{Entry, HardState, Index, Log, Snapshot, StoreId, Write};
 
 const HEADER_BYTES: usize = 12;
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
 
 /// The log can't be read or written; the member must stop.
 #[derive(Debug, thiserror::Error)]
@@ -220,7 +220,14 @@
         let rest = &bytes[at..];
         match split(rest) {
             Some(payload) => {
-                let record = postcard::from_bytes(payload).map_err(|_| WalError::Damaged { at })?;
+                let record: Record =
+                    postcard::from_bytes(payload).map_err(|_| WalError::Damaged { at })?;
+                // Records of another format may not even decode, so it is checked at once.
+                if let Record::Identity { format, .. } = record
+                    && format != FORMAT
+                {
+                    return Err(WalError::Format { found: format });
+                }
                 records.push(record);
                 at += HEADER_BYTES + payload.len();
             }
@@ -272,8 +279,7 @@
 fn replay(records: Vec<Record>) -> Result<Recovered, WalError> {
     let mut records = records.into_iter();
     let store = match records.next() {
-        Some(Record::Identity { format: FORMAT, store }) => store,
-        Some(Record::Identity { format, .. }) => return Err(WalError::Format { found: format }),
+        Some(Record::Identity { store, .. }) => store,
         _ => return Err(WalError::Damaged { at: 0 }),
     };
     let mut recovered = Recovered::blank(store);
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -6,6 +6,7 @@
 
 use latchmount::raft::{
     Envelope, GroupId, Member, Members, Position, Replica, Role, Standing, StoreId, Term, Timing,
+    Upkeep,
 };
 use latchmount::store::{Answer, Change, Command, Store};
 use latchmount::template::{Team, Template};
@@ -21,6 +22,18 @@
 /// Clocks run at 95 to 105 % of true time.
 const MAX_DRIFT: f64 = 0.05;
 
+/// Voters of a group that keeps their number up by itself; the other members stand by.
+const UPKEEP_VOTERS: usize = 3;
+
+/// Rules of a group that keeps its number of voters up by itself.
+fn upkeep() -> Upkeep {
+    Upkeep {
+        voters: UPKEEP_VOTERS,
+        silence: Duration::from_millis(900),
+        forget: Duration::from_secs(5),
+    }
+}
+
 pub fn timing() -> Timing {
     Timing {
         heartbeat: Duration::from_millis(50),
@@ -83,11 +96,23 @@
     leaders: BTreeMap<Term, StoreId>,
     /// Newest revision acknowledged so far.
     newest: u64,
+    /// Rules by which the group keeps its number of voters up by itself, if it does.
+    rules: Option<Upkeep>,
 }
 
 impl Group {
     pub fn new(seed: u64) -> Self {
+        Self::with(seed, None)
+    }
+
+    /// A group of which three members found it, and which keeps three voters by itself.
+    pub fn with_upkeep(seed: u64) -> Self {
+        Self::with(seed, Some(upkeep()))
+    }
+
+    fn with(seed: u64, rules: Option<Upkeep>) -> Self {
         let mut group = Group {
+            rules,
             hosts: Vec::new(),
             network: Vec::new(),
             time: Duration::ZERO,
@@ -119,9 +144,14 @@
         }
         let member =
             |host: &Host| Member { id: host.id, addr: host.addr, standing: Standing::Voter };
-        let members = Members(group.hosts.iter().map(member).collect());
-        group.replica(0).form(GroupId(1), members);
-        group.flush(0);
+        let founders = if rules.is_some() { UPKEEP_VOTERS } else { MEMBERS };
+        let members = Members(group.hosts.iter().take(founders).map(member).collect());
+        // Members that found by themselves all found the same group.
+        let forming = if rules.is_some() { founders } else { 1 };
+        for number in 0..forming {
+            group.replica(number).form(GroupId(1), members.clone());
+            group.flush(number);
+        }
         group
     }
 
@@ -146,7 +176,10 @@
         host.frozen = false;
         let disk = host.disk.clone();
         let opened = Replica::open(disk, fresh, timing(), COMPACT_AFTER, Duration::ZERO, seed);
-        let replica = opened.unwrap_or_else(|error| panic!("member {number}: {error}"));
+        let mut replica = opened.unwrap_or_else(|error| panic!("member {number}: {error}"));
+        if let Some(rules) = self.rules {
+            replica.keep_up(rules);
+        }
         host.id = replica.node().id();
         host.replica = Some(replica);
     }
@@ -166,7 +199,7 @@
     /// Empties the disk of a member and starts it; only while all others are voters in good
     /// standing, for no protocol survives the loss of a quorum of disks.
     pub fn lose_disk(&mut self, number: usize) {
-        if !self.whole() {
+        if !self.whole() || !self.may_lose_one() {
             return;
         }
         self.crash(number, 0);
@@ -184,7 +217,20 @@
         };
         let settled = node.log().members().1 <= node.commit();
         let ids: BTreeSet<StoreId> = self.hosts.iter().map(|host| host.id).collect();
-        settled && node.members().voters().collect::<BTreeSet<_>>() == ids
+        let voters: BTreeSet<StoreId> = node.members().voters().collect();
+        match self.rules {
+            None => settled && voters == ids,
+            Some(rules) => settled && voters.len() == rules.voters && voters.is_subset(&ids),
+        }
+    }
+
+    /// Whether a disk may go: five voters bear two losses, but three bear only one, so that there no
+    /// other member may be out of reach.
+    fn may_lose_one(&self) -> bool {
+        let in_reach = |host: &Host| {
+            host.replica.is_some() && !host.frozen && !host.cut && host.deaf_to.is_none()
+        };
+        self.rules.is_none() || self.hosts.iter().all(in_reach)
     }
 
     pub fn freeze(&mut self, number: usize, frozen: bool) {
@@ -272,13 +318,20 @@
             };
             let node = replica.node();
             let (id, addr) = (node.id(), self.hosts[newcomer].addr);
-            if node.members().voters().any(|voter| voter == id) || self.hosts[newcomer].cut {
+            let counts = node.members().voters().any(|voter| voter == id);
+            // A member that was forgotten while it was cut off still takes itself for a voter, but
+            // hears no leader; it asks too.
+            let asks = !counts || (self.rules.is_some() && node.leader().is_none());
+            if !asks || self.hosts[newcomer].cut {
                 continue;
             }
             for number in 0..MEMBERS {
                 if self.runs(number) && !self.hosts[number].cut {
                     let now = self.hosts[number].now(self.time);
-                    self.replica(number).admit(now, id, addr);
+                    match self.rules {
+                        None => self.replica(number).admit(now, id, addr),
+                        Some(_) => self.replica(number).join(now, id, addr),
+                    }
                     self.flush(number);
                 }
             }
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -99,6 +99,19 @@
         }
         group.settle();
     }
+
+    #[test]
+    fn no_schedule_does_so_where_members_take_each_other_s_place(
+        seed: u64,
+        steps in vec(step(), 10..60),
+    ) {
+        let mut group = Group::with_upkeep(seed);
+        group.pass(1_500);
+        for step in &steps {
+            run(&mut group, step);
+        }
+        group.settle();
+    }
 }
 
 #[test]
--- a/tests/agreement/wal.rs
+++ b/tests/agreement/wal.rs
@@ -134,6 +134,20 @@
     }
 }
 
+#[test]
+fn a_log_of_another_version_is_refused_by_its_format() {
+    let (disk, _) = written(1);
+    disk.edit(|bytes| {
+        // The first payload byte is the kind of record, the second its format.
+        bytes[13] = 1;
+        let check = crc32fast::hash(&bytes[12..12 + bytes[0] as usize]).to_le_bytes();
+        bytes[4..8].copy_from_slice(&check);
+        let check = crc32fast::hash(&bytes[..8]).to_le_bytes();
+        bytes[8..12].copy_from_slice(&check);
+    });
+    assert!(matches!(open(&disk), Err(WalError::Format { found: 1 })));
+}
+
 #[test]
 fn a_damaged_record_with_sound_ones_behind_it_always_stops_the_member() {
     let (disk, _) = written(3);
