Bound the wait for silent targets; remember on disk what is committed

Causes: requests to a target that says nothing waited for all of their time, and a client that left first left no mark on it.

Changes: a repeatable request turns to another target after three times its goal, a resumable stream after three times its goal for pauses; silence counts against a target however the wait ends. 421 counts as nobody there: another target is asked, and the budget pays. The commit index goes into the log, synced, at most each 100 ms. Members are dialled with 0.2 s of patience. Words about loads are left out of signs of life until they are due; a test bounds their bytes.

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slog::{Logger, error, info};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,6 +17,8 @@
 use crate::rpc::ControlError;
 use crate::store::{Answer, Command, Revision};
 
+/// Shortest time between two writes of the commit index.
+const REMEMBER_INTERVAL: Duration = Duration::from_millis(100);
 /// Most inputs in one batch.
 const MAX_BATCH: usize = 512;
 
@@ -102,6 +104,7 @@
         let (failed, failure) = oneshot::channel();
         let mut driver = Driver {
             started,
+            remembered_at: started,
             role: replica.node().role(),
             replica,
             sent,
@@ -188,6 +191,8 @@
 
 struct Driver<D: Disk> {
     started: Instant,
+    /// When the commit index was last put on disk.
+    remembered_at: Instant,
     replica: Replica<D>,
     role: Role,
     sent: mpsc::UnboundedSender<Vec<Envelope>>,
@@ -218,6 +223,10 @@
                 self.replica.tick(now);
             }
             self.flush()?;
+            if self.remembered_at.elapsed() >= REMEMBER_INTERVAL {
+                self.remembered_at = Instant::now();
+                self.replica.remember_commit()?;
+            }
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,8 @@
 //! One sending of a request to one target.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -41,6 +42,8 @@
 pub(super) enum AttemptError {
     /// Nothing was sent.
     NotSent(ConnectError),
+    /// Another target has the address now, and did not run the request.
+    Gone,
     /// The target said that it did not run the request.
     NotRun,
     /// The request was sent, and the connection broke.
@@ -51,12 +54,20 @@
     Wrong,
 }
 
+/// How long an attempt waits for its answer while another target could be asked.
+pub(super) struct Patience<'a> {
+    pub(super) longest: Duration,
+    /// Whether another target could be asked.
+    pub(super) may_turn: &'a (dyn Fn() -> bool + Send + Sync),
+}
+
 /// Sends the request and waits for the head of the answer.
 pub(super) async fn send(
     target: &Arc<Target>,
     outgoing: &Outgoing,
     names: &Headers,
     limits: ConnectionLimits,
+    patience: Patience<'_>,
 ) -> Result<Answer, AttemptError> {
     let in_flight = target.begin();
     let mut reuse = outgoing.reuse;
@@ -68,8 +79,14 @@
             Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
         };
         let request = build(target, outgoing, names);
-        let sending = connection.sender.try_send_request(request);
-        match tokio::time::timeout_at(deadline, sending).await {
+        let mut sending = pin!(connection.sender.try_send_request(request));
+        let until = deadline.min(tokio::time::Instant::now() + patience.longest);
+        let answered = match tokio::time::timeout_at(until, &mut sending).await {
+            Err(_) if (patience.may_turn)() => return Err(AttemptError::Late),
+            Err(_) => tokio::time::timeout_at(deadline, sending).await,
+            answered => answered,
+        };
+        match answered {
             Ok(Ok(response)) => {
                 return judge(target, response, connection, in_flight, outgoing, names);
             }
@@ -113,8 +130,10 @@
     if echoed.is_some_and(|id| *id != outgoing.id) {
         return Err(AttemptError::Wrong);
     }
-    let not_run = head.headers.contains_key(&names.not_run);
-    if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::Gone);
+    }
+    if head.headers.contains_key(&names.not_run) {
         return Err(AttemptError::NotRun);
     }
     let signed = head.headers.contains_key(&names.stamp) && echoed.is_some();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,10 +11,11 @@
 use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, refuse};
-use super::attempt::{self, Answer, AttemptError, Outgoing, strip_hop_by_hop};
+use super::attempt::{self, Answer, AttemptError, Outgoing, Patience, strip_hop_by_hop};
 use super::balance::Affinity;
 use super::connection::{ConnectError, ConnectionLimits, Reuse};
 use super::health::AttemptOutcome;
+use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
 use super::relay;
 use super::trace::{self, Departure, text};
@@ -41,7 +42,10 @@
     pub(super) arrived: Instant,
     /// Targets that the request was sent to, or that could not be reached.
     pub(super) tried: Vec<u64>,
+    /// Targets of the service that the request was sent to.
     pub(super) sends: u32,
+    /// Times that it arrived anywhere, as the budget counts.
+    pub(super) arrivals: u32,
     connect_failures: u32,
     pub(super) departure: Departure,
     /// The first failure after which a target may have run the request.
@@ -130,6 +134,7 @@
         arrived,
         tried: Vec::new(),
         sends: 0,
+        arrivals: 0,
         connect_failures: 0,
         departure,
         may_have_run: None,
@@ -222,7 +227,7 @@
         if Instant::now() >= plan.outgoing.deadline {
             return Err(plan.may_have_run.unwrap_or(Refusal::TooLate));
         }
-        if plan.sends > 0 && !gateway.may_send_again(plan) {
+        if plan.arrivals > 0 && !gateway.may_send_again(plan) {
             return Err(plan.may_have_run.unwrap_or(Refusal::NotRun));
         }
         let Some(choice) = gateway.choose(plan) else {
@@ -276,8 +281,16 @@
         most: gateway.connections_to(&plan.service),
     };
     let began = Instant::now();
-    let sent = attempt::send(target, &plan.outgoing, gateway.names(), limits).await;
+    let longest = patience::for_answer(&plan.route);
+    let watch = SilenceWatch::begin(gateway, target, longest);
+    let may_turn = || plan.route.kind.idempotent() && gateway.could_send_after(plan);
+    let patience = Patience { longest, may_turn: &may_turn };
+    let sent = attempt::send(target, &plan.outgoing, gateway.names(), limits, patience).await;
+    watch.end();
     if !matches!(sent, Err(AttemptError::NotSent(_))) {
+        plan.arrivals += 1;
+    }
+    if !matches!(sent, Err(AttemptError::NotSent(_) | AttemptError::Gone)) {
         plan.sends += 1;
     }
     match sent {
@@ -304,6 +317,7 @@
     match error {
         AttemptError::NotSent(ConnectError::TooMany) => (Refusal::ConnectFailed, None),
         AttemptError::NotSent(_) => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
+        AttemptError::Gone => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
         AttemptError::NotRun => (Refusal::NotRun, None),
         AttemptError::Lost => (Refusal::AnswerLost, Some(AttemptOutcome::Unreachable)),
         AttemptError::Late => (Refusal::AnswerLate, Some(AttemptOutcome::Failed)),
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -22,7 +22,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// How fast connections to members give up.
 const TIMING: LinkTiming = LinkTiming {
-    connect: Duration::from_millis(400),
+    connect: Duration::from_millis(200),
     unacknowledged: Duration::from_millis(1_000),
 };
 
@@ -137,7 +137,9 @@
                     "changed" => changed, "removed" => removed);
             }
         }
-        self.gateway.take_loads(&update.loads);
+        if let Some(loads) = update.loads {
+            self.gateway.take_loads(&loads);
+        }
         if let Some(members) = update.members {
             self.learn(members);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod health;
 mod listener;
 mod metrics;
+pub mod patience;
 pub mod reason;
 mod relay;
 pub mod settings;
@@ -41,7 +42,7 @@
 use self::target::{Target, Targets};
 use crate::configuration::Route;
 use crate::dialect::{Headers, SharedDialect};
-use crate::group::message::TargetLoad;
+use crate::group::message::{TargetLoad, loads_count_for};
 use crate::route_table::RouteTable;
 use crate::sampler::Sampler;
 use crate::store::Revision;
@@ -56,7 +57,7 @@
 /// Part of a planned stop's longest time in which new work is taken.
 const STOP_TAKES_PART: f64 = 0.35;
 /// Part of a planned stop's longest time after which it ends whatever is left.
-const STOP_ENDS_PART: f64 = 0.98;
+const STOP_ENDS_PART: f64 = 0.95;
 /// Time without a request after which a planned stop ends.
 const STOP_QUIET: Duration = Duration::from_millis(300);
 
@@ -296,6 +297,14 @@
         with(budgets.get_mut(service).expect("just put in"))
     }
 
+    /// Whether the request could be sent to one more target after the attempt under way.
+    fn could_send_after(&self, plan: &Plan) -> bool {
+        let (now, gateways) = (self.now(), self.gateways());
+        plan.sends + 1 < plan.route.max_attempts
+            && self.with_budget(&plan.service, |budget| budget.left(now, gateways) >= 1.0)
+            && self.choose(plan).is_some_and(|choice| choice.doubtful < choice.candidates)
+    }
+
     /// Whether the request could be sent to one more target.
     fn could_send_again(&self, plan: &Plan) -> bool {
         let (now, gateways) = (self.now(), self.gateways());
@@ -379,9 +388,10 @@
         let now = self.now();
         let loads: HashMap<u64, u32> =
             loads.iter().map(|load| (load.target, load.requests)).collect();
+        let counts_for = loads_count_for(self.gateways());
         let targets = read(&self.targets);
         for target in targets.all() {
-            target.note_total(now, loads.get(&target.key).copied().unwrap_or(0));
+            target.note_total(now, loads.get(&target.key).copied().unwrap_or(0), counts_for);
         }
     }
 
--- /dev/null
+++ b/src/gateway/patience.rs
@@ -0,0 +1,64 @@
+//! How long a gateway waits for a target that says nothing.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::info;
+
+use super::Gateway;
+use super::health::AttemptOutcome;
+use super::target::Target;
+use crate::configuration::Route;
+
+/// Multiple of its goal after which an answer is thought not to come.
+const GOALS: u32 = 3;
+/// Multiple of the goal for pauses after which a stream is thought to have stopped.
+const PAUSES: u32 = 3;
+/// Shortest patience, whatever the goals.
+const SHORTEST: Duration = Duration::from_millis(400);
+/// Patience for pauses where the route states no goal for them.
+const PAUSE_BY_DEFAULT: Duration = Duration::from_secs(2);
+
+/// How long to wait for an answer, or for the first event of one, before asking another target.
+pub fn for_answer(route: &Route) -> Duration {
+    (route.goal * GOALS).max(SHORTEST)
+}
+
+/// How long to wait for the next event of a stream before asking another target to go on.
+pub fn for_next_event(route: &Route) -> Duration {
+    route.gap_goal.map_or(PAUSE_BY_DEFAULT, |gap| (gap * PAUSES).max(SHORTEST))
+}
+
+/// Blames a target for its silence when the wait for it ends by itself, for example because the
+/// client leaves.
+pub(super) struct SilenceWatch {
+    gateway: Arc<Gateway>,
+    target: Arc<Target>,
+    longest: Duration,
+    since: Option<Instant>,
+}
+
+impl SilenceWatch {
+    /// Begins to wait for the target.
+    pub(super) fn begin(gateway: &Arc<Gateway>, target: &Arc<Target>, longest: Duration) -> Self {
+        let (gateway, target) = (gateway.clone(), target.clone());
+        SilenceWatch { gateway, target, longest, since: Some(Instant::now()) }
+    }
+
+    /// The target said something, or is blamed otherwise.
+    pub(super) fn end(mut self) {
+        self.since = None;
+    }
+}
+
+impl Drop for SilenceWatch {
+    fn drop(&mut self) {
+        let silent_for = self.since.map(|since| since.elapsed());
+        if let Some(silent_for) = silent_for.filter(|silent_for| *silent_for >= self.longest) {
+            info!(self.gateway.log, "target silent"; "event" => "target_silent",
+                "target" => &self.target.announcement.id,
+                "silent_ms" => silent_for.as_millis() as u64);
+            self.gateway.note_outcome(&self.target, AttemptOutcome::Failed);
+        }
+    }
+}
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -113,7 +113,7 @@
     /// When the caller should come back, for requests that did not run.
     pub fn come_back_in(self) -> Option<Duration> {
         match self {
-            Refusal::NoConfiguration | Refusal::Stale => Some(Duration::from_millis(300)),
+            Refusal::NoConfiguration | Refusal::Stale => Some(Duration::from_millis(400)),
             Refusal::Stopping
             | Refusal::NoTarget
             | Refusal::ConnectFailed
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,5 +1,6 @@
 //! Passes an answer on to the client: whole, or event by event.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use futures_util::StreamExt;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{Response, StatusCode};
+use http_body::Frame;
 use http_body_util::BodyExt;
 
 use super::Gateway;
@@ -15,6 +17,7 @@
 use super::events::EventSplitter;
 use super::exchange::{Plan, give_up, next_answer};
 use super::health::AttemptOutcome;
+use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
 use super::trace::{self, text};
 
@@ -159,6 +162,9 @@
     begun: bool,
 }
 
+/// A piece of an answer, or how it broke.
+type Piece = Result<Frame<Bytes>, hyper::Error>;
+
 /// Why a stream stopped before its end.
 enum Stopped {
     Broke,
@@ -229,23 +235,42 @@
 
     async fn next_here(&mut self) -> Result<Option<Bytes>, Stopped> {
         loop {
-            let deadline = self.plan.outgoing.deadline.into();
-            let frame = tokio::time::timeout_at(deadline, self.answer.body.frame()).await;
+            let frame = self.next_frame().await?;
             match frame {
-                Ok(Some(Ok(frame))) => {
+                Some(Ok(frame)) => {
                     let bytes = frame.into_data().unwrap_or_default();
                     let whole = self.splitter.push(&bytes).map_err(|_| Stopped::Broke)?;
                     if !whole.is_empty() {
                         return Ok(Some(whole));
                     }
                 }
-                Ok(None) if self.splitter.at_boundary() => return Ok(None),
-                Ok(None | Some(Err(_))) => return Err(Stopped::Broke),
-                Err(_) => return Err(Stopped::Late),
+                None if self.splitter.at_boundary() => return Ok(None),
+                None | Some(Err(_)) => return Err(Stopped::Broke),
             }
         }
     }
 
+    /// Waits for the next piece until the deadline, or, where another target may go on, for as long
+    /// as patience lasts.
+    async fn next_frame(&mut self) -> Result<Option<Piece>, Stopped> {
+        let route = &self.plan.route;
+        let longest = match self.begun {
+            true => patience::for_next_event(route),
+            false => patience::for_answer(route),
+        };
+        let watch = SilenceWatch::begin(&self.gateway, &self.answer.target, longest);
+        let deadline: tokio::time::Instant = self.plan.outgoing.deadline.into();
+        let until = deadline.min(tokio::time::Instant::now() + longest);
+        let mut frame = pin!(self.answer.body.frame());
+        let mut waited = tokio::time::timeout_at(until, &mut frame).await;
+        let may_turn = || route.kind.idempotent() && self.gateway.could_send_again(&self.plan);
+        if waited.is_err() && !may_turn() {
+            waited = tokio::time::timeout_at(deadline, frame).await;
+        }
+        watch.end();
+        waited.map_err(|_| Stopped::Late)
+    }
+
     /// Goes on with the stream at another target, after the last whole event.
     async fn resume(&mut self, stopped: Stopped) -> Result<(), Refusal> {
         let refusal = match stopped {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -16,8 +16,6 @@
 
 /// Age from which a target's own word about its load is not used any more.
 const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
-/// Age from which the members' word about a target's load is not used any more.
-const TOTAL_HOLDS_FOR: Duration = Duration::from_millis(2_500);
 /// Stands for no home.
 const NO_HOME: u32 = u32::MAX;
 /// Weight of the newest word about the load.
@@ -26,7 +24,8 @@
 /// Load that other gateways bring to a target.
 #[derive(Clone, Copy, Debug)]
 struct OthersLoad {
-    at: Duration,
+    /// Until when this counts.
+    until: Duration,
     requests: f64,
 }
 
@@ -128,12 +127,10 @@
         let newest = (told - f64::from(self.in_flight())).max(0.0);
         let mut others = lock(&self.others_by_target);
         let requests = match *others {
-            Some(known) if now < known.at + LOAD_HOLDS_FOR => {
-                known.requests + NEWEST * (newest - known.requests)
-            }
+            Some(known) if now < known.until => known.requests + NEWEST * (newest - known.requests),
             _ => newest,
         };
-        *others = Some(OthersLoad { at: now, requests });
+        *others = Some(OthersLoad { until: now + LOAD_HOLDS_FOR, requests });
     }
 
     /// Requests that the target is thought to have. Where it has not told lately, the other gateways
@@ -154,18 +151,19 @@
     }
 
     /// Notes what all gateways have in flight, as the members tell.
-    pub(super) fn note_total(&self, now: Duration, total: u32) {
+    pub(super) fn note_total(&self, now: Duration, total: u32, counts_for: Duration) {
         let others = total.saturating_sub(self.told.load(Ordering::Relaxed));
-        *lock(&self.others_by_members) = Some(OthersLoad { at: now, requests: f64::from(others) });
+        *lock(&self.others_by_members) =
+            Some(OthersLoad { until: now + counts_for, requests: f64::from(others) });
     }
 
     /// Requests that other gateways are thought to have at the target: by the members, or else by
     /// the target itself; `None` when neither told lately.
     pub(super) fn others(&self, now: Duration) -> Option<f64> {
         let by_members = *lock(&self.others_by_members);
-        let by_members = by_members.filter(|others| now < others.at + TOTAL_HOLDS_FOR);
+        let by_members = by_members.filter(|others| now < others.until);
         let by_target = *lock(&self.others_by_target);
-        let by_target = by_target.filter(|others| now < others.at + LOAD_HOLDS_FOR);
+        let by_target = by_target.filter(|others| now < others.until);
         by_members.or(by_target).map(|others| others.requests)
     }
 }
--- a/src/group/board.rs
+++ b/src/group/board.rs
@@ -4,10 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::message::TargetLoad;
-
-/// How long a word about loads counts.
-const COUNTS_FOR: Duration = Duration::from_millis(2_500);
+use super::message::{TargetLoad, loads_count_for};
 
 /// What was told, and when.
 #[derive(Debug)]
@@ -44,16 +41,18 @@
         self.members.insert(member, Told { at: now, loads });
     }
 
-    /// What the routers connected here have in flight.
-    pub(super) fn here(&mut self, now: Duration) -> Vec<TargetLoad> {
-        self.routers.retain(|_, told| now < told.at + COUNTS_FOR);
+    /// What the routers connected here have in flight, while so many are alive anywhere.
+    pub(super) fn here(&mut self, now: Duration, routers: u32) -> Vec<TargetLoad> {
+        let longest = loads_count_for(routers);
+        self.routers.retain(|_, told| now < told.at + longest);
         sum(self.routers.values())
     }
 
-    /// What all routers have in flight.
-    pub(super) fn everywhere(&mut self, now: Duration) -> Vec<TargetLoad> {
-        self.routers.retain(|_, told| now < told.at + COUNTS_FOR);
-        self.members.retain(|_, told| now < told.at + COUNTS_FOR);
+    /// What all routers have in flight, while so many are alive.
+    pub(super) fn everywhere(&mut self, now: Duration, routers: u32) -> Vec<TargetLoad> {
+        let longest = loads_count_for(routers);
+        self.routers.retain(|_, told| now < told.at + longest);
+        self.members.retain(|_, told| now < told.at + longest);
         sum(self.routers.values().chain(self.members.values()))
     }
 }
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::Shared;
-use super::message::{FromMember, Subscription, ToMember, Update, loads_interval};
+use super::message::{FromMember, Subscription, TargetLoad, ToMember, Update, loads_interval};
 use crate::control::member::Published;
 use crate::link::{FrameReceiver, FrameSender, LinkError};
 use crate::sync::lock;
@@ -18,6 +18,10 @@
     members: Vec<std::net::SocketAddr>,
     routers: u32,
     fresh: bool,
+    /// When loads are to be told next.
+    loads_at: Duration,
+    /// Whether nothing is in flight anywhere.
+    idle: bool,
 }
 
 /// Serves one router until its connection ends.
@@ -58,6 +62,8 @@
         members: Vec::new(),
         routers: 0,
         fresh: false,
+        loads_at: Duration::ZERO,
+        idle: true,
     };
     let mut published = shared.member.published();
     let mut sign_at = tokio::time::Instant::now();
@@ -66,8 +72,8 @@
         let (update, news) = next_update(shared, &now, &mut cursor);
         let due = tokio::time::Instant::now() >= sign_at;
         if news || due {
-            let pause =
-                if update.loads.is_empty() { SIGN_OF_LIFE } else { loads_interval(update.routers) };
+            let loads = loads_interval(update.routers);
+            let pause = if cursor.idle { SIGN_OF_LIFE } else { loads.min(SIGN_OF_LIFE) };
             sender.send(&FromMember::Update(Box::new(update))).await?;
             sign_at = tokio::time::Instant::now() + pause;
         }
@@ -89,7 +95,7 @@
     let fresh = shared.member.standing().fresh(Instant::now());
     let now = shared.now();
     let routers = lock(&shared.presence).alive(now);
-    let loads = lock(&shared.board).everywhere(now);
+    let loads = next_loads(shared, cursor, routers);
     let news = document.is_some() || directory.is_some() || members.is_some();
     let news = news || routers != cursor.routers || fresh != cursor.fresh;
     cursor.version = document.as_ref().map_or(cursor.version, |document| document.version);
@@ -99,3 +105,15 @@
     cursor.fresh = fresh;
     (Update { fresh, document, directory, members, routers, loads }, news)
 }
+
+/// What is in flight at the targets, when it is time to tell.
+fn next_loads(shared: &Shared, cursor: &mut Cursor, routers: u32) -> Option<Vec<TargetLoad>> {
+    let now = shared.now();
+    if now < cursor.loads_at {
+        return None;
+    }
+    cursor.loads_at = now + loads_interval(routers);
+    let loads = lock(&shared.board).everywhere(now, routers);
+    cursor.idle = loads.is_empty();
+    Some(loads)
+}
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -12,6 +12,8 @@
 
 /// Shortest time between two words about loads.
 const SHORTEST_LOADS_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time that a word about loads counts.
+const SHORTEST_LOADS_COUNT: Duration = Duration::from_millis(2_500);
 /// Time between two words about loads for each router alive.
 const LOADS_INTERVAL_EACH: Duration = Duration::from_millis(10);
 
@@ -64,6 +66,11 @@
     SHORTEST_LOADS_INTERVAL.max(LOADS_INTERVAL_EACH * routers)
 }
 
+/// How long a word about loads counts, while so many routers are alive.
+pub fn loads_count_for(routers: u32) -> Duration {
+    SHORTEST_LOADS_COUNT.max(loads_interval(routers) * 3)
+}
+
 /// A frame on the way back.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum FromMember {
@@ -135,6 +142,6 @@
     pub members: Option<Vec<SocketAddr>>,
     /// Routers alive.
     pub routers: u32,
-    /// What all routers have in flight at targets that have anything.
-    pub loads: Vec<TargetLoad>,
+    /// What all routers have in flight at targets that have anything, when it is time for that.
+    pub loads: Option<Vec<TargetLoad>>,
 }
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -87,11 +87,11 @@
 pub(super) async fn gossip(shared: Arc<Shared>) {
     loop {
         let now = shared.now();
-        let routers = lock(&shared.presence).alive(now);
-        tokio::time::sleep(loads_interval(routers)).await;
+        let alive = lock(&shared.presence).alive(now);
+        tokio::time::sleep(loads_interval(alive)).await;
         let now = shared.now();
         let routers = lock(&shared.presence).connected();
-        let loads = lock(&shared.board).here(now);
+        let loads = lock(&shared.board).here(now, alive);
         if routers.is_empty() {
             continue;
         }
--- a/src/raft/replica.rs
+++ b/src/raft/replica.rs
@@ -28,6 +28,8 @@
     compact_after: usize,
     /// Commit index last noted beside the log.
     noted: Index,
+    /// Commit index that is surely on disk.
+    remembered: Index,
 }
 
 impl<D: Disk> Replica<D> {
@@ -68,7 +70,7 @@
         let commit = recovered.commit;
         let mut node = Node::new(recovered.store, timing, recovered.hard, recovered.log, now, seed);
         node.know_committed(commit);
-        Ok(Replica { node, wal, store, applied, compact_after, noted: commit })
+        Ok(Replica { node, wal, store, applied, compact_after, noted: commit, remembered: commit })
     }
 
     /// The consensus state.
@@ -159,6 +161,20 @@
         Ok((ready.messages, answers))
     }
 
+    /// Puts on disk up to where the log is committed, unless it is there already.
+    ///
+    /// A member whose power is lost then knows so much at its next start without asking.
+    ///
+    /// # Errors
+    /// [`WalError`] when the disk fails; the member must stop.
+    pub fn remember_commit(&mut self) -> Result<(), WalError> {
+        if self.applied.index > self.remembered {
+            self.remembered = self.applied.index;
+            self.wal.write_commit(self.remembered)?;
+        }
+        Ok(())
+    }
+
     fn compact(&mut self) -> Result<(), WalError> {
         let covered = self.node.log().snapshot().at.index;
         if self.applied.index < covered + self.compact_after as u64 {
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -73,6 +73,8 @@
     Snapshot(Box<Snapshot>),
     /// All that one write brought, so that it counts whole or not at all.
     Batch(Vec<Record>),
+    /// The entries up to here are committed.
+    Commit(Index),
 }
 
 impl From<&Write> for Record {
@@ -132,7 +134,7 @@
         }
         let mut recovered = replay(records)?;
         let hint = disk.read_hint().and_then(|hint| decode_hint(&hint)).unwrap_or(0);
-        recovered.commit = hint.min(recovered.log.last().index);
+        recovered.commit = recovered.commit.max(hint).min(recovered.log.last().index);
         let store = recovered.store;
         Ok((Wal { disk, store }, recovered))
     }
@@ -178,6 +180,18 @@
         self.disk.write_hint(&bytes);
     }
 
+    /// Writes and syncs that the entries up to `commit` are committed, for a note may be lost with
+    /// the power.
+    ///
+    /// # Errors
+    /// [`WalError::Disk`], as for any write.
+    pub fn write_commit(&mut self, commit: Index) -> Result<(), WalError> {
+        let mut bytes = Vec::new();
+        encode(&mut bytes, &Record::Commit(commit));
+        self.disk.append(&bytes).map_err(failed("written"))?;
+        self.disk.sync().map_err(failed("synced"))
+    }
+
     fn rewrite(&mut self, hard: HardState, log: &Log) -> Result<(), WalError> {
         let mut bytes = Vec::new();
         let identity = Record::Identity { format: FORMAT, store: self.store };
@@ -301,6 +315,7 @@
             Record::Truncate(index) => self.log.truncate(index),
             Record::Append(entry) => self.log.push(entry),
             Record::Snapshot(snapshot) => self.log = Log::new(*snapshot),
+            Record::Commit(index) => self.commit = self.commit.max(index),
             Record::Batch(records) => {
                 for record in records {
                     self.take(record)?;
--- a/tests/agreement/disk.rs
+++ b/tests/agreement/disk.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Loses what was written beside the file.
+    pub fn lose_hint(&self) {
+        let mut state = self.0.borrow_mut();
+        (state.hint, state.older_hint) = (None, None);
+    }
+
     pub fn bytes(&self) -> Vec<u8> {
         self.0.borrow().synced.clone().unwrap_or_default()
     }
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -366,6 +366,9 @@
 
     fn flush(&mut self, number: usize) {
         let (messages, answers) = self.replica(number).flush().expect("a sound disk");
+        if self.rng.random_bool(0.2) {
+            self.replica(number).remember_commit().expect("a sound disk");
+        }
         for message in messages {
             let copies = match self.rng.random_range(0..100) {
                 _ if !self.lossy => 1,
--- a/tests/agreement/wal.rs
+++ b/tests/agreement/wal.rs
@@ -103,6 +103,17 @@
     assert_eq!(replica.store().templates()["t0"].version, 3);
 }
 
+#[test]
+fn what_was_remembered_as_committed_outlives_a_loss_of_power() {
+    let (disk, mut replica) = written(3);
+    replica.remember_commit().expect("a sound disk");
+    drop(replica);
+    disk.lose_hint();
+    let mut replica = open(&disk).expect("a sound disk");
+    replica.flush().expect("a sound disk");
+    assert_eq!(replica.store().templates()["t0"].version, 3);
+}
+
 #[test]
 fn a_lost_or_torn_note_of_the_commit_index_is_passed_over() {
     for torn in [1, 2] {
--- a/tests/fleet/doors.rs
+++ b/tests/fleet/doors.rs
@@ -12,7 +12,7 @@
             "name": name, "host": "h.example", "path-prefix": format!("/{name}/"),
             "route-type": kind, "timeout-ms": 4_000, "goal-ms": 300, "priority": 0,
             "service": "s", "max-attempts": attempts, "public": false, "sticky": false,
-            "resumable": resumable,
+            "resumable": resumable, "gap-aim-ms": 200,
         })
     };
     json!({
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -106,6 +106,21 @@
     }
 }
 
+#[tokio::test]
+async fn an_address_that_another_target_has_now_counts_as_nobody() {
+    let (fleet, standins) = fleet_with(2).await;
+    // Whoever answers there is not the one that the request is meant for.
+    standins[0].become_another();
+    for round in 0..10 {
+        let id = format!("r-{round}");
+        let answer = Ask::new("/unsafe/x", &id).send(fleet.front(0)).await.expect("an answer");
+        assert_eq!((answer.status, answer.body), (200, format!("answer to {id}")));
+    }
+    let log = fleet.gateways[0].log();
+    let failed = log.lines().filter(|line| line.contains("error=Gone")).count();
+    assert!((1..5).contains(&failed), "it was asked {failed} times in vain");
+}
+
 #[tokio::test]
 async fn a_request_without_an_answer_ends_at_its_deadline_and_is_not_called_not_run() {
     let (fleet, standins) = fleet_with(1).await;
@@ -115,6 +130,33 @@
     assert_eq!((answer.status, code(&answer).as_str()), (504, "answer_late"));
 }
 
+#[tokio::test]
+async fn a_repeatable_request_to_a_silent_target_is_answered_by_another_in_time() {
+    let (fleet, standins) = fleet_with(2).await;
+    standins[0].behave(Behaviour::Mute);
+    for round in 0..6 {
+        let id = format!("r-{round}");
+        let answer = Ask::new("/safe/x", &id).send(fleet.front(0)).await.expect("an answer");
+        assert_eq!((answer.status, answer.body), (200, format!("answer to {id}")));
+    }
+}
+
+#[tokio::test]
+async fn a_target_whose_silence_made_a_caller_leave_is_left_alone() {
+    let (fleet, standins) = fleet_with(2).await;
+    standins[0].behave(Behaviour::Mute);
+    crate::harness::eventually("the silent target is left alone", async || {
+        let id = format!("r-{}", rand::random::<u32>());
+        let ask = Ask::new("/unsafe/x", &id).with("x-deadline-ms", "3900");
+        // The route's goal is 300 ms, and the caller leaves well after it.
+        let asking = ask.send(fleet.front(0));
+        let _ = tokio::time::timeout(Duration::from_millis(1_200), asking).await;
+        fleet.gateways[0].log().contains("event=target_paused").then_some(())
+    })
+    .await;
+    assert!(fleet.gateways[0].log().contains("event=target_silent"));
+}
+
 #[tokio::test]
 async fn a_target_that_drains_gets_nothing_more_and_ends_what_it_has() {
     let (fleet, standins) = fleet_with(2).await;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -47,6 +47,8 @@
     Stream(u32),
     /// Streams so many events, a while apart, and breaks off in the middle of the next one.
     BreakAfter(u32),
+    /// Streams so many events and then says nothing.
+    StallAfter(u32),
     /// Runs the request and says nothing.
     Mute,
 }
@@ -69,6 +71,7 @@
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     open: Arc<AtomicUsize>,
+    replaced: Arc<AtomicBool>,
     tasks: Vec<JoinHandle<()>>,
     state: Arc<Mutex<(&'static str, u64)>>,
 }
@@ -88,8 +91,13 @@
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let state = Arc::new(Mutex::new(("ready", 0)));
         let open = Arc::new(AtomicUsize::new(0));
-        let serving =
-            Serving { id: id.to_owned(), behaviour: behaviour.clone(), arrivals: arrivals.clone() };
+        let replaced = Arc::new(AtomicBool::new(false));
+        let serving = Serving {
+            id: id.to_owned(),
+            replaced: replaced.clone(),
+            behaviour: behaviour.clone(),
+            arrivals: arrivals.clone(),
+        };
         let mut standin = Standin {
             id: id.to_owned(),
             addr,
@@ -97,6 +105,7 @@
             behaviour,
             arrivals,
             open: open.clone(),
+            replaced,
             tasks: vec![tokio::spawn(listen(listener, Arc::new(serving), open))],
             state,
         };
@@ -112,6 +121,11 @@
         self.arrivals.lock().expect("no panic").clone()
     }
 
+    /// Lets another target have the address.
+    pub fn become_another(&self) {
+        self.replaced.store(true, Ordering::Relaxed);
+    }
+
     /// Connections open now.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -179,6 +193,7 @@
 }
 
 struct Serving {
+    replaced: Arc<AtomicBool>,
     id: String,
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -224,7 +239,7 @@
         let expected = text("x-expect-instance");
         let last: u32 = text("last-event-id").parse().unwrap_or(0);
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
-        if expected != self.id {
+        if expected != self.id || self.replaced.load(Ordering::Relaxed) {
             return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
         }
         let behaviour = *self.behaviour.lock().expect("no panic");
@@ -272,6 +287,10 @@
                 answer = answer.header("content-type", "text/event-stream");
                 stream(last, events, true)
             }
+            Behaviour::StallAfter(events) => {
+                answer = answer.header("content-type", "text/event-stream");
+                stalled(last, events)
+            }
             Behaviour::Mute => std::future::pending().await,
         };
         Ok(answer.body(body).expect("sound"))
@@ -290,6 +309,13 @@
     BodyExt::boxed(StreamBody::new(Box::pin(pieces).map(|frame| frame).boxed_sync()))
 }
 
+/// Events after `last` up to `events`, and then nothing, not even the end.
+fn stalled(last: u32, events: u32) -> Body {
+    let pieces = (last + 1..=events).map(|at| Ok(Frame::data(Bytes::from(event(at)))));
+    let pieces = futures_util::stream::iter(pieces).chain(futures_util::stream::pending());
+    BodyExt::boxed(StreamBody::new(pieces.boxed_sync()))
+}
+
 /// The text of one event.
 pub fn event(at: u32) -> String {
     format!("id: {at}\ndata: event {at}\n\n")
--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -60,6 +60,21 @@
     assert_eq!(resumed.headers.get("last-event-id").expect("where to go on"), "7");
 }
 
+#[tokio::test]
+async fn a_resumable_stream_that_falls_silent_goes_on_at_another_target() {
+    let (fleet, standins) = fleet_with(&[Behaviour::StallAfter(4), Behaviour::StallAfter(4)]).await;
+    let front = fleet.front(0);
+    let ask = tokio::spawn(async move { Ask::new("/resumable/x", "r-1").send(front).await });
+    eventually("the first attempt", async || {
+        let began = standins.iter().any(|standin| !standin.arrivals().is_empty());
+        began.then_some(())
+    })
+    .await;
+    standins.iter().for_each(|standin| standin.behave(Behaviour::Stream(12)));
+    let answer = ask.await.expect("no panic").expect("a whole answer");
+    assert_eq!(answer.body, events(12));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_and_breaks_never_looks_complete_and_runs_once() {
     let (fleet, standins) = fleet_with(&[Behaviour::BreakAfter(5), Behaviour::BreakAfter(5)]).await;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -21,6 +21,7 @@
 use latchmount::gateway::events::EventSplitter;
 use latchmount::gateway::health::{AttemptOutcome, Health};
 use latchmount::gateway::reason::Refusal;
+use latchmount::group::message::{TargetLoad, loads_interval};
 use latchmount::jsonc::Validate;
 use latchmount::route_table::{Caller, RouteTable};
 use rand::rngs::StdRng;
@@ -307,6 +308,23 @@
     Affinity { hash, tokens }
 }
 
+/// The bytes on a member's link for words about loads, however many gateways there are.
+#[test]
+fn words_about_loads_leave_most_of_a_members_link_free() {
+    const MEMBERS: u32 = 5;
+    const LINK_BYTES_PER_S: f64 = 750_000.0;
+    for (gateways, targets) in [(8, 22), (62, 97), (80, 97), (340, 790)] {
+        let loads: Vec<TargetLoad> =
+            (0..targets).map(|at| TargetLoad { target: u64::MAX - at, requests: 20 }).collect();
+        let bytes = postcard::to_stdvec(&loads).expect("encodes").len() as f64;
+        let a_second = 1.0 / loads_interval(gateways).as_secs_f64();
+        let to_gateways = f64::from(gateways.div_ceil(MEMBERS)) * bytes * a_second;
+        let to_members = f64::from(MEMBERS - 1) * bytes * a_second;
+        let part = (to_gateways + to_members) / LINK_BYTES_PER_S;
+        assert!(part < 0.25, "{part:.2} of the link with {gateways} gateways, {targets} targets");
+    }
+}
+
 fn candidate(home: u32, load: f64) -> Candidate {
     Candidate { home: Some(home), load, slots: 64, near: false, doubtful: false }
 }
