--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -92,6 +92,9 @@
     /// Whether its targets serve models.
     #[serde(default)]
     pub engine: bool,
+    /// Whether its targets can fetch what they keep of a prompt from each other.
+    #[serde(default)]
+    pub fetches: bool,
 }
 
 /// What a client may send and how long it may take.
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -34,6 +34,8 @@
     pub load: HeaderName,
     /// Parts of the prompt.
     pub prompt: HeaderName,
+    /// Target from which another is to fetch what it keeps of the prompt.
+    pub fetch_from: HeaderName,
     /// Rank of a request, told to targets.
     pub priority: HeaderName,
     /// Last event of a stream that the sender has.
@@ -170,6 +172,7 @@
                 stamp: name("latchmount-stamp"),
                 load: name("latchmount-load"),
                 prompt: name("latchmount-prompt"),
+                fetch_from: name("latchmount-fetch-from"),
                 priority: name("latchmount-priority"),
                 last_event_id: name("last-event-id"),
             },
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to one target.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -64,6 +65,7 @@
 /// Sends the request and waits for the head of the answer.
 pub(super) async fn send(
     target: &Arc<Target>,
+    fetch_from: Option<SocketAddr>,
     outgoing: &Outgoing,
     names: &Headers,
     limits: ConnectionLimits,
@@ -78,7 +80,7 @@
             Ok(connected) => connected.map_err(AttemptError::NotSent)?,
             Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
         };
-        let request = build(target, outgoing, names);
+        let request = build(target, fetch_from, outgoing, names);
         let mut sending = pin!(connection.sender.try_send_request(request));
         let until = deadline.min(tokio::time::Instant::now() + patience.longest);
         let answered = match tokio::time::timeout_at(until, &mut sending).await {
@@ -102,7 +104,12 @@
     }
 }
 
-fn build(target: &Target, outgoing: &Outgoing, names: &Headers) -> Request<Full<Bytes>> {
+fn build(
+    target: &Target,
+    fetch_from: Option<SocketAddr>,
+    outgoing: &Outgoing,
+    names: &Headers,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
@@ -113,6 +120,10 @@
     if let Ok(id) = HeaderValue::from_str(&target.announcement.id) {
         headers.insert(names.expect_target.clone(), id);
     }
+    headers.remove(&names.fetch_from);
+    if let Some(Ok(addr)) = fetch_from.map(|addr| HeaderValue::from_str(&addr.to_string())) {
+        headers.insert(names.fetch_from.clone(), addr);
+    }
     request
 }
 
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -73,15 +73,36 @@
     let total: f64 = candidates.iter().map(|candidate| candidate.load).sum();
     let mean = (total + 1.0) / wish.targets.max(1) as f64;
     let bound = bound(wish.load_bound, mean, affinity.tokens);
-    let rank = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity.hash);
     let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
     };
     let homes = usable.iter().filter_map(|at| Some((candidates[*at].home?, at)));
-    let first = homes.filter(|(_, at)| fits(&candidates[**at])).max_by_key(|(home, _)| rank(*home));
+    let first = homes
+        .filter(|(_, at)| fits(&candidates[**at]))
+        .max_by_key(|(home, _)| rank(*home, affinity));
     first.map(|(_, at)| at).or_else(|| least_loaded(candidates, usable)).copied()
 }
 
+/// Place of a home in the order of an affinity, the highest first.
+fn rank(home: u32, affinity: Affinity) -> u64 {
+    xxh3_64_with_seed(&home.to_le_bytes(), affinity.hash)
+}
+
+/// The candidate besides the chosen one that most likely keeps what a request shares with others: the
+/// first in the order of its affinity.
+pub fn likely_keeper(candidates: &[Candidate], chosen: usize, affinity: Affinity) -> Option<usize> {
+    let others = (0..candidates.len()).filter(|at| *at != chosen && !candidates[*at].doubtful);
+    let homes = others.filter_map(|at| Some((candidates[at].home?, at)));
+    homes.max_by_key(|(home, _)| rank(*home, affinity)).map(|(_, at)| at)
+}
+
+/// Whether a candidate is the first in the order of an affinity, among all.
+pub fn is_first_home(candidates: &[Candidate], chosen: usize, affinity: Affinity) -> bool {
+    let homes = candidates.iter().filter_map(|candidate| candidate.home);
+    let first = homes.max_by_key(|home| rank(*home, affinity));
+    first.is_some() && candidates[chosen].home == first
+}
+
 /// Load that a target may have with one more request, which shares so many tokens with others.
 ///
 /// Where a target is nearly full, cheap requests leave it first: elsewhere they cost little.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -1,6 +1,7 @@
 //! Which target a request goes to, from what this gateway knows of each.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,9 +9,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
-use super::balance::{Affinity, Candidate, Wish, choose};
+use super::balance::{Affinity, Candidate, Wish, choose, is_first_home, likely_keeper};
 use super::exchange::Plan;
-use super::target::Target;
+use super::target::{Target, Targets};
 use crate::configuration::Route;
 use crate::group::message::{TargetLoad, loads_count_for};
 use crate::store::Revision;
@@ -29,6 +30,8 @@
     pub(super) doubtful: usize,
     /// Revision of the directory.
     pub(super) list_revision: Revision,
+    /// Where the target may fetch what it lacks of the prompt.
+    pub(super) fetch_from: Option<SocketAddr>,
 }
 
 impl Gateway {
@@ -69,7 +72,16 @@
             targets: alive.count(),
         };
         let at = choose(&candidates, wish, &mut rand::rng())?;
+        let fetches = self
+            .table()
+            .is_some_and(|table| table.service(&plan.service).is_some_and(|s| s.fetches));
+        let affinity = plan.affinity.filter(|_| fetches);
+        let fetch_from = affinity.and_then(|affinity| {
+            let keeper = keeper(&known, &targets, &candidates, at, affinity)?;
+            Some(keeper.announcement.addr)
+        });
         Some(Choice {
+            fetch_from,
             target: targets[at].clone(),
             load: candidates[at].load,
             candidates: candidates.len(),
@@ -108,6 +120,23 @@
     }
 }
 
+/// Who most likely keeps what the chosen target may lack of a prompt: for the first home of an affinity
+/// only while it is new there.
+fn keeper<'a>(
+    known: &'a Targets,
+    targets: &[&'a Arc<Target>],
+    candidates: &[Candidate],
+    chosen: usize,
+    affinity: Affinity,
+) -> Option<&'a Arc<Target>> {
+    let other = || likely_keeper(candidates, chosen, affinity).map(|at| targets[at]);
+    if !is_first_home(candidates, chosen, affinity) {
+        return other();
+    }
+    let former = known.moved_in_lately(targets[chosen])?;
+    former.or_else(other)
+}
+
 /// Mean load that other gateways bring to the targets that told of it lately.
 fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
     let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -286,7 +286,9 @@
     let watch = SilenceWatch::begin(gateway, target, longest);
     let may_turn = || plan.route.kind.idempotent() && gateway.could_send_after(plan);
     let patience = Patience { longest, may_turn: &may_turn };
-    let sent = attempt::send(target, &plan.outgoing, gateway.names(), limits, patience).await;
+    let sent =
+        attempt::send(target, choice.fetch_from, &plan.outgoing, gateway.names(), limits, patience)
+            .await;
     watch.end();
     if !matches!(sent, Err(AttemptError::NotSent(_))) {
         plan.arrivals += 1;
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,6 +16,8 @@
 
 /// Age from which a target's own word about its load is not used any more.
 const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
+/// How long after it got a home a target is thought to lack what its predecessor kept.
+const MOVED_IN_FOR: Duration = Duration::from_secs(20);
 /// Stands for no home.
 const NO_HOME: u32 = u32::MAX;
 /// Weight of the newest word about the load.
@@ -177,10 +179,20 @@
     }
 }
 
+/// A home that changed hands.
+struct Former {
+    /// Who had it before; nobody if it is a new one.
+    target: Option<Arc<Target>>,
+    since: Instant,
+}
+
 /// All targets that a gateway knows.
 #[derive(Default)]
 pub(super) struct Targets {
     revision: Revision,
+    /// Who has each home of each service, and who had it before.
+    homes: HashMap<(String, u32), Arc<Target>>,
+    former: HashMap<(String, u32), Former>,
     by_id: HashMap<String, Arc<Target>>,
     by_service: HashMap<String, Vec<Arc<Target>>>,
 }
@@ -206,6 +218,33 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether a target has had its home for a short time only, and who had it before if that one
+    /// is still there.
+    pub(super) fn moved_in_lately(&self, target: &Target) -> Option<Option<&Arc<Target>>> {
+        let former = self.former.get(&(target.announcement.service.clone(), target.home()?))?;
+        let lately = former.since.elapsed() < MOVED_IN_FOR;
+        let there = |target: &&Arc<Target>| self.by_id.contains_key(&target.announcement.id);
+        lately.then(|| former.target.as_ref().filter(there))
+    }
+
+    /// Notes who has which home now, and who had it before.
+    fn note_homes(&mut self) {
+        // What was there when the gateway started has not just come.
+        let first = self.homes.is_empty();
+        for target in self.by_id.values() {
+            let Some(home) = target.home() else {
+                continue;
+            };
+            let place = (target.announcement.service.clone(), home);
+            let before = self.homes.insert(place.clone(), target.clone());
+            let same = before.as_ref().is_some_and(|before| before.key == target.key);
+            if !same && !first {
+                self.former.insert(place, Former { target: before, since: Instant::now() });
+            }
+        }
+        self.former.retain(|_, former| former.since.elapsed() < MOVED_IN_FOR);
+    }
+
     /// Takes news, unless they are older than what is known; tells whether they were taken.
     pub(super) fn apply(&mut self, delta: DirectoryDelta) -> bool {
         if delta.revision <= self.revision {
@@ -222,6 +261,7 @@
         for listed in delta.changed {
             self.change(listed);
         }
+        self.note_homes();
         self.by_service.clear();
         for target in self.by_id.values() {
             let service = target.announcement.service.clone();
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -72,7 +72,7 @@
         "target" => &target.announcement.id, "addr" => %target.announcement.addr,
         "service" => &plan.service, "route" => &plan.route.name, "sends" => plan.sends,
         "home" => ?target.home(), "shared_tokens" => plan.affinity.map_or(0, |affinity| affinity.tokens),
-        "load" => format!("{:.1}", choice.load), "in_flight" => target.in_flight(),
+        "fetch_from" => ?choice.fetch_from, "load" => format!("{:.1}", choice.load), "in_flight" => target.in_flight(),
         "candidates" => choice.candidates, "doubtful" => choice.doubtful,
         "list" => choice.list_revision, "version" => plan.version,
         "budget_left" => gateway.budget_left(&plan.service), "took_ms" => millis_since(began),
--- a/tests/fleet/doors.rs
+++ b/tests/fleet/doors.rs
@@ -11,7 +11,8 @@
         json!({
             "name": name, "host": "h.example", "path-prefix": format!("/{name}/"),
             "route-type": kind, "timeout-ms": 4_000, "goal-ms": 300, "priority": 0,
-            "service": "s", "max-attempts": attempts, "public": false, "sticky": false,
+            "service": "s", "max-attempts": attempts, "public": false,
+            "sticky": name == "sticky",
             "resumable": resumable, "gap-aim-ms": 200,
         })
     };
@@ -22,9 +23,11 @@
             route("unsafe", "unsafe", 1, false),
             route("retried", "unsafe", 2, false),
             route("stream", "streaming", 1, false),
+            route("sticky", "streaming", 1, false),
             route("resumable", "streaming", 3, true),
         ],
-        "services": [{"name": "s", "health-path": "/health", "max-conns": 100}],
+        "services": [{"name": "s", "health-path": "/health", "max-conns": 100,
+            "engine": {"slots": 8, "moves": true}}],
         "limits": {"max-header-bytes": 4096, "max-body-bytes": 10_000,
             "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
         "tenants": [{"name": "tenant-a", "api-keys": ["key-a"], "priority": 1}],
--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -115,3 +115,34 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_target_that_took_another_s_home_is_told_to_fetch_from_it_while_it_is_there() {
+    let (fleet, mut standins) = fleet_with(&[Behaviour::Stream(3)]).await;
+    let member = &fleet.members[0];
+    eventually("the first target has a home", async || {
+        member.log().contains("event=targets_settled").then_some(())
+    })
+    .await;
+    let ask = |id| Ask::new("/sticky/x", id).with("x-prompt-prefix", "aa:900,bb:3000,cc:40");
+    ask("r-1").send(fleet.front(0)).await.expect("a whole answer");
+    assert!(!standins[0].arrivals()[0].headers.contains_key("kv-fetch"), "nobody else is there");
+    let newcomer = Standin::start("i-new", "s", fleet.doors()).await;
+    newcomer.behave(Behaviour::Stream(3));
+    standins.push(newcomer);
+    fleet.knows_targets(0, 2).await;
+    standins[0].drain(fleet.door(0)).await;
+    eventually("the newcomer serves", async || {
+        let id = format!("r-{}", rand::random::<u32>());
+        Ask::new("/sticky/x", &id)
+            .with("x-prompt-prefix", "aa:900,bb:3000,dd:50")
+            .send(fleet.front(0))
+            .await
+            .ok()?;
+        (!standins[1].arrivals().is_empty()).then_some(())
+    })
+    .await;
+    let arrival = &standins[1].arrivals()[0];
+    let from = arrival.headers.get("kv-fetch").expect("where to fetch from");
+    assert_eq!(from, standins[0].addr.to_string().as_str());
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -54,6 +54,7 @@
             max_connections: None,
             slots: None,
             engine: false,
+            fetches: false,
         }],
         limits: ClientLimits::default(),
         tenants: None,
