Members tell their figures; a process that starts forgets in explanations

Cause: metrics_listen of a member was a setting that did nothing; explain showed beliefs of a gateway's former life.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -20,6 +20,9 @@
     ("gateway_started", "start"),
 ];
 
+/// Events with which a process starts.
+const STARTS: [&str; 2] = ["gateway_started", "member_started"];
+
 /// What a process believed of a matter at some time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Belief {
@@ -66,6 +69,10 @@
             if line.get("id") == Some(id) {
                 steps.push(step(line, &known));
             }
+            if STARTS.contains(&line.event()) {
+                // A process that starts believes nothing yet.
+                known.retain(|(host, _), _| host != line.host());
+            }
             if let Some(matter) = matter(line) {
                 let about = line.get("target").unwrap_or("");
                 known.insert((line.host().to_owned(), format!("{matter} {about}")), line);
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +15,7 @@
 use super::{Gateway, Stage, exchange};
 use crate::configuration::ClientLimits;
 use crate::link::give_up_after;
+use crate::small_server;
 
 /// Pause after a listener fails, for example without descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -72,7 +71,7 @@
 
 /// Tells the balancer whether new clients are welcome.
 pub(super) async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_simple(listener, move |request| {
+    small_server::serve(listener, move |request| {
         let known = request.uri().path() == gateway.dialect.paths().ready;
         let status = match (known, gateway.ready()) {
             (false, _) => StatusCode::NOT_FOUND,
@@ -86,33 +85,5 @@
 
 /// Serves metrics.
 pub(super) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    serve_simple(listener, move |_| (StatusCode::OK, gateway.metrics.render())).await;
-}
-
-/// Answers every request from memory.
-async fn serve_simple(
-    listener: TcpListener,
-    answer: impl Fn(&Request<Incoming>) -> (StatusCode, Vec<u8>) + Send + Sync + 'static,
-) {
-    let answer = Arc::new(answer);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        let answer = answer.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let (status, body) = answer(&request);
-                let mut response = Response::new(Full::new(Bytes::from(body)));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(CLIENT_SILENCE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    small_server::serve(listener, move |_| (StatusCode::OK, gateway.metrics.render())).await;
 }
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -71,12 +71,14 @@
         }
         Err(_) => return faulty(StatusCode::REQUEST_TIMEOUT, &[Fault::new("", "body too slow")]),
     };
-    match door {
-        Door::PutConfiguration => put_configuration(shared, body).await,
-        Door::GetConfiguration => get_configuration(shared).await,
-        Door::Announce { id } => announce(shared, id, &body).await,
-        Door::Remove { id } => remove(shared, id).await,
-    }
+    let (call, answered) = match door {
+        Door::PutConfiguration => ("put_configuration", put_configuration(shared, body).await),
+        Door::GetConfiguration => ("get_configuration", get_configuration(shared).await),
+        Door::Announce { id } => ("heartbeat", announce(shared, id, &body).await),
+        Door::Remove { id } => ("remove", remove(shared, id).await),
+    };
+    shared.metrics.called(call, answered.status().as_str());
+    answered
 }
 
 async fn put_configuration(shared: &Shared, body: Bytes) -> Answered {
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -11,6 +11,7 @@
 mod incoming;
 mod liveness;
 pub mod message;
+mod metrics;
 mod peers;
 mod presence;
 pub mod settings;
@@ -41,6 +42,7 @@
 use self::board::LoadBoard;
 use self::liveness::Liveness;
 use self::message::{Call, Reply};
+use self::metrics::MemberMetrics;
 use self::peers::Peers;
 use self::presence::Presence;
 use self::settings::MemberSettings;
@@ -78,6 +80,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The metrics library refused a name.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// The group can't be reached or has no leader; nothing is known of the outcome.
@@ -108,6 +113,7 @@
     liveness: Mutex<Liveness>,
     archive: Mutex<Archive>,
     board: Mutex<LoadBoard>,
+    metrics: MemberMetrics,
     started: Instant,
     log: Logger,
 }
@@ -128,6 +134,10 @@
         let peer_listen = settings.peer_listen().unwrap_or(own);
         let peer_listener = listen_on(peer_listen).await?;
         let door_listener = listen_on(listen).await?;
+        let scrapes = match settings.metrics_listen {
+            Some(addr) => Some(listen_on(addr).await?),
+            None => None,
+        };
         let founders = founders(&settings);
         let founder = founders.0.iter().find(|member| member.addr == own).map(|member| member.id);
         let Started { member, outbox, failed } = open(&settings, founder, &log)?;
@@ -151,6 +161,7 @@
             liveness: Mutex::new(Liveness::new(heartbeat)),
             archive: Mutex::default(),
             board: Mutex::default(),
+            metrics: MemberMetrics::new()?,
             started: Instant::now(),
             seeds: Mutex::new(settings.seed_peers()),
             settings,
@@ -163,6 +174,9 @@
         tokio::spawn(upkeep::gossip(shared.clone()));
         tokio::spawn(upkeep::watch_targets(shared.clone()));
         tokio::spawn(upkeep::log_beliefs(shared.clone()));
+        if let Some(scrapes) = scrapes {
+            tokio::spawn(metrics::serve(shared.clone(), scrapes));
+        }
         Ok(GroupMember { failed, shared })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod sampler;
 pub mod settings;
 pub mod slots;
+mod small_server;
 pub mod store;
 mod sync;
 pub mod targets;
--- /dev/null
+++ b/src/small_server.rs
@@ -0,0 +1,47 @@
+//! A server that answers every request from memory: for the balancer's question and for scrapes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+/// Pause after a listener fails, for example without descriptors.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest time that a connection is idle, or takes for the head of a request.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Answers every request from memory.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> (StatusCode, Vec<u8>) + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, body) = answer(&request);
+                let mut response = Response::new(Full::new(Bytes::from(body)));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -79,6 +79,18 @@
     assert!(Story::of("r-9", lines.into_iter()).to_string().contains("no line tells"));
 }
 
+#[test]
+fn a_process_that_starts_believes_nothing_of_its_former_life() {
+    let lines = [
+        "level=INFO msg=x host=g1 at_ms=900 event=configuration version=4",
+        "level=INFO msg=x host=g1 at_ms=950 event=gateway_started version=0.1.0",
+        "level=INFO msg=x host=g1 at_ms=960 event=refused id=r-1 reason=no_configuration",
+    ];
+    let story = Story::of("r-1", lines.into_iter());
+    let matters: Vec<&str> = story.steps[0].beliefs.iter().map(|belief| belief.matter).collect();
+    assert_eq!(matters, ["start"]);
+}
+
 /// A reader that never reads.
 struct Stuck;
 
--- a/tests/fleet/group.rs
+++ b/tests/fleet/group.rs
@@ -142,3 +142,43 @@
     fleet.members[0].signal(Signal::SIGCONT);
     answered("r-3", 200).await;
 }
+
+#[tokio::test]
+async fn members_and_gateways_tell_their_figures() {
+    let mut fleet = Fleet::prepare(1, 1);
+    let (member, gateway) = (fleet.members[0].ip, fleet.gateways[0].ip);
+    let port = fleet.addresses.ports.ready;
+    fleet.members[0].set("metrics_listen", json!(format!("{member}:{port}")));
+    let free = std::net::TcpListener::bind((gateway, 0)).expect("a free port");
+    let scraped = free.local_addr().expect("bound");
+    drop(free);
+    fleet.gateways[0].set("metrics_listen", json!(scraped));
+    fleet.members[0].start();
+    fleet.gateways[0].start();
+    let _target = Standin::start("i-1", "s", fleet.doors()).await;
+    fleet.configure(&configuration(6)).await;
+    fleet.knows_targets(0, 1).await;
+    Ask::new("/safe/x", "r-1").send(fleet.front(0)).await.expect("an answer");
+    Ask::new("/none/x", "r-2").send(fleet.front(0)).await.expect("an answer");
+    let member = std::net::SocketAddr::new(member, port);
+    let text = call(member, "GET", "/metrics", "").await.expect("an answer").body;
+    for line in [
+        "latchmount_member_leads 1",
+        "latchmount_member_configuration_version 6",
+        "latchmount_member_targets 1",
+        "latchmount_member_gateways 1",
+        "latchmount_member_calls_total{call=\"put_configuration\",outcome=\"200\"}",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+    let text = call(scraped, "GET", "/metrics", "").await.expect("an answer").body;
+    for line in [
+        "latchmount_gateway_configuration_version 6",
+        "latchmount_gateway_requests_total{service=\"s\"} 1",
+        "latchmount_gateway_answers_total{status=\"200\"} 1",
+        "latchmount_gateway_refused_total{reason=\"no_route\"} 1",
+        "latchmount_gateway_answer_seconds_count{service=\"s\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+}
