Test the answer to a body that does not come

Cause: of the answers that the doors give, 408 had no test.

Change: a test with a raw connection whose body stays short of its length.

--- a/tests/fleet/refusals.rs
+++ b/tests/fleet/refusals.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::doors::configuration;
 use crate::harness::{Called, Fleet, eventually};
@@ -123,3 +125,20 @@
     let answer = Ask::new("/unsafe/x", "r-3").send(fleet.front(0)).await.expect("an answer");
     assert_eq!((answer.status, code(&answer).as_str()), (503, "connect_failed"));
 }
+
+#[tokio::test]
+async fn a_body_that_does_not_come_is_answered_408_and_reaches_no_target() {
+    let fleet = Fleet::start(1, 1).await;
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    fleet.configure(&configuration(1)).await;
+    fleet.knows_targets(0, 1).await;
+    let mut stream = TcpStream::connect(fleet.front(0)).await.expect("a connection");
+    let head = "POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: r-1\r\n\
+        x-credential: key-a\r\nx-deadline-ms: 400\r\ncontent-length: 10\r\n\r\nabc";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut text = vec![0; 4_096];
+    let len = stream.read(&mut text).await.expect("an answer");
+    let text = String::from_utf8_lossy(&text[..len]);
+    assert!(text.starts_with("HTTP/1.1 408") && text.contains("body_too_slow"), "{text}");
+    assert!(target.arrivals().is_empty());
+}
