Say host, data hall, team and target in the code; name faults as the sender does

Cause: gateways and members had taken the platform's words (tenant, zone), and called gateways routers in the group's messages; faults of a configuration named fields by neither side's whole name (tenants[1].keys). Ruled out: translating bodies twice; the dialect translates field names alone (Dialect::field). Change: teams and data halls in src/, tenants and zones in platform/ only; a fault now names the platform's field (tenants[1].api-keys, routes[1].path-prefix, routes[0].timeout-ms). The expectations of tests/fleet/doors.rs named the mixed paths and are replaced by the whole ones, as strict.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -1,4 +1,4 @@
-//! A whole configuration: routes, services, limits and tenants, checked before it is accepted.
+//! A whole configuration: routes, services, limits and teams, checked before it is accepted.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -63,7 +63,7 @@
     /// Longest pause between events for which a stream is in time.
     #[serde(with = "millis::option", rename = "gap_goal_ms", default)]
     pub gap_goal: Option<Duration>,
-    /// Rank of its requests, 0 first; counts after the tenant's.
+    /// Rank of its requests, 0 first; counts after the team's.
     #[serde(default)]
     pub priority: u32,
     /// Services, with weights that add up to more than 0.
@@ -126,7 +126,7 @@
 
 /// Callers that share keys and a rank.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tenant {
+pub struct Team {
     /// Name.
     pub name: String,
     /// Keys of its callers.
@@ -148,16 +148,16 @@
     /// Limits for clients.
     #[serde(default)]
     pub limits: ClientLimits,
-    /// All tenants; `None` when requests need no key.
+    /// All teams; `None` when requests need no key.
     #[serde(default)]
-    pub tenants: Option<Vec<Tenant>>,
+    pub teams: Option<Vec<Team>>,
 }
 
 impl Validate for Configuration {
     fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         self.check_routes(&mut faults);
-        self.check_tenants(&mut faults);
+        self.check_teams(&mut faults);
         faults
     }
 }
@@ -179,7 +179,7 @@
                 faults.push(Fault::new(format!("routes[{at}].service"), message));
             }
             if route.timeout.is_zero() {
-                faults.push(Fault::new(format!("routes[{at}].timeout"), "must be above 0"));
+                faults.push(Fault::new(format!("routes[{at}].timeout_ms"), "must be above 0"));
             }
             if let Some(other) = places.insert((&route.host, &route.prefix), at) {
                 let message = format!("has the host and prefix of routes[{other}]");
@@ -188,14 +188,14 @@
         }
     }
 
-    fn check_tenants(&self, faults: &mut Vec<Fault>) {
+    fn check_teams(&self, faults: &mut Vec<Fault>) {
         let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
-        for (at, tenant) in self.tenants.iter().flatten().enumerate() {
-            for key in &tenant.keys {
-                match holders.insert(key, &tenant.name) {
-                    Some(other) if other != tenant.name => {
-                        let message = format!("holds a key of tenant {other:?} too");
-                        faults.push(Fault::new(format!("tenants[{at}].keys"), message));
+        for (at, team) in self.teams.iter().flatten().enumerate() {
+            for key in &team.keys {
+                match holders.insert(key, &team.name) {
+                    Some(other) if other != team.name => {
+                        let message = format!("holds a key of team {other:?} too");
+                        faults.push(Fault::new(format!("teams[{at}].keys"), message));
                     }
                     _ => {}
                 }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -22,8 +22,8 @@
     pub deadline_ms: HeaderName,
     /// Key of the caller.
     pub credential: HeaderName,
-    /// Tenant that holds the key, told to targets.
-    pub tenant: HeaderName,
+    /// Team that holds the key, told to targets.
+    pub team: HeaderName,
     /// Identity of the target that a request is meant for.
     pub expect_target: HeaderName,
     /// In an answer: the target did not run the request.
@@ -104,6 +104,11 @@
     /// What can't be read, with the path of the field.
     fn configuration(&self, bytes: &[u8]) -> Result<Configuration, Vec<Fault>>;
 
+    /// Name, in this dialect, of a field of a configuration that is known here as `path`.
+    fn field(&self, path: &str) -> String {
+        path.to_owned()
+    }
+
     /// Decodes a heartbeat of the target `id`.
     ///
     /// # Errors
@@ -166,7 +171,7 @@
                 request_id: name("latchmount-request-id"),
                 deadline_ms: name("latchmount-deadline-ms"),
                 credential: name("latchmount-key"),
-                tenant: name("latchmount-tenant"),
+                team: name("latchmount-team"),
                 expect_target: name("latchmount-expect-target"),
                 not_run: name("latchmount-not-run"),
                 stamp: name("latchmount-stamp"),
@@ -186,7 +191,7 @@
 struct OwnHeartbeat {
     service: String,
     addr: SocketAddr,
-    zone: String,
+    data_hall: String,
     slots: u32,
     state: TargetState,
     sequence: u64,
@@ -225,7 +230,7 @@
             id: id.to_owned(),
             service: heartbeat.service,
             addr: heartbeat.addr,
-            zone: heartbeat.zone,
+            data_hall: heartbeat.data_hall,
             slots: heartbeat.slots,
             state: heartbeat.state,
             sequence: heartbeat.sequence,
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -39,8 +39,8 @@
     pub service: String,
     /// Where it takes requests.
     pub addr: SocketAddr,
-    /// Zone that it stands in.
-    pub zone: String,
+    /// Data hall that it stands in.
+    pub data_hall: String,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -61,7 +61,7 @@
             home: target.home(),
             load: target.load(now, usual, gateways),
             slots: target.announcement.slots,
-            near: target.announcement.zone == self.settings.data_hall,
+            near: target.announcement.data_hall == self.settings.data_hall,
             doubtful: self.doubtful(now, target),
         };
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -164,7 +164,7 @@
     let mut headers = head.headers.clone();
     strip_hop_by_hop(&mut headers);
     headers.remove(&names.credential);
-    headers.remove(&names.tenant);
+    headers.remove(&names.team);
     headers.remove(http::header::EXPECT);
     headers.remove(CONTENT_LENGTH);
     let has_body = head.headers.contains_key(CONTENT_LENGTH)
@@ -173,10 +173,10 @@
         headers.insert(CONTENT_LENGTH, HeaderValue::from(body_len));
     }
     let mut rank = route.priority;
-    if let Caller::Tenant(tenant) = caller {
-        rank = tenant.priority.saturating_mul(3).saturating_add(route.priority.min(2));
-        if let Ok(name) = HeaderValue::from_str(&tenant.name) {
-            headers.insert(names.tenant.clone(), name);
+    if let Caller::Team(team) = caller {
+        rank = team.priority.saturating_mul(3).saturating_add(route.priority.min(2));
+        if let Ok(name) = HeaderValue::from_str(&team.name) {
+            headers.insert(names.team.clone(), name);
         }
     }
     if route.kind.streams() {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -71,7 +71,7 @@
     async fn try_follow(&mut self, member: SocketAddr) -> Result<(), LinkError> {
         let (mut sender, mut receiver) = dial(self.gateway.settings.source, member, TIMING).await?;
         let subscription = Subscription {
-            router: self.gateway.settings.host.clone(),
+            gateway: self.gateway.settings.host.clone(),
             version: self.document.as_ref().map_or(0, |document| document.version),
             directory: self.directory_revision(),
         };
@@ -143,11 +143,11 @@
         if let Some(members) = update.members {
             self.learn(members);
         }
-        let before = self.gateway.gateways.swap(update.routers, Ordering::Relaxed);
-        if before != update.routers {
-            self.gateway.metrics.gateways.set(i64::from(update.routers));
+        let before = self.gateway.gateways.swap(update.gateways, Ordering::Relaxed);
+        if before != update.gateways {
+            self.gateway.metrics.gateways.set(i64::from(update.gateways));
             info!(self.gateway.log, "gateways alive"; "event" => "gateways",
-                "gateways" => update.routers, "before" => before);
+                "gateways" => update.gateways, "before" => before);
         }
         Ok(())
     }
--- a/src/group/archive.rs
+++ b/src/group/archive.rs
@@ -1,4 +1,4 @@
-//! Recent configuration documents, so that routers get differences.
+//! Recent configuration documents, so that gateways get differences.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -17,7 +17,7 @@
 }
 
 impl Archive {
-    /// Packs `newest` for a router that has version `known`.
+    /// Packs `newest` for a gateway that has version `known`.
     pub(super) fn pack(&mut self, newest: &Document, known: u64) -> Option<Packed> {
         if known >= newest.version {
             return None;
--- a/src/group/board.rs
+++ b/src/group/board.rs
@@ -1,4 +1,4 @@
-//! Requests in flight at each target, summed over all routers.
+//! Requests in flight at each target, summed over all gateways.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,25 +13,25 @@
     loads: Vec<TargetLoad>,
 }
 
-/// Loads as the routers connected here and the other members tell them.
+/// Loads as the gateways connected here and the other members tell them.
 #[derive(Debug, Default)]
 pub(super) struct LoadBoard {
-    routers: HashMap<String, Told>,
+    gateways: HashMap<String, Told>,
     members: HashMap<SocketAddr, Told>,
 }
 
 impl LoadBoard {
-    /// A router connected here tells what it has in flight.
-    pub(super) fn hear_router(&mut self, now: Duration, router: &str, loads: Vec<TargetLoad>) {
-        self.routers.insert(router.to_owned(), Told { at: now, loads });
+    /// A gateway connected here tells what it has in flight.
+    pub(super) fn hear_gateway(&mut self, now: Duration, gateway: &str, loads: Vec<TargetLoad>) {
+        self.gateways.insert(gateway.to_owned(), Told { at: now, loads });
     }
 
-    /// The connection of a router ended.
-    pub(super) fn forget_router(&mut self, router: &str) {
-        self.routers.remove(router);
+    /// The connection of a gateway ended.
+    pub(super) fn forget_gateway(&mut self, gateway: &str) {
+        self.gateways.remove(gateway);
     }
 
-    /// Another member tells what its routers have in flight.
+    /// Another member tells what its gateways have in flight.
     pub(super) fn hear_member(
         &mut self,
         now: Duration,
@@ -41,19 +41,19 @@
         self.members.insert(member, Told { at: now, loads });
     }
 
-    /// What the routers connected here have in flight, while so many are alive anywhere.
-    pub(super) fn here(&mut self, now: Duration, routers: u32) -> Vec<TargetLoad> {
-        let longest = loads_count_for(routers);
-        self.routers.retain(|_, told| now < told.at + longest);
-        sum(self.routers.values())
+    /// What the gateways connected here have in flight, while so many are alive anywhere.
+    pub(super) fn here(&mut self, now: Duration, gateways: u32) -> Vec<TargetLoad> {
+        let longest = loads_count_for(gateways);
+        self.gateways.retain(|_, told| now < told.at + longest);
+        sum(self.gateways.values())
     }
 
-    /// What all routers have in flight, while so many are alive.
-    pub(super) fn everywhere(&mut self, now: Duration, routers: u32) -> Vec<TargetLoad> {
-        let longest = loads_count_for(routers);
-        self.routers.retain(|_, told| now < told.at + longest);
+    /// What all gateways have in flight, while so many are alive.
+    pub(super) fn everywhere(&mut self, now: Duration, gateways: u32) -> Vec<TargetLoad> {
+        let longest = loads_count_for(gateways);
+        self.gateways.retain(|_, told| now < told.at + longest);
         self.members.retain(|_, told| now < told.at + longest);
-        sum(self.routers.values().chain(self.members.values()))
+        sum(self.gateways.values().chain(self.members.values()))
     }
 }
 
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -85,7 +85,7 @@
     let parsed = shared.dialect.configuration(&body);
     let checked = parsed.and_then(|configuration| match configuration.faults() {
         faults if faults.is_empty() => Ok(configuration.version),
-        faults => Err(faults),
+        faults => Err(renamed(shared, faults)),
     });
     let version = match checked {
         Ok(version) => version,
@@ -106,6 +106,14 @@
     }
 }
 
+/// Faults under the names that the sender knows its fields by.
+fn renamed(shared: &Shared, mut faults: Vec<Fault>) -> Vec<Fault> {
+    for fault in &mut faults {
+        fault.path = shared.dialect.field(&fault.path);
+    }
+    faults
+}
+
 /// Puts a document in the log unless its version, or a higher one, is held; returns what is held.
 async fn configure(shared: &Shared, document: &Document) -> Result<u64, Unavailable> {
     for _ in 0..CONFIGURE_TRIES {
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -1,4 +1,4 @@
-//! Tells routers of every change, and that the member still hears a leader.
+//! Tells gateways of every change, and that the member still hears a leader.
 
 use std::time::{Duration, Instant};
 
@@ -8,15 +8,15 @@
 use crate::link::{FrameReceiver, FrameSender, LinkError};
 use crate::sync::lock;
 
-/// Between two signs of life to a router while nothing is in flight.
+/// Between two signs of life to a gateway while nothing is in flight.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
 
-/// What a router has been sent.
+/// What a gateway has been sent.
 struct Cursor {
     version: u64,
     directory: u64,
     members: Vec<std::net::SocketAddr>,
-    routers: u32,
+    gateways: u32,
     fresh: bool,
     /// When loads are to be told next.
     loads_at: Duration,
@@ -24,20 +24,20 @@
     idle: bool,
 }
 
-/// Serves one router until its connection ends.
+/// Serves one gateway until its connection ends.
 pub(super) async fn serve(
     shared: &Shared,
     subscription: Subscription,
     sender: FrameSender,
     mut receiver: FrameReceiver,
 ) -> Result<(), LinkError> {
-    let router = subscription.router.clone();
-    lock(&shared.presence).connect(&router);
+    let gateway = subscription.gateway.clone();
+    lock(&shared.presence).connect(&gateway);
     let closed = async {
         loop {
             if let ToMember::Loads(loads) = receiver.receive().await? {
                 let now = shared.now();
-                lock(&shared.board).hear_router(now, &router, loads);
+                lock(&shared.board).hear_gateway(now, &gateway, loads);
             }
         }
     };
@@ -46,8 +46,8 @@
         ended = closed => ended,
     };
     let now = shared.now();
-    lock(&shared.presence).disconnect(now, &router);
-    lock(&shared.board).forget_router(&router);
+    lock(&shared.presence).disconnect(now, &gateway);
+    lock(&shared.board).forget_gateway(&gateway);
     ended
 }
 
@@ -60,7 +60,7 @@
         version: subscription.version,
         directory: subscription.directory,
         members: Vec::new(),
-        routers: 0,
+        gateways: 0,
         fresh: false,
         loads_at: Duration::ZERO,
         idle: true,
@@ -72,7 +72,7 @@
         let (update, news) = next_update(shared, &now, &mut cursor);
         let due = tokio::time::Instant::now() >= sign_at;
         if news || due {
-            let loads = loads_interval(update.routers);
+            let loads = loads_interval(update.gateways);
             let pause = if cursor.idle { SIGN_OF_LIFE } else { loads.min(SIGN_OF_LIFE) };
             sender.send(&FromMember::Update(Box::new(update))).await?;
             sign_at = tokio::time::Instant::now() + pause;
@@ -84,7 +84,7 @@
     }
 }
 
-/// What the router lacks, and whether it is worth a frame before the next sign of life.
+/// What the gateway lacks, and whether it is worth a frame before the next sign of life.
 fn next_update(shared: &Shared, published: &Published, cursor: &mut Cursor) -> (Update, bool) {
     let newest = published.document.as_ref();
     let document = newest.and_then(|newest| lock(&shared.archive).pack(newest, cursor.version));
@@ -94,26 +94,26 @@
     let members = (addrs != cursor.members).then(|| addrs.clone());
     let fresh = shared.member.standing().fresh(Instant::now());
     let now = shared.now();
-    let routers = lock(&shared.presence).alive(now);
-    let loads = next_loads(shared, cursor, routers);
+    let gateways = lock(&shared.presence).alive(now);
+    let loads = next_loads(shared, cursor, gateways);
     let news = document.is_some() || directory.is_some() || members.is_some();
-    let news = news || routers != cursor.routers || fresh != cursor.fresh;
+    let news = news || gateways != cursor.gateways || fresh != cursor.fresh;
     cursor.version = document.as_ref().map_or(cursor.version, |document| document.version);
     cursor.directory = directory.as_ref().map_or(cursor.directory, |delta| delta.revision);
     cursor.members = addrs;
-    cursor.routers = routers;
+    cursor.gateways = gateways;
     cursor.fresh = fresh;
-    (Update { fresh, document, directory, members, routers, loads }, news)
+    (Update { fresh, document, directory, members, gateways, loads }, news)
 }
 
 /// What is in flight at the targets, when it is time to tell.
-fn next_loads(shared: &Shared, cursor: &mut Cursor, routers: u32) -> Option<Vec<TargetLoad>> {
+fn next_loads(shared: &Shared, cursor: &mut Cursor, gateways: u32) -> Option<Vec<TargetLoad>> {
     let now = shared.now();
     if now < cursor.loads_at {
         return None;
     }
-    cursor.loads_at = now + loads_interval(routers);
-    let loads = lock(&shared.board).everywhere(now, routers);
+    cursor.loads_at = now + loads_interval(gateways);
+    let loads = lock(&shared.board).everywhere(now, gateways);
     cursor.idle = loads.is_empty();
     Some(loads)
 }
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -1,4 +1,4 @@
-//! Takes connections of other members and of routers.
+//! Takes connections of other members and of gateways.
 
 use std::sync::Arc;
 
@@ -40,9 +40,9 @@
                 }
                 shared.member.deliver(messages);
             }
-            ToMember::Presence { from, routers, loads } => {
+            ToMember::Presence { from, gateways, loads } => {
                 let now = shared.now();
-                lock(&shared.presence).hear(now, routers);
+                lock(&shared.presence).hear(now, gateways);
                 lock(&shared.board).hear_member(now, from, loads);
             }
             ToMember::Loads(_) => return Err(LinkError::Garbled),
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -1,4 +1,4 @@
-//! Messages between members, and between members and routers.
+//! Messages between members, and between members and gateways.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,10 +14,10 @@
 const SHORTEST_LOADS_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time that a word about loads counts.
 const SHORTEST_LOADS_COUNT: Duration = Duration::from_millis(2_500);
-/// Time between two words about loads for each router alive.
+/// Time between two words about loads for each gateway alive.
 const LOADS_INTERVAL_EACH: Duration = Duration::from_millis(10);
 
-/// A frame on a connection that a member or a router made to a member.
+/// A frame on a connection that a member or a gateway made to a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToMember {
     /// Messages of the agreement.
@@ -34,18 +34,18 @@
         /// The call.
         call: Call,
     },
-    /// Routers that are connected to the sender, and what they have in flight.
+    /// Gateways that are connected to the sender, and what they have in flight.
     Presence {
         /// Where the sender is reached.
         from: SocketAddr,
-        /// Its routers.
-        routers: Vec<String>,
+        /// Its gateways.
+        gateways: Vec<String>,
         /// What they have in flight.
         loads: Vec<TargetLoad>,
     },
-    /// What the router on this connection has in flight.
+    /// What the gateway on this connection has in flight.
     Loads(Vec<TargetLoad>),
-    /// A router wants to be told of every change.
+    /// A gateway wants to be told of every change.
     Subscribe(Subscription),
 }
 
@@ -58,17 +58,17 @@
     pub requests: u32,
 }
 
-/// Between two words about loads, while so many routers are alive.
+/// Between two words about loads, while so many gateways are alive.
 ///
-/// Every router hears the loads of all, so that the bytes on a member's link grow with their number;
+/// Every gateway hears the loads of all, so that the bytes on a member's link grow with their number;
 /// this keeps them about the same.
-pub fn loads_interval(routers: u32) -> Duration {
-    SHORTEST_LOADS_INTERVAL.max(LOADS_INTERVAL_EACH * routers)
+pub fn loads_interval(gateways: u32) -> Duration {
+    SHORTEST_LOADS_INTERVAL.max(LOADS_INTERVAL_EACH * gateways)
 }
 
-/// How long a word about loads counts, while so many routers are alive.
-pub fn loads_count_for(routers: u32) -> Duration {
-    SHORTEST_LOADS_COUNT.max(loads_interval(routers) * 3)
+/// How long a word about loads counts, while so many gateways are alive.
+pub fn loads_count_for(gateways: u32) -> Duration {
+    SHORTEST_LOADS_COUNT.max(loads_interval(gateways) * 3)
 }
 
 /// A frame on the way back.
@@ -81,7 +81,7 @@
         /// The answer.
         reply: Reply,
     },
-    /// News for a router; without any, a sign of life.
+    /// News for a gateway; without any, a sign of life.
     Update(Box<Update>),
 }
 
@@ -118,30 +118,30 @@
     Unknown,
 }
 
-/// What a router has when it connects.
+/// What a gateway has when it connects.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Subscription {
-    /// Name of the router.
-    pub router: String,
+    /// Name of the gateway.
+    pub gateway: String,
     /// Version of the configuration in force there; 0 for none.
     pub version: u64,
     /// Revision of its directory; 0 for none.
     pub directory: Revision,
 }
 
-/// News for a router.
+/// News for a gateway.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Update {
     /// Whether the member has heard a leader lately.
     pub fresh: bool,
-    /// The configuration, if the router's is older.
+    /// The configuration, if the gateway's is older.
     pub document: Option<Packed>,
-    /// What the router lacks of the directory.
+    /// What the gateway lacks of the directory.
     pub directory: Option<DirectoryDelta>,
     /// Where members are reached, when that changed.
     pub members: Option<Vec<SocketAddr>>,
-    /// Routers alive.
-    pub routers: u32,
-    /// What all routers have in flight at targets that have anything, when it is time for that.
+    /// Gateways alive.
+    pub gateways: u32,
+    /// What all gateways have in flight at targets that have anything, when it is time for that.
     pub loads: Option<Vec<TargetLoad>>,
 }
--- a/src/group/presence.rs
+++ b/src/group/presence.rs
@@ -1,12 +1,12 @@
-//! Routers alive, as the members tell each other.
+//! Gateways alive, as the members tell each other.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// How long a router counts after it was last heard of.
+/// How long a gateway counts after it was last heard of.
 const COUNTS_FOR: Duration = Duration::from_millis(2_500);
 
-/// Routers connected here, and those that other members have told of.
+/// Gateways connected here, and those that other members have told of.
 #[derive(Debug, Default)]
 pub(super) struct Presence {
     connected: HashMap<String, usize>,
@@ -14,37 +14,37 @@
 }
 
 impl Presence {
-    /// A router connected.
-    pub(super) fn connect(&mut self, router: &str) {
-        *self.connected.entry(router.to_owned()).or_default() += 1;
+    /// A gateway connected.
+    pub(super) fn connect(&mut self, gateway: &str) {
+        *self.connected.entry(gateway.to_owned()).or_default() += 1;
     }
 
-    /// A router's connection ended at `now`; it counts a while longer.
-    pub(super) fn disconnect(&mut self, now: Duration, router: &str) {
-        if let Some(connections) = self.connected.get_mut(router) {
+    /// A gateway's connection ended at `now`; it counts a while longer.
+    pub(super) fn disconnect(&mut self, now: Duration, gateway: &str) {
+        if let Some(connections) = self.connected.get_mut(gateway) {
             *connections -= 1;
             if *connections == 0 {
-                self.connected.remove(router);
+                self.connected.remove(gateway);
             }
         }
-        self.heard.insert(router.to_owned(), now);
+        self.heard.insert(gateway.to_owned(), now);
     }
 
-    /// Another member tells of its routers.
-    pub(super) fn hear(&mut self, now: Duration, routers: Vec<String>) {
-        self.heard.extend(routers.into_iter().map(|router| (router, now)));
+    /// Another member tells of its gateways.
+    pub(super) fn hear(&mut self, now: Duration, gateways: Vec<String>) {
+        self.heard.extend(gateways.into_iter().map(|gateway| (gateway, now)));
         self.heard.retain(|_, heard| now < *heard + COUNTS_FOR);
     }
 
-    /// Routers connected here.
+    /// Gateways connected here.
     pub(super) fn connected(&self) -> Vec<String> {
         self.connected.keys().cloned().collect()
     }
 
-    /// Number of routers alive.
+    /// Number of gateways alive.
     pub(super) fn alive(&self, now: Duration) -> u32 {
-        let told = self.heard.iter().filter(|(router, heard)| {
-            now < **heard + COUNTS_FOR && !self.connected.contains_key(*router)
+        let told = self.heard.iter().filter(|(gateway, heard)| {
+            now < **heard + COUNTS_FOR && !self.connected.contains_key(*gateway)
         });
         (self.connected.len() + told.count()) as u32
     }
--- a/src/group/settings.rs
+++ b/src/group/settings.rs
@@ -24,7 +24,7 @@
     pub advertise: Option<IpAddr>,
     /// Address that this host connects from, when the system's choice is not right.
     pub source: Option<IpAddr>,
-    /// Port for members and routers, the same on every host.
+    /// Port for members and gateways, the same on every host.
     pub peer_port: u16,
     /// Where metrics are served, if anywhere.
     pub metrics_listen: Option<SocketAddr>,
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -1,5 +1,5 @@
 //! What a member does by itself: sends what the agreement wants sent, joins the group, tells the
-//! others of its routers, and looks after targets.
+//! others of its gateways, and looks after targets.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -83,22 +83,22 @@
     }
 }
 
-/// Tells the others which routers are connected here, and what they have in flight.
+/// Tells the others which gateways are connected here, and what they have in flight.
 pub(super) async fn gossip(shared: Arc<Shared>) {
     loop {
         let now = shared.now();
         let alive = lock(&shared.presence).alive(now);
         tokio::time::sleep(loads_interval(alive)).await;
         let now = shared.now();
-        let routers = lock(&shared.presence).connected();
+        let gateways = lock(&shared.presence).connected();
         let loads = lock(&shared.board).here(now, alive);
-        if routers.is_empty() {
+        if gateways.is_empty() {
             continue;
         }
         for addr in shared.known_members() {
             if addr != shared.own {
-                let (routers, loads) = (routers.clone(), loads.clone());
-                shared.peers.send(addr, ToMember::Presence { from: shared.own, routers, loads });
+                let (gateways, loads) = (gateways.clone(), loads.clone());
+                shared.peers.send(addr, ToMember::Presence { from: shared.own, gateways, loads });
             }
         }
     }
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -1,9 +1,9 @@
-//! Finds the route and the tenant of a request in the configuration in force.
+//! Finds the route and the team of a request in the configuration in force.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::configuration::{ClientLimits, Configuration, Route, Service, Tenant};
+use crate::configuration::{ClientLimits, Configuration, Route, Service, Team};
 
 /// A configuration, made ready for look-ups.
 #[derive(Debug, Default)]
@@ -13,7 +13,7 @@
     /// Routes by host, the longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Service>,
-    tenants: Option<HashMap<String, Arc<Tenant>>>,
+    teams: Option<HashMap<String, Arc<Team>>>,
 }
 
 /// Who sends a request.
@@ -22,7 +22,7 @@
     /// No key is needed.
     Anyone,
     /// The holder of the key.
-    Tenant(Arc<Tenant>),
+    Team(Arc<Team>),
     /// The key is missing or unknown.
     Unknown,
 }
@@ -38,10 +38,10 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let named = |service: Service| (service.name.clone(), service);
-        let by_key = |tenants: Vec<Tenant>| {
-            let tenants = tenants.into_iter().map(Arc::new);
-            let keys = tenants.flat_map(|tenant| {
-                tenant.keys.iter().map(|key| (key.clone(), tenant.clone())).collect::<Vec<_>>()
+        let by_key = |teams: Vec<Team>| {
+            let teams = teams.into_iter().map(Arc::new);
+            let keys = teams.flat_map(|team| {
+                team.keys.iter().map(|key| (key.clone(), team.clone())).collect::<Vec<_>>()
             });
             keys.collect()
         };
@@ -50,7 +50,7 @@
             limits: configuration.limits,
             hosts,
             services: configuration.services.into_iter().map(named).collect(),
-            tenants: configuration.tenants.map(by_key),
+            teams: configuration.teams.map(by_key),
         }
     }
 
@@ -81,12 +81,12 @@
 
     /// Who sends a request with this key on this route.
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
-        let Some(tenants) = &self.tenants else {
+        let Some(teams) = &self.teams else {
             return Caller::Anyone;
         };
-        let holder = key.and_then(|key| tenants.get(key));
+        let holder = key.and_then(|key| teams.get(key));
         match holder {
-            Some(tenant) => Caller::Tenant(tenant.clone()),
+            Some(team) => Caller::Team(team.clone()),
             None if route.public => Caller::Anyone,
             None => Caller::Unknown,
         }
--- a/tests/fleet/doors.rs
+++ b/tests/fleet/doors.rs
@@ -94,8 +94,11 @@
     };
     let cases = [
         (spoilt(|whole| whole["routes"][0]["service"] = json!("nobody")), "routes[0].service"),
-        (spoilt(|whole| whole["routes"][1]["path-prefix"] = json!("/safe/")), "routes[1].prefix"),
-        (spoilt(|whole| whole["routes"][0]["timeout-ms"] = json!(0)), "routes[0].timeout"),
+        (
+            spoilt(|whole| whole["routes"][1]["path-prefix"] = json!("/safe/")),
+            "routes[1].path-prefix",
+        ),
+        (spoilt(|whole| whole["routes"][0]["timeout-ms"] = json!(0)), "routes[0].timeout-ms"),
         (
             spoilt(|whole| {
                 whole["routes"][0]["service"] = Value::Null;
@@ -108,7 +111,7 @@
                 let tenants = whole["tenants"].as_array_mut().expect("a list");
                 tenants.push(json!({"name": "tenant-b", "api-keys": ["key-a"]}));
             }),
-            "tenants[1].keys",
+            "tenants[1].api-keys",
         ),
     ];
     for (text, path) in cases {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use latchmount::configuration::{
-    ClientLimits, Configuration, Route, RouteKind, Service, Tenant, Weighted,
+    ClientLimits, Configuration, Route, RouteKind, Service, Team, Weighted,
 };
 use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
 use latchmount::document::{Document, PackError};
@@ -57,13 +57,13 @@
             fetches: false,
         }],
         limits: ClientLimits::default(),
-        tenants: None,
+        teams: None,
     }
 }
 
-fn tenant(name: &str, keys: &[&str]) -> Tenant {
+fn team(name: &str, keys: &[&str]) -> Team {
     let keys = keys.iter().map(|key| key.to_string()).collect();
-    Tenant { name: name.into(), keys, priority: 0 }
+    Team { name: name.into(), keys, priority: 0 }
 }
 
 #[rstest]
@@ -83,11 +83,11 @@
 fn callers_are_known_by_their_key() {
     let mut whole = configuration(vec![route("h", "/a/"), route("h", "/b/")]);
     whole.routes[1].public = true;
-    whole.tenants = Some(vec![tenant("t", &["k1", "k2"])]);
+    whole.teams = Some(vec![team("t", &["k1", "k2"])]);
     let table = RouteTable::new(whole);
     let private = table.route("h", "/a/").expect("a route").clone();
     let public = table.route("h", "/b/").expect("a route").clone();
-    assert!(matches!(table.caller(&private, Some("k2")), Caller::Tenant(t) if t.name == "t"));
+    assert!(matches!(table.caller(&private, Some("k2")), Caller::Team(t) if t.name == "t"));
     assert_eq!(table.caller(&private, Some("k3")), Caller::Unknown);
     assert_eq!(table.caller(&private, None), Caller::Unknown);
     assert_eq!(table.caller(&public, None), Caller::Anyone);
@@ -98,9 +98,9 @@
 #[rstest]
 #[case::unknown_service(|whole: &mut Configuration| whole.services.clear(), "routes[0].service")]
 #[case::no_weight(|whole: &mut Configuration| whole.routes[0].services[0].weight = 0, "routes[0].service")]
-#[case::no_timeout(|whole: &mut Configuration| whole.routes[0].timeout = Duration::ZERO, "routes[0].timeout")]
+#[case::no_timeout(|whole: &mut Configuration| whole.routes[0].timeout = Duration::ZERO, "routes[0].timeout_ms")]
 #[case::same_place(|whole: &mut Configuration| whole.routes.push(route("h", "/a/")), "routes[1].prefix")]
-#[case::shared_key(|whole: &mut Configuration| whole.tenants = Some(vec![tenant("t", &["k"]), tenant("u", &["k"])]), "tenants[1].keys")]
+#[case::shared_key(|whole: &mut Configuration| whole.teams = Some(vec![team("t", &["k"]), team("u", &["k"])]), "teams[1].keys")]
 fn a_faulty_configuration_names_the_field(
     #[case] spoil: fn(&mut Configuration),
     #[case] path: &str,
@@ -133,7 +133,7 @@
         id: id.into(),
         service: "s".into(),
         addr: SocketAddr::from(([10, 0, 0, 1], 80)),
-        zone: "z".into(),
+        data_hall: "z".into(),
         slots: 8,
         state,
         sequence,
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -96,8 +96,8 @@
         if !book.sent_ids.contains(id) {
             broken.push(format!("UNASKED: nobody sent {id}: {runs:?}"));
         }
-        if let Some(run) = runs.iter().find(|run| run.tenant != "tenant-a") {
-            broken.push(format!("UNASKED: {id} ran for the wrong tenant: {run:?}"));
+        if let Some(run) = runs.iter().find(|run| run.team != "tenant-a") {
+            broken.push(format!("UNASKED: {id} ran for the wrong team: {run:?}"));
         }
     }
 }
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -54,7 +54,7 @@
 pub struct Run {
     pub target: String,
     pub at: Duration,
-    pub tenant: String,
+    pub team: String,
 }
 
 /// Everything seen in one run of the soak.
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -208,7 +208,7 @@
             let refusal = Response::builder().status(503).header("x-not-run", "1");
             return Ok(refusal.body(whole(String::new())).expect("sound"));
         }
-        let run = Run { target: self.id.clone(), at: self.ledger.now(), tenant: text("x-tenant") };
+        let run = Run { target: self.id.clone(), at: self.ledger.now(), team: text("x-tenant") };
         self.ledger.book().runs.entry(id.clone()).or_default().push(run);
         tokio::time::sleep(Duration::from_millis(5)).await;
         let answer = Response::builder()
