Tell connects, commits, syncs, attempts by service and the time until a change is in force

Ruled out: in-force time from clocks of two hosts; a gateway says at once which version it works by, and the member it follows times that. Change: src/metrics.rs is one set for all roles; histograms of connect, whole answer, sync, commit and in-force time; counters of attempts and budgets by service. What a member believes is published before what it applied, so that a won election is counted. Test: fleet: members_and_gateways_tell_their_figures, failing before on each new name.

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -276,8 +276,19 @@
         Ok(())
     }
 
-    /// Shows what was applied, and what the member believes.
+    /// Shows what the member believes, and what was applied.
+    ///
+    /// In this order, so that who sees an entry applied sees at least as new a leader.
     fn publish(&mut self) {
+        let node = self.replica.node();
+        let leader = node.leader().and_then(|id| node.members().get(id));
+        let fresh_until = node.fresh_until(self.started.elapsed());
+        self.standing.send_replace(Standing {
+            term: node.hard().term,
+            leads: node.role() == Role::Leader,
+            leader: leader.map(|member| member.addr),
+            fresh_until: fresh_until.map(|until| self.started + until),
+        });
         let applied = self.replica.applied().index;
         let store = self.replica.store();
         let members = self.replica.node().members();
@@ -294,15 +305,6 @@
             shown.document = store.document().cloned();
             true
         });
-        let node = self.replica.node();
-        let leader = node.leader().and_then(|id| node.members().get(id));
-        let fresh_until = node.fresh_until(self.started.elapsed());
-        self.standing.send_replace(Standing {
-            term: node.hard().term,
-            leads: node.role() == Role::Leader,
-            leader: leader.map(|member| member.addr),
-            fresh_until: fresh_until.map(|until| self.started + until),
-        });
     }
 
     /// Logs a change of role; proposals of a leader that lost its place have an unknown outcome.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -68,7 +68,7 @@
     fetch_from: Option<SocketAddr>,
     outgoing: &Outgoing,
     names: &Headers,
-    limits: ConnectionLimits,
+    limits: ConnectionLimits<'_>,
     patience: Patience<'_>,
 ) -> Result<Answer, AttemptError> {
     let in_flight = target.begin();
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 
+use super::metrics::GatewayMetrics;
 use super::target::Target;
 use crate::link::{connect_from, give_up_after};
 use crate::sync::lock;
@@ -70,8 +71,8 @@
 }
 
 /// Limits on connections to a target.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ConnectionLimits {
+#[derive(Clone, Copy)]
+pub(super) struct ConnectionLimits<'a> {
     /// Address to connect from, where one is set.
     pub(super) source: Option<IpAddr>,
     /// Longest time to connect.
@@ -80,13 +81,15 @@
     pub(super) unacknowledged: Duration,
     /// Most connections of this gateway to the target.
     pub(super) most: u32,
+    /// Where connections are counted.
+    pub(super) metrics: &'a GatewayMetrics,
 }
 
 /// A kept connection, or a new one.
 pub(super) async fn connect(
     target: &Arc<Target>,
     reuse: Reuse,
-    limits: ConnectionLimits,
+    limits: ConnectionLimits<'_>,
 ) -> Result<Connection, ConnectError> {
     while let Some(mut idle) = take_idle(target, reuse) {
         let ready = tokio::time::timeout(READY_WITHIN, idle.connection.sender.ready()).await;
@@ -109,12 +112,19 @@
     Some(newest)
 }
 
-async fn open(target: &Arc<Target>, limits: ConnectionLimits) -> Result<Connection, ConnectError> {
+async fn open(
+    target: &Arc<Target>,
+    limits: ConnectionLimits<'_>,
+) -> Result<Connection, ConnectError> {
     if target.connections.load(Ordering::Relaxed) >= limits.most && !drop_one_idle(target) {
+        limits.metrics.connected(Err(ConnectError::TooMany), Duration::ZERO);
         return Err(ConnectError::TooMany);
     }
     target.connections.fetch_add(1, Ordering::Relaxed);
+    let began = Instant::now();
     let opened = open_counted(target, limits).await;
+    let outcome = opened.as_ref().map(|_| ()).map_err(|error| *error);
+    limits.metrics.connected(outcome, began.elapsed());
     if opened.is_err() {
         target.connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -133,7 +143,7 @@
 
 async fn open_counted(
     target: &Arc<Target>,
-    limits: ConnectionLimits,
+    limits: ConnectionLimits<'_>,
 ) -> Result<Connection, ConnectError> {
     let connecting = connect_from(limits.source, target.announcement.addr);
     let connected = tokio::time::timeout(limits.connect, connecting).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -280,6 +280,7 @@
         connect: gateway.settings.connect_timeout(),
         unacknowledged: Duration::from_millis(gateway.settings.unacknowledged_ms),
         most: gateway.connections_to(&plan.service),
+        metrics: &gateway.metrics,
     };
     let began = Instant::now();
     let longest = patience::for_answer(&plan.route);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -100,7 +100,11 @@
                 *lock(&self.gateway.fresh_at) = Some(fresh_at);
                 self.note_found(member);
             }
+            let version = self.gateway.version();
             self.take(*update)?;
+            if self.gateway.version() != version {
+                sender.send(&ToMember::InForce(self.gateway.version())).await?;
+            }
             if fresh_at.elapsed() >= LEADERLESS {
                 return Ok(());
             }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -85,5 +85,5 @@
 
 /// Serves metrics.
 pub(super) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    small_server::serve(listener, move |_| (StatusCode::OK, gateway.metrics.render())).await;
+    small_server::serve(listener, move |_| (StatusCode::OK, gateway.render_metrics())).await;
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,19 +3,15 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
+use super::connection::ConnectError;
 use super::reason::Refusal;
-
-/// Upper bounds of the histogram of answers, in seconds.
-const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+use crate::metrics::{MetricSet, SECONDS, SHORT_SECONDS};
 
 /// All metrics of one gateway.
 pub(super) struct GatewayMetrics {
-    registry: Registry,
+    set: MetricSet,
     requests: IntCounterVec,
     answers: IntCounterVec,
     refused: IntCounterVec,
@@ -23,7 +19,16 @@
     cut: IntCounterVec,
     resumed: IntCounter,
     left: IntCounter,
-    seconds: HistogramVec,
+    first: HistogramVec,
+    whole: HistogramVec,
+    connect: HistogramVec,
+    attempts: IntCounterVec,
+    spent: IntCounterVec,
+    withheld: IntCounterVec,
+    /// Time since the last news of a leader, in seconds.
+    pub(super) news_age: Gauge,
+    /// Revision of the directory.
+    pub(super) revision: IntGauge,
     /// Version of the configuration in force.
     pub(super) version: IntGauge,
     /// Targets known.
@@ -35,70 +40,89 @@
 impl GatewayMetrics {
     /// Metrics that start at zero.
     pub(super) fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, label: &str| {
-            let vec = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(vec.clone()))?;
-            Ok::<_, prometheus::Error>(vec)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let seconds = HistogramOpts::new(
-            "latchmount_gateway_answer_seconds",
-            "Time from a request's head to its answer, for streams to the first event.",
-        );
-        let seconds = HistogramVec::new(seconds.buckets(SECONDS.to_vec()), &["service"])?;
-        registry.register(Box::new(seconds.clone()))?;
+        let set = MetricSet::default();
         let metrics = GatewayMetrics {
-            requests: counters(
+            requests: set.counters(
                 "latchmount_gateway_requests_total",
                 "Requests for a service.",
-                "service",
+                &["service"],
             )?,
-            answers: counters(
+            answers: set.counters(
                 "latchmount_gateway_answers_total",
                 "Answers of targets passed on, by status.",
-                "status",
+                &["status"],
             )?,
-            refused: counters(
+            refused: set.counters(
                 "latchmount_gateway_refused_total",
                 "Requests refused or given up on.",
-                "reason",
+                &["reason"],
             )?,
-            attempts_failed: counters(
+            attempts_failed: set.counters(
                 "latchmount_gateway_attempts_failed_total",
                 "Attempts at a target that gave no whole answer.",
-                "reason",
+                &["reason"],
             )?,
-            cut: counters(
+            cut: set.counters(
                 "latchmount_gateway_streams_cut_total",
                 "Streams cut after they had begun.",
-                "reason",
+                &["reason"],
             )?,
-            resumed: counter(
+            resumed: set.counter(
                 "latchmount_gateway_streams_resumed_total",
                 "Streams that went on at another target.",
             )?,
-            left: counter(
+            left: set.counter(
                 "latchmount_gateway_clients_left_total",
                 "Clients that left before their final answer.",
             )?,
-            seconds,
-            version: gauge(
+            first: set.histograms(
+                "latchmount_gateway_answer_seconds",
+                "Time from a request's head to its answer, for streams to the first event.",
+                &SECONDS,
+                &["service"],
+            )?,
+            whole: set.histograms(
+                "latchmount_gateway_whole_answer_seconds",
+                "Time from a request's head to the end of its answer.",
+                &SECONDS,
+                &["service"],
+            )?,
+            connect: set.histograms(
+                "latchmount_gateway_connect_seconds",
+                "Time to open a connection to a target, or to fail to.",
+                &SHORT_SECONDS,
+                &["outcome"],
+            )?,
+            attempts: set.counters(
+                "latchmount_gateway_attempts_total",
+                "Attempts at targets, by how they ended.",
+                &["service", "outcome"],
+            )?,
+            spent: set.counters(
+                "latchmount_gateway_retries_total",
+                "Further attempts that the budget allowed.",
+                &["service"],
+            )?,
+            withheld: set.counters(
+                "latchmount_gateway_retries_withheld_total",
+                "Further attempts that the budget did not allow.",
+                &["service"],
+            )?,
+            news_age: set.fraction(
+                "latchmount_gateway_news_age_seconds",
+                "Time since a member that hears a leader was last heard; -1 before.",
+            )?,
+            revision: set.gauge(
+                "latchmount_gateway_directory_revision",
+                "Revision of the list of targets.",
+            )?,
+            version: set.gauge(
                 "latchmount_gateway_configuration_version",
                 "Version of the configuration in force.",
             )?,
-            targets: gauge("latchmount_gateway_targets", "Targets known.")?,
-            gateways: gauge("latchmount_gateway_gateways", "Gateways alive.")?,
-            registry: registry.clone(),
+            targets: set.gauge("latchmount_gateway_targets", "Targets known.")?,
+            gateways: set.gauge("latchmount_gateway_gateways", "Gateways alive.")?,
+            set,
         };
         for refusal in Refusal::ALL {
             metrics.refused.with_label_values(&[refusal.code()]);
@@ -135,15 +159,39 @@
         self.left.inc();
     }
 
+    /// An attempt ended; `outcome` is a status or a reason.
+    pub(super) fn attempted(&self, service: &str, outcome: &str) {
+        self.attempts.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// A connection was opened, or could not be.
+    pub(super) fn connected(&self, opened: Result<(), ConnectError>, time: Duration) {
+        let outcome = match opened {
+            Ok(()) => "open",
+            Err(ConnectError::Timeout) => "timeout",
+            Err(ConnectError::Refused) => "refused",
+            Err(ConnectError::TooMany) => "too_many",
+        };
+        self.connect.with_label_values(&[outcome]).observe(time.as_secs_f64());
+    }
+
+    /// The budget allowed a further attempt, or did not.
+    pub(super) fn retried(&self, service: &str, allowed: bool) {
+        let counter = if allowed { &self.spent } else { &self.withheld };
+        counter.with_label_values(&[service]).inc();
+    }
+
+    /// The end of an answer went out.
+    pub(super) fn ended(&self, service: &str, time: Duration) {
+        self.whole.with_label_values(&[service]).observe(time.as_secs_f64());
+    }
+
     pub(super) fn took(&self, service: &str, time: Duration) {
-        self.seconds.with_label_values(&[service]).observe(time.as_secs_f64());
+        self.first.with_label_values(&[service]).observe(time.as_secs_f64());
     }
 
     /// The text for a scrape.
     pub(super) fn render(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // Writing to memory fails only on a metric without samples, which is then left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.set.render()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -154,6 +154,14 @@
         lock(&self.fresh_at).map_or(-1, |at| at.elapsed().as_millis() as i64)
     }
 
+    /// The text for a scrape.
+    fn render_metrics(&self) -> Vec<u8> {
+        let age = lock(&self.fresh_at).map_or(-1.0, |at| at.elapsed().as_secs_f64());
+        self.metrics.news_age.set(age);
+        self.metrics.revision.set(read(&self.targets).revision() as i64);
+        self.metrics.render()
+    }
+
     fn note_answer(&self, target: &Target, headers: &HeaderMap) {
         let value = headers.get(&self.names().load).and_then(|value| value.to_str().ok());
         if let Some(load) = value.and_then(|value| self.dialect.load(value)) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -87,7 +87,7 @@
         return PassedOn::Answer(give_up(gateway, plan, Refusal::WrongAnswer));
     }
     trace::answered(gateway, &plan, &target, status);
-    plan.departure.finish();
+    trace::ended(gateway, &mut plan);
     let mut response = Response::new(AnswerBody::Whole(Some(bytes.freeze())));
     *response.status_mut() = status;
     *response.headers_mut() = passed_headers(headers);
@@ -306,7 +306,7 @@
 
     /// Keeps the connection of a stream that has ended.
     fn end(mut self) {
-        self.plan.departure.finish();
+        trace::ended(&self.gateway, &mut self.plan);
         self.answer.connection.keep(&self.answer.headers);
     }
 }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -47,9 +47,13 @@
 
     /// Takes one further arrival out of the budget, if the request may have it.
     pub(super) fn may_send_again(&self, plan: &Plan) -> bool {
+        if plan.sends >= plan.route.max_attempts {
+            return false;
+        }
         let (now, gateways) = (self.now(), self.gateways());
-        plan.sends < plan.route.max_attempts
-            && self.with_budget(&plan.service, |budget| budget.spend(now, gateways))
+        let allowed = self.with_budget(&plan.service, |budget| budget.spend(now, gateways));
+        self.metrics.retried(&plan.service, allowed);
+        allowed
     }
 
     /// Further arrivals at a service that the budget has left.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -58,6 +58,8 @@
     outcome: Result<StatusCode, (Refusal, AttemptError)>,
 ) {
     let failed = outcome.is_err();
+    let code = outcome.as_ref().map_or_else(|(refusal, _)| refusal.code(), StatusCode::as_str);
+    gateway.metrics.attempted(&plan.service, code);
     let kept = lock(&gateway.attempt_lines).keep(gateway.now());
     if !failed && kept.is_none() {
         return;
@@ -93,6 +95,12 @@
         "elapsed_ms" => millis_since(plan.arrived), "stands_for" => stands_for);
 }
 
+/// The end of an answer went out.
+pub(super) fn ended(gateway: &Gateway, plan: &mut Plan) {
+    gateway.metrics.ended(&plan.service, plan.arrived.elapsed());
+    plan.departure.finish();
+}
+
 /// An answer or a stream broke off on its way from the target.
 pub(super) fn broke_off(
     gateway: &Gateway,
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -1,5 +1,6 @@
 //! Tells gateways of every change, and that the member still hears a leader.
 
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use super::Shared;
@@ -24,6 +25,12 @@
     idle: bool,
 }
 
+/// A configuration on its way to a gateway.
+struct UnderWay {
+    version: u64,
+    since: Instant,
+}
+
 /// Serves one gateway until its connection ends.
 pub(super) async fn serve(
     shared: &Shared,
@@ -33,16 +40,21 @@
 ) -> Result<(), LinkError> {
     let gateway = subscription.gateway.clone();
     lock(&shared.presence).connect(&gateway);
+    let under_way = Mutex::new(None);
     let closed = async {
         loop {
-            if let ToMember::Loads(loads) = receiver.receive().await? {
-                let now = shared.now();
-                lock(&shared.board).hear_gateway(now, &gateway, loads);
+            let now = shared.now();
+            match receiver.receive().await? {
+                ToMember::Loads(loads) => {
+                    lock(&shared.board).hear_gateway(now, &gateway, loads);
+                }
+                ToMember::InForce(version) => note_in_force(shared, &under_way, version),
+                _ => return Err(LinkError::Garbled),
             }
         }
     };
     let ended = tokio::select! {
-        ended = push(shared, subscription, sender) => ended,
+        ended = push(shared, subscription, sender, &under_way) => ended,
         ended = closed => ended,
     };
     let now = shared.now();
@@ -51,10 +63,19 @@
     ended
 }
 
+/// The gateway tells which configuration it now works by.
+fn note_in_force(shared: &Shared, under_way: &Mutex<Option<UnderWay>>, version: u64) {
+    let mut under_way = lock(under_way);
+    if let Some(sent) = under_way.take_if(|sent| sent.version <= version) {
+        shared.metrics.in_force.observe(sent.since.elapsed().as_secs_f64());
+    }
+}
+
 async fn push(
     shared: &Shared,
     subscription: Subscription,
     mut sender: FrameSender,
+    under_way: &Mutex<Option<UnderWay>>,
 ) -> Result<(), LinkError> {
     let mut cursor = Cursor {
         version: subscription.version,
@@ -69,7 +90,11 @@
     let mut sign_at = tokio::time::Instant::now();
     loop {
         let now = published.borrow_and_update().clone();
+        let before = cursor.version;
         let (update, news) = next_update(shared, &now, &mut cursor);
+        if before > 0 && cursor.version > before {
+            *lock(under_way) = Some(UnderWay { version: cursor.version, since: Instant::now() });
+        }
         let due = tokio::time::Instant::now() >= sign_at;
         if news || due {
             let loads = loads_interval(update.gateways);
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -45,7 +45,7 @@
                 lock(&shared.presence).hear(now, gateways);
                 lock(&shared.board).hear_member(now, from, loads);
             }
-            ToMember::Loads(_) => return Err(LinkError::Garbled),
+            ToMember::Loads(_) | ToMember::InForce(_) => return Err(LinkError::Garbled),
             ToMember::Call { id, call } => {
                 if let (Some(sender), Some(waiting)) = (sender.take(), waiting.take()) {
                     tokio::spawn(send_replies(sender, waiting));
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -45,6 +45,8 @@
     },
     /// What the gateway on this connection has in flight.
     Loads(Vec<TargetLoad>),
+    /// The gateway on this connection now works by the configuration of this version.
+    InForce(u64),
     /// A gateway wants to be told of every change.
     Subscribe(Subscription),
 }
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -3,19 +3,28 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 use tokio::net::TcpListener;
 
 use super::Shared;
+use crate::metrics::{MetricSet, SECONDS, SHORT_SECONDS};
 use crate::raft::Standing;
 use crate::small_server;
 use crate::sync::lock;
 
 /// All metrics of one member.
 pub(super) struct MemberMetrics {
-    registry: Registry,
+    set: MetricSet,
     /// Calls of operators and targets, by call and outcome.
     pub(super) calls: IntCounterVec,
+    /// Elections won.
+    pub(super) elections: IntCounter,
+    /// Syncs of the log.
+    pub(super) sync: Histogram,
+    /// Proposals at the leader.
+    pub(super) commit: Histogram,
+    /// Configurations on their way to gateways.
+    pub(super) in_force: Histogram,
     term: IntGauge,
     leads: IntGauge,
     fresh: IntGauge,
@@ -29,17 +38,36 @@
 impl MemberMetrics {
     /// Metrics that start at zero.
     pub(super) fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(format!("latchmount_member_{name}"), help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
+        let set = MetricSet::default();
+        let gauge = |name: &str, help: &str| set.gauge(&format!("latchmount_member_{name}"), help);
+        let histogram = |name: &str, help: &str, bounds: &[f64]| {
+            set.histogram(&format!("latchmount_member_{name}"), help, bounds)
         };
-        let opts = Opts::new("latchmount_member_calls_total", "Calls of operators and targets.");
-        let calls = IntCounterVec::new(opts, &["call", "outcome"])?;
-        registry.register(Box::new(calls.clone()))?;
         Ok(MemberMetrics {
-            calls,
+            calls: set.counters(
+                "latchmount_member_calls_total",
+                "Calls of operators and targets.",
+                &["call", "outcome"],
+            )?,
+            elections: set.counter(
+                "latchmount_member_elections_won_total",
+                "Times that this member became the leader.",
+            )?,
+            sync: histogram(
+                "sync_seconds",
+                "Time for the disk to hold what was written.",
+                &SHORT_SECONDS,
+            )?,
+            commit: histogram(
+                "commit_seconds",
+                "Time from a proposal at the leader to its answer.",
+                &SHORT_SECONDS,
+            )?,
+            in_force: histogram(
+                "in_force_seconds",
+                "Time from a configuration's arrival here until a gateway connected here has it.",
+                &SECONDS,
+            )?,
             term: gauge("term", "Newest term seen.")?,
             leads: gauge("leads", "Whether this member leads.")?,
             fresh: gauge("hears_leader", "Whether a leader was heard lately, or leads here.")?,
@@ -48,7 +76,7 @@
             voters: gauge("voters", "Members that vote.")?,
             targets: gauge("targets", "Targets in the directory.")?,
             gateways: gauge("gateways", "Gateways alive.")?,
-            registry,
+            set,
         })
     }
 
@@ -70,10 +98,7 @@
         self.voters.set(votes.count() as i64);
         self.targets.set(published.directory.targets().count() as i64);
         self.gateways.set(i64::from(lock(&shared.presence).alive(now)));
-        let mut text = Vec::new();
-        // Writing to memory fails only on a metric without samples, which is then left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.set.render()
     }
 }
 
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use prometheus::Histogram;
 use slog::{Logger, info, o};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -33,7 +34,7 @@
 use crate::directory::{Announcement, Heartbeat};
 use crate::raft::{
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
-    WalError, fresh_store,
+    TimedDisk, WalError, fresh_store,
 };
 use crate::store::{Answer, Command};
 use crate::sync::lock;
@@ -140,7 +141,9 @@
         };
         let founders = founders(&settings);
         let founder = founders.0.iter().find(|member| member.addr == own).map(|member| member.id);
-        let Started { member, outbox, failed } = open(&settings, founder, &log)?;
+        let metrics = MemberMetrics::new()?;
+        let syncs = metrics.sync.clone();
+        let Started { member, outbox, failed } = open(&settings, founder, syncs, &log)?;
         let identity = member.query(|replica, _| (replica.node().id(), replica.blank()));
         let (store, blank) = identity.await.unwrap_or((StoreId(0), false));
         if blank && founder == Some(store) {
@@ -161,7 +164,7 @@
             liveness: Mutex::new(Liveness::new(heartbeat)),
             archive: Mutex::default(),
             board: Mutex::default(),
-            metrics: MemberMetrics::new()?,
+            metrics,
             started: Instant::now(),
             seeds: Mutex::new(settings.seed_peers()),
             settings,
@@ -205,10 +208,12 @@
 fn open(
     settings: &MemberSettings,
     founder: Option<StoreId>,
+    syncs: Histogram,
     log: &Logger,
 ) -> Result<Started, GroupError> {
     let folder = |source| GroupError::Folder { path: settings.data_dir.clone(), source };
     let disk = PatientDisk::new(FolderDisk::open(&settings.data_dir).map_err(folder)?);
+    let disk = TimedDisk::new(disk, syncs);
     let fresh = founder.unwrap_or_else(fresh_store);
     let started = Member::start(log, |now| {
         let mut replica = Replica::open_with(
@@ -327,6 +332,7 @@
     }
 
     async fn propose_here(&self, command: Command) -> Reply {
+        let _commit = self.metrics.commit.start_timer();
         match self.member.propose(command).await {
             Ok(answer) => Reply::Answer(answer),
             Err(_) => Reply::Unknown,
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -127,10 +127,16 @@
 pub(super) async fn log_beliefs(shared: Arc<Shared>) {
     let mut published = shared.member.published();
     let mut version = 0;
+    let mut led = 0;
     let mut members = Members::default();
     while published.changed().await.is_ok() {
         let now = published.borrow_and_update().clone();
-        let term = shared.member.standing().term;
+        let standing = shared.member.standing();
+        let term = standing.term;
+        if standing.leads && term != led {
+            led = term;
+            shared.metrics.elections.inc();
+        }
         let newest = now.document.as_ref().map_or(0, |document| document.version);
         if newest != version {
             version = newest;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,130 +1,92 @@
-//! Metrics of a router, in the Prometheus text format.
+//! A set of metrics that one process serves, in the Prometheus text format.
 
+use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use crate::reason::Reason;
+/// Upper bounds of histograms of waiting times between processes, in seconds.
+pub const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+/// Upper bounds of histograms of short steps, such as a sync or a connect, in seconds.
+pub const SHORT_SECONDS: [f64; 10] =
+    [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.25, 1.0, 4.0];
 
-/// Kinds of requests, as the metrics label them.
-pub const REQUEST_KINDS: [&str; 3] = ["chat", "chat_stream", "service"];
-/// Kinds of control messages of a router, as the metrics label them.
-pub const CONTROL_KINDS: [&str; 3] = ["config", "platform_list", "slots"];
+/// The metrics of one role. Each call makes a metric, puts it into the set and returns it.
+///
+/// # Errors
+/// Every call fails when the metrics library refuses a name: a fault of the caller.
+#[derive(Clone, Debug, Default)]
+pub struct MetricSet(Registry);
 
-/// All metrics of one router.
-pub struct Metrics {
-    registry: Registry,
-    /// Requests admitted, by kind.
-    pub requests: IntCounterVec,
-    /// Final answers that refused or gave up, by reason.
-    pub refused: IntCounterVec,
-    /// Further attempts, by the reason that the one before failed for.
-    pub retries: IntCounterVec,
-    /// Streams taken up again after a break, by how that went.
-    pub resumes: IntCounterVec,
-    /// Requests in flight, by target.
-    pub in_flight: IntGaugeVec,
-    /// Requests in flight, by team.
-    pub in_flight_team: IntGaugeVec,
-    /// Bytes of control traffic, by direction and kind.
-    pub control_bytes: IntCounterVec,
-    /// Revision of the configuration in force.
-    pub config_revision: IntGauge,
-    /// Seconds since the configuration was last proven fresh; -1 before the first proof.
-    pub config_age: Gauge,
-}
+impl MetricSet {
+    /// A counter.
+    pub fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+        self.add(IntCounter::new(name, help)?)
+    }
+
+    /// A counter for each value of the labels.
+    pub fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        self.add(IntCounterVec::new(Opts::new(name, help), labels)?)
+    }
+
+    /// A number that goes up and down.
+    pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        self.add(IntGauge::new(name, help)?)
+    }
+
+    /// The same with fractions.
+    pub fn fraction(&self, name: &str, help: &str) -> Result<Gauge, prometheus::Error> {
+        self.add(Gauge::new(name, help)?)
+    }
+
+    /// A number for each value of the labels.
+    pub fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntGaugeVec, prometheus::Error> {
+        self.add(IntGaugeVec::new(Opts::new(name, help), labels)?)
+    }
 
-impl Metrics {
-    /// Metrics that start at zero, one series for each reason and kind.
-    ///
-    /// # Errors
-    /// When the metrics library refuses a name: a fault of this module.
-    pub fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(vec.clone()))?;
-            Ok::<_, prometheus::Error>(vec)
-        };
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let vec = IntGaugeVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(vec.clone()))?;
-            Ok::<_, prometheus::Error>(vec)
-        };
-        let metrics = Metrics {
-            requests: counters("latchmount_requests_total", "Requests admitted.", &["kind"])?,
-            refused: counters(
-                "latchmount_refused_total",
-                "Requests refused or given up on.",
-                &["reason"],
-            )?,
-            retries: counters(
-                "latchmount_retries_total",
-                "Further attempts, by the reason that the one before failed for.",
-                &["reason"],
-            )?,
-            resumes: counters(
-                "latchmount_resumes_total",
-                "Streams taken up again after a break.",
-                &["result"],
-            )?,
-            in_flight: gauges(
-                "latchmount_in_flight",
-                "Requests in flight at a target.",
-                &["target"],
-            )?,
-            in_flight_team: gauges(
-                "latchmount_in_flight_team",
-                "Requests in flight of a team.",
-                &["team"],
-            )?,
-            control_bytes: counters(
-                "latchmount_control_bytes_total",
-                "Payload bytes of control traffic.",
-                &["direction", "kind"],
-            )?,
-            config_revision: IntGauge::new(
-                "latchmount_config_revision",
-                "Revision of the configuration in force.",
-            )?,
-            config_age: Gauge::new(
-                "latchmount_config_age_seconds",
-                "Time since the configuration was proven fresh; -1 before.",
-            )?,
-            registry: registry.clone(),
-        };
-        registry.register(Box::new(metrics.config_revision.clone()))?;
-        registry.register(Box::new(metrics.config_age.clone()))?;
-        metrics.start_at_zero();
-        Ok(metrics)
+    /// A histogram of seconds.
+    pub fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        bounds: &[f64],
+    ) -> Result<Histogram, prometheus::Error> {
+        self.add(Histogram::with_opts(HistogramOpts::new(name, help).buckets(bounds.to_vec()))?)
     }
 
-    fn start_at_zero(&self) {
-        for reason in Reason::ALL {
-            self.refused.with_label_values(&[reason.code()]);
-            self.retries.with_label_values(&[reason.code()]);
-        }
-        for kind in REQUEST_KINDS {
-            self.requests.with_label_values(&[kind]);
-        }
-        for kind in CONTROL_KINDS {
-            self.control_bytes.with_label_values(&["sent", kind]);
-            self.control_bytes.with_label_values(&["received", kind]);
-        }
+    /// A histogram of seconds for each value of the labels.
+    pub fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        bounds: &[f64],
+        labels: &[&str],
+    ) -> Result<HistogramVec, prometheus::Error> {
+        let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        self.add(HistogramVec::new(opts, labels)?)
     }
 
-    /// Counts control traffic of one exchange.
-    pub fn count_control(&self, kind: &str, sent: usize, received: usize) {
-        let bytes = &self.control_bytes;
-        bytes.with_label_values(&["sent", kind]).inc_by(sent as u64);
-        bytes.with_label_values(&["received", kind]).inc_by(received as u64);
+    fn add<M: Collector + Clone + 'static>(&self, metric: M) -> Result<M, prometheus::Error> {
+        self.0.register(Box::new(metric.clone()))?;
+        Ok(metric)
     }
 
     /// The text for a scrape.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
         // Writing to memory fails only on a metric without samples, which is then left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        let _ = TextEncoder::new().encode(&self.0.gather(), &mut text);
         text
     }
 }
--- a/src/raft/disk.rs
+++ b/src/raft/disk.rs
@@ -1,10 +1,12 @@
-//! Disks that hold a log: a file in a folder, and one that waits while it is full.
+//! Disks that hold a log: a file in a folder, one that waits while it is full, and one that is timed.
 
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write as _};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use prometheus::Histogram;
+
 use super::Disk;
 
 const LOG_FILE: &str = "log";
@@ -205,3 +207,48 @@
         self.disk.read_hint()
     }
 }
+
+/// A disk whose syncs are timed.
+pub struct TimedDisk<D> {
+    disk: D,
+    syncs: Histogram,
+}
+
+impl<D: Disk> TimedDisk<D> {
+    /// Times the syncs of `disk`.
+    pub fn new(disk: D, syncs: Histogram) -> Self {
+        TimedDisk { disk, syncs }
+    }
+}
+
+impl<D: Disk> Disk for TimedDisk<D> {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        self.disk.read()
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let _timer = self.syncs.start_timer();
+        self.disk.replace(bytes)
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.disk.append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let _timer = self.syncs.start_timer();
+        self.disk.sync()
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        self.disk.truncate(len)
+    }
+
+    fn write_hint(&mut self, bytes: &[u8]) {
+        self.disk.write_hint(bytes);
+    }
+
+    fn read_hint(&mut self) -> Option<Vec<u8>> {
+        self.disk.read_hint()
+    }
+}
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::store::{Command, Store};
 
-pub use self::disk::{BoxedDisk, FolderDisk, PatientDisk};
+pub use self::disk::{BoxedDisk, FolderDisk, PatientDisk, TimedDisk};
 pub use self::log::Log;
 pub use self::membership::{Health, Upkeep};
 pub use self::message::{AppendResult, Body, Envelope};
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -18,9 +18,9 @@
 use super::admission::Work;
 use super::answer::Refusal;
 use super::claim::{KEY_HEADER, STORED_STATUS};
+use super::metrics::Metrics;
 use super::{Shared, lock};
 use crate::claims::RequestKey;
-use crate::metrics::Metrics;
 use crate::reason::Reason;
 
 /// Largest set of headers, in bytes.
--- /dev/null
+++ b/src/router/metrics.rs
@@ -0,0 +1,112 @@
+//! Metrics of a router.
+
+use prometheus::{Gauge, IntCounterVec, IntGauge, IntGaugeVec};
+
+use crate::metrics::MetricSet;
+use crate::reason::Reason;
+
+/// Kinds of requests, as the metrics label them.
+pub const REQUEST_KINDS: [&str; 3] = ["chat", "chat_stream", "service"];
+/// Kinds of control messages of a router, as the metrics label them.
+pub const CONTROL_KINDS: [&str; 3] = ["config", "platform_list", "slots"];
+
+/// All metrics of one router.
+pub struct Metrics {
+    set: MetricSet,
+    /// Requests admitted, by kind.
+    pub requests: IntCounterVec,
+    /// Final answers that refused or gave up, by reason.
+    pub refused: IntCounterVec,
+    /// Further attempts, by the reason that the one before failed for.
+    pub retries: IntCounterVec,
+    /// Streams taken up again after a break, by how that went.
+    pub resumes: IntCounterVec,
+    /// Requests in flight, by target.
+    pub in_flight: IntGaugeVec,
+    /// Requests in flight, by team.
+    pub in_flight_team: IntGaugeVec,
+    /// Bytes of control traffic, by direction and kind.
+    pub control_bytes: IntCounterVec,
+    /// Revision of the configuration in force.
+    pub config_revision: IntGauge,
+    /// Seconds since the configuration was last proven fresh; -1 before the first proof.
+    pub config_age: Gauge,
+}
+
+impl Metrics {
+    /// Metrics that start at zero, one series for each reason and kind.
+    ///
+    /// # Errors
+    /// When the metrics library refuses a name: a fault of this module.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let set = MetricSet::default();
+        let metrics = Metrics {
+            requests: set.counters("latchmount_requests_total", "Requests admitted.", &["kind"])?,
+            refused: set.counters(
+                "latchmount_refused_total",
+                "Requests refused or given up on.",
+                &["reason"],
+            )?,
+            retries: set.counters(
+                "latchmount_retries_total",
+                "Further attempts, by the reason that the one before failed for.",
+                &["reason"],
+            )?,
+            resumes: set.counters(
+                "latchmount_resumes_total",
+                "Streams taken up again after a break.",
+                &["result"],
+            )?,
+            in_flight: set.gauges(
+                "latchmount_in_flight",
+                "Requests in flight at a target.",
+                &["target"],
+            )?,
+            in_flight_team: set.gauges(
+                "latchmount_in_flight_team",
+                "Requests in flight of a team.",
+                &["team"],
+            )?,
+            control_bytes: set.counters(
+                "latchmount_control_bytes_total",
+                "Payload bytes of control traffic.",
+                &["direction", "kind"],
+            )?,
+            config_revision: set
+                .gauge("latchmount_config_revision", "Revision of the configuration in force.")?,
+            config_age: set.fraction(
+                "latchmount_config_age_seconds",
+                "Time since the configuration was proven fresh; -1 before.",
+            )?,
+            set,
+        };
+        metrics.start_at_zero();
+        Ok(metrics)
+    }
+
+    fn start_at_zero(&self) {
+        for reason in Reason::ALL {
+            self.refused.with_label_values(&[reason.code()]);
+            self.retries.with_label_values(&[reason.code()]);
+        }
+        for kind in REQUEST_KINDS {
+            self.requests.with_label_values(&[kind]);
+        }
+        for kind in CONTROL_KINDS {
+            self.control_bytes.with_label_values(&["sent", kind]);
+            self.control_bytes.with_label_values(&["received", kind]);
+        }
+    }
+
+    /// Counts control traffic of one exchange.
+    pub fn count_control(&self, kind: &str, sent: usize, received: usize) {
+        let bytes = &self.control_bytes;
+        bytes.with_label_values(&["sent", kind]).inc_by(sent as u64);
+        bytes.with_label_values(&["received", kind]).inc_by(received as u64);
+    }
+
+    /// The text for a scrape.
+    pub fn render(&self) -> Vec<u8> {
+        self.set.render()
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod forward;
 mod http;
+pub mod metrics;
 mod relay;
 mod slots;
 
@@ -22,7 +23,6 @@
 use tokio::sync::oneshot;
 
 use crate::freshness::Freshness;
-use crate::metrics::Metrics;
 use crate::queue::Queue;
 use crate::reason::Reason;
 use crate::retry::Budget;
@@ -32,6 +32,7 @@
 use crate::targets::Targets;
 
 use self::answers::Answers;
+use self::metrics::Metrics;
 use self::slots::Slots;
 
 /// Between two looks at the requests in flight during a planned stop.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -7,12 +7,12 @@
 
 use latchmount::choice::{Candidate, Key, NameHash, cap, choose, score};
 use latchmount::claims::{Claim, Claims, Release, RequestKey, Verdict, WINDOW};
-use latchmount::metrics::Metrics;
 use latchmount::orders::{FLIGHT, Orders};
 use latchmount::placement::{Change, Demand, Engine, plan};
 use latchmount::queue::Queue;
 use latchmount::reason::{Outcome, Reason};
 use latchmount::retry::{Attempts, Budget, MAX_ATTEMPTS, Next};
+use latchmount::router::metrics::Metrics;
 use latchmount::store::{Command, Config, Drain, Store};
 use latchmount::template::Spec;
 use proptest::collection::{btree_map, vec};
--- a/tests/fleet/group.rs
+++ b/tests/fleet/group.rs
@@ -161,23 +161,36 @@
     Ask::new("/safe/x", "r-1").send(fleet.front(0)).await.expect("an answer");
     Ask::new("/none/x", "r-2").send(fleet.front(0)).await.expect("an answer");
     let member = std::net::SocketAddr::new(member, port);
-    let text = call(member, "GET", "/metrics", "").await.expect("an answer").body;
+    fleet.configure(&configuration(7)).await;
+    let text = eventually("the gateway's word that version 7 is in force", async || {
+        let text = call(member, "GET", "/metrics", "").await?.body;
+        text.contains("latchmount_member_in_force_seconds_count 1").then_some(text)
+    })
+    .await;
     for line in [
         "latchmount_member_leads 1",
-        "latchmount_member_configuration_version 6",
+        "latchmount_member_elections_won_total 1",
+        "latchmount_member_configuration_version 7",
         "latchmount_member_targets 1",
         "latchmount_member_gateways 1",
         "latchmount_member_calls_total{call=\"put_configuration\",outcome=\"200\"}",
     ] {
         assert!(text.contains(line), "{line} in {text}");
     }
+    for count in ["latchmount_member_sync_seconds_count", "latchmount_member_commit_seconds_count"] {
+        assert!(!text.contains(&format!("{count} 0")) && text.contains(count), "{count} in {text}");
+    }
     let text = call(scraped, "GET", "/metrics", "").await.expect("an answer").body;
     for line in [
-        "latchmount_gateway_configuration_version 6",
+        "latchmount_gateway_configuration_version 7",
         "latchmount_gateway_requests_total{service=\"s\"} 1",
         "latchmount_gateway_answers_total{status=\"200\"} 1",
         "latchmount_gateway_refused_total{reason=\"no_route\"} 1",
         "latchmount_gateway_answer_seconds_count{service=\"s\"} 1",
+        "latchmount_gateway_whole_answer_seconds_count{service=\"s\"} 1",
+        "latchmount_gateway_connect_seconds_count{outcome=\"open\"} 1",
+        "latchmount_gateway_attempts_total{outcome=\"200\",service=\"s\"} 1",
+        "latchmount_gateway_news_age_seconds 0",
     ] {
         assert!(text.contains(line), "{line} in {text}");
     }
