--- a/tests/fleet/group.rs
+++ b/tests/fleet/group.rs
@@ -177,7 +177,8 @@
     ] {
         assert!(text.contains(line), "{line} in {text}");
     }
-    for count in ["latchmount_member_sync_seconds_count", "latchmount_member_commit_seconds_count"] {
+    for count in ["latchmount_member_sync_seconds_count", "latchmount_member_commit_seconds_count"]
+    {
         assert!(!text.contains(&format!("{count} 0")) && text.contains(count), "{count} in {text}");
     }
     let text = call(scraped, "GET", "/metrics", "").await.expect("an answer").body;
