--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -50,7 +49,7 @@
     /// Configuration document held.
     pub(crate) document: Option<Document>,
     /// Targets that announced themselves.
-    pub(crate) directory: Arc<Directory>,
+    pub(crate) directory: Directory,
     /// Members of the group, as of the newest entry in the log.
     pub(crate) members: Members,
 }
@@ -298,7 +297,7 @@
             }
             shown.members.clone_from(members);
             if shown.directory.revision() != store.directory().revision() {
-                shown.directory = Arc::new(store.directory().clone());
+                shown.directory.clone_from(store.directory());
             }
             shown.applied = applied;
             shown.revision = store.revision();
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -19,6 +19,8 @@
 /// A target that may take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
+    /// Hash of its identity.
+    pub key: u64,
     /// Number that affinities are hashed to, if it has one.
     pub home: Option<u32>,
     /// Requests that it is thought to have, from all gateways.
@@ -76,31 +78,52 @@
     let fits = |candidate: &Candidate| {
         candidate.load + 1.0 <= bound.min(f64::from(candidate.slots.max(1)))
     };
-    let homes = usable.iter().filter_map(|at| Some((candidates[*at].home?, at)));
-    let first = homes
-        .filter(|(_, at)| fits(&candidates[**at]))
-        .max_by_key(|(home, _)| rank(*home, affinity));
+    let order = Order::of(candidates, affinity);
+    let fitting = usable.iter().filter(|at| fits(&candidates[**at]));
+    let placed = fitting.filter_map(|at| Some((order.place(&candidates[*at])?, at)));
+    let first = placed.max_by_key(|(place, _)| *place);
     first.map(|(_, at)| at).or_else(|| least_loaded(candidates, usable)).copied()
 }
 
-/// Place of a home in the order of an affinity, the highest first.
-fn rank(home: u32, affinity: Affinity) -> u64 {
-    xxh3_64_with_seed(&home.to_le_bytes(), affinity.hash)
+/// Order of an affinity over candidates, the highest place first.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    affinity: Affinity,
+    /// Whether places follow from homes; else from identities, while most have no home yet: the few
+    /// that have one must not get the work of all.
+    by_home: bool,
+}
+
+impl Order {
+    fn of(candidates: &[Candidate], affinity: Affinity) -> Self {
+        let homed = candidates.iter().filter(|candidate| candidate.home.is_some()).count();
+        Order { affinity, by_home: 2 * homed >= candidates.len() }
+    }
+
+    /// Place of a candidate, if it has one.
+    fn place(self, candidate: &Candidate) -> Option<u64> {
+        let seed = self.affinity.hash;
+        if self.by_home {
+            return Some(xxh3_64_with_seed(&candidate.home?.to_le_bytes(), seed));
+        }
+        Some(xxh3_64_with_seed(&candidate.key.to_le_bytes(), seed))
+    }
 }
 
 /// The candidate besides the chosen one that most likely keeps what a request shares with others: the
 /// first in the order of its affinity.
 pub fn likely_keeper(candidates: &[Candidate], chosen: usize, affinity: Affinity) -> Option<usize> {
+    let order = Order::of(candidates, affinity);
     let others = (0..candidates.len()).filter(|at| *at != chosen && !candidates[*at].doubtful);
-    let homes = others.filter_map(|at| Some((candidates[at].home?, at)));
-    homes.max_by_key(|(home, _)| rank(*home, affinity)).map(|(_, at)| at)
+    let placed = others.filter_map(|at| Some((order.place(&candidates[at])?, at)));
+    placed.max_by_key(|(place, _)| *place).map(|(_, at)| at)
 }
 
 /// Whether a candidate is the first in the order of an affinity, among all.
 pub fn is_first_home(candidates: &[Candidate], chosen: usize, affinity: Affinity) -> bool {
-    let homes = candidates.iter().filter_map(|candidate| candidate.home);
-    let first = homes.max_by_key(|home| rank(*home, affinity));
-    first.is_some() && candidates[chosen].home == first
+    let order = Order::of(candidates, affinity);
+    let first = candidates.iter().filter_map(|candidate| order.place(candidate)).max();
+    first.is_some() && order.place(&candidates[chosen]) == first
 }
 
 /// Load that a target may have with one more request, which shares so many tokens with others.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -58,6 +59,7 @@
         let usual = usual_others(&targets, now);
         let gateways = self.gateways();
         let candidate = |target: &&Arc<Target>| Candidate {
+            key: target.key,
             home: target.home(),
             load: target.load(now, usual, gateways),
             slots: target.announcement.slots,
@@ -104,7 +106,8 @@
         let now = self.now();
         let loads: HashMap<u64, u32> =
             loads.iter().map(|load| (load.target, load.requests)).collect();
-        let counts_for = loads_count_for(self.gateways());
+        let counts_for = loads_count_for(self.gateways(), loads.len());
+        self.busy.store(loads.len(), Ordering::Relaxed);
         let targets = read(&self.targets);
         for target in targets.all() {
             target.note_total(now, loads.get(&target.key).copied().unwrap_or(0), counts_for);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -77,16 +77,20 @@
         };
         sender.send(&ToMember::Subscribe(subscription)).await?;
         let mut fresh_at = Instant::now();
-        let mut heard_at = Instant::now();
-        let mut loads_at = tokio::time::Instant::now() + loads_interval(0);
+        let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
         loop {
+            let silent_at = tokio::time::Instant::from_std(receiver.heard_at() + SILENCE);
             let update = tokio::select! {
                 update = receiver.receive() => update?,
-                () = tokio::time::sleep_until(loads_at) => {
-                    loads_at += loads_interval(self.gateway.gateways());
-                    if heard_at.elapsed() >= SILENCE {
+                () = tokio::time::sleep_until(silent_at) => {
+                    // A long frame may be on its way.
+                    if receiver.heard_at().elapsed() >= SILENCE {
                         return Err(LinkError::Timeout);
                     }
+                    continue;
+                }
+                () = tokio::time::sleep_until(loads_at) => {
+                    loads_at = tokio::time::Instant::now() + self.loads_interval();
                     self.tell_loads(&mut sender).await?;
                     continue;
                 }
@@ -94,7 +98,6 @@
             let FromMember::Update(update) = update else {
                 return Err(LinkError::Garbled);
             };
-            heard_at = Instant::now();
             if update.fresh {
                 fresh_at = Instant::now();
                 *lock(&self.gateway.fresh_at) = Some(fresh_at);
@@ -111,6 +114,11 @@
         }
     }
 
+    /// Time between two words about loads.
+    fn loads_interval(&self) -> Duration {
+        loads_interval(self.gateway.gateways(), self.gateway.busy_targets())
+    }
+
     /// Tells the member what this gateway has in flight, if that has changed or is not nothing.
     async fn tell_loads(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
         let loads = self.gateway.tell_loads();
@@ -131,9 +139,11 @@
         if let Some(packed) = update.document {
             self.take_document(&packed)?;
         }
-        if let Some(delta) = update.directory {
+        if let Some(packed) = update.directory {
+            let delta = packed.unpack()?;
             let mut targets = write(&self.gateway.targets);
-            let (changed, removed) = (delta.changed.len(), delta.removed.len());
+            let changed = delta.changed.len() + delta.moved.len();
+            let removed = delta.removed.len();
             if targets.apply(delta) {
                 self.gateway.metrics.targets.set(targets.len() as i64);
                 info!(self.gateway.log, "targets changed"; "event" => "targets",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
@@ -59,6 +59,8 @@
     targets: RwLock<Targets>,
     /// Gateways alive, as the members tell; 0 while not told.
     gateways: AtomicU32,
+    /// Targets that had anything in flight, as last told.
+    busy: AtomicUsize,
     /// When a member that hears a leader was last heard.
     fresh_at: Mutex<Option<Instant>>,
     budgets: Mutex<HashMap<String, ServiceBudget>>,
@@ -137,6 +139,11 @@
         self.gateways.load(Ordering::Relaxed)
     }
 
+    /// Targets that had anything in flight, as the members last told.
+    fn busy_targets(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+
     /// Most connections of this gateway to a target of the service.
     fn connections_to(&self, service: &str) -> u32 {
         let table = self.table();
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -1,7 +1,7 @@
 //! Starts a gateway, and stops it as planned.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
@@ -87,6 +87,7 @@
             table: RwLock::default(),
             targets: RwLock::default(),
             gateways: AtomicU32::new(0),
+            busy: AtomicUsize::new(0),
             fresh_at: Mutex::default(),
             budgets: Mutex::default(),
             stage: watch::Sender::new(Stage::Serving),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -1,16 +1,14 @@
 //! The targets that a gateway knows, with what it has itself seen of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::connection::Idle;
 use super::health::Health;
 use crate::dialect::TargetLoad;
-use crate::directory::{Announcement, DirectoryDelta, Listed, TargetState};
+use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState, key};
 use crate::store::Revision;
 use crate::sync::lock;
 
@@ -20,12 +18,16 @@
 const MOVED_IN_FOR: Duration = Duration::from_secs(20);
 /// Stands for no home.
 const NO_HOME: u32 = u32::MAX;
+/// How long the members' word goes before the target's own, which is about one moment only.
+const MEMBERS_FIRST_FOR: Duration = Duration::from_secs(1);
 /// Weight of the newest word about the load.
 const NEWEST: f64 = 0.5;
 
 /// Load that other gateways bring to a target.
 #[derive(Clone, Copy, Debug)]
 struct OthersLoad {
+    /// When it was told.
+    at: Duration,
     /// Until when this counts.
     until: Duration,
     requests: f64,
@@ -57,7 +59,7 @@
 impl Target {
     fn new(announcement: Announcement) -> Self {
         let target = Target {
-            key: xxh3_64(announcement.id.as_bytes()),
+            key: key(&announcement.id),
             draining: AtomicBool::new(false),
             home: AtomicU32::new(NO_HOME),
             silent: AtomicBool::new(false),
@@ -132,7 +134,7 @@
             Some(known) if now < known.until => known.requests + NEWEST * (newest - known.requests),
             _ => newest,
         };
-        *others = Some(OthersLoad { until: now + LOAD_HOLDS_FOR, requests });
+        *others = Some(OthersLoad { at: now, until: now + LOAD_HOLDS_FOR, requests });
     }
 
     /// Requests that the target is thought to have. Where it has not told lately, the other gateways
@@ -156,17 +158,22 @@
     pub(super) fn note_total(&self, now: Duration, total: u32, counts_for: Duration) {
         let others = total.saturating_sub(self.told.load(Ordering::Relaxed));
         *lock(&self.others_by_members) =
-            Some(OthersLoad { until: now + counts_for, requests: f64::from(others) });
+            Some(OthersLoad { at: now, until: now + counts_for, requests: f64::from(others) });
     }
 
-    /// Requests that other gateways are thought to have at the target: by the members, or else by
-    /// the target itself; `None` when neither told lately.
+    /// Requests that other gateways are thought to have at the target: by the members if they told
+    /// just now, else by whoever told last; `None` when neither did lately.
     pub(super) fn others(&self, now: Duration) -> Option<f64> {
-        let by_members = *lock(&self.others_by_members);
-        let by_members = by_members.filter(|others| now < others.until);
-        let by_target = *lock(&self.others_by_target);
-        let by_target = by_target.filter(|others| now < others.until);
-        by_members.or(by_target).map(|others| others.requests)
+        let counts = |told: &OthersLoad| now < told.until;
+        let by_members = lock(&self.others_by_members).filter(counts);
+        let by_target = lock(&self.others_by_target).filter(counts);
+        let newest = match (by_members, by_target) {
+            (Some(members), Some(target)) if now >= members.at + MEMBERS_FIRST_FOR => {
+                if target.at > members.at { Some(target) } else { Some(members) }
+            }
+            (members, target) => members.or(target),
+        };
+        newest.map(|told| told.requests)
     }
 }
 
@@ -194,6 +201,7 @@
     homes: HashMap<(String, u32), Arc<Target>>,
     former: HashMap<(String, u32), Former>,
     by_id: HashMap<String, Arc<Target>>,
+    by_key: HashMap<u64, Arc<Target>>,
     by_service: HashMap<String, Vec<Arc<Target>>>,
 }
 
@@ -227,60 +235,81 @@
         lately.then(|| former.target.as_ref().filter(there))
     }
 
-    /// Notes who has which home now, and who had it before.
-    fn note_homes(&mut self) {
-        // What was there when the gateway started has not just come.
-        let first = self.homes.is_empty();
-        for target in self.by_id.values() {
-            let Some(home) = target.home() else {
-                continue;
-            };
-            let place = (target.announcement.service.clone(), home);
-            let before = self.homes.insert(place.clone(), target.clone());
-            let same = before.as_ref().is_some_and(|before| before.key == target.key);
-            if !same && !first {
-                self.former.insert(place, Former { target: before, since: Instant::now() });
-            }
-        }
-        self.former.retain(|_, former| former.since.elapsed() < MOVED_IN_FOR);
-    }
-
     /// Takes news, unless they are older than what is known; tells whether they were taken.
     pub(super) fn apply(&mut self, delta: DirectoryDelta) -> bool {
         if delta.revision <= self.revision {
             return false;
         }
         self.revision = delta.revision;
+        // What was there when the gateway started has not just come.
+        let first = self.homes.is_empty();
         if delta.whole {
-            let kept =
-                |id: &String| delta.changed.iter().any(|changed| changed.announcement.id == *id);
-            let gone: Vec<String> = self.by_id.keys().filter(|id| !kept(id)).cloned().collect();
+            let kept: HashSet<&str> =
+                delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
+            let known = self.by_id.keys();
+            let gone: Vec<String> =
+                known.filter(|id| !kept.contains(id.as_str())).cloned().collect();
             gone.iter().for_each(|id| self.remove(id));
         }
         delta.removed.iter().for_each(|id| self.remove(id));
         for listed in delta.changed {
-            self.change(listed);
+            let target = self.change(listed);
+            self.note_home(&target, first);
         }
-        self.note_homes();
-        self.by_service.clear();
-        for target in self.by_id.values() {
-            let service = target.announcement.service.clone();
-            self.by_service.entry(service).or_default().push(target.clone());
-        }
-        for targets in self.by_service.values_mut() {
-            targets.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        for Moved { target, state, home } in delta.moved {
+            if let Some(target) = self.by_key.get(&target).cloned() {
+                target.set_state(state);
+                target.set_home(home);
+                self.note_home(&target, first);
+            }
         }
+        self.former.retain(|_, former| former.since.elapsed() < MOVED_IN_FOR);
         true
     }
 
+    /// Notes who has a home now, and who had it before.
+    fn note_home(&mut self, target: &Arc<Target>, first: bool) {
+        let Some(home) = target.home() else {
+            return;
+        };
+        let place = (target.announcement.service.clone(), home);
+        let before = self.homes.insert(place.clone(), target.clone());
+        let same = before.as_ref().is_some_and(|before| before.key == target.key);
+        if !same && !first {
+            self.former.insert(place, Former { target: before, since: Instant::now() });
+        }
+    }
+
     fn remove(&mut self, id: &str) {
-        if let Some(target) = self.by_id.remove(id) {
-            // Requests that hold the target must not keep its connections.
-            target.set_state(TargetState::Draining);
+        let Some(target) = self.by_id.remove(id) else {
+            return;
+        };
+        self.by_key.remove(&target.key);
+        // Requests that hold the target must not keep its connections.
+        target.set_state(TargetState::Draining);
+        if let Some(of_service) = self.by_service.get_mut(&target.announcement.service)
+            && let Ok(at) = position(of_service, id)
+        {
+            of_service.remove(at);
+        }
+    }
+
+    fn insert(&mut self, target: Arc<Target>) {
+        let announcement = &target.announcement;
+        if !self.by_service.contains_key(&announcement.service) {
+            self.by_service.insert(announcement.service.clone(), Vec::new());
+        }
+        if let Some(of_service) = self.by_service.get_mut(&announcement.service)
+            && let Err(at) = position(of_service, &announcement.id)
+        {
+            of_service.insert(at, target.clone());
         }
+        self.by_key.insert(target.key, target.clone());
+        self.by_id.insert(announcement.id.clone(), target);
     }
 
-    fn change(&mut self, listed: Listed) {
+    /// Takes what is now known of a target, and returns the target.
+    fn change(&mut self, listed: Listed) -> Arc<Target> {
         let Listed { announcement, home } = listed;
         if let Some(known) = self.by_id.get(&announcement.id)
             && known.announcement.addr == announcement.addr
@@ -288,11 +317,17 @@
         {
             known.set_state(announcement.state);
             known.set_home(home);
-            return;
+            return known.clone();
         }
         self.remove(&announcement.id);
-        let target = Target::new(announcement);
+        let target = Arc::new(Target::new(announcement));
         target.set_home(home);
-        self.by_id.insert(target.announcement.id.clone(), Arc::new(target));
+        self.insert(target.clone());
+        target
     }
 }
+
+/// Where a target stands among those of its service, or where it belongs.
+fn position(of_service: &[Arc<Target>], id: &str) -> Result<usize, usize> {
+    of_service.binary_search_by(|target| target.announcement.id.as_str().cmp(id))
+}
--- a/src/group/board.rs
+++ b/src/group/board.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::message::{TargetLoad, loads_count_for};
+use super::message::TargetLoad;
 
 /// What was told, and when.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
 pub(super) struct LoadBoard {
     gateways: HashMap<String, Told>,
     members: HashMap<SocketAddr, Told>,
+    /// The last sum over all, for readers that ask at about the same time.
+    summed: Option<Told>,
 }
 
 impl LoadBoard {
@@ -41,19 +43,33 @@
         self.members.insert(member, Told { at: now, loads });
     }
 
-    /// What the gateways connected here have in flight, while so many are alive anywhere.
-    pub(super) fn here(&mut self, now: Duration, gateways: u32) -> Vec<TargetLoad> {
-        let longest = loads_count_for(gateways);
+    /// What the gateways connected here have in flight, of words no older than `longest`.
+    pub(super) fn here(&mut self, now: Duration, longest: Duration) -> Vec<TargetLoad> {
         self.gateways.retain(|_, told| now < told.at + longest);
         sum(self.gateways.values())
     }
 
-    /// What all gateways have in flight, while so many are alive.
-    pub(super) fn everywhere(&mut self, now: Duration, gateways: u32) -> Vec<TargetLoad> {
-        let longest = loads_count_for(gateways);
+    /// What all gateways have in flight, of words no older than `longest`; may itself be as old as
+    /// `slack`.
+    pub(super) fn everywhere(
+        &mut self,
+        now: Duration,
+        longest: Duration,
+        slack: Duration,
+    ) -> Vec<TargetLoad> {
+        if let Some(summed) = self.summed.as_ref().filter(|summed| now < summed.at + slack) {
+            return summed.loads.clone();
+        }
         self.gateways.retain(|_, told| now < told.at + longest);
         self.members.retain(|_, told| now < told.at + longest);
-        sum(self.gateways.values().chain(self.members.values()))
+        let loads = sum(self.gateways.values().chain(self.members.values()));
+        self.summed = Some(Told { at: now, loads: loads.clone() });
+        loads
+    }
+
+    /// Targets that had anything in flight at the last sum.
+    pub(super) fn busy(&self) -> usize {
+        self.summed.as_ref().map_or(0, |summed| summed.loads.len())
     }
 }
 
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -15,7 +15,7 @@
 use slog::{info, warn};
 use tokio::net::TcpListener;
 
-use super::message::{Call, Reply};
+use super::heartbeats::Taken;
 use super::{Shared, Unavailable};
 use crate::dialect::Door;
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
@@ -159,20 +159,20 @@
             return faulty(StatusCode::BAD_REQUEST, &faults);
         }
     };
-    match shared.call_leader(Call::Announce(announcement.clone())).await {
-        Ok(Reply::Answer(_)) => {
+    match shared.take_heartbeat(announcement.clone()).await {
+        Ok(Taken::News) => {
             info!(shared.log, "target announced"; "event" => "target_announced", "target" => id,
                 "service" => &announcement.service, "state" => ?announcement.state,
                 "addr" => %announcement.addr, "sequence" => announcement.sequence);
             heartbeat_answer(shared)
         }
-        Ok(Reply::Done) => heartbeat_answer(shared),
-        _ => unavailable(shared, "heartbeat"),
+        Ok(Taken::Known) => heartbeat_answer(shared),
+        Err(Unavailable) => unavailable(shared, "heartbeat"),
     }
 }
 
 fn heartbeat_answer(shared: &Shared) -> Answered {
-    let next = shared.leader_door();
+    let next = shared.own_door();
     json(StatusCode::OK, shared.dialect.heartbeat_answer(next).into())
 }
 
--- /dev/null
+++ b/src/group/heartbeats.rs
@@ -0,0 +1,145 @@
+//! Heartbeats of targets.
+//!
+//! Those that bring news go through the log. All others are answered by the member that they come
+//! to, which tells the leader some times a second whom it heard: one leader could not answer
+//! thousands of targets itself.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::message::{Call, Reply};
+use super::{Shared, Unavailable};
+use crate::directory::{Announcement, Heartbeat, key};
+use crate::store::Command;
+use crate::sync::lock;
+
+/// Part of the targets' interval between two reports to the leader.
+const REPORTS_IN_INTERVAL: u32 = 4;
+/// Longest time between two reports to the leader.
+const LONGEST_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a leader's answer lets this member answer targets by itself: a member that the leader
+/// does not hear must send them elsewhere, well before they count as silent.
+const TRUSTED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What a heartbeat that was taken brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Taken {
+    /// Something that every gateway will be told.
+    News,
+    /// Nothing new.
+    Known,
+}
+
+/// Targets heard here that the leader has not been told of.
+#[derive(Debug, Default)]
+pub(super) struct Heard {
+    targets: HashSet<u64>,
+    /// When the leader last took a heartbeat or a report from here.
+    confirmed_at: Option<Duration>,
+}
+
+impl Heard {
+    /// Notes a heartbeat that was answered here.
+    pub(super) fn note(&mut self, target: u64) {
+        self.targets.insert(target);
+    }
+
+    /// The leader took a heartbeat or a report.
+    pub(super) fn confirm(&mut self, now: Duration) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Whether the leader has lately taken what this member told it.
+    pub(super) fn trusted(&self, now: Duration) -> bool {
+        self.confirmed_at.is_some_and(|at| now < at + TRUSTED_FOR)
+    }
+
+    /// Targets to report; they come back by [`Heard::note`] if the leader does not take them.
+    pub(super) fn take(&mut self) -> Vec<u64> {
+        self.targets.drain().collect()
+    }
+}
+
+impl Shared {
+    /// Takes a heartbeat.
+    pub(super) async fn take_heartbeat(
+        &self,
+        announcement: Announcement,
+    ) -> Result<Taken, Unavailable> {
+        if self.answers_alone(&announcement) {
+            lock(&self.heard).note(key(&announcement.id));
+            return Ok(Taken::Known);
+        }
+        let reply = self.call_leader(Call::Announce(announcement)).await?;
+        lock(&self.heard).confirm(self.now());
+        Ok(if matches!(reply, Reply::Answer(_)) { Taken::News } else { Taken::Known })
+    }
+
+    /// Whether this member may answer a heartbeat without asking the leader.
+    fn answers_alone(&self, announcement: &Announcement) -> bool {
+        let standing = self.member.standing();
+        let trusted = || lock(&self.heard).trusted(self.now());
+        let known = || self.judge(announcement) != Heartbeat::News;
+        !standing.leads && standing.fresh(Instant::now()) && trusted() && known()
+    }
+
+    /// What a heartbeat brings, by the directory held here.
+    fn judge(&self, announcement: &Announcement) -> Heartbeat {
+        self.member.published().borrow().directory.judge(announcement)
+    }
+
+    /// Takes a heartbeat as the leader.
+    pub(super) async fn announce_here(&self, announcement: Announcement) -> Reply {
+        let now = self.now();
+        let at_once = {
+            let mut liveness = lock(&self.liveness);
+            liveness.hear(now, key(&announcement.id));
+            let directory = self.published().directory;
+            liveness.forming(now, &announcement.service, &directory)
+        };
+        match self.judge(&announcement) {
+            Heartbeat::News => self.propose_here(Command::Announce { announcement, at_once }).await,
+            Heartbeat::Known | Heartbeat::Late if self.leads() => Reply::Done,
+            Heartbeat::Known | Heartbeat::Late => Reply::Unknown,
+        }
+    }
+
+    /// Takes another member's report as the leader.
+    pub(super) fn take_report(&self, targets: &[u64]) -> Reply {
+        if !self.leads() {
+            return Reply::Unknown;
+        }
+        let now = self.now();
+        let mut liveness = lock(&self.liveness);
+        targets.iter().for_each(|target| liveness.hear(now, *target));
+        Reply::Done
+    }
+
+    /// Where targets best send their next heartbeat: here, since they reached this member.
+    pub(super) fn own_door(&self) -> Option<SocketAddr> {
+        let port = self.settings.listen?.port();
+        Some(SocketAddr::new(self.own.ip(), port))
+    }
+}
+
+/// Tells the leader, some times in the targets' interval, whom this member heard.
+pub(super) async fn report(shared: Arc<Shared>) {
+    let interval = Duration::from_millis(shared.settings.target_heartbeat_ms);
+    let interval = (interval / REPORTS_IN_INTERVAL).min(LONGEST_REPORT_INTERVAL);
+    loop {
+        tokio::time::sleep(interval).await;
+        let targets = lock(&shared.heard).take();
+        if targets.is_empty() {
+            continue;
+        }
+        match shared.call_leader(Call::Heard(targets.clone())).await {
+            Ok(_) => lock(&shared.heard).confirm(shared.now()),
+            Err(Unavailable) => {
+                let mut heard = lock(&shared.heard);
+                targets.into_iter().for_each(|target| heard.note(target));
+            }
+        }
+    }
+}
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -40,10 +40,11 @@
                 }
                 shared.member.deliver(messages);
             }
-            ToMember::Presence { from, gateways, loads } => {
-                let now = shared.now();
-                lock(&shared.presence).hear(now, gateways);
-                lock(&shared.board).hear_member(now, from, loads);
+            ToMember::Presence(gateways) => {
+                lock(&shared.presence).hear(shared.now(), gateways);
+            }
+            ToMember::MemberLoads { from, loads } => {
+                lock(&shared.board).hear_member(shared.now(), from, loads);
             }
             ToMember::Loads(_) | ToMember::InForce(_) => return Err(LinkError::Garbled),
             ToMember::Call { id, call } => {
--- /dev/null
+++ b/src/group/listing.rs
@@ -0,0 +1,100 @@
+//! The list of targets as it goes to gateways.
+//!
+//! Targets go by columns: what is alike in all of them then costs next to nothing once compressed,
+//! and a gateway that starts needs all of them.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState};
+use crate::link::LinkError;
+use crate::store::Revision;
+
+/// Compression level of a whole list, which is made once and sent to many.
+const LEVEL: i32 = 9;
+/// Largest list, in bytes.
+const MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// What a gateway lacks of the directory, packed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PackedDelta {
+    /// Revision after applying it.
+    pub revision: Revision,
+    bytes: Vec<u8>,
+}
+
+/// A delta by columns.
+#[derive(Serialize, Deserialize)]
+struct Columns {
+    revision: Revision,
+    whole: bool,
+    removed: Vec<String>,
+    moved_targets: Vec<u64>,
+    moved_states: Vec<TargetState>,
+    moved_homes: Vec<Option<u32>>,
+    ids: Vec<String>,
+    services: Vec<String>,
+    addrs: Vec<SocketAddr>,
+    data_halls: Vec<String>,
+    slots: Vec<u32>,
+    states: Vec<TargetState>,
+    homes: Vec<Option<u32>>,
+}
+
+impl PackedDelta {
+    /// Packs a delta; gateways have no use for sequences, which are left out.
+    ///
+    /// # Errors
+    /// [`LinkError`] when it can't be encoded.
+    pub fn pack(delta: DirectoryDelta) -> Result<Self, LinkError> {
+        let mut changed = delta.changed;
+        // Homes in a row cost nothing.
+        changed.sort_by_key(|listed| listed.home);
+        let column = |of: fn(&Announcement) -> &String| {
+            changed.iter().map(|listed| of(&listed.announcement).clone()).collect()
+        };
+        let columns = Columns {
+            revision: delta.revision,
+            whole: delta.whole,
+            removed: delta.removed,
+            moved_targets: delta.moved.iter().map(|moved| moved.target).collect(),
+            moved_states: delta.moved.iter().map(|moved| moved.state).collect(),
+            moved_homes: delta.moved.iter().map(|moved| moved.home).collect(),
+            ids: column(|announcement| &announcement.id),
+            services: column(|announcement| &announcement.service),
+            data_halls: column(|announcement| &announcement.data_hall),
+            addrs: changed.iter().map(|listed| listed.announcement.addr).collect(),
+            slots: changed.iter().map(|listed| listed.announcement.slots).collect(),
+            states: changed.iter().map(|listed| listed.announcement.state).collect(),
+            homes: changed.iter().map(|listed| listed.home).collect(),
+        };
+        let plain = postcard::to_stdvec(&columns).map_err(|_| LinkError::Garbled)?;
+        let bytes = zstd::bulk::compress(&plain, LEVEL)?;
+        Ok(PackedDelta { revision: columns.revision, bytes })
+    }
+
+    /// Unpacks it.
+    ///
+    /// # Errors
+    /// [`LinkError`] when it can't be decoded.
+    pub fn unpack(&self) -> Result<DirectoryDelta, LinkError> {
+        let plain = zstd::bulk::Decompressor::upper_bound(&self.bytes).unwrap_or(MAX_BYTES);
+        let plain = zstd::bulk::decompress(&self.bytes, plain.min(MAX_BYTES))?;
+        let columns: Columns = postcard::from_bytes(&plain).map_err(|_| LinkError::Garbled)?;
+        let Columns { revision, whole, .. } = columns;
+        let moved = columns.moved_targets.into_iter().zip(columns.moved_states);
+        let moved = moved.zip(columns.moved_homes);
+        let moved = moved.map(|((target, state), home)| Moved { target, state, home }).collect();
+        let places = columns.ids.into_iter().zip(columns.services).zip(columns.addrs);
+        let places = places.zip(columns.data_halls).zip(columns.slots);
+        let listed = places.zip(columns.states).zip(columns.homes);
+        let changed = listed.map(|((((((id, service), addr), data_hall), slots), state), home)| {
+            let announcement =
+                Announcement { id, service, addr, data_hall, slots, state, sequence: 0 };
+            Listed { announcement, home }
+        });
+        let changed = changed.collect();
+        Ok(DirectoryDelta { revision, whole, changed, moved, removed: columns.removed })
+    }
+}
--- a/src/group/liveness.rs
+++ b/src/group/liveness.rs
@@ -1,9 +1,9 @@
 //! Which targets have not been heard for long, as the leader sees it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use crate::directory::{Directory, TargetState};
+use crate::directory::{Directory, TargetState, key};
 
 /// Heartbeats that a target may miss before it counts as silent.
 const MISSED: u32 = 4;
@@ -17,7 +17,9 @@
     waits_for_home: Duration,
     /// Since when targets without a home have been seen.
     unsettled: HashMap<String, Duration>,
-    heard: HashMap<String, Duration>,
+    heard: HashMap<u64, Duration>,
+    /// When the first target of each service came, if it came here.
+    first_seen: HashMap<String, Option<Duration>>,
     /// Since when this member leads, without a break.
     leading_since: Option<Duration>,
 }
@@ -29,18 +31,25 @@
             waits_for_home: heartbeat * WAITS_FOR_HOME,
             unsettled: HashMap::new(),
             heard: HashMap::new(),
+            first_seen: HashMap::new(),
             leading_since: None,
         }
     }
 
-    /// Notes a heartbeat.
-    pub(super) fn hear(&mut self, now: Duration, id: &str) {
-        match self.heard.get_mut(id) {
-            Some(heard) => *heard = now,
-            None => {
-                self.heard.insert(id.to_owned(), now);
-            }
+    /// Notes a heartbeat of a target, by its short form.
+    pub(super) fn hear(&mut self, now: Duration, target: u64) {
+        self.heard.insert(target, now);
+    }
+
+    /// Whether a service has only just had its first target: then newcomers replace nobody, and
+    /// need not wait for a home that somebody leaves.
+    pub(super) fn forming(&mut self, now: Duration, service: &str, directory: &Directory) -> bool {
+        if let Some(first) = self.first_seen.get(service) {
+            return first.is_some_and(|first| now < first + self.waits_for_home);
         }
+        let first = (!directory.has_service(service)).then_some(now);
+        self.first_seen.insert(service.to_owned(), first);
+        first.is_some()
     }
 
     /// Targets that have become silent. A new leader gives every target the whole time.
@@ -56,10 +65,12 @@
             return Vec::new();
         }
         let since = *self.leading_since.get_or_insert(now);
-        self.heard.retain(|id, _| directory.get(id).is_some());
+        let patience = self.patience;
+        // A target that is gone is forgotten once it would count as silent.
+        self.heard.retain(|_, heard| now < *heard + patience);
         let overdue = directory.targets().filter(|target| {
-            let heard = self.heard.get(&target.id).copied().unwrap_or(since).max(since);
-            target.state != TargetState::Silent && now >= heard + self.patience
+            let heard = self.heard.get(&key(&target.id)).copied().unwrap_or(since).max(since);
+            target.state != TargetState::Silent && now >= heard + patience
         });
         overdue.map(|target| target.id.clone()).collect()
     }
@@ -71,11 +82,13 @@
         leads: bool,
         directory: &Directory,
     ) -> Vec<String> {
-        let waiting: Vec<String> =
-            directory.unsettled().map(|target| target.id.clone()).filter(|_| leads).collect();
-        self.unsettled.retain(|id, _| waiting.contains(id));
-        for id in &waiting {
-            self.unsettled.entry(id.clone()).or_insert(now);
+        let waiting: HashSet<&str> =
+            directory.unsettled().map(|target| target.id.as_str()).filter(|_| leads).collect();
+        self.unsettled.retain(|id, _| waiting.contains(id.as_str()));
+        for id in waiting {
+            if !self.unsettled.contains_key(id) {
+                self.unsettled.insert(id.to_owned(), now);
+            }
         }
         let due = self.unsettled.iter().filter(|(_, since)| now >= **since + self.waits_for_home);
         due.map(|(id, _)| id.clone()).collect()
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -5,7 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{Announcement, DirectoryDelta};
+use super::listing::PackedDelta;
+use crate::directory::Announcement;
 use crate::document::Packed;
 use crate::raft::{Envelope, Index, StoreId};
 use crate::store::{Answer, Command, Revision};
@@ -16,6 +17,10 @@
 const SHORTEST_LOADS_COUNT: Duration = Duration::from_millis(2_500);
 /// Time between two words about loads for each gateway alive.
 const LOADS_INTERVAL_EACH: Duration = Duration::from_millis(10);
+/// Targets up to which that time is enough.
+const TARGETS_OF_ONE_WORD: usize = 750;
+/// Part of that time that words take at least, since each is a frame to be handled.
+const LEAST_PART: f64 = 0.4;
 
 /// A frame on a connection that a member or a gateway made to a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -34,12 +39,12 @@
         /// The call.
         call: Call,
     },
-    /// Gateways that are connected to the sender, and what they have in flight.
-    Presence {
+    /// Gateways that are connected to the sender.
+    Presence(Vec<String>),
+    /// What the gateways connected to the sender have in flight.
+    MemberLoads {
         /// Where the sender is reached.
         from: SocketAddr,
-        /// Its gateways.
-        gateways: Vec<String>,
         /// What they have in flight.
         loads: Vec<TargetLoad>,
     },
@@ -60,17 +65,18 @@
     pub requests: u32,
 }
 
-/// Between two words about loads, while so many gateways are alive.
+/// Between two words about loads, while so many gateways are alive and so many targets are busy.
 ///
-/// Every gateway hears the loads of all, so that the bytes on a member's link grow with their number;
-/// this keeps them about the same.
-pub fn loads_interval(gateways: u32) -> Duration {
-    SHORTEST_LOADS_INTERVAL.max(LOADS_INTERVAL_EACH * gateways)
+/// Every gateway hears the loads of all targets, so that the bytes on a member's link grow with the
+/// product; this keeps them about the same.
+pub fn loads_interval(gateways: u32, targets: usize) -> Duration {
+    let longer = (targets as f64 / TARGETS_OF_ONE_WORD as f64).max(LEAST_PART);
+    SHORTEST_LOADS_INTERVAL.max((LOADS_INTERVAL_EACH * gateways).mul_f64(longer))
 }
 
-/// How long a word about loads counts, while so many gateways are alive.
-pub fn loads_count_for(gateways: u32) -> Duration {
-    SHORTEST_LOADS_COUNT.max(loads_interval(gateways) * 3)
+/// How long a word about loads counts, under the same circumstances.
+pub fn loads_count_for(gateways: u32, targets: usize) -> Duration {
+    SHORTEST_LOADS_COUNT.max(loads_interval(gateways, targets) * 3)
 }
 
 /// A frame on the way back.
@@ -96,6 +102,8 @@
     ReadIndex,
     /// Take a heartbeat of a target.
     Announce(Announcement),
+    /// Take note of targets whose heartbeats the caller answered, in their short form.
+    Heard(Vec<u64>),
     /// Take a store in.
     Join {
         /// Its identity.
@@ -139,7 +147,7 @@
     /// The configuration, if the gateway's is older.
     pub document: Option<Packed>,
     /// What the gateway lacks of the directory.
-    pub directory: Option<DirectoryDelta>,
+    pub directory: Option<PackedDelta>,
     /// Where members are reached, when that changed.
     pub members: Option<Vec<SocketAddr>>,
     /// Gateways alive.
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -8,10 +8,13 @@
 mod board;
 mod doors;
 mod feed;
+mod heartbeats;
 mod incoming;
+pub mod listing;
 mod liveness;
 pub mod message;
 mod metrics;
+mod pacer;
 mod peers;
 mod presence;
 pub mod settings;
@@ -31,7 +34,6 @@
 
 use crate::control::member::{Member, Published, Started};
 use crate::dialect::SharedDialect;
-use crate::directory::{Announcement, Heartbeat};
 use crate::raft::{
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
     TimedDisk, WalError, fresh_store,
@@ -41,9 +43,12 @@
 
 use self::archive::Archive;
 use self::board::LoadBoard;
+use self::heartbeats::Heard;
+use self::listing::PackedDelta;
 use self::liveness::Liveness;
 use self::message::{Call, Reply};
 use self::metrics::MemberMetrics;
+use self::pacer::Pacer;
 use self::peers::Peers;
 use self::presence::Presence;
 use self::settings::MemberSettings;
@@ -113,7 +118,13 @@
     presence: Mutex<Presence>,
     liveness: Mutex<Liveness>,
     archive: Mutex<Archive>,
+    /// The whole directory, as last packed.
+    packed_whole: Mutex<Option<PackedDelta>>,
     board: Mutex<LoadBoard>,
+    heard: Mutex<Heard>,
+    pace_of_documents: Pacer,
+    pace_of_targets: Pacer,
+    pace_of_wholes: Pacer,
     metrics: MemberMetrics,
     started: Instant,
     log: Logger,
@@ -163,7 +174,12 @@
             presence: Mutex::default(),
             liveness: Mutex::new(Liveness::new(heartbeat)),
             archive: Mutex::default(),
+            packed_whole: Mutex::default(),
             board: Mutex::default(),
+            heard: Mutex::default(),
+            pace_of_documents: Pacer::new(settings.link_mbps, feed::PART_FOR_DOCUMENTS),
+            pace_of_targets: Pacer::new(settings.link_mbps, feed::PART_FOR_TARGETS),
+            pace_of_wholes: Pacer::new(settings.link_mbps, feed::PART_FOR_WHOLES),
             metrics,
             started: Instant::now(),
             seeds: Mutex::new(settings.seed_peers()),
@@ -174,8 +190,10 @@
         tokio::spawn(doors::listen(shared.clone(), door_listener));
         tokio::spawn(upkeep::dispatch(shared.clone(), outbox));
         tokio::spawn(upkeep::join(shared.clone()));
-        tokio::spawn(upkeep::gossip(shared.clone()));
+        tokio::spawn(upkeep::tell_presence(shared.clone()));
+        tokio::spawn(upkeep::tell_loads(shared.clone()));
         tokio::spawn(upkeep::watch_targets(shared.clone()));
+        tokio::spawn(heartbeats::report(shared.clone()));
         tokio::spawn(upkeep::log_beliefs(shared.clone()));
         if let Some(scrapes) = scrapes {
             tokio::spawn(metrics::serve(shared.clone(), scrapes));
@@ -281,12 +299,6 @@
         addrs
     }
 
-    /// Where targets best send their next heartbeat: the leader's door.
-    fn leader_door(&self) -> Option<SocketAddr> {
-        let port = self.settings.listen?.port();
-        self.member.standing().leader.map(|leader| SocketAddr::new(leader.ip(), port))
-    }
-
     /// Calls the leader, here or elsewhere, until it answers or time is up.
     ///
     /// Every call may be repeated without harm, so lost replies are answered by calling again.
@@ -322,6 +334,7 @@
         match call {
             Call::Propose(command) => self.propose_here(command).await,
             Call::Announce(announcement) => self.announce_here(announcement).await,
+            Call::Heard(targets) => self.take_report(&targets),
             Call::ReadIndex => self.read_index().await,
             Call::Join { store, addr } => {
                 lock(&self.book).insert(store, addr);
@@ -339,17 +352,6 @@
         }
     }
 
-    async fn announce_here(&self, announcement: Announcement) -> Reply {
-        let now = self.now();
-        lock(&self.liveness).hear(now, &announcement.id);
-        let heartbeat = self.published().directory.judge(&announcement);
-        match heartbeat {
-            Heartbeat::News => self.propose_here(Command::Announce(announcement)).await,
-            Heartbeat::Known | Heartbeat::Late if self.leads() => Reply::Done,
-            Heartbeat::Known | Heartbeat::Late => Reply::Unknown,
-        }
-    }
-
     async fn read_index(&self) -> Reply {
         let index = self.member.query(|replica, now| {
             let node = replica.node();
--- a/src/group/presence.rs
+++ b/src/group/presence.rs
@@ -41,6 +41,11 @@
         self.connected.keys().cloned().collect()
     }
 
+    /// Whether any gateway is connected here.
+    pub(super) fn any_connected(&self) -> bool {
+        !self.connected.is_empty()
+    }
+
     /// Number of gateways alive.
     pub(super) fn alive(&self, now: Duration) -> u32 {
         let told = self.heard.iter().filter(|(gateway, heard)| {
--- a/src/group/settings.rs
+++ b/src/group/settings.rs
@@ -48,6 +48,8 @@
     pub compact_after_entries: usize,
     /// Between two heartbeats of a target.
     pub target_heartbeat_ms: u64,
+    /// What this host's link carries, in Mbit/s.
+    pub link_mbps: f64,
     /// Longest time to answer an operator or a target.
     pub answer_within_ms: u64,
 }
@@ -71,6 +73,7 @@
             replace_after_ms: 1_500,
             compact_after_entries: 300,
             target_heartbeat_ms: 1_000,
+            link_mbps: 1_000.0,
             answer_within_ms: 900,
         }
     }
@@ -152,6 +155,9 @@
         if self.target_heartbeat_ms == 0 {
             fault("target_heartbeat_ms", "must be above 0");
         }
+        if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
+            fault("link_mbps", "must be above 0");
+        }
         if self.answer_within_ms == 0 {
             fault("answer_within_ms", "must be above 0");
         }
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -8,7 +8,7 @@
 use slog::info;
 
 use super::Shared;
-use super::message::{Call, Reply, ToMember, loads_interval};
+use super::message::{Call, Reply, ToMember, loads_count_for, loads_interval};
 use crate::control::member::Outbox;
 use crate::raft::{Envelope, Members, StoreId};
 use crate::store::Command;
@@ -20,6 +20,10 @@
 const LOST_AFTER: Duration = Duration::from_millis(1_500);
 /// Longest time for one request to be taken in.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Between two words about which gateways are connected here.
+const PRESENCE_INTERVAL: Duration = Duration::from_millis(500);
+/// Most targets that one command gives homes to.
+const SETTLED_AT_ONCE: usize = 100;
 /// Between two looks at the targets.
 const TARGETS_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -83,27 +87,52 @@
     }
 }
 
-/// Tells the others which gateways are connected here, and what they have in flight.
-pub(super) async fn gossip(shared: Arc<Shared>) {
+/// Tells the others which gateways are connected here.
+pub(super) async fn tell_presence(shared: Arc<Shared>) {
     loop {
-        let now = shared.now();
-        let alive = lock(&shared.presence).alive(now);
-        tokio::time::sleep(loads_interval(alive)).await;
-        let now = shared.now();
+        tokio::time::sleep(PRESENCE_INTERVAL).await;
         let gateways = lock(&shared.presence).connected();
-        let loads = lock(&shared.board).here(now, alive);
-        if gateways.is_empty() {
-            continue;
+        if !gateways.is_empty() {
+            shared.tell_others(&ToMember::Presence(gateways));
         }
-        for addr in shared.known_members() {
-            if addr != shared.own {
-                let (gateways, loads) = (gateways.clone(), loads.clone());
-                shared.peers.send(addr, ToMember::Presence { from: shared.own, gateways, loads });
-            }
+    }
+}
+
+/// Tells the others what the gateways connected here have in flight.
+pub(super) async fn tell_loads(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(shared.loads_interval()).await;
+        let longest = shared.loads_count_for();
+        let loads = lock(&shared.board).here(shared.now(), longest);
+        if lock(&shared.presence).any_connected() {
+            shared.tell_others(&ToMember::MemberLoads { from: shared.own, loads });
         }
     }
 }
 
+impl Shared {
+    /// Sends a frame to every other member that is known.
+    fn tell_others(&self, frame: &ToMember) {
+        let others = self.known_members().into_iter().filter(|addr| *addr != self.own);
+        others.for_each(|addr| self.peers.send(addr, frame.clone()));
+    }
+
+    /// Time between two words about loads.
+    pub(super) fn loads_interval(&self) -> Duration {
+        loads_interval(self.gateways_alive(), lock(&self.board).busy())
+    }
+
+    /// How long a word about loads counts.
+    pub(super) fn loads_count_for(&self) -> Duration {
+        loads_count_for(self.gateways_alive(), lock(&self.board).busy())
+    }
+
+    /// Gateways that are connected to any member.
+    pub(super) fn gateways_alive(&self) -> u32 {
+        lock(&self.presence).alive(self.now())
+    }
+}
+
 /// While this member leads, marks targets that have become silent, and settles new ones.
 pub(super) async fn watch_targets(shared: Arc<Shared>) {
     loop {
@@ -114,7 +143,9 @@
         let due = lock(&shared.liveness).due_for_home(now, leads, &directory);
         if !due.is_empty() {
             info!(shared.log, "targets settled"; "event" => "targets_settled", "ids" => ?due);
-            shared.propose_here(Command::Settle(due)).await;
+            for due in due.chunks(SETTLED_AT_ONCE) {
+                shared.propose_here(Command::Settle(due.to_vec())).await;
+            }
         }
         if !silent.is_empty() {
             info!(shared.log, "targets silent"; "event" => "targets_silent", "ids" => ?silent);
--- a/src/link.rs
+++ b/src/link.rs
@@ -5,13 +5,16 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
@@ -19,7 +22,7 @@
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// Messages from this length on are compressed.
-const COMPRESS_FROM_BYTES: usize = 4_096;
+const COMPRESS_FROM_BYTES: usize = 1_024;
 /// Compression level: the cheapest.
 const LEVEL: i32 = 1;
 const PLAIN: u8 = 0;
@@ -71,7 +74,28 @@
 pub struct FrameSender(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
 
 /// The half of a connection that receives.
-pub struct FrameReceiver(FramedRead<OwnedReadHalf, LengthDelimitedCodec>);
+pub struct FrameReceiver(FramedRead<Watched, LengthDelimitedCodec>);
+
+/// A connection that notes when bytes came.
+struct Watched {
+    half: OwnedReadHalf,
+    heard_at: Instant,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let watched = self.get_mut();
+        let polled = Pin::new(&mut watched.half).poll_read(context, buffer);
+        if polled.is_ready() {
+            watched.heard_at = Instant::now();
+        }
+        polled
+    }
+}
 
 /// Connects to `addr`.
 ///
@@ -96,7 +120,8 @@
     let (read, write) = stream.into_split();
     let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let sender = FrameSender(FramedWrite::new(write, codec()));
-    Ok((sender, FrameReceiver(FramedRead::new(read, codec()))))
+    let watched = Watched { half: read, heard_at: Instant::now() };
+    Ok((sender, FrameReceiver(FramedRead::new(watched, codec()))))
 }
 
 /// Lets a socket fail when sent bytes stay unacknowledged for `silence`, or when the other side
@@ -120,21 +145,42 @@
     /// # Errors
     /// [`LinkError`] when the connection is broken.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
-        let payload = postcard::to_stdvec(message).map_err(|_| LinkError::Garbled)?;
-        let mut frame = Vec::with_capacity(payload.len() + 1);
-        if payload.len() < COMPRESS_FROM_BYTES {
-            frame.push(PLAIN);
-            frame.extend(payload);
-        } else {
-            frame.push(COMPRESSED);
-            frame.extend((payload.len() as u32).to_le_bytes());
-            frame.extend(zstd::bulk::compress(&payload, LEVEL)?);
-        }
-        Ok(self.0.send(Bytes::from(frame)).await?)
+        self.send_encoded(encode(message)?).await
+    }
+
+    /// Sends what [`encode`] made of a message.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the connection is broken.
+    pub async fn send_encoded(&mut self, frame: Bytes) -> Result<(), LinkError> {
+        Ok(self.0.send(frame).await?)
     }
 }
 
+/// Makes a frame of a message.
+///
+/// # Errors
+/// [`LinkError::Garbled`] when the message can't be encoded.
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, LinkError> {
+    let payload = postcard::to_stdvec(message).map_err(|_| LinkError::Garbled)?;
+    let mut frame = Vec::with_capacity(payload.len() + 1);
+    if payload.len() < COMPRESS_FROM_BYTES {
+        frame.push(PLAIN);
+        frame.extend(payload);
+    } else {
+        frame.push(COMPRESSED);
+        frame.extend((payload.len() as u32).to_le_bytes());
+        frame.extend(zstd::bulk::compress(&payload, LEVEL)?);
+    }
+    Ok(frame.into())
+}
+
 impl FrameReceiver {
+    /// When bytes last came: a long frame on a busy link takes its time, and is no silence.
+    pub fn heard_at(&self) -> Instant {
+        self.0.get_ref().heard_at
+    }
+
     /// Waits for the next message.
     ///
     /// # Errors
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -8,6 +8,8 @@
 
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 256;
+/// Most entries that a member has not yet acknowledged.
+const MAX_ON_THEIR_WAY: Index = 512;
 /// Longest time until the others are told of a new commit index.
 const COMMIT_NEWS: Duration = Duration::from_millis(5);
 
@@ -33,13 +35,16 @@
                 progress.matched = progress.matched.max(index);
                 progress.next = progress.next.max(progress.matched + 1);
                 progress.snapshot_sent = None;
+                progress.probing = false;
+                progress.probed_at = None;
                 self.advance_commit();
             }
             AppendResult::Rejected { hint } => {
                 progress.next = (hint + 1).clamp(progress.matched + 1, last + 1);
+                progress.probing = true;
             }
         }
-        if self.progress[&from].next <= last {
+        if self.may_send(now, from) {
             self.send_entries(now, from);
         }
     }
@@ -112,8 +117,35 @@
         }
     }
 
-    /// Sends what the member lacks, or a heartbeat.
+    /// Sends new entries to whoever can take more.
+    pub(super) fn send_news(&mut self, now: Time) {
+        let ids: Vec<StoreId> = self.progress.keys().copied().collect();
+        for id in ids {
+            if self.may_send(now, id) {
+                self.send_entries(now, id);
+            }
+        }
+    }
+
+    /// Whether entries may go to a member now: it lacks some, and has not too many on their way.
+    ///
+    /// Each message that a busy link loses makes the member refuse all those behind it; entries are
+    /// sent again once and not for each of these refusals, which would fill the link for good.
+    fn may_send(&self, now: Time, to: StoreId) -> bool {
+        let Some(progress) = self.progress.get(&to) else {
+            return false;
+        };
+        let on_their_way = (progress.next - 1).saturating_sub(progress.matched);
+        let free = match progress.probing {
+            true => progress.probed_at.is_none_or(|at| now >= at + self.timing.heartbeat),
+            false => on_their_way < MAX_ON_THEIR_WAY,
+        };
+        free && progress.next <= self.log.last().index
+    }
+
+    /// Sends what the member lacks, if it may have entries now, or a heartbeat.
     pub(super) fn send_entries(&mut self, now: Time, to: StoreId) {
+        let may_send = self.may_send(now, to);
         let Some(progress) = self.progress.get_mut(&to) else {
             return;
         };
@@ -124,8 +156,13 @@
             return;
         };
         let missing = self.log.from(progress.next);
-        let entries = missing[..missing.len().min(MAX_ENTRIES)].to_vec();
-        progress.next += entries.len() as Index;
+        let most = if may_send { MAX_ENTRIES } else { 0 };
+        let entries = missing[..missing.len().min(most)].to_vec();
+        if progress.probing && may_send {
+            progress.probed_at = Some(now);
+        } else {
+            progress.next += entries.len() as Index;
+        }
         let body =
             Body::Append { prev: Position { term, index }, entries, commit: self.commit, round };
         self.send(to, body);
@@ -166,6 +203,8 @@
                     next,
                     acked_at: None,
                     snapshot_sent: None,
+                    probing: false,
+                    probed_at: None,
                     since,
                 });
             }
--- a/src/raft/node.rs
+++ b/src/raft/node.rs
@@ -19,6 +19,11 @@
     pub(super) acked_at: Option<Time>,
     /// When a snapshot was last sent.
     pub(super) snapshot_sent: Option<Time>,
+    /// Whether the member refused entries and has taken none since: then one message with entries
+    /// goes at a time.
+    pub(super) probing: bool,
+    /// When the last of these went.
+    pub(super) probed_at: Option<Time>,
     /// When the leader began to send to the member.
     pub(super) since: Time,
 }
@@ -208,7 +213,7 @@
             return Err(NotLeader { leader: self.leader });
         }
         let position = self.append(payload);
-        self.send_to_all(now);
+        self.send_news(now);
         self.advance_commit();
         Ok(position)
     }
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -27,7 +27,12 @@
     /// An operator sends a whole configuration.
     Configure(Packed),
     /// A target announces something new.
-    Announce(Announcement),
+    Announce {
+        /// What it says.
+        announcement: Announcement,
+        /// Whether it gets a home now, rather than wait for one that somebody leaves.
+        at_once: bool,
+    },
     /// A target leaves for good.
     Remove(String),
     /// Targets have not been heard for long.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -127,8 +127,12 @@
                 Answer::Released
             }
             Command::Configure(packed) => self.apply_document(index, &packed),
-            Command::Announce(announcement) => {
+            Command::Announce { announcement, at_once } => {
+                let id = announcement.id.clone();
                 self.directory.announce(index, announcement);
+                if at_once {
+                    self.directory.settle(index, &[id]);
+                }
                 self.listed()
             }
             Command::Remove(id) => {
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -5,6 +5,7 @@
 
 mod disk;
 mod group;
+mod replication;
 #[path = "../seeds/mod.rs"]
 mod seeds;
 mod wal;
--- /dev/null
+++ b/tests/directory.rs
@@ -0,0 +1,185 @@
+//! The directory of targets against a naive version that looks through everything each time.
+
+#[path = "seeds/seed.rs"]
+mod seeds;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// One target of the naive version.
+#[derive(Clone, Debug, PartialEq)]
+struct Entry {
+    announcement: Announcement,
+    home: Option<u32>,
+    revision: u64,
+}
+
+/// A directory that keeps nothing but the targets and who was removed.
+#[derive(Default)]
+struct Naive {
+    targets: BTreeMap<String, Entry>,
+    removed: Vec<String>,
+}
+
+impl Naive {
+    fn announce(&mut self, index: u64, heartbeat: &Announcement) {
+        let id = heartbeat.id.clone();
+        let known = self.targets.get(&id);
+        let late = known.is_some_and(|known| heartbeat.sequence < known.announcement.sequence);
+        let same = known.is_some_and(|known| {
+            let sequence = known.announcement.sequence;
+            Announcement { sequence, ..heartbeat.clone() } == known.announcement
+        });
+        if late || same || self.removed.contains(&id) {
+            return;
+        }
+        let home = known.and_then(|known| known.home);
+        let draining = heartbeat.state == TargetState::Draining;
+        let kept = home.filter(|_| !draining);
+        let entry = Entry { announcement: heartbeat.clone(), home: kept, revision: index };
+        self.targets.insert(id.clone(), entry);
+        if draining {
+            self.give_away(index, &heartbeat.service, home);
+        } else if home.is_none() {
+            let free = self.free(&heartbeat.service);
+            let highest = self.homes(&heartbeat.service).into_iter().max();
+            if highest.is_some_and(|highest| free < highest) {
+                self.house(index, &id, free);
+            }
+        }
+    }
+
+    fn homes(&self, service: &str) -> Vec<u32> {
+        let of_service =
+            self.targets.values().filter(|entry| entry.announcement.service == service);
+        of_service.filter_map(|entry| entry.home).collect()
+    }
+
+    fn free(&self, service: &str) -> u32 {
+        let homes = self.homes(service);
+        (0..).find(|home| !homes.contains(home)).expect("numbers do not end")
+    }
+
+    fn house(&mut self, index: u64, id: &str, home: u32) {
+        let entry = self.targets.get_mut(id).expect("it is there");
+        (entry.home, entry.revision) = (Some(home), index);
+    }
+
+    fn give_away(&mut self, index: u64, service: &str, home: Option<u32>) {
+        let waiting = self.targets.values().filter(|entry| {
+            let ready = entry.announcement.state == TargetState::Ready;
+            ready && entry.home.is_none() && entry.announcement.service == service
+        });
+        let newest = waiting.max_by_key(|entry| (entry.revision, &entry.announcement.id));
+        if let (Some(home), Some(newest)) = (home, newest.map(|one| one.announcement.id.clone())) {
+            self.house(index, &newest, home);
+        }
+    }
+
+    fn settle(&mut self, index: u64, id: &str) {
+        let Some(entry) = self.targets.get(id) else { return };
+        if entry.home.is_none() && entry.announcement.state == TargetState::Ready {
+            let free = self.free(&entry.announcement.service.clone());
+            self.house(index, id, free);
+        }
+    }
+
+    fn silence(&mut self, index: u64, id: &str) {
+        if let Some(entry) = self.targets.get_mut(id)
+            && entry.announcement.state != TargetState::Silent
+        {
+            entry.announcement.state = TargetState::Silent;
+            entry.revision = index;
+        }
+    }
+
+    fn remove(&mut self, index: u64, id: &str) {
+        if self.removed.contains(&id.to_owned()) {
+            return;
+        }
+        self.removed.push(id.to_owned());
+        if let Some(gone) = self.targets.remove(id) {
+            self.give_away(index, &gone.announcement.service, gone.home);
+        }
+    }
+}
+
+fn heartbeat(rng: &mut StdRng, state: TargetState, sequence: u64) -> Announcement {
+    let number = rng.random_range(0..60);
+    Announcement {
+        id: format!("t{number}"),
+        service: format!("s{}", number % 3),
+        addr: SocketAddr::from(([10, 0, 0, number as u8], 80)),
+        data_hall: "hall".into(),
+        slots: 8,
+        state,
+        sequence,
+    }
+}
+
+/// Everything that gateways can see, with homes.
+fn seen(directory: &Directory) -> BTreeMap<String, (Announcement, Option<u32>)> {
+    let all = directory.since(0).map(|delta| delta.changed).unwrap_or_default();
+    let all = all.into_iter();
+    all.map(|listed| (listed.announcement.id.clone(), (listed.announcement, listed.home))).collect()
+}
+
+#[test]
+fn the_directory_agrees_with_a_naive_one_and_survives_being_saved() {
+    let mut rng = StdRng::seed_from_u64(seeds::seed());
+    for _ in 0..60 {
+        let (mut directory, mut naive) = (Directory::default(), Naive::default());
+        for index in 1..300u64 {
+            let late = rng.random_bool(0.1);
+            let sequence = if late { index / 2 } else { index };
+            let id = format!("t{}", rng.random_range(0..60));
+            match rng.random_range(0..12) {
+                0..5 => {
+                    let ready = heartbeat(&mut rng, TargetState::Ready, sequence);
+                    directory.announce(index, ready.clone());
+                    naive.announce(index, &ready);
+                }
+                5..7 => {
+                    let draining = heartbeat(&mut rng, TargetState::Draining, sequence);
+                    directory.announce(index, draining.clone());
+                    naive.announce(index, &draining);
+                }
+                7..10 => {
+                    directory.settle(index, std::slice::from_ref(&id));
+                    naive.settle(index, &id);
+                }
+                10 => {
+                    directory.silence(index, std::slice::from_ref(&id));
+                    naive.silence(index, &id);
+                }
+                _ if rng.random_bool(0.3) => {
+                    directory.remove(index, &id);
+                    naive.remove(index, &id);
+                }
+                _ => {}
+            }
+            let expected = naive.targets.iter();
+            let expected: BTreeMap<_, _> = expected
+                .map(|(id, entry)| (id.clone(), (entry.announcement.clone(), entry.home)))
+                .collect();
+            assert_eq!(seen(&directory), expected, "after {index} steps");
+            let homeless = expected.values().filter(|(announcement, home)| {
+                home.is_none() && announcement.state == TargetState::Ready
+            });
+            assert_eq!(directory.unsettled().count(), homeless.count());
+        }
+        let saved = postcard::to_stdvec(&directory).expect("it can be saved");
+        let restored: Directory = postcard::from_bytes(&saved).expect("it can be read");
+        assert_eq!(restored, directory);
+        let known = heartbeat(&mut rng, TargetState::Ready, 1_000);
+        assert_eq!(restored.judge(&known), directory.judge(&known));
+        assert!(naive.removed.iter().all(|id| {
+            let gone = Announcement { id: id.clone(), ..known.clone() };
+            restored.judge(&gone) == Heartbeat::Late
+        }));
+    }
+}
--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -116,14 +116,15 @@
     .await;
 }
 
+/// Longer than five heartbeats of targets, after which a service is no longer forming.
+const FORMING: std::time::Duration = std::time::Duration::from_secs(2);
+
 #[tokio::test]
 async fn a_target_that_took_another_s_home_is_told_to_fetch_from_it_while_it_is_there() {
     let (fleet, mut standins) = fleet_with(&[Behaviour::Stream(3)]).await;
-    let member = &fleet.members[0];
-    eventually("the first target has a home", async || {
-        member.log().contains("event=targets_settled").then_some(())
-    })
-    .await;
+    // A service that has just had its first target gives newcomers homes at once; later ones wait
+    // for a home that somebody leaves.
+    tokio::time::sleep(FORMING).await;
     let ask = |id| Ask::new("/sticky/x", id).with("x-prompt-prefix", "aa:900,bb:3000,cc:40");
     ask("r-1").send(fleet.front(0)).await.expect("a whole answer");
     assert!(!standins[0].arrivals()[0].headers.contains_key("kv-fetch"), "nobody else is there");
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,13 +14,14 @@
 use latchmount::configuration::{
     ClientLimits, Configuration, Route, RouteKind, Service, Team, Weighted,
 };
-use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
+use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState, key};
 use latchmount::document::{Document, PackError};
 use latchmount::gateway::balance::{Affinity, Candidate, Wish, choose};
 use latchmount::gateway::budget::{BudgetRule, ServiceBudget};
 use latchmount::gateway::events::EventSplitter;
 use latchmount::gateway::health::{AttemptOutcome, Health};
 use latchmount::gateway::reason::Refusal;
+use latchmount::group::listing::PackedDelta;
 use latchmount::group::message::{TargetLoad, loads_interval};
 use latchmount::jsonc::Validate;
 use latchmount::route_table::{Caller, RouteTable};
@@ -210,6 +211,8 @@
         let at = rng.random_range(0..followers.len());
         let (known, targets) = &mut followers[at];
         if let Some(delta) = directory.since(*known) {
+            let packed = PackedDelta::pack(delta).expect("it encodes");
+            let delta = packed.unpack().expect("it decodes");
             if delta.whole {
                 targets.clear();
             }
@@ -219,10 +222,16 @@
             for changed in delta.changed {
                 targets.insert(changed.announcement.id.clone(), changed.announcement);
             }
+            for moved in delta.moved {
+                let target = targets.values_mut().find(|target| key(&target.id) == moved.target);
+                target.expect("a target that moved is known").state = moved.state;
+            }
             *known = delta.revision;
         }
+        // Gateways are not told sequences.
+        let told = |target: &Announcement| Announcement { sequence: 0, ..target.clone() };
         let all: BTreeMap<String, Announcement> =
-            directory.targets().map(|target| (target.id.clone(), target.clone())).collect();
+            directory.targets().map(|target| (target.id.clone(), told(target))).collect();
         assert_eq!(*targets, all, "seed {seed}, index {index}");
     }
 }
@@ -314,11 +323,11 @@
 fn words_about_loads_leave_most_of_a_members_link_free() {
     const MEMBERS: u32 = 5;
     const LINK_BYTES_PER_S: f64 = 750_000.0;
-    for (gateways, targets) in [(8, 22), (62, 97), (80, 97), (340, 790)] {
+    for (gateways, targets) in [(8, 22), (62, 97), (80, 97), (340, 790), (300, 3_000)] {
         let loads: Vec<TargetLoad> =
             (0..targets).map(|at| TargetLoad { target: u64::MAX - at, requests: 20 }).collect();
         let bytes = postcard::to_stdvec(&loads).expect("encodes").len() as f64;
-        let a_second = 1.0 / loads_interval(gateways).as_secs_f64();
+        let a_second = 1.0 / loads_interval(gateways, loads.len()).as_secs_f64();
         let to_gateways = f64::from(gateways.div_ceil(MEMBERS)) * bytes * a_second;
         let to_members = f64::from(MEMBERS - 1) * bytes * a_second;
         let part = (to_gateways + to_members) / LINK_BYTES_PER_S;
@@ -327,7 +336,14 @@
 }
 
 fn candidate(home: u32, load: f64) -> Candidate {
-    Candidate { home: Some(home), load, slots: 64, near: false, doubtful: false }
+    Candidate {
+        key: u64::from(home),
+        home: Some(home),
+        load,
+        slots: 64,
+        near: false,
+        doubtful: false,
+    }
 }
 
 #[test]
@@ -420,3 +436,19 @@
         assert_eq!(refusal.come_back_in().is_some(), status == 503, "{refusal:?}");
     }
 }
+
+/// A fleet that starts: until most targets have a home, the few that have one do not get the work of
+/// all.
+#[test]
+fn affinities_spread_over_all_targets_while_few_have_homes() {
+    let mut rng = StdRng::seed_from_u64(seeds::seed());
+    let unhoused = |key: u32| Candidate { home: None, ..candidate(key, 0.0) };
+    let mut all: Vec<Candidate> = (0..40).map(unhoused).collect();
+    all[7].home = Some(0);
+    let mut chosen = vec![0; all.len()];
+    for affinity in 0..4_000 {
+        let wish = Wish { affinity: Some(shared(affinity, 9_000)), load_bound: 2.0, targets: 40 };
+        chosen[choose(&all, wish, &mut rng).expect("candidates")] += 1;
+    }
+    assert!(chosen.iter().all(|times| (20..400).contains(times)), "{chosen:?}");
+}
