--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -17,13 +17,6 @@
 
 /// Between two signs of life to a gateway while nothing is in flight.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
-/// Part of the link for configurations.
-pub(super) const PART_FOR_DOCUMENTS: f64 = 0.2;
-/// Part of the link for changes of targets.
-pub(super) const PART_FOR_TARGETS: f64 = 0.3;
-/// Part of the link for gateways that start and need everything.
-pub(super) const PART_FOR_WHOLES: f64 = 0.4;
-
 /// What a gateway has been sent.
 struct Cursor {
     version: u64,
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -14,7 +14,7 @@
 mod liveness;
 pub mod message;
 mod metrics;
-mod pacer;
+pub mod pacer;
 mod peers;
 mod presence;
 pub mod settings;
@@ -160,9 +160,9 @@
             packed_whole: Mutex::default(),
             board: Mutex::default(),
             heard: Mutex::default(),
-            pace_of_documents: Pacer::new(settings.link_mbps, feed::PART_FOR_DOCUMENTS),
-            pace_of_targets: Pacer::new(settings.link_mbps, feed::PART_FOR_TARGETS),
-            pace_of_wholes: Pacer::new(settings.link_mbps, feed::PART_FOR_WHOLES),
+            pace_of_documents: Pacer::new(settings.link_mbps, pacer::PART_FOR_DOCUMENTS),
+            pace_of_targets: Pacer::new(settings.link_mbps, pacer::PART_FOR_TARGETS),
+            pace_of_wholes: Pacer::new(settings.link_mbps, pacer::PART_FOR_WHOLES),
             metrics,
             started: Instant::now(),
             seeds: Mutex::new(settings.seed_peers()),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -24,6 +24,7 @@
 use latchmount::gateway::reason::Refusal;
 use latchmount::group::listing::PackedDelta;
 use latchmount::group::message::{TargetLoad, loads_interval};
+use latchmount::group::pacer::{self, Pacer};
 use latchmount::jsonc::Validate;
 use latchmount::route_table::{Caller, RouteTable};
 use rand::rngs::StdRng;
@@ -353,6 +354,16 @@
     }
 }
 
+/// A change of 1,440 routes (22 KB packed) to 20 gateways of one member, and a start of all of them
+/// with the list of 3,000 targets (32 KB), over 6 Mbit/s.
+#[test]
+fn news_reach_all_gateways_of_a_member_in_time_however_large() {
+    let documents = Pacer::new(6.0, pacer::PART_FOR_DOCUMENTS);
+    assert!(documents.takes(20 * 22_000) < Duration::from_secs(1));
+    let wholes = Pacer::new(6.0, pacer::PART_FOR_WHOLES);
+    assert!(wholes.takes(68 * 32_000) < Duration::from_secs(8));
+}
+
 fn candidate(home: u32, load: f64) -> Candidate {
     Candidate {
         key: u64::from(home),
