Soak: half-written new logs and garbage in the note of what is committed

Cause: the soak had lost disks and torn logs only. Change: two more faults of storage, drawn like the others, before a member starts again. Ruled out: limits set on running processes (limits are left alone) and anything that wraps the binary.

--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -146,6 +146,18 @@
         }
     }
 
+    /// Leaves a half-written new log beside the log, as a loss of power during a snapshot does.
+    pub fn leave_new_log(&self) {
+        let log = std::fs::read(self.folder.join("data/log")).unwrap_or_default();
+        let half = &log[..log.len() / 2];
+        std::fs::write(self.folder.join("data/log.new"), half).expect("a writable folder");
+    }
+
+    /// Puts garbage in place of the note of what is committed, which may be lost at any time.
+    pub fn scribble_note(&self) {
+        std::fs::write(self.folder.join("data/commit"), [0xff; 12]).expect("a writable folder");
+    }
+
     /// Waits until the process has ended by itself, and tells whether it did so well.
     pub async fn ended(&mut self) -> bool {
         let mut child = self.child.take().expect("a running process");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -23,6 +23,8 @@
     PauseMember,
     LoseDisk,
     TearLog,
+    LeaveNewLog,
+    ScribbleNote,
     DeafenMember,
     MuteMember,
     CutMemberFromMember,
@@ -44,7 +46,7 @@
 }
 
 impl Fault {
-    const ALL: [Fault; 28] = [
+    const ALL: [Fault; 30] = [
         Fault::KillGateway,
         Fault::StopGateway,
         Fault::PauseGateway,
@@ -55,6 +57,8 @@
         Fault::PauseMember,
         Fault::LoseDisk,
         Fault::TearLog,
+        Fault::LeaveNewLog,
+        Fault::ScribbleNote,
         Fault::DeafenMember,
         Fault::MuteMember,
         Fault::CutMemberFromMember,
@@ -160,8 +164,9 @@
         match fault {
             KillGateway | StopGateway | PauseGateway | HangUpGateway | CutGateway
             | ResetGateway => self.strike_gateway(fault),
-            KillMember | StopMember | PauseMember | LoseDisk | TearLog | DeafenMember
-            | MuteMember | CutMemberFromMember | DelayMember | ResetMember => {
+            KillMember | StopMember | PauseMember | LoseDisk | TearLog | LeaveNewLog
+            | ScribbleNote | DeafenMember | MuteMember | CutMemberFromMember | DelayMember
+            | ResetMember => {
                 self.strike_member(fault);
             }
             KillAllMembers => self.kill_all_members(),
@@ -252,6 +257,16 @@
                 process.tear_log();
                 Repair::StartMember(at)
             }
+            Fault::LeaveNewLog => {
+                process.kill();
+                process.leave_new_log();
+                Repair::StartMember(at)
+            }
+            Fault::ScribbleNote => {
+                process.kill();
+                process.scribble_note();
+                Repair::StartMember(at)
+            }
             Fault::PauseMember => {
                 process.signal(Signal::SIGSTOP);
                 Repair::ResumeMember(at)
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,8 +5,9 @@
 //! `LATCHMOUNT_SOAK_LENGTH_MS` how long the faults last, and `LATCHMOUNT_SOAK_LARGE=1` plays a fleet of
 //! a few dozen processes; `LATCHMOUNT_SOAK_STRICT=1` also holds to the bound on drains.
 //!
-//! Faults of storage are lost disks and torn logs; full and stalled disks are tested with the log
-//! itself, as are clocks of different rates.
+//! Faults of storage are lost disks, torn logs, half-written new logs and garbage in the note of what
+//! is committed; full and stalled disks are tested with the log itself, as are clocks of different
+//! rates. The time of day decides nothing: `clippy.toml` refuses to read it.
 
 mod caller;
 mod checks;
