--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -7,13 +7,11 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
 use super::balance::{Affinity, Candidate, Wish, choose, is_first_home, likely_keeper};
 use super::exchange::Plan;
-use super::outcomes::ToldOutcomes;
 use super::target::{Target, Targets};
 use crate::configuration::Route;
 use crate::group::message::{TargetLoad, loads_count_for};
@@ -94,31 +92,25 @@
         })
     }
 
-    /// What this gateway has in flight, noted as told to a member, and what it has seen.
+    /// What this gateway has in flight, noted as told to a member.
     pub(super) fn tell_loads(&self) -> Vec<TargetLoad> {
-        let now = self.now();
         let targets = read(&self.targets);
-        let told = targets.all().map(|target| target.tell(now));
-        told.filter(|load| !load.is_nothing()).collect()
+        let told = targets
+            .all()
+            .map(|target| TargetLoad { target: target.key, requests: target.tell_in_flight() });
+        told.filter(|load| load.requests > 0).collect()
     }
 
-    /// Takes what all gateways have in flight, this one as it last told, and what they have seen.
+    /// Takes what all gateways have in flight, this one as it last told.
     pub(super) fn take_loads(&self, loads: &[TargetLoad]) {
         let now = self.now();
+        let loads: HashMap<u64, u32> =
+            loads.iter().map(|load| (load.target, load.requests)).collect();
         let counts_for = loads_count_for(self.gateways(), loads.len());
         self.busy.store(loads.len(), Ordering::Relaxed);
-        let loads: HashMap<u64, &TargetLoad> =
-            loads.iter().map(|load| (load.target, load)).collect();
         let targets = read(&self.targets);
         for target in targets.all() {
-            let load = loads.get(&target.key).copied().copied().unwrap_or_default();
-            let failing = ToldOutcomes { failed: load.failed, answered: load.answered }.failing();
-            if target.note_told(now, &load, failing, counts_for) {
-                info!(self.log, "target fails for all"; "event" => "target_failing",
-                    "target" => &target.announcement.id, "service" => &target.announcement.service,
-                    "failing" => failing, "failed_tenths" => load.failed,
-                    "answered_tenths" => load.answered);
-            }
+            target.note_total(now, loads.get(&target.key).copied().unwrap_or(0), counts_for);
         }
     }
 
@@ -127,8 +119,7 @@
         let health = target.health();
         let answered_lately = health.last_answer().is_some_and(|at| now < at + ANSWERED_LATELY);
         let on_trial_and_busy = health.on_trial(now) && target.in_flight() > 0;
-        let failing = health.paused(now) || target.fails_for_all(now);
-        failing || on_trial_and_busy || (target.silent() && !answered_lately)
+        health.paused(now) || on_trial_and_busy || (target.silent() && !answered_lately)
     }
 }
 
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -9,7 +9,7 @@
 /// Weight of the newest outcome in the failure rate.
 const NEWEST: f64 = 0.2;
 /// Failure rate from which a target is left alone.
-pub const FAILING: f64 = 0.35;
+const FAILING: f64 = 0.35;
 /// Outcomes that a rate needs before it counts.
 const ENOUGH: u32 = 4;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,7 +16,6 @@
 pub mod health;
 mod listener;
 mod metrics;
-pub mod outcomes;
 pub mod patience;
 pub mod reason;
 mod relay;
@@ -187,7 +186,6 @@
     }
 
     fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
-        target.note_outcome(self.now(), outcome != AttemptOutcome::Answered);
         let mut health = target.health();
         if health.note(self.now(), outcome) {
             info!(self.log, "target left alone"; "event" => "target_paused",
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -7,10 +7,8 @@
 
 use super::connection::Idle;
 use super::health::Health;
-use super::outcomes::{Outcomes, ToldOutcomes};
-use crate::dialect::TargetLoad as OwnWord;
+use crate::dialect::TargetLoad;
 use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState, key};
-use crate::group::message::TargetLoad;
 use crate::store::Revision;
 use crate::sync::lock;
 
@@ -18,8 +16,6 @@
 const LOAD_HOLDS_FOR: Duration = Duration::from_secs(3);
 /// How long after it got a home a target is thought to lack what its predecessor kept.
 const MOVED_IN_FOR: Duration = Duration::from_secs(20);
-/// Longest time for which gateways' word that a target fails counts.
-const FAILS_FOR: Duration = Duration::from_secs(2);
 /// Stands for no home.
 const NO_HOME: u32 = u32::MAX;
 /// How long the members' word goes before the target's own, which is about one moment only.
@@ -52,10 +48,6 @@
     pub(super) connections: AtomicU32,
     pub(super) idle: Mutex<Vec<Idle>>,
     health: Mutex<Health>,
-    /// How attempts of this gateway went lately.
-    outcomes: Mutex<Outcomes>,
-    /// Until when the target counts as failing for all gateways.
-    fails_until: Mutex<Option<Duration>>,
     /// Requests in flight from this gateway as last told to a member.
     told: AtomicU32,
     /// What others have in flight, from the members.
@@ -75,8 +67,6 @@
             connections: AtomicU32::new(0),
             idle: Mutex::default(),
             health: Mutex::default(),
-            outcomes: Mutex::default(),
-            fails_until: Mutex::default(),
             told: AtomicU32::new(0),
             others_by_members: Mutex::default(),
             others_by_target: Mutex::default(),
@@ -136,7 +126,7 @@
     }
 
     /// Notes the load that the target told of itself.
-    pub(super) fn note_load(&self, now: Duration, load: OwnWord) {
+    pub(super) fn note_load(&self, now: Duration, load: TargetLoad) {
         let told = f64::from(load.running + load.waiting);
         let newest = (told - f64::from(self.in_flight())).max(0.0);
         let mut others = lock(&self.others_by_target);
@@ -157,39 +147,18 @@
         own + self.others(now).unwrap_or(usual.max(as_this_one))
     }
 
-    /// Notes how an attempt went.
-    pub(super) fn note_outcome(&self, now: Duration, failed: bool) {
-        lock(&self.outcomes).note(now, failed);
+    /// Requests in flight from this gateway, noted as told to a member.
+    pub(super) fn tell_in_flight(&self) -> u32 {
+        let in_flight = self.in_flight();
+        self.told.store(in_flight, Ordering::Relaxed);
+        in_flight
     }
 
-    /// What to tell a member of the target; requests in flight are noted as told.
-    pub(super) fn tell(&self, now: Duration) -> TargetLoad {
-        let requests = self.in_flight();
-        self.told.store(requests, Ordering::Relaxed);
-        let ToldOutcomes { failed, answered } = lock(&self.outcomes).told(now);
-        TargetLoad { target: self.key, requests, failed, answered }
-    }
-
-    /// Notes what the members tell of all gateways; tells whether that changes if the target fails
-    /// for all of them.
-    pub(super) fn note_told(
-        &self,
-        now: Duration,
-        total: &TargetLoad,
-        failing: bool,
-        counts_for: Duration,
-    ) -> bool {
-        let others = total.requests.saturating_sub(self.told.load(Ordering::Relaxed));
+    /// Notes what all gateways have in flight, as the members tell.
+    pub(super) fn note_total(&self, now: Duration, total: u32, counts_for: Duration) {
+        let others = total.saturating_sub(self.told.load(Ordering::Relaxed));
         *lock(&self.others_by_members) =
             Some(OthersLoad { at: now, until: now + counts_for, requests: f64::from(others) });
-        let until = failing.then(|| now + counts_for.min(FAILS_FOR));
-        let before = std::mem::replace(&mut *lock(&self.fails_until), until);
-        before.is_some() != failing
-    }
-
-    /// Whether gateways together lately found that the target fails.
-    pub(super) fn fails_for_all(&self, now: Duration) -> bool {
-        lock(&self.fails_until).is_some_and(|until| now < until)
     }
 
     /// Requests that other gateways are thought to have at the target: by the members if they told
--- a/src/group/board.rs
+++ b/src/group/board.rs
@@ -1,4 +1,4 @@
-//! Requests in flight at each target, and how attempts went, summed over all gateways.
+//! Requests in flight at each target, summed over all gateways.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -74,10 +74,9 @@
 }
 
 fn sum<'a>(told: impl Iterator<Item = &'a Told>) -> Vec<TargetLoad> {
-    let mut sums: HashMap<u64, TargetLoad> = HashMap::new();
+    let mut sums: HashMap<u64, u32> = HashMap::new();
     for load in told.flat_map(|told| &told.loads) {
-        let nothing = TargetLoad { target: load.target, ..TargetLoad::default() };
-        sums.entry(load.target).or_insert(nothing).add(load);
+        *sums.entry(load.target).or_default() += load.requests;
     }
-    sums.into_values().collect()
+    sums.into_iter().map(|(target, requests)| TargetLoad { target, requests }).collect()
 }
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -18,7 +18,7 @@
 /// Time between two words about loads for each gateway alive.
 const LOADS_INTERVAL_EACH: Duration = Duration::from_millis(10);
 /// Targets up to which that time is enough.
-const TARGETS_OF_ONE_WORD: usize = 600;
+const TARGETS_OF_ONE_WORD: usize = 750;
 /// Part of that time that words take at least, since each is a frame to be handled.
 const LEAST_PART: f64 = 0.4;
 
@@ -56,31 +56,13 @@
     Subscribe(Subscription),
 }
 
-/// Requests in flight at a target, and how attempts at it went lately.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Requests in flight at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// Hash of its identity.
     pub target: u64,
-    /// Requests in flight.
+    /// Requests.
     pub requests: u32,
-    /// Attempts that failed in the last second or two, in tenths.
-    pub failed: u32,
-    /// Attempts that were answered, likewise.
-    pub answered: u32,
-}
-
-impl TargetLoad {
-    /// Whether it tells nothing.
-    pub fn is_nothing(&self) -> bool {
-        self.requests == 0 && self.failed == 0 && self.answered == 0
-    }
-
-    /// Adds what another gateway, or more of them, tell of the same target.
-    pub fn add(&mut self, other: &TargetLoad) {
-        self.requests += other.requests;
-        self.failed += other.failed;
-        self.answered += other.answered;
-    }
 }
 
 /// Between two words about loads, while so many gateways are alive and so many targets are busy.
