--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 
 use super::Shared;
-use super::listing::PackedDelta;
+use super::listing::{PackedDelta, Packer};
 use super::message::{FromMember, Subscription, TargetLoad, ToMember, Update};
 use crate::control::member::Published;
+use crate::directory::DirectoryDelta;
 use crate::document::Packed;
 use crate::link::{FrameReceiver, FrameSender, LinkError, encode};
 use crate::sync::lock;
@@ -121,6 +122,16 @@
     sign_at: tokio::time::Instant,
 }
 
+impl Shared {
+    fn pack(&self, delta: DirectoryDelta) -> Result<PackedDelta, LinkError> {
+        let mut packer = lock(&self.packer);
+        match packer.as_mut() {
+            Some(packer) => packer.pack(delta),
+            None => packer.insert(Packer::new()?).pack(delta),
+        }
+    }
+}
+
 impl Push<'_> {
     /// Whether the gateway lacks something that it must not wait for.
     fn lacks_news(&self) -> bool {
@@ -202,7 +213,8 @@
         if let Some(packed) = packed_whole.as_ref().filter(fits) {
             return Ok(Some(packed.clone()));
         }
-        let packed = directory.since(known).map(PackedDelta::pack).transpose()?;
+        let delta = directory.since(known);
+        let packed = delta.map(|delta| self.shared.pack(delta)).transpose()?;
         if known == 0 {
             packed_whole.clone_from(&packed);
         }
--- a/src/group/listing.rs
+++ b/src/group/listing.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use zstd::bulk::Compressor;
 
 use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState};
 use crate::link::LinkError;
@@ -42,12 +43,24 @@
     homes: Vec<Option<u32>>,
 }
 
-impl PackedDelta {
+/// Packs deltas, with working memory that is taken once: some megabytes, which the allocator could
+/// not use again if each packing took them anew among smaller pieces.
+pub struct Packer(Compressor<'static>);
+
+impl Packer {
+    /// Takes the working memory.
+    ///
+    /// # Errors
+    /// [`LinkError`] when there is none.
+    pub fn new() -> Result<Self, LinkError> {
+        Ok(Packer(Compressor::new(LEVEL)?))
+    }
+
     /// Packs a delta; gateways have no use for sequences, which are left out.
     ///
     /// # Errors
     /// [`LinkError`] when it can't be encoded.
-    pub fn pack(delta: DirectoryDelta) -> Result<Self, LinkError> {
+    pub fn pack(&mut self, delta: DirectoryDelta) -> Result<PackedDelta, LinkError> {
         let mut changed = delta.changed;
         // Homes in a row cost nothing.
         changed.sort_by_key(|listed| listed.home);
@@ -70,10 +83,12 @@
             homes: changed.iter().map(|listed| listed.home).collect(),
         };
         let plain = postcard::to_stdvec(&columns).map_err(|_| LinkError::Garbled)?;
-        let bytes = zstd::bulk::compress(&plain, LEVEL)?;
+        let bytes = self.0.compress(&plain)?;
         Ok(PackedDelta { revision: columns.revision, bytes })
     }
+}
 
+impl PackedDelta {
     /// Unpacks it.
     ///
     /// # Errors
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -44,7 +44,7 @@
 use self::archive::Archive;
 use self::board::LoadBoard;
 use self::heartbeats::Heard;
-use self::listing::PackedDelta;
+use self::listing::{PackedDelta, Packer};
 use self::liveness::Liveness;
 use self::message::{Call, Reply};
 use self::metrics::MemberMetrics;
@@ -106,6 +106,7 @@
     archive: Mutex<Archive>,
     /// The whole directory, as last packed.
     packed_whole: Mutex<Option<PackedDelta>>,
+    packer: Mutex<Option<Packer>>,
     board: Mutex<LoadBoard>,
     heard: Mutex<Heard>,
     pace_of_documents: Pacer,
@@ -158,6 +159,7 @@
             liveness: Mutex::new(Liveness::new(heartbeat)),
             archive: Mutex::default(),
             packed_whole: Mutex::default(),
+            packer: Mutex::default(),
             board: Mutex::default(),
             heard: Mutex::default(),
             pace_of_documents: Pacer::new(settings.link_mbps, pacer::PART_FOR_DOCUMENTS),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,7 +22,7 @@
 use latchmount::gateway::fleet_size::FleetSize;
 use latchmount::gateway::health::{AttemptOutcome, Health};
 use latchmount::gateway::reason::Refusal;
-use latchmount::group::listing::PackedDelta;
+use latchmount::group::listing::Packer;
 use latchmount::group::message::{TargetLoad, loads_interval};
 use latchmount::group::pacer::{self, Pacer};
 use latchmount::jsonc::Validate;
@@ -201,6 +201,7 @@
     let seed = seeds::seed();
     let mut rng = StdRng::seed_from_u64(seed);
     let mut directory = Directory::default();
+    let mut packer = Packer::new().expect("memory");
     let mut followers: Vec<(u64, BTreeMap<String, Announcement>)> = vec![Default::default(); 3];
     for index in 1..2_000u64 {
         let id = format!("t{}", rng.random_range(0..400));
@@ -213,7 +214,7 @@
         let at = rng.random_range(0..followers.len());
         let (known, targets) = &mut followers[at];
         if let Some(delta) = directory.since(*known) {
-            let packed = PackedDelta::pack(delta).expect("it encodes");
+            let packed = packer.pack(delta).expect("it encodes");
             let delta = packed.unpack().expect("it decodes");
             if delta.whole {
                 targets.clear();
