Never pass on from a client what only the system sets on requests to targets

Cause: a gateway copied a client's head and removed only the key and the team. A plain request's rank was passed on as the client named it, too.

Change: the dialect lists every header that only routers set; gateway/outgoing.rs makes the head for a target, in one place, and drops them from what the client sent. Test first: all six cases of 'fleet: headers' failed before, and pass.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -40,6 +40,17 @@
     pub priority: HeaderName,
     /// Last event of a stream that the sender has.
     pub last_event_id: HeaderName,
+    /// Further headers that only routers may set on requests to targets.
+    pub reserved: Vec<HeaderName>,
+}
+
+impl Headers {
+    /// Every header that only routers set on requests to targets: whatever a client sends under
+    /// these names is dropped, since it would act on a target in the system's name.
+    pub fn set_by_routers(&self) -> impl Iterator<Item = &HeaderName> {
+        let own = [&self.credential, &self.team, &self.expect_target, &self.fetch_from];
+        own.into_iter().chain([&self.priority]).chain(&self.reserved)
+    }
 }
 
 /// A call at the door of a member.
@@ -180,6 +191,7 @@
                 fetch_from: name("latchmount-fetch-from"),
                 priority: name("latchmount-priority"),
                 last_event_id: name("last-event-id"),
+                reserved: Vec::new(),
             },
         }
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,31 +3,17 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderName, Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
+use http::header::HeaderMap;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
 use super::connection::{ConnectError, Connection, ConnectionLimits, Reuse, connect};
+use super::outgoing::Outgoing;
 use super::target::{InFlight, Target};
 use crate::dialect::Headers;
 
-/// A request as it goes out, whatever the target.
-pub(super) struct Outgoing {
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    /// Headers of the client without those that concern one connection, with those of this gateway.
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) id: HeaderValue,
-    /// When the client or the route gives the request up.
-    pub(super) deadline: Instant,
-    pub(super) reuse: Reuse,
-}
-
 /// The head of an answer, with all that must live until its body has been read.
 pub(super) struct Answer {
     pub(super) target: Arc<Target>,
@@ -80,7 +66,7 @@
             Ok(connected) => connected.map_err(AttemptError::NotSent)?,
             Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
         };
-        let request = build(target, fetch_from, outgoing, names);
+        let request = outgoing.to_target(target, fetch_from, names);
         let mut sending = pin!(connection.sender.try_send_request(request));
         let until = deadline.min(tokio::time::Instant::now() + patience.longest);
         let answered = match tokio::time::timeout_at(until, &mut sending).await {
@@ -104,29 +90,6 @@
     }
 }
 
-fn build(
-    target: &Target,
-    fetch_from: Option<SocketAddr>,
-    outgoing: &Outgoing,
-    names: &Headers,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.headers_mut() = outgoing.headers.clone();
-    let headers = request.headers_mut();
-    let left = outgoing.deadline.saturating_duration_since(Instant::now());
-    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.as_millis().max(1) as u64));
-    if let Ok(id) = HeaderValue::from_str(&target.announcement.id) {
-        headers.insert(names.expect_target.clone(), id);
-    }
-    headers.remove(&names.fetch_from);
-    if let Some(Ok(addr)) = fetch_from.map(|addr| HeaderValue::from_str(&addr.to_string())) {
-        headers.insert(names.fetch_from.clone(), addr);
-    }
-    request
-}
-
 /// Tells whether the answer is one to this request.
 fn judge(
     target: &Arc<Target>,
@@ -154,30 +117,3 @@
     let target = target.clone();
     Ok(Answer { target, status: head.status, headers: head.headers, body, connection, in_flight })
 }
-
-/// Headers that concern one connection only, besides those that `Connection` names.
-const HOP_BY_HOP: [HeaderName; 7] = [
-    CONNECTION,
-    TRANSFER_ENCODING,
-    http::header::TE,
-    http::header::TRAILER,
-    http::header::UPGRADE,
-    http::header::PROXY_AUTHENTICATE,
-    http::header::PROXY_AUTHORIZATION,
-];
-
-/// Removes the headers that concern one connection only.
-pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .into_iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,18 +4,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::header::{HOST, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, refuse};
-use super::attempt::{self, Answer, AttemptError, Outgoing, Patience, strip_hop_by_hop};
+use super::attempt::{self, Answer, AttemptError, Patience};
 use super::balance::Affinity;
 use super::choice::Choice;
-use super::connection::{ConnectError, ConnectionLimits, Reuse};
+use super::connection::{ConnectError, ConnectionLimits};
 use super::health::AttemptOutcome;
+use super::outgoing::Outgoing;
 use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
 use super::relay;
@@ -115,15 +116,7 @@
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
     let service = draw_service(&route);
     gateway.count_request(&service);
-    let outgoing = Outgoing {
-        method: head.method.clone(),
-        uri: head.uri.path_and_query().map_or_else(Default::default, |path| path.clone().into()),
-        headers: outgoing_headers(gateway, head, &caller, &route, body.len()),
-        body,
-        id,
-        deadline,
-        reuse: if route.kind.idempotent() { Reuse::Any } else { Reuse::JustUsed },
-    };
+    let outgoing = Outgoing::new(names, head, body, &caller, &route, id, deadline);
     let affinity = gateway.affinity(&route, &head.headers);
     let departure = Departure::new(gateway, &outgoing.id, arrived);
     Ok(Plan {
@@ -153,38 +146,6 @@
     }
 }
 
-fn outgoing_headers(
-    gateway: &Gateway,
-    head: &Parts,
-    caller: &Caller,
-    route: &Route,
-    body_len: usize,
-) -> HeaderMap {
-    let names = gateway.names();
-    let mut headers = head.headers.clone();
-    strip_hop_by_hop(&mut headers);
-    headers.remove(&names.credential);
-    headers.remove(&names.team);
-    headers.remove(http::header::EXPECT);
-    headers.remove(CONTENT_LENGTH);
-    let has_body = head.headers.contains_key(CONTENT_LENGTH)
-        || head.headers.contains_key(http::header::TRANSFER_ENCODING);
-    if has_body {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(body_len));
-    }
-    let mut rank = route.priority;
-    if let Caller::Team(team) = caller {
-        rank = team.priority.saturating_mul(3).saturating_add(route.priority.min(2));
-        if let Ok(name) = HeaderValue::from_str(&team.name) {
-            headers.insert(names.team.clone(), name);
-        }
-    }
-    if route.kind.streams() {
-        headers.insert(names.priority.clone(), HeaderValue::from(rank.min(9)));
-    }
-    headers
-}
-
 /// Draws one of the route's services by weight.
 fn draw_service(route: &Route) -> String {
     let total: u64 = route.services.iter().map(|weighted| weighted.weight).sum();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod health;
 mod listener;
 mod metrics;
+pub mod outgoing;
 pub mod patience;
 pub mod reason;
 mod relay;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,10 +13,11 @@
 
 use super::Gateway;
 use super::answer::{AnswerBody, BrokenOff};
-use super::attempt::{Answer, strip_hop_by_hop};
+use super::attempt::Answer;
 use super::events::EventSplitter;
 use super::exchange::{Plan, give_up, next_answer};
 use super::health::AttemptOutcome;
+use super::outgoing::strip_hop_by_hop;
 use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
 use super::trace::{self, text};
@@ -289,7 +290,7 @@
         if let Some(last) = self.splitter.last_id()
             && let Ok(last) = HeaderValue::from_str(last)
         {
-            self.plan.outgoing.headers.insert(gateway.names().last_event_id.clone(), last);
+            self.plan.outgoing.go_on_after(gateway.names(), last);
         } else if self.begun {
             return Err(refusal);
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod doors;
 mod group;
 mod harness;
+mod headers;
 mod refusals;
 mod requests;
 mod standin;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -11,9 +11,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{HeaderMap, HeaderValue};
 use latchmount::configuration::{
     ClientLimits, Configuration, Route, RouteKind, Service, Team, Weighted,
 };
+use latchmount::dialect::{Dialect, OwnDialect};
 use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState, key};
 use latchmount::document::{Document, PackError};
 use latchmount::gateway::balance::{Affinity, Candidate, Wish, choose};
@@ -21,6 +23,7 @@
 use latchmount::gateway::events::EventSplitter;
 use latchmount::gateway::fleet_size::FleetSize;
 use latchmount::gateway::health::{AttemptOutcome, Health};
+use latchmount::gateway::outgoing::from_client;
 use latchmount::gateway::reason::Refusal;
 use latchmount::group::listing::Packer;
 use latchmount::group::message::{TargetLoad, loads_interval};
@@ -482,3 +485,21 @@
     }
     assert!(chosen.iter().all(|times| (20..400).contains(times)), "{chosen:?}");
 }
+
+#[test]
+fn no_header_that_only_gateways_set_comes_from_a_client() {
+    let dialect = OwnDialect::default();
+    let names = dialect.headers();
+    let mut client = HeaderMap::new();
+    for name in names.set_by_routers() {
+        client.append(name.clone(), HeaderValue::from_static("forged"));
+        client.append(name.clone(), HeaderValue::from_static("forged again"));
+    }
+    client.insert("x-hop", HeaderValue::from_static("dropped"));
+    client.insert("connection", HeaderValue::from_static("X-Hop"));
+    client.insert(names.prompt.clone(), HeaderValue::from_static("a:1,b:2"));
+    client.insert("x-other", HeaderValue::from_static("kept"));
+    let passed = from_client(&client, names);
+    let passed: Vec<&str> = passed.keys().map(|name| name.as_str()).collect();
+    assert_eq!(passed, ["latchmount-prompt", "x-other"]);
+}
