Leave a target alone for failures only while others do better

Cause: a target whose failure rate passed 35% was left alone for 0.5 to 4 s, whatever the others did.

--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -6,12 +6,20 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time that a failing target is left alone.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// Weight of the newest outcome in the failure rate.
-const NEWEST: f64 = 0.2;
-/// Failure rate from which a target is left alone.
-const FAILING: f64 = 0.35;
-/// Outcomes that a rate needs before it counts.
-const ENOUGH: u32 = 4;
+/// Part of what a tally holds that is kept at the next outcome, so that it holds some eight.
+const KEPT: f64 = 0.88;
+/// How long a tally counts after its last outcome.
+const TALLY_HOLDS_FOR: Duration = Duration::from_secs(3);
+/// Failure rate that is taken as usual at least, since some failures have no cause in the target.
+const LEAST_USUAL: f64 = 0.05;
+/// Failures beyond the usual from which a target does worse, besides the deviations.
+const BEYOND: f64 = 1.0;
+/// Standard deviations beyond the usual from which a target does worse: with fewer, targets that
+/// all fail alike are often taken for worse than each other.
+const DEVIATIONS: f64 = 2.5;
+
+/// Failure rate below which an answer ends a pause.
+const CALM: f64 = 0.35;
 
 /// How an attempt at a target went, as far as the target is to blame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,11 +32,63 @@
     Unreachable,
 }
 
+/// How the latest attempts at a target went, the newest counting most.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    failures: f64,
+    outcomes: f64,
+    newest: Duration,
+}
+
+impl Tally {
+    /// Counts an outcome.
+    pub fn note(&mut self, now: Duration, outcome: AttemptOutcome) {
+        *self = self.as_of(now);
+        let failure = if outcome == AttemptOutcome::Answered { 0.0 } else { 1.0 };
+        self.failures = self.failures * KEPT + failure;
+        self.outcomes = self.outcomes * KEPT + 1.0;
+        self.newest = now;
+    }
+
+    /// What still counts: nothing, when there was no outcome for long.
+    pub fn as_of(self, now: Duration) -> Tally {
+        if now < self.newest + TALLY_HOLDS_FOR { self } else { Tally::default() }
+    }
+
+    /// Part of the attempts that failed.
+    pub fn failure_rate(&self) -> f64 {
+        if self.outcomes > 0.0 { self.failures / self.outcomes } else { 0.0 }
+    }
+
+    /// Whether failures are clearly more than those of the others, to which work would go instead.
+    ///
+    /// Where all fail alike nothing is won by leaving one alone, and what it keeps of prompts would
+    /// have to be read again elsewhere.
+    pub fn worse_than(&self, others: &[Tally]) -> bool {
+        if others.is_empty() {
+            return false;
+        }
+        let usual = usual_rate(others).clamp(LEAST_USUAL, 1.0);
+        let expected = usual * self.outcomes;
+        let deviation = (expected * (1.0 - usual)).sqrt();
+        self.failures >= expected + BEYOND + DEVIATIONS * deviation
+    }
+}
+
+/// Failure rate of the better half of those that have any outcomes: work would go to them.
+fn usual_rate(others: &[Tally]) -> f64 {
+    let mut tried: Vec<&Tally> = others.iter().filter(|tally| tally.outcomes > 0.0).collect();
+    tried.sort_by(|a, b| a.failure_rate().total_cmp(&b.failure_rate()));
+    let better = &tried[..tried.len().div_ceil(2)];
+    let failures: f64 = better.iter().map(|tally| tally.failures).sum();
+    let outcomes: f64 = better.iter().map(|tally| tally.outcomes).sum();
+    if outcomes > 0.0 { failures / outcomes } else { 0.0 }
+}
+
 /// Health of one target.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    failure_rate: f64,
-    outcomes: u32,
+    tally: Tally,
     /// Pauses in a row.
     pauses: u32,
     paused_until: Option<Duration>,
@@ -37,24 +97,21 @@
 
 impl Health {
     /// Notes an outcome; tells whether the target is now left alone because of it.
-    pub fn note(&mut self, now: Duration, outcome: AttemptOutcome) -> bool {
-        self.outcomes = self.outcomes.saturating_add(1);
-        let failure = if outcome == AttemptOutcome::Answered { 0.0 } else { 1.0 };
-        self.failure_rate += NEWEST * (failure - self.failure_rate);
+    ///
+    /// `others` are the targets that could take its work.
+    pub fn note(&mut self, now: Duration, outcome: AttemptOutcome, others: &[Tally]) -> bool {
+        self.tally.note(now, outcome);
         match outcome {
             AttemptOutcome::Answered => {
                 self.last_answer = Some(now);
-                if self.failure_rate < FAILING {
+                if self.tally.failure_rate() < CALM {
                     self.pauses = 0;
                     self.paused_until = None;
                 }
                 false
             }
             AttemptOutcome::Unreachable => self.pause(now),
-            AttemptOutcome::Failed => {
-                let failing = self.outcomes >= ENOUGH && self.failure_rate >= FAILING;
-                failing && self.pause(now)
-            }
+            AttemptOutcome::Failed => self.tally.worse_than(others) && self.pause(now),
         }
     }
 
@@ -83,8 +140,8 @@
         self.last_answer
     }
 
-    /// Part of the latest attempts that failed.
-    pub fn failure_rate(&self) -> f64 {
-        self.failure_rate
+    /// How the latest attempts went.
+    pub fn tally(&self, now: Duration) -> Tally {
+        self.tally.as_of(now)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,7 +38,7 @@
 
 use self::budget::ServiceBudget;
 use self::fleet_size::FleetSize;
-use self::health::AttemptOutcome;
+use self::health::{AttemptOutcome, Tally};
 use self::metrics::GatewayMetrics;
 pub use self::running::RunningGateway;
 use self::settings::{GatewaySettings, OnStale};
@@ -187,11 +187,28 @@
     }
 
     fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
+        let now = self.now();
+        let others = match outcome {
+            AttemptOutcome::Failed => self.tallies_of_others(now, target),
+            _ => Vec::new(),
+        };
         let mut health = target.health();
-        if health.note(self.now(), outcome) {
+        if health.note(now, outcome, &others) {
             info!(self.log, "target left alone"; "event" => "target_paused",
                 "target" => &target.announcement.id, "service" => &target.announcement.service,
-                "outcome" => ?outcome, "failure_rate" => health.failure_rate());
+                "outcome" => ?outcome, "tally" => ?health.tally(now), "others" => others.len());
         }
     }
+
+    /// How attempts went at the targets that could take the work of this one.
+    fn tallies_of_others(&self, now: Duration, target: &Target) -> Vec<Tally> {
+        let targets = read(&self.targets);
+        let others = targets.of(&target.announcement.service).iter();
+        let others = others.filter(|other| other.key != target.key && !other.draining());
+        let tallies = others.filter_map(|other| {
+            let health = other.health();
+            (!health.paused(now)).then(|| health.tally(now))
+        });
+        tallies.collect()
+    }
 }
