Ask every member at a start, and follow the first that tells a configuration

Cause: a gateway without a configuration asked one member after the other and gave each that did not answer 0.2 s.

Ruled out: the election (members serve what they know to be committed before it).

Change: gateway/race.rs subscribes at all known members, each 40 ms after the one before, and keeps the first with a configuration; what waits at the others is dropped before it is sent, since members send lists in turns.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 
 use super::Gateway;
+use super::race::{self, Subscribed};
 use crate::document::{Document, Packed};
 use crate::group::message::{FromMember, Subscription, ToMember, Update, loads_interval};
 use crate::link::{FrameSender, LinkError, LinkTiming, dial};
@@ -18,6 +19,9 @@
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// How long a member that hears no leader is followed.
 const LEADERLESS: Duration = Duration::from_millis(800);
+/// Longest time in which the members that are asked at the start stay the same: others may have
+/// been named since.
+const LONGEST_RACE: Duration = Duration::from_secs(4);
 /// Pause after a member could not be followed.
 const PAUSE: Duration = Duration::from_millis(50);
 /// How fast connections to members give up.
@@ -38,9 +42,11 @@
         gateway,
     };
     loop {
-        let member = follower.members[follower.at % follower.members.len()];
-        let error = follower.follow_one(member).await;
-        follower.note_lost(member, &error);
+        let (member, ended) = match follower.document {
+            Some(_) => follower.follow_next().await,
+            None => follower.follow_first_to_tell().await,
+        };
+        follower.note_lost(member, &ended.err().unwrap_or(LinkError::Timeout));
         follower.learn(follower.members.clone());
         follower.at += 1;
         tokio::time::sleep(PAUSE).await;
@@ -60,24 +66,54 @@
 }
 
 impl Follower {
-    /// Follows one member until it falls silent or hears no leader.
-    async fn follow_one(&mut self, member: SocketAddr) -> LinkError {
-        match self.try_follow(member).await {
-            Ok(()) => LinkError::Timeout,
-            Err(error) => error,
+    /// Follows the next member; tells which, and why no longer.
+    async fn follow_next(&mut self) -> (SocketAddr, Result<(), LinkError>) {
+        let member = self.members[self.at % self.members.len()];
+        let subscribed = async {
+            let (mut sender, receiver) = dial(self.gateway.settings.source, member, TIMING).await?;
+            sender.send(&ToMember::Subscribe(self.subscription())).await?;
+            Ok(Subscribed { member, sender, receiver, first: None })
+        };
+        match subscribed.await {
+            Ok(subscribed) => (member, self.stay(subscribed).await),
+            Err(error) => (member, Err(error)),
         }
     }
 
-    async fn try_follow(&mut self, member: SocketAddr) -> Result<(), LinkError> {
-        let (mut sender, mut receiver) = dial(self.gateway.settings.source, member, TIMING).await?;
-        let subscription = Subscription {
+    /// Follows the member that is the first to tell a configuration.
+    async fn follow_first_to_tell(&mut self) -> (SocketAddr, Result<(), LinkError>) {
+        let mut members = self.members.clone();
+        let first = self.at % members.len();
+        members.rotate_left(first);
+        let subscription = self.subscription();
+        let racing = race::first_to_tell(self.gateway.settings.source, &members, &subscription);
+        match tokio::time::timeout(LONGEST_RACE, racing).await {
+            Ok(subscribed) => {
+                let member = subscribed.member;
+                let place = self.members.iter().position(|known| *known == member);
+                self.at = place.unwrap_or(first);
+                (member, self.stay(subscribed).await)
+            }
+            Err(_) => (members[0], Err(LinkError::Timeout)),
+        }
+    }
+
+    fn subscription(&self) -> Subscription {
+        Subscription {
             gateway: self.gateway.settings.host.clone(),
             version: self.document.as_ref().map_or(0, |document| document.version),
             directory: self.directory_revision(),
-        };
-        sender.send(&ToMember::Subscribe(subscription)).await?;
+        }
+    }
+
+    /// Takes what a member tells until it falls silent or hears no leader.
+    async fn stay(&mut self, subscribed: Subscribed) -> Result<(), LinkError> {
+        let Subscribed { member, mut sender, mut receiver, first } = subscribed;
         let mut fresh_at = Instant::now();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
+        if let Some(first) = first {
+            self.hear(member, first, &mut sender).await?;
+        }
         loop {
             let silent_at = tokio::time::Instant::from_std(receiver.heard_at() + SILENCE);
             let update = tokio::select! {
@@ -98,22 +134,34 @@
             let FromMember::Update(update) = update else {
                 return Err(LinkError::Garbled);
             };
-            if update.fresh {
+            if self.hear(member, *update, &mut sender).await? {
                 fresh_at = Instant::now();
-                *lock(&self.gateway.fresh_at) = Some(fresh_at);
-                self.note_found(member);
-            }
-            let version = self.gateway.version();
-            self.take(*update)?;
-            if self.gateway.version() != version {
-                sender.send(&ToMember::InForce(self.gateway.version())).await?;
-            }
-            if fresh_at.elapsed() >= LEADERLESS {
+            } else if fresh_at.elapsed() >= LEADERLESS {
                 return Ok(());
             }
         }
     }
 
+    /// Takes an update, and tells whether the member hears a leader.
+    async fn hear(
+        &mut self,
+        member: SocketAddr,
+        update: Update,
+        sender: &mut FrameSender,
+    ) -> Result<bool, LinkError> {
+        let fresh = update.fresh;
+        if fresh {
+            *lock(&self.gateway.fresh_at) = Some(Instant::now());
+            self.note_found(member);
+        }
+        let version = self.gateway.version();
+        self.take(update)?;
+        if self.gateway.version() != version {
+            sender.send(&ToMember::InForce(self.gateway.version())).await?;
+        }
+        Ok(fresh)
+    }
+
     /// Time between two words about loads.
     fn loads_interval(&self) -> Duration {
         loads_interval(self.gateway.gateways(), self.gateway.busy_targets())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod metrics;
 pub mod outgoing;
 pub mod patience;
+mod race;
 pub mod reason;
 mod relay;
 mod retries;
--- /dev/null
+++ b/src/gateway/race.rs
@@ -0,0 +1,87 @@
+//! The first news at a start: asks every member and follows the first that tells a configuration.
+//!
+//! When all power comes back, members and gateways start in any order. A gateway that asks one member
+//! after the other, and waits for each that is still dark, refuses its clients for longer than it takes
+//! the first member to come up.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use crate::group::message::{FromMember, Subscription, ToMember, Update};
+use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
+
+/// How fast connections give up: a member that is dark now may answer in a moment.
+const TIMING: LinkTiming = LinkTiming {
+    connect: Duration::from_millis(100),
+    unacknowledged: Duration::from_millis(1_000),
+};
+/// Pause after a member could not be reached.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Lead of each member over the next in the order: where the first answers at once, no other has to
+/// prepare its whole list for this gateway.
+const LEAD: Duration = Duration::from_millis(40);
+/// How long a member that hears a leader is given to tell a configuration; then it has none, or many
+/// gateways wait before this one, and its word that it lives is enough.
+const TELLS_WITHIN: Duration = Duration::from_millis(300);
+/// Silence after which a member is asked anew.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// A member that this gateway is subscribed at.
+pub(super) struct Subscribed {
+    pub(super) member: SocketAddr,
+    pub(super) sender: FrameSender,
+    pub(super) receiver: FrameReceiver,
+    /// What it has told already.
+    pub(super) first: Option<Update>,
+}
+
+/// Subscribes at all of them, and drops all but the first that has something to tell.
+///
+/// Does not return while none has.
+pub(super) async fn first_to_tell(
+    source: Option<IpAddr>,
+    members: &[SocketAddr],
+    subscription: &Subscription,
+) -> Subscribed {
+    let enter = |(place, member): (usize, &SocketAddr)| {
+        let (member, delay) = (*member, LEAD * place as u32);
+        async move {
+            tokio::time::sleep(delay).await;
+            loop {
+                if let Ok(subscribed) = subscribe(source, member, subscription).await {
+                    return subscribed;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    };
+    let mut entered: FuturesUnordered<_> = members.iter().enumerate().map(enter).collect();
+    match entered.next().await {
+        Some(first) => first,
+        None => std::future::pending().await,
+    }
+}
+
+/// Subscribes at a member, and waits until it has something to tell.
+async fn subscribe(
+    source: Option<IpAddr>,
+    member: SocketAddr,
+    subscription: &Subscription,
+) -> Result<Subscribed, LinkError> {
+    let (mut sender, mut receiver) = dial(source, member, TIMING).await?;
+    sender.send(&ToMember::Subscribe(subscription.clone())).await?;
+    let since = Instant::now();
+    loop {
+        let received = tokio::time::timeout(SILENCE, receiver.receive());
+        let FromMember::Update(first) = received.await.map_err(|_| LinkError::Timeout)?? else {
+            return Err(LinkError::Garbled);
+        };
+        let lives = first.fresh && since.elapsed() >= TELLS_WITHIN;
+        if first.document.is_some() || lives {
+            return Ok(Subscribed { member, sender, receiver, first: Some(*first) });
+        }
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod refusals;
 mod requests;
 mod standin;
+mod starts;
 mod stops;
 mod stories;
 mod streams;
