Count a lost answer as one failure of its target, not as a target out of reach

Cause: an answer lost on its way left its target alone for half a second or more. Where targets lose a few answers in a hundred, their subjects moved to others each time and were read again there.

Change: it counts as one failure, held against the other targets' failures. A target that is gone refuses or does not take the next connection, and is left alone then, as before. Test first: fleet: a_target_that_loses_one_answer_keeps_its_chats (failed before).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -284,7 +284,7 @@
         AttemptError::NotSent(_) => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
         AttemptError::Gone => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
         AttemptError::NotRun => (Refusal::NotRun, None),
-        AttemptError::Lost => (Refusal::AnswerLost, Some(AttemptOutcome::Unreachable)),
+        AttemptError::Lost => (Refusal::AnswerLost, Some(AttemptOutcome::Failed)),
         AttemptError::Late => (Refusal::AnswerLate, Some(AttemptOutcome::Failed)),
         AttemptError::Wrong => (Refusal::WrongAnswer, Some(AttemptOutcome::Failed)),
     }
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -26,9 +26,9 @@
 pub enum AttemptOutcome {
     /// It answered.
     Answered,
-    /// It answered with a failure of its own.
+    /// It answered with a failure of its own, broke off, or said nothing.
     Failed,
-    /// It could not be connected to, broke off, or said nothing.
+    /// It could not be connected to.
     Unreachable,
 }
 
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -189,3 +189,23 @@
         assert_eq!(answer.status, 200, "what was under way ends well");
     }
 }
+
+/// One answer that is lost is no reason to move what a target keeps of prompts elsewhere.
+#[tokio::test]
+async fn a_target_that_loses_one_answer_keeps_its_chats() {
+    let (fleet, standins) = fleet_with(3).await;
+    let sticky =
+        |id: &'static str| Ask::new("/sticky/x", id).with("x-prompt-prefix", "aa:900,bb:10");
+    let home_of = |id: &str| standins.iter().position(|standin| standin.counts().contains_key(id));
+    standins.iter().for_each(|standin| standin.behave(Behaviour::Stream(2)));
+    for id in ["r-1", "r-2", "r-3"] {
+        sticky(id).send(fleet.front(0)).await.expect("an answer");
+    }
+    let home = home_of("r-3").expect("a home");
+    standins[home].behave(Behaviour::Lose);
+    let answer = sticky("r-4").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, home_of("r-4")), (502, Some(home)));
+    standins[home].behave(Behaviour::Stream(2));
+    let answer = sticky("r-5").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, home_of("r-5")), (200, Some(home)));
+}
