Have callers of a gateway that starts come back after 0.2 s

Cause: since a gateway asks all members at its start it has a configuration 0.1 to 0.4 s after it listens; callers refused before that were still told 0.4 s.

Change: named constants for each time in Retry-After, with their origin; 0.2 s for a gateway without a configuration.

--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -4,6 +4,14 @@
 
 use http::StatusCode;
 
+/// When a gateway that starts has its first news, while the members start too (docs/BREKKE.md: after a
+/// loss of all power 0.1 to 0.4 s after it listens).
+const FIRST_NEWS_WITHIN: Duration = Duration::from_millis(200);
+/// When a gateway that lost touch may have news again: it turns to another member after about a second.
+const NEWS_WITHIN: Duration = Duration::from_millis(400);
+/// Time for a caller to come back for another gateway or target.
+const ELSEWHERE: Duration = Duration::from_millis(60);
+
 /// Why a request was refused or given up on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -113,12 +121,13 @@
     /// When the caller should come back, for requests that did not run.
     pub fn come_back_in(self) -> Option<Duration> {
         match self {
-            Refusal::NoConfiguration | Refusal::Stale => Some(Duration::from_millis(400)),
+            Refusal::NoConfiguration => Some(FIRST_NEWS_WITHIN),
+            Refusal::Stale => Some(NEWS_WITHIN),
             Refusal::Stopping
             | Refusal::NoTarget
             | Refusal::ConnectFailed
             | Refusal::NotRun
-            | Refusal::TooLate => Some(Duration::from_millis(60)),
+            | Refusal::TooLate => Some(ELSEWHERE),
             _ => None,
         }
     }
