Use kept connections again for 1.6 s; a setting that leaves out one mechanism

Cause: requests that may run once took a kept connection only within 0.4 s of its last use, and every third connection was new for that alone. Change: 1.6 s, in gateway/reuse.rs, with a test.

The setting 'without' of a gateway names mechanisms to leave out (gateway/mechanism.rs): for the ablation, and for an operator who suspects one. Empty by default, checked, told at the start.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,8 +9,9 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::connection::{ConnectError, Connection, ConnectionLimits, Reuse, connect};
+use super::connection::{ConnectError, Connection, ConnectionLimits, connect};
 use super::outgoing::Outgoing;
+use super::reuse::Reuse;
 use super::target::{InFlight, Target};
 use crate::dialect::Headers;
 
@@ -83,7 +84,7 @@
                 if error.take_message().is_none() {
                     return Err(AttemptError::Lost);
                 }
-                reuse = Reuse::JustUsed;
+                reuse = Reuse::UsedLately;
             }
             Err(_) => return Err(AttemptError::Late),
         }
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Part of the allowance that is used, so that windows that slide differently still hold it.
-const CAUTION: f64 = 0.8;
+pub const CAUTION: f64 = 0.8;
 /// Slices that a window is counted in.
 const SLICES: u32 = 20;
 
@@ -17,6 +17,8 @@
     pub window: Duration,
     /// Further arrivals in a window beyond the ratio, for all gateways together.
     pub slack: f64,
+    /// Part of the allowance that is used.
+    pub used: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -61,7 +63,7 @@
         let further: u32 = self.slices.iter().map(|slice| slice.further).sum();
         // Without news of the others none of the slack is safe to take.
         let slack = if gateways == 0 { 0.0 } else { self.rule.slack / f64::from(gateways) };
-        CAUTION * (self.rule.ratio * f64::from(requests) + slack) - f64::from(further)
+        self.rule.used * (self.rule.ratio * f64::from(requests) + slack) - f64::from(further)
     }
 
     /// The slice of `now`; those that have left the window are dropped.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -12,6 +12,7 @@
 use super::Gateway;
 use super::balance::{Affinity, Candidate, Wish, choose, is_first_home, likely_keeper};
 use super::exchange::Plan;
+use super::mechanism::Mechanism;
 use super::target::{Target, Targets};
 use crate::configuration::Route;
 use crate::group::message::{TargetLoad, loads_count_for};
@@ -58,25 +59,27 @@
         let targets: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
         let usual = usual_others(&targets, now);
         let gateways = self.gateways();
+        let homes = self.uses(Mechanism::Homes);
+        let near = self.uses(Mechanism::Near);
         let candidate = |target: &&Arc<Target>| Candidate {
             key: target.key,
-            home: target.home(),
+            home: target.home().filter(|_| homes),
             load: target.load(now, usual, gateways),
             slots: target.announcement.slots,
-            near: target.announcement.data_hall == self.settings.data_hall,
+            near: near && target.announcement.data_hall == self.settings.data_hall,
             doubtful: self.doubtful(now, target),
         };
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
         let alive = known.of(&plan.service).iter().filter(|target| !target.silent());
         let wish = Wish {
-            affinity: plan.affinity,
-            load_bound: self.settings.load_bound,
+            affinity: plan.affinity.map(|affinity| self.weighed(affinity)),
+            load_bound: self.load_bound(),
             targets: alive.count(),
         };
         let at = choose(&candidates, wish, &mut rand::rng())?;
-        let fetches = self
-            .table()
-            .is_some_and(|table| table.service(&plan.service).is_some_and(|s| s.fetches));
+        let table = self.table();
+        let service = table.as_ref().and_then(|table| table.service(&plan.service));
+        let fetches = self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches);
         let affinity = plan.affinity.filter(|_| fetches);
         let fetch_from = affinity.and_then(|affinity| {
             let keeper = keeper(&known, &targets, &candidates, at, affinity)?;
@@ -92,6 +95,18 @@
         })
     }
 
+    /// The affinity as it counts for the bound of loads.
+    fn weighed(&self, affinity: Affinity) -> Affinity {
+        match self.uses(Mechanism::CheapFirst) {
+            true => affinity,
+            false => Affinity { tokens: u64::MAX, ..affinity },
+        }
+    }
+
+    fn load_bound(&self) -> f64 {
+        if self.uses(Mechanism::LoadBound) { self.settings.load_bound } else { f64::INFINITY }
+    }
+
     /// What this gateway has in flight, noted as told to a member.
     pub(super) fn tell_loads(&self) -> Vec<TargetLoad> {
         let targets = read(&self.targets);
@@ -103,6 +118,9 @@
 
     /// Takes what all gateways have in flight, this one as it last told.
     pub(super) fn take_loads(&self, loads: &[TargetLoad]) {
+        if !self.uses(Mechanism::MemberLoads) {
+            return;
+        }
         let now = self.now();
         let loads: HashMap<u64, u32> =
             loads.iter().map(|load| (load.target, load.requests)).collect();
@@ -119,7 +137,8 @@
         let health = target.health();
         let answered_lately = health.last_answer().is_some_and(|at| now < at + ANSWERED_LATELY);
         let on_trial_and_busy = health.on_trial(now) && target.in_flight() > 0;
-        health.paused(now) || on_trial_and_busy || (target.silent() && !answered_lately)
+        let paused = self.uses(Mechanism::Pauses) && (health.paused(now) || on_trial_and_busy);
+        paused || (target.silent() && !answered_lately)
     }
 }
 
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 
 use super::metrics::GatewayMetrics;
+use super::reuse::Reuse;
 use super::target::Target;
 use crate::link::{connect_from, give_up_after};
 use crate::sync::lock;
@@ -20,23 +21,11 @@
 const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
 /// Part of the stated time for which a connection is used again.
 const KEPT_PART: f64 = 0.6;
-/// Idle time beyond which a request that may run only once gets a new connection: a connection that
-/// the target has silently forgotten would leave its outcome unknown.
-const SURE_FOR: Duration = Duration::from_millis(400);
 /// Longest wait for a kept connection to become ready again.
 const READY_WITHIN: Duration = Duration::from_millis(5);
 /// Idle connections kept for one target.
 const MAX_IDLE: usize = 64;
 
-/// Whether an attempt may leave the outcome unknown without harm.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Reuse {
-    /// Any kept connection will do.
-    Any,
-    /// Only one used just now.
-    JustUsed,
-}
-
 /// No connection could be made; nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum ConnectError {
@@ -105,7 +94,7 @@
     let now = Instant::now();
     idle.retain(|idle| !idle.connection.sender.is_closed() && now < idle.since + idle.keep_for);
     let newest = idle.pop()?;
-    if reuse == Reuse::JustUsed && now > newest.since + SURE_FOR {
+    if !reuse.allows(now.saturating_duration_since(newest.since)) {
         idle.push(newest);
         return None;
     }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 
 use super::Gateway;
+use super::mechanism::Mechanism;
 use super::race::{self, Subscribed};
 use crate::document::{Document, Packed};
 use crate::group::message::{FromMember, Subscription, ToMember, Update, loads_interval};
@@ -43,8 +44,8 @@
     };
     loop {
         let (member, ended) = match follower.document {
-            Some(_) => follower.follow_next().await,
-            None => follower.follow_first_to_tell().await,
+            None if follower.gateway.uses(Mechanism::Race) => follower.follow_first_to_tell().await,
+            _ => follower.follow_next().await,
         };
         follower.note_lost(member, &ended.err().unwrap_or(LinkError::Timeout));
         follower.learn(follower.members.clone());
--- /dev/null
+++ b/src/gateway/mechanism.rs
@@ -0,0 +1,33 @@
+//! Mechanisms of a gateway's decisions that can be left out, one by one, to see what each is worth.
+
+use serde::{Deserialize, Serialize};
+
+/// A mechanism that the setting `without` leaves out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mechanism {
+    /// Affinities are hashed to numbers that a successor takes over, rather than to identities.
+    Homes,
+    /// No target gets more than a multiple of the mean load.
+    LoadBound,
+    /// Requests that share little leave a full home before those that share much.
+    CheapFirst,
+    /// Targets fetch what they lack of a prompt from the likely keeper.
+    Fetch,
+    /// Failing and unreachable targets are left alone for a while.
+    Pauses,
+    /// Failures are held against those of other targets.
+    Peers,
+    /// A repeatable request turns from a silent target to another.
+    Silence,
+    /// Loads of all gateways, told by the members.
+    MemberLoads,
+    /// Loads told by targets in their answers.
+    TargetLoads,
+    /// Requests without affinity prefer the gateway's own data hall.
+    Near,
+    /// Every member is asked at a start, not one after the other.
+    Race,
+    /// A part of the budget of retries stays unused.
+    BudgetCaution,
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod fleet_size;
 pub mod health;
 mod listener;
+pub mod mechanism;
 mod metrics;
 pub mod outgoing;
 pub mod patience;
@@ -22,6 +23,7 @@
 pub mod reason;
 mod relay;
 mod retries;
+pub mod reuse;
 mod running;
 pub mod settings;
 mod target;
@@ -40,6 +42,7 @@
 use self::budget::ServiceBudget;
 use self::fleet_size::FleetSize;
 use self::health::{AttemptOutcome, Tally};
+use self::mechanism::Mechanism;
 use self::metrics::GatewayMetrics;
 pub use self::running::RunningGateway;
 use self::settings::{GatewaySettings, OnStale};
@@ -107,6 +110,11 @@
         self.started.elapsed()
     }
 
+    /// Whether the settings leave the mechanism in.
+    fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.settings.without.contains(&mechanism)
+    }
+
     fn names(&self) -> &Headers {
         self.dialect.headers()
     }
@@ -181,6 +189,9 @@
     }
 
     fn note_answer(&self, target: &Target, headers: &HeaderMap) {
+        if !self.uses(Mechanism::TargetLoads) {
+            return;
+        }
         let value = headers.get(&self.names().load).and_then(|value| value.to_str().ok());
         if let Some(load) = value.and_then(|value| self.dialect.load(value)) {
             target.note_load(self.now(), load);
@@ -190,7 +201,11 @@
     fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
         let now = self.now();
         let others = match outcome {
-            AttemptOutcome::Failed => self.tallies_of_others(now, target),
+            AttemptOutcome::Failed if self.uses(Mechanism::Peers) => {
+                self.tallies_of_others(now, target)
+            }
+            // As if there were one that never fails.
+            AttemptOutcome::Failed => vec![Tally::default()],
             _ => Vec::new(),
         };
         let mut health = target.health();
--- a/src/gateway/outgoing.rs
+++ b/src/gateway/outgoing.rs
@@ -9,7 +9,7 @@
 use http::{HeaderName, Method, Request, Uri};
 use http_body_util::Full;
 
-use super::connection::Reuse;
+use super::reuse::Reuse;
 use super::target::Target;
 use crate::configuration::Route;
 use crate::dialect::Headers;
@@ -76,7 +76,7 @@
             body,
             id,
             deadline,
-            reuse: if route.kind.idempotent() { Reuse::Any } else { Reuse::JustUsed },
+            reuse: if route.kind.idempotent() { Reuse::Any } else { Reuse::UsedLately },
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use super::events::EventSplitter;
 use super::exchange::{Plan, give_up, next_answer};
 use super::health::AttemptOutcome;
+use super::mechanism::Mechanism;
 use super::outgoing::strip_hop_by_hop;
 use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
@@ -264,7 +265,11 @@
         let until = deadline.min(tokio::time::Instant::now() + longest);
         let mut frame = pin!(self.answer.body.frame());
         let mut waited = tokio::time::timeout_at(until, &mut frame).await;
-        let may_turn = || route.kind.idempotent() && self.gateway.could_send_again(&self.plan);
+        let may_turn = || {
+            self.gateway.uses(Mechanism::Silence)
+                && route.kind.idempotent()
+                && self.gateway.could_send_again(&self.plan)
+        };
         if waited.is_err() && !may_turn() {
             waited = tokio::time::timeout_at(deadline, frame).await;
         }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::Gateway;
-use super::budget::{BudgetRule, ServiceBudget};
+use super::budget::{BudgetRule, CAUTION, ServiceBudget};
 use super::exchange::Plan;
+use super::mechanism::Mechanism;
 use crate::sync::lock;
 
 impl Gateway {
@@ -22,6 +23,7 @@
                 ratio: self.settings.retry_ratio,
                 window: Duration::from_secs_f64(self.settings.retry_window_s),
                 slack: self.settings.retry_slack,
+                used: if self.uses(Mechanism::BudgetCaution) { CAUTION } else { 1.0 },
             };
             budgets.insert(service.to_owned(), ServiceBudget::new(rule));
         }
@@ -31,7 +33,8 @@
     /// Whether the request could be sent to one more target after the attempt under way.
     pub(super) fn could_send_after(&self, plan: &Plan) -> bool {
         let (now, gateways) = (self.now(), self.sharing_gateways());
-        plan.sends + 1 < plan.route.max_attempts
+        self.uses(Mechanism::Silence)
+            && plan.sends + 1 < plan.route.max_attempts
             && self.with_budget(&plan.service, |budget| budget.left(now, gateways) >= 1.0)
             && self.choose(plan).is_some_and(|choice| choice.doubtful < choice.candidates)
     }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -47,7 +47,8 @@
         info!(log, "gateway started"; "event" => "gateway_started",
             "version" => env!("CARGO_PKG_VERSION"), "listen" => %listen,
             "on_stale" => ?settings.on_stale, "load_bound" => settings.load_bound,
-            "retry_ratio" => settings.retry_ratio, "retry_slack" => settings.retry_slack);
+            "retry_ratio" => settings.retry_ratio, "retry_slack" => settings.retry_slack,
+            "without" => ?settings.without);
         let window = Duration::from_secs_f64(settings.retry_window_s);
         let gateway = Arc::new(Gateway {
             seeds: Mutex::new(settings.member_peers()),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::mechanism::Mechanism;
 use crate::checks::Checks;
 use crate::jsonc::{Fault, Validate};
 
@@ -59,6 +60,8 @@
     pub stop_within_ms: u64,
     /// Descriptors that the process may use.
     pub max_descriptors: usize,
+    /// Mechanisms that are left out, to see what each is worth; none in service.
+    pub without: Vec<Mechanism>,
 }
 
 impl Default for GatewaySettings {
@@ -82,6 +85,7 @@
             unacknowledged_ms: 500,
             stop_within_ms: 10_000,
             max_descriptors: 4_096,
+            without: Vec::new(),
         }
     }
 }
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -82,6 +82,10 @@
     "version: must be given",
 ])]
 #[case("broken", &["line 3: "])]
+#[case("gateway", &[
+    "line 6: load_bound: must be at least 1",
+    "line 7: without[1]: unknown variant `luck`",
+])]
 fn every_fault_is_named_with_its_line(#[case] name: &str, #[case] expected: &[&str]) {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/data/bad-{name}.json"));
     let out = check(&file);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,12 +19,13 @@
 use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState, key};
 use latchmount::document::{Document, PackError};
 use latchmount::gateway::balance::{Affinity, Candidate, Wish, choose};
-use latchmount::gateway::budget::{BudgetRule, ServiceBudget};
+use latchmount::gateway::budget::{BudgetRule, CAUTION, ServiceBudget};
 use latchmount::gateway::events::EventSplitter;
 use latchmount::gateway::fleet_size::FleetSize;
 use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
 use latchmount::gateway::outgoing::from_client;
 use latchmount::gateway::reason::Refusal;
+use latchmount::gateway::reuse::Reuse;
 use latchmount::group::listing::Packer;
 use latchmount::group::message::{TargetLoad, loads_interval};
 use latchmount::group::pacer::{self, Pacer};
@@ -264,7 +265,8 @@
 fn budgets_of_all_gateways_hold_the_rule_in_every_window() {
     let seed = seeds::seed();
     let mut rng = StdRng::seed_from_u64(seed);
-    let rule = BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let rule =
+        BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0, used: CAUTION };
     for round in 0..8 {
         let gateways = rng.random_range(1..12u32);
         let mut budgets = vec![ServiceBudget::new(rule); gateways as usize];
@@ -301,7 +303,8 @@
 
 #[test]
 fn a_gateway_that_knows_of_no_other_takes_no_slack() {
-    let rule = BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let rule =
+        BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0, used: CAUTION };
     let mut budget = ServiceBudget::new(rule);
     assert!(!budget.spend(Duration::ZERO, 0));
     assert!(budget.spend(Duration::ZERO, 8));
@@ -538,3 +541,16 @@
     let passed: Vec<&str> = passed.keys().map(|name| name.as_str()).collect();
     assert_eq!(passed, ["latchmount-prompt", "x-other"]);
 }
+
+#[rstest]
+#[case::just_used(0, true)]
+#[case::used_a_second_ago(1_000, true)]
+#[case::used_long_ago(3_000, false)]
+fn requests_that_may_run_once_use_connections_that_were_used_lately(
+    #[case] idle_ms: u64,
+    #[case] allowed: bool,
+) {
+    let idle_for = Duration::from_millis(idle_ms);
+    assert_eq!(Reuse::UsedLately.allows(idle_for), allowed);
+    assert!(Reuse::Any.allows(idle_for));
+}
