--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
@@ -57,8 +58,8 @@
     }
 }
 
-/// The answer to a request that is refused or given up on.
-pub(super) fn refuse(refusal: Refusal) -> Response<AnswerBody> {
+/// The answer to a request that is refused or given up on by a gateway that has run for `up_for`.
+pub(super) fn refuse(refusal: Refusal, up_for: Duration) -> Response<AnswerBody> {
     let text = format!(
         "{{\"error\":{{\"code\":\"{}\",\"not_run\":{}}}}}\n",
         refusal.code(),
@@ -68,7 +69,7 @@
     *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(wait) = refusal.come_back_in()
+    if let Some(wait) = refusal.come_back_in(up_for)
         && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", wait.as_secs_f64()))
     {
         headers.insert(RETRY_AFTER, value);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -68,7 +68,7 @@
             let id = text(head.headers.get(&gateway.names().request_id));
             let host = text(head.headers.get(HOST));
             trace::refused(gateway, id, host, head.uri.path(), refusal);
-            refuse(refusal)
+            refuse(refusal, gateway.now())
         }
     };
     if gateway.stage() != Stage::Serving {
@@ -177,7 +177,7 @@
 pub(super) fn give_up(gateway: &Gateway, mut plan: Plan, refusal: Refusal) -> Response<AnswerBody> {
     trace::given_up(gateway, &plan, refusal);
     plan.departure.finish();
-    refuse(refusal)
+    refuse(refusal, gateway.now())
 }
 
 /// Sends the request until a target answers.
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -4,9 +4,11 @@
 
 use http::StatusCode;
 
-/// When a gateway that starts has its first news, while the members start too (docs/BREKKE.md: after a
-/// loss of all power 0.1 to 0.4 s after it listens).
-const FIRST_NEWS_WITHIN: Duration = Duration::from_millis(200);
+/// When a gateway that starts may have its first news: the sooner the shorter it has waited. After a
+/// loss of all power small fleets have them 0.1 to 0.4 s after they listen, large ones up to 0.9 s
+/// (docs/BREKKE.md), and a gateway that has waited for long will likely wait as long again.
+const FIRST_NEWS_WITHIN: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_secs(1));
 /// When a gateway that lost touch may have news again: it turns to another member after about a second.
 const NEWS_WITHIN: Duration = Duration::from_millis(400);
 /// Time for a caller to come back for another gateway or target.
@@ -118,10 +120,13 @@
         matches!(self, Refusal::AnswerLost | Refusal::AnswerLate | Refusal::WrongAnswer)
     }
 
-    /// When the caller should come back, for requests that did not run.
-    pub fn come_back_in(self) -> Option<Duration> {
+    /// When the caller should come back, for requests that did not run, to a gateway that has run
+    /// for `up_for`.
+    pub fn come_back_in(self, up_for: Duration) -> Option<Duration> {
         match self {
-            Refusal::NoConfiguration => Some(FIRST_NEWS_WITHIN),
+            Refusal::NoConfiguration => {
+                Some(up_for.clamp(FIRST_NEWS_WITHIN.0, FIRST_NEWS_WITHIN.1))
+            }
             Refusal::Stale => Some(NEWS_WITHIN),
             Refusal::Stopping
             | Refusal::NoTarget
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -164,7 +164,8 @@
             heard: Mutex::default(),
             pace_of_documents: Pacer::new(settings.link_mbps, pacer::PART_FOR_DOCUMENTS),
             pace_of_targets: Pacer::new(settings.link_mbps, pacer::PART_FOR_TARGETS),
-            pace_of_wholes: Pacer::new(settings.link_mbps, pacer::PART_FOR_WHOLES),
+            pace_of_wholes: Pacer::new(settings.link_mbps, pacer::PART_FOR_WHOLES)
+                .with_burst(pacer::BURST_FOR_WHOLES),
             metrics,
             started: Instant::now(),
             seeds: Mutex::new(settings.seed_peers()),
--- a/src/group/pacer.rs
+++ b/src/group/pacer.rs
@@ -18,12 +18,19 @@
 /// Part of the link for gateways that start and need everything.
 pub const PART_FOR_WHOLES: f64 = 0.4;
 
+/// What gateways that start may be sent at once after a rest, as time that it takes at their part of
+/// the link: after a loss of all power many start together, and refuse their clients until they
+/// have everything. On the whole link it takes 0.12 s, well under the shortest election.
+pub const BURST_FOR_WHOLES: Duration = Duration::from_millis(300);
+
 /// Lets senders go one after the other, as fast as the rate allows.
 #[derive(Debug)]
 pub struct Pacer {
     /// When the next sender may go.
     free_at: Mutex<Instant>,
     bytes_per_s: f64,
+    /// How long before that a sender may go already.
+    burst: Duration,
 }
 
 /// The turn to send; no other has it until it is spent or dropped.
@@ -36,7 +43,12 @@
     /// Keeps senders under `part` of a link.
     pub fn new(link_mbps: f64, part: f64) -> Self {
         let bytes_per_s = link_mbps * BYTES_OF_MBIT * part;
-        Pacer { free_at: Mutex::new(Instant::now()), bytes_per_s }
+        Pacer { free_at: Mutex::new(Instant::now()), bytes_per_s, burst: Duration::ZERO }
+    }
+
+    /// The same, where what is sent in so much time may go at once after a rest.
+    pub fn with_burst(self, burst: Duration) -> Self {
+        Pacer { burst, ..self }
     }
 
     /// How long so many bytes keep the next sender waiting.
@@ -47,7 +59,7 @@
     /// Waits for a turn; those that wait longest go first.
     pub async fn turn(&self) -> Turn<'_> {
         let free_at = self.free_at.lock().await;
-        tokio::time::sleep_until(*free_at).await;
+        tokio::time::sleep_until(*free_at - self.burst).await;
         Turn { free_at, bytes_per_s: self.bytes_per_s }
     }
 }
@@ -55,7 +67,7 @@
 impl Turn<'_> {
     /// Sends so many bytes, after which the next sender waits for as long as they take.
     pub fn spend(mut self, bytes: usize) {
-        *self.free_at = Instant::now() + takes(bytes, self.bytes_per_s);
+        *self.free_at = Instant::now().max(*self.free_at) + takes(bytes, self.bytes_per_s);
     }
 }
 
--- /dev/null
+++ b/tests/gateway/budget.rs
@@ -0,0 +1,77 @@
+//! Budgets of retries, over all gateways together.
+
+use latchmount::gateway::budget::{BudgetRule, CAUTION, ServiceBudget};
+use latchmount::gateway::fleet_size::FleetSize;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::seeds;
+
+/// Members that have just started tell few gateways; nobody takes the slack of all for it.
+#[test]
+fn a_dip_in_the_number_of_gateways_counts_only_once_it_has_lasted_a_window() {
+    let seconds = Duration::from_secs;
+    let mut size = FleetSize::new(seconds(10));
+    assert_eq!(size.largest(seconds(1)), 0);
+    size.note(seconds(1), 62);
+    size.note(seconds(20), 1);
+    assert_eq!(size.largest(seconds(20)), 1, "what was told long ago counts no more");
+    size.note(seconds(21), 60);
+    size.note(seconds(22), 3);
+    size.note(seconds(23), 8);
+    assert_eq!(size.largest(seconds(24)), 60);
+    assert_eq!(size.largest(seconds(32)), 8);
+    assert_eq!(size.largest(seconds(90)), 8, "the newest counts however old it is");
+}
+
+/// The sum over all gateways holds the rule in every window, whatever they do.
+#[test]
+fn budgets_of_all_gateways_hold_the_rule_in_every_window() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let rule =
+        BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0, used: CAUTION };
+    for round in 0..8 {
+        let gateways = rng.random_range(1..12u32);
+        let mut budgets = vec![ServiceBudget::new(rule); gateways as usize];
+        let mut events: Vec<(f64, bool)> = Vec::new();
+        let mut now = 0.0;
+        while now < 60.0 {
+            now += rng.random_range(0.0..0.02);
+            let at = rng.random_range(0..budgets.len());
+            let time = Duration::from_secs_f64(now);
+            budgets[at].request(time);
+            events.push((now, false));
+            for _ in 0..rng.random_range(0..4) {
+                if budgets[at].spend(time, gateways) {
+                    events.push((now, true));
+                }
+            }
+        }
+        let mut within: VecDeque<(f64, bool)> = VecDeque::new();
+        for event in events {
+            within.push_back(event);
+            while within.front().is_some_and(|(at, _)| *at <= event.0 - 10.0) {
+                within.pop_front();
+            }
+            let further = within.iter().filter(|(_, further)| *further).count() as f64;
+            let requests = within.len() as f64 - further;
+            assert!(
+                further <= 0.2 * requests + 56.0,
+                "seed {seed} round {round}: {further} for {requests} at {}",
+                event.0
+            );
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_knows_of_no_other_takes_no_slack() {
+    let rule =
+        BudgetRule { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0, used: CAUTION };
+    let mut budget = ServiceBudget::new(rule);
+    assert!(!budget.spend(Duration::ZERO, 0));
+    assert!(budget.spend(Duration::ZERO, 8));
+}
--- /dev/null
+++ b/tests/gateway/directory.rs
@@ -0,0 +1,118 @@
+//! The directory of targets: heartbeats, homes, differences.
+
+use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState, key};
+use latchmount::group::listing::Packer;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::seeds;
+
+fn heartbeat(id: &str, state: TargetState, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "s".into(),
+        addr: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_hall: "z".into(),
+        slots: 8,
+        state,
+        sequence,
+    }
+}
+
+#[test]
+fn heartbeats_are_news_known_or_late() {
+    let mut directory = Directory::default();
+    let ready = heartbeat("a", TargetState::Ready, 5);
+    assert_eq!(directory.judge(&ready), Heartbeat::News);
+    directory.announce(10, ready);
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 6)), Heartbeat::Known);
+    directory.announce(11, heartbeat("a", TargetState::Draining, 8));
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 7)), Heartbeat::Late);
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Draining, 9)), Heartbeat::Known);
+    directory.remove(12, "a");
+    assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 99)), Heartbeat::Late);
+    assert!(directory.targets().next().is_none());
+}
+
+#[test]
+fn a_target_that_replaces_another_takes_its_home_and_moves_no_other() {
+    let mut directory = Directory::default();
+    let mut index = 0;
+    let mut next = || {
+        index += 1;
+        index
+    };
+    let ids: Vec<String> = (0..5).map(|at| format!("old{at}")).collect();
+    for id in &ids {
+        directory.announce(next(), heartbeat(id, TargetState::Ready, 1));
+    }
+    directory.settle(next(), &ids);
+    let homes = |directory: &Directory| -> BTreeMap<String, u32> {
+        let delta = directory.since(0).expect("changes");
+        let changed = delta.changed.into_iter();
+        changed.filter_map(|listed| Some((listed.announcement.id, listed.home?))).collect()
+    };
+    let before = homes(&directory);
+    assert_eq!(before.values().copied().collect::<Vec<_>>(), [0, 1, 2, 3, 4]);
+    directory.announce(next(), heartbeat("new", TargetState::Ready, 1));
+    assert_eq!(homes(&directory), before, "a newcomer waits for a home");
+    directory.announce(next(), heartbeat("old2", TargetState::Draining, 2));
+    let mut expected = before.clone();
+    let left = expected.remove("old2").expect("it had one");
+    expected.insert("new".into(), left);
+    assert_eq!(homes(&directory), expected);
+    directory.remove(next(), "old2");
+    assert_eq!(homes(&directory), expected);
+    directory.remove(next(), "old1");
+    expected.remove("old1");
+    assert_eq!(homes(&directory), expected, "without a newcomer there is a gap");
+    directory.announce(next(), heartbeat("later", TargetState::Ready, 1));
+    expected.insert("later".into(), 1);
+    assert_eq!(homes(&directory), expected, "which the next newcomer takes at once");
+}
+
+/// Routers that follow by differences see the same targets as one that asks for all.
+#[test]
+fn differences_of_the_directory_add_up() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut directory = Directory::default();
+    let mut packer = Packer::new().expect("memory");
+    let mut followers: Vec<(u64, BTreeMap<String, Announcement>)> = vec![Default::default(); 3];
+    for index in 1..2_000u64 {
+        let id = format!("t{}", rng.random_range(0..400));
+        match rng.random_range(0..10) {
+            0..6 => directory.announce(index, heartbeat(&id, TargetState::Ready, index)),
+            6 => directory.announce(index, heartbeat(&id, TargetState::Draining, index)),
+            7 => directory.silence(index, &[id]),
+            _ => directory.remove(index, &id),
+        }
+        let at = rng.random_range(0..followers.len());
+        let (known, targets) = &mut followers[at];
+        if let Some(delta) = directory.since(*known) {
+            let packed = packer.pack(delta).expect("it encodes");
+            let delta = packed.unpack().expect("it decodes");
+            if delta.whole {
+                targets.clear();
+            }
+            for id in &delta.removed {
+                targets.remove(id);
+            }
+            for changed in delta.changed {
+                targets.insert(changed.announcement.id.clone(), changed.announcement);
+            }
+            for moved in delta.moved {
+                let target = targets.values_mut().find(|target| key(&target.id) == moved.target);
+                target.expect("a target that moved is known").state = moved.state;
+            }
+            *known = delta.revision;
+        }
+        // Gateways are not told sequences.
+        let told = |target: &Announcement| Announcement { sequence: 0, ..target.clone() };
+        let all: BTreeMap<String, Announcement> =
+            directory.targets().map(|target| (target.id.clone(), told(target))).collect();
+        assert_eq!(*targets, all, "seed {seed}, index {index}");
+    }
+}
--- /dev/null
+++ b/tests/gateway/health.rs
@@ -0,0 +1,65 @@
+//! Which targets are left alone.
+
+use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+use crate::seeds;
+
+/// Plays attempts at targets that fail with the given chances, each attempt at a target that is not
+/// left alone, and counts how often each was left alone.
+fn pauses_under(chances: &[f64], attempts: u32, rng: &mut StdRng) -> Vec<u32> {
+    let mut targets = vec![Health::default(); chances.len()];
+    let mut pauses = vec![0; chances.len()];
+    for attempt in 0..attempts {
+        let now = Duration::from_millis(20) * attempt;
+        let usable: Vec<usize> =
+            (0..chances.len()).filter(|at| !targets[*at].paused(now)).collect();
+        let Some(at) = usable.get(rng.random_range(0..usable.len().max(1))).copied() else {
+            continue;
+        };
+        let failed = rng.random_bool(chances[at]);
+        let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        let others = usable.iter().filter(|other| **other != at);
+        let others: Vec<Tally> = others.map(|other| targets[*other].tally(now)).collect();
+        pauses[at] += u32::from(targets[at].note(now, outcome, &others));
+    }
+    pauses
+}
+
+#[test]
+fn targets_are_left_alone_for_failures_only_while_others_do_better() {
+    let mut rng = StdRng::seed_from_u64(seeds::seed());
+    let alike = pauses_under(&[0.45; 18], 1_000, &mut rng);
+    assert!(alike.iter().sum::<u32>() <= 18, "all fail alike: {alike:?}");
+    for failing in [1, 4, 9, 13] {
+        let mut chances = [0.0; 18];
+        chances[..failing].fill(0.9);
+        let pauses = pauses_under(&chances, 1_000, &mut rng);
+        assert!(pauses[..failing].iter().all(|times| *times > 0), "{failing}: {pauses:?}");
+        assert!(pauses[failing..].iter().all(|times| *times == 0), "{failing}: {pauses:?}");
+    }
+}
+
+#[test]
+fn a_target_out_of_reach_is_left_alone_longer_each_time_and_comes_back() {
+    let mut health = Health::default();
+    let mut now = Duration::ZERO;
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        assert!(health.note(now, AttemptOutcome::Unreachable, &[]));
+        let began = now;
+        while health.paused(now) {
+            now += Duration::from_millis(10);
+        }
+        pauses.push(now - began);
+        assert!(health.on_trial(now));
+    }
+    assert!(pauses.is_sorted(), "{pauses:?}");
+    assert!(pauses[5] <= Duration::from_secs(5));
+    for _ in 0..20 {
+        health.note(now, AttemptOutcome::Answered, &[]);
+    }
+    assert!(!health.paused(now) && !health.on_trial(now));
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,15 @@
+//! The gateway's decisions, and those that it shares with the members, each against a naive version
+//! or by cases.
+//!
+//! `LATCHMOUNT_SEED` sets the seed of the random cases.
+
+mod balance;
+mod budget;
+mod directory;
+mod events;
+mod health;
+mod news;
+mod requests;
+mod routes;
+#[path = "../seeds/seed.rs"]
+mod seeds;
--- /dev/null
+++ b/tests/gateway/requests.rs
@@ -0,0 +1,58 @@
+//! What is said of, and passed on with, a single request.
+
+use http::{HeaderMap, HeaderValue};
+use latchmount::dialect::{Dialect, OwnDialect};
+use latchmount::gateway::outgoing::from_client;
+use latchmount::gateway::reason::Refusal;
+use latchmount::gateway::reuse::Reuse;
+use rstest::rstest;
+use std::time::Duration;
+
+#[test]
+fn a_refusal_that_promises_that_nothing_ran_is_never_given_when_something_may_have() {
+    for refusal in Refusal::ALL {
+        let status = refusal.status().as_u16();
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        assert!(!(promises && refusal.may_have_run()), "{refusal:?}");
+        let wait = refusal.come_back_in(Duration::ZERO);
+        assert_eq!(wait.is_some(), status == 503, "{refusal:?}");
+    }
+}
+
+#[test]
+fn no_header_that_only_gateways_set_comes_from_a_client() {
+    let dialect = OwnDialect::default();
+    let names = dialect.headers();
+    let mut client = HeaderMap::new();
+    for name in names.set_by_routers() {
+        client.append(name.clone(), HeaderValue::from_static("forged"));
+        client.append(name.clone(), HeaderValue::from_static("forged again"));
+    }
+    client.insert("x-hop", HeaderValue::from_static("dropped"));
+    client.insert("connection", HeaderValue::from_static("X-Hop"));
+    client.insert(names.prompt.clone(), HeaderValue::from_static("a:1,b:2"));
+    client.insert("x-other", HeaderValue::from_static("kept"));
+    let passed = from_client(&client, names);
+    let passed: Vec<&str> = passed.keys().map(|name| name.as_str()).collect();
+    assert_eq!(passed, ["latchmount-prompt", "x-other"]);
+}
+
+#[rstest]
+#[case::just_used(0, true)]
+#[case::used_a_second_ago(1_000, true)]
+#[case::used_long_ago(3_000, false)]
+fn requests_that_may_run_once_use_connections_that_were_used_lately(
+    #[case] idle_ms: u64,
+    #[case] allowed: bool,
+) {
+    let idle_for = Duration::from_millis(idle_ms);
+    assert_eq!(Reuse::UsedLately.allows(idle_for), allowed);
+    assert!(Reuse::Any.allows(idle_for));
+}
+
+#[test]
+fn callers_of_a_gateway_that_has_waited_long_for_news_come_back_later() {
+    let wait = |up_ms| Refusal::NoConfiguration.come_back_in(Duration::from_millis(up_ms));
+    let expected = |ms| Some(Duration::from_millis(ms));
+    assert_eq!([wait(0), wait(500), wait(60_000)], [expected(200), expected(500), expected(1_000)]);
+}
