Soak: callers that forge what only the system sets

One request in five names every header that only the system sets; a target that sees what a caller put there breaks the run (UNASKED).

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -21,6 +21,23 @@
 /// Beyond its own patience a caller gives a gateway this long for the final answer.
 const BEYOND: Duration = Duration::from_secs(2);
 
+/// Part of the requests that name headers which only the system sets.
+const FORGING: f64 = 0.2;
+/// Those headers.
+pub const SYSTEM_HEADERS: [&str; 9] = [
+    "x-hold",
+    "x-pin-ms",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "x-expect-version",
+    "x-expect-instance",
+    "x-request-priority",
+    "x-tenant",
+];
+/// What callers put there.
+pub const FORGED: &str = "forged";
+
 /// One caller.
 pub struct Caller {
     pub number: usize,
@@ -62,11 +79,17 @@
         rng: &mut StdRng,
     ) -> bool {
         let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
-        let request = Request::post(format!("{}x", kind.path()))
+        let mut request = Request::post(format!("{}x", kind.path()))
             .header("host", "h.example")
             .header("x-request-id", &id)
             .header("x-credential", "key-a")
-            .header("x-deadline-ms", PATIENCE.as_millis() as u64)
+            .header("x-deadline-ms", PATIENCE.as_millis() as u64);
+        if rng.random_bool(FORGING) {
+            for name in SYSTEM_HEADERS {
+                request = request.header(name, FORGED);
+            }
+        }
+        let request = request
             .body(Full::new(Bytes::from(vec![b'x'; rng.random_range(0..2_000)])))
             .expect("a sound request");
         self.ledger.book().sent_ids.insert(id.clone());
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::caller::{FORGED, SYSTEM_HEADERS};
 use crate::harness::call;
 use crate::ledger::{Ledger, Run};
 
@@ -199,6 +200,11 @@
         };
         let id = text("x-request-id");
         body.collect().await.map_err(|_| Cut)?;
+        for name in SYSTEM_HEADERS {
+            if head.headers.get_all(name).iter().any(|value| value == FORGED) {
+                self.ledger.broken(format!("UNASKED: {id} came with its caller's {name}"));
+            }
+        }
         if text("x-expect-instance") != self.id {
             return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
         }
