--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use latchmount::gateway::health::{AttemptOutcome, Tally};
 use latchmount::raft::GroupId;
 use latchmount::rpc::{ControlClient, SyncRequest, connect};
 use latchmount::store::Answer;
@@ -18,6 +19,8 @@
 const QUIET: Duration = Duration::from_secs(5);
 const FOLLOWERS: [usize; 5] = [8, 40, 100, 200, 340];
 const CHANGES: usize = 20;
+/// Failures that are held against others, for each point.
+const JUDGED: usize = 2_000;
 
 /// Prints the points, their least-squares line and its value at the target size.
 fn report(slope: &str, by: &str, unit: &str, points: &[(f64, f64)], target: f64) {
@@ -270,10 +273,42 @@
     }
 }
 
+/// Processor time of a gateway to hold one failure against the other targets of a service.
+fn evidence() {
+    let mut points = Vec::new();
+    for count in [24, 100, 200, 400, 790] {
+        let tallies: Vec<Tally> = (0..count).map(tally).collect();
+        let began = Instant::now();
+        let mut worse = 0;
+        for round in 0..JUDGED {
+            let (own, others) = tallies.split_at(1 + round % 2);
+            worse += usize::from(own[0].worse_than(others));
+        }
+        let each = began.elapsed().as_secs_f64() * 1e6 / JUDGED as f64;
+        eprintln!("{worse} of {JUDGED} worse");
+        points.push((count as f64, each));
+    }
+    report("gateway_failure", "targets", "µs", &points, 790.0);
+}
+
+/// A tally of eight attempts, of which some failed.
+fn tally(number: u32) -> Tally {
+    let mut tally = Tally::default();
+    for at in 0..8 {
+        let failed = number.wrapping_mul(2_654_435_761) >> at & 3 == 0;
+        let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        tally.note(Duration::from_millis(at.into()), outcome);
+    }
+    tally
+}
+
 #[tokio::main]
 async fn main() {
     let part = std::env::args().nth(1).filter(|arg| !arg.starts_with("--"));
     let wants = |name: &str| part.as_deref().is_none_or(|part| part == name);
+    if wants("evidence") {
+        evidence();
+    }
     if wants("targets") {
         targets().await;
     }
