--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -294,10 +294,10 @@
 /// A tally of eight attempts, of which some failed.
 fn tally(number: u32) -> Tally {
     let mut tally = Tally::default();
-    for at in 0..8 {
+    for at in 0..8u64 {
         let failed = number.wrapping_mul(2_654_435_761) >> at & 3 == 0;
         let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
-        tally.note(Duration::from_millis(at.into()), outcome);
+        tally.note(Duration::from_millis(at), outcome);
     }
     tally
 }
