Return to the own member after the first configuration

Ours, from the race for the first news: most of 87 gateways hear the same member first, the one that leads or is up before the others, and stayed with it; its 6 Mbit/s carried every later change to all of them, and a change of 1,400 routes came too late to some.

Change: the race gives the first configuration only; a gateway then follows the member that is next by its own random order, as before the race. That asks only for what is newer.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -81,22 +81,31 @@
         }
     }
 
-    /// Follows the member that is the first to tell a configuration.
+    /// Takes the first configuration from whichever member tells one, and then follows the member that
+    /// is next by its own order.
+    ///
+    /// Most gateways of a start hear the same member first, the one that is up or leads before the
+    /// others: if all stayed with it, its link would carry every later change to all of them.
     async fn follow_first_to_tell(&mut self) -> (SocketAddr, Result<(), LinkError>) {
         let mut members = self.members.clone();
-        let first = self.at % members.len();
-        members.rotate_left(first);
+        let next = self.at % members.len();
+        members.rotate_left(next);
         let subscription = self.subscription();
         let racing = race::first_to_tell(self.gateway.settings.source, &members, &subscription);
-        match tokio::time::timeout(LONGEST_RACE, racing).await {
-            Ok(subscribed) => {
-                let member = subscribed.member;
-                let place = self.members.iter().position(|known| *known == member);
-                self.at = place.unwrap_or(first);
-                (member, self.stay(subscribed).await)
-            }
-            Err(_) => (members[0], Err(LinkError::Timeout)),
+        let Ok(mut subscribed) = tokio::time::timeout(LONGEST_RACE, racing).await else {
+            return (members[0], Err(LinkError::Timeout));
+        };
+        let member = subscribed.member;
+        if member == members[0] {
+            return (member, self.stay(subscribed).await);
+        }
+        if let Some(first) = subscribed.first.take()
+            && let Err(error) = self.hear(member, first, &mut subscribed.sender).await
+        {
+            return (member, Err(error));
         }
+        drop(subscribed);
+        self.follow_next().await
     }
 
     fn subscription(&self) -> Subscription {
