Tell how late configurations come into force, and who follows whom

Cause: of the late configuration neither logs nor metrics could tell how many gateways a member serves, how long a change waited for its turn (the histogram began with the sending), or whether a gateway that is behind knows it. Now: followers of a member; time from holding to in force, and a line with the last gateway, per version; each word of a member says which version it holds, and a gateway tells how late a change can have been there.

Tests: gateway: rollout; fleet: group, news. No decision is changed.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use prometheus::{Gauge, HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 use super::connection::ConnectError;
 use super::reason::Refusal;
@@ -35,6 +35,10 @@
     pub(super) revision: IntGauge,
     /// Version of the configuration in force.
     pub(super) version: IntGauge,
+    /// Newest version that a member told of.
+    pub(super) version_told: IntGauge,
+    /// How late configurations came into force here, at most.
+    pub(super) in_force: Histogram,
     /// Targets known.
     pub(super) targets: IntGauge,
     /// Gateways alive.
@@ -139,6 +143,15 @@
                 "latchmount_gateway_configuration_version",
                 "Version of the configuration in force.",
             )?,
+            version_told: set.gauge(
+                "latchmount_gateway_configuration_told",
+                "Newest version of a configuration that a member told of.",
+            )?,
+            in_force: set.histogram(
+                "latchmount_gateway_in_force_seconds",
+                "Time from the last word of a member that held nothing newer until a newer configuration came into force.",
+                &SECONDS,
+            )?,
             targets: set.gauge("latchmount_gateway_targets", "Targets known.")?,
             gateways: set.gauge("latchmount_gateway_gateways", "Gateways alive.")?,
             set,
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use slog::{info, warn};
 use tokio::task::JoinSet;
@@ -28,13 +29,15 @@
     gateway: Arc<Gateway>,
     /// The configuration, as the next difference builds on it.
     document: Option<Document>,
+    /// When a member last told that it holds no newer configuration than this gateway.
+    current_at: Option<Instant>,
     /// Parcels that are being fetched.
     fetches: JoinSet<Fetched>,
 }
 
 impl News {
     pub(super) fn new(gateway: Arc<Gateway>) -> Self {
-        News { gateway, document: None, fetches: JoinSet::new() }
+        News { gateway, document: None, current_at: None, fetches: JoinSet::new() }
     }
 
     /// Version of the last configuration that came, be it readable or not; 0 for none.
@@ -142,7 +145,11 @@
     }
 
     /// Takes what an update tells besides parcels.
-    fn take_signs(&self, update: &Update) {
+    fn take_signs(&mut self, update: &Update) {
+        self.gateway.metrics.version_told.set(update.version as i64);
+        if update.version <= self.version() {
+            self.current_at = Some(Instant::now());
+        }
         if let Some(loads) = &update.loads {
             self.gateway.take_loads(loads);
         }
@@ -167,10 +174,15 @@
                 let mut shown = write(&self.gateway.table);
                 *shown = Some(table);
                 self.gateway.metrics.version.set(document.version as i64);
+                let waited = self.current_at.map(|at| at.elapsed());
+                if let Some(waited) = waited {
+                    self.gateway.metrics.in_force.observe(waited.as_secs_f64());
+                }
                 info!(self.gateway.log, "configuration in force"; "event" => "configuration",
                     "version" => document.version, "before" => held,
                     "bytes" => document.bytes.len(), "packed_bytes" => packed.bytes.len(),
-                    "from" => %from);
+                    "from" => %from,
+                    "waited_ms" => waited.map(|waited| waited.as_millis() as u64));
             }
             Err(faults) => {
                 warn!(self.gateway.log, "configuration can't be read";
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -1,12 +1,12 @@
 //! Serves gateways that follow this member: hears what they tell, and sends them their news.
 
-use std::sync::Mutex;
-
+use slog::info;
 use tokio::sync::mpsc;
 
 use super::Shared;
 use super::message::{Subscription, ToMember};
-use super::push::{Push, UnderWay, Word};
+use super::push::{Push, Word};
+use super::rollout::Connection;
 use crate::link::{FrameReceiver, FrameSender, LinkError};
 use crate::sync::lock;
 
@@ -22,7 +22,7 @@
 ) -> Result<(), LinkError> {
     let gateway = subscription.gateway.clone();
     lock(&shared.presence).connect(&gateway);
-    let under_way = Mutex::new(None);
+    let connection = lock(&shared.rollout).connect(shared.now(), &gateway, subscription.version);
     let (words, waiting) = mpsc::channel(WORDS_LEN);
     let closed = async {
         loop {
@@ -31,14 +31,14 @@
                 ToMember::Loads(loads) => {
                     lock(&shared.board).hear_gateway(now, &gateway, loads);
                 }
-                ToMember::InForce(version) => note_in_force(shared, &under_way, version),
+                ToMember::InForce(version) => note_in_force(shared, connection, version),
                 ToMember::Has(parcel) => tell(&words, Word::Has(parcel)).await?,
                 ToMember::Lacks(parcel) => tell(&words, Word::Lacks(parcel)).await?,
                 _ => return Err(LinkError::Garbled),
             }
         }
     };
-    let mut push = Push::new(shared, &subscription, sender, &under_way);
+    let mut push = Push::new(shared, &subscription, sender);
     let ended = tokio::select! {
         ended = push.run(waiting) => ended,
         ended = closed => ended,
@@ -47,6 +47,8 @@
     let now = shared.now();
     lock(&shared.presence).disconnect(now, &gateway);
     lock(&shared.board).forget_gateway(&gateway);
+    lock(&shared.rollout).disconnect(connection);
+    tell_everywhere(shared);
     ended
 }
 
@@ -55,9 +57,22 @@
 }
 
 /// The gateway tells which configuration it now works by.
-fn note_in_force(shared: &Shared, under_way: &UnderWay, version: u64) {
-    let arrived = lock(under_way).take_if(|(sent, _)| *sent <= version);
-    if let Some((_, since)) = arrived {
-        shared.metrics.in_force.observe(since.elapsed().as_secs_f64());
+fn note_in_force(shared: &Shared, connection: Connection, version: u64) {
+    let waited = lock(&shared.rollout).in_force(shared.now(), connection, version);
+    if let Some(waited) = waited {
+        shared.metrics.in_force.observe(waited.as_secs_f64());
+    }
+    tell_everywhere(shared);
+}
+
+/// Logs configurations that have come to all gateways here, with the gateway that waited longest.
+fn tell_everywhere(shared: &Shared) {
+    let all = lock(&shared.rollout).take_everywhere();
+    for everywhere in all {
+        let last = everywhere.last.as_ref();
+        info!(shared.log, "configuration at all gateways"; "event" => "configuration_everywhere",
+            "version" => everywhere.version, "gateways" => everywhere.reached,
+            "last" => last.map(|last| last.gateway.as_str()),
+            "waited_ms" => last.map(|last| last.waited.as_millis() as u64));
     }
 }
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -143,6 +143,8 @@
 pub struct Update {
     /// Whether the member has heard a leader lately.
     pub fresh: bool,
+    /// Version of the configuration that the member holds; 0 for none.
+    pub version: u64,
     /// Bytes of parcels that the gateway lacks.
     pub parcels: Vec<Bytes>,
     /// A parcel that it lacks and is to fetch.
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -55,6 +55,7 @@
     voters: IntGauge,
     targets: IntGauge,
     gateways: IntGauge,
+    followers: IntGauge,
 }
 
 impl MemberMetrics {
@@ -92,7 +93,7 @@
             )?,
             in_force: histogram(
                 "in_force_seconds",
-                "Time from a configuration's arrival here until a gateway connected here has it.",
+                "Time from a configuration's arrival here, or a gateway's if it was later, until the gateway has it.",
                 &SECONDS,
             )?,
             term: gauge("term", "Newest term seen.")?,
@@ -103,6 +104,7 @@
             voters: gauge("voters", "Members that vote.")?,
             targets: gauge("targets", "Targets in the directory.")?,
             gateways: gauge("gateways", "Gateways alive.")?,
+            followers: gauge("followers", "Gateways that get their news from this member.")?,
             set,
         })
     }
@@ -130,6 +132,7 @@
         self.voters.set(votes.count() as i64);
         self.targets.set(published.directory.targets().count() as i64);
         self.gateways.set(i64::from(lock(&shared.presence).alive(now)));
+        self.followers.set(lock(&shared.rollout).followers() as i64);
         self.set.render()
     }
 }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod presence;
 mod push;
+pub mod rollout;
 pub mod settings;
 pub mod swarm;
 mod upkeep;
@@ -56,6 +57,7 @@
 use self::pacer::Pacer;
 use self::peers::Peers;
 use self::presence::Presence;
+use self::rollout::Rollout;
 use self::settings::MemberSettings;
 use self::swarm::Swarm;
 
@@ -112,6 +114,7 @@
     archive: Mutex<Archive>,
     deltas: Mutex<Deltas>,
     swarm: Mutex<Swarm>,
+    rollout: Mutex<Rollout>,
     board: Mutex<LoadBoard>,
     heard: Mutex<Heard>,
     /// Of parcels that are sent along with signs of life.
@@ -166,6 +169,7 @@
             archive: Mutex::default(),
             deltas: Mutex::default(),
             swarm: Mutex::default(),
+            rollout: Mutex::default(),
             board: Mutex::default(),
             heard: Mutex::default(),
             pace_of_small: Pacer::new(settings.link_mbps, pacer::PART_FOR_SMALL),
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -5,14 +5,14 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use slog::info;
 use tokio::sync::{Notify, mpsc};
 
 use super::Shared;
-use super::cursor::{Brings, Cursor, Lacked, Loan, Piece};
+use super::cursor::{Cursor, Lacked, Loan, Piece};
 use super::loads::Loads;
 use super::message::{Elsewhere, FromMember, Subscription, Update};
 use super::metrics::ParcelWay;
@@ -37,9 +37,6 @@
     Lacks(ParcelId),
 }
 
-/// The version of a configuration on its way to a gateway, and since when.
-pub(super) type UnderWay = Mutex<Option<(u64, Instant)>>;
-
 /// A turn to send a large parcel that is waited for.
 type WaitingTurn<'a> = Pin<Box<dyn Future<Output = Turn<'a>> + Send + 'a>>;
 
@@ -51,7 +48,6 @@
     neighbour: Option<Neighbour>,
     cursor: Cursor,
     sender: FrameSender,
-    under_way: &'a UnderWay,
     /// When the gateway must hear that this member lives.
     sign_at: tokio::time::Instant,
     /// When it may be sent small parcels again.
@@ -64,7 +60,6 @@
         shared: &'a Shared,
         subscription: &Subscription,
         sender: FrameSender,
-        under_way: &'a UnderWay,
     ) -> Self {
         let data_hall = subscription.data_hall.clone();
         let neighbour = subscription.passes_on_at.map(|addr| Neighbour { addr, data_hall });
@@ -75,7 +70,6 @@
             neighbour,
             cursor: Cursor::at(subscription),
             sender,
-            under_way,
             sign_at: now,
             small_at: now,
             turn: None,
@@ -165,7 +159,6 @@
     async fn tell_neighbour(&mut self, large: &Piece, at: SocketAddr) -> Result<(), LinkError> {
         let parcel = large.parcel.id();
         self.cursor.loan = Some(Loan { parcel, from: at, brings: large.brings });
-        self.note_under_way(large.brings);
         self.shared.metrics.large_parcel(ParcelWay::Named);
         let elsewhere = Some(Elsewhere { parcel, at });
         let update = Update { elsewhere, ..self.sign() };
@@ -178,7 +171,6 @@
         let Some(large) = self.lacked(&self.shared.published())?.large else {
             return Ok(());
         };
-        self.note_under_way(large.brings);
         self.cursor.advance(large.brings);
         self.shared.metrics.large_parcel(ParcelWay::Sent);
         turn.spend(large.parcel.bytes().len());
@@ -193,7 +185,6 @@
         let published = self.shared.published();
         let small = self.lacked(&published)?.small;
         for piece in &small {
-            self.note_under_way(piece.brings);
             self.cursor.advance(piece.brings);
         }
         let parcels = small.into_iter().map(|piece| piece.parcel.bytes().clone()).collect();
@@ -230,7 +221,8 @@
         let now = self.shared.now();
         let gateways = self.shared.gateways_alive();
         let loads = self.next_loads(now);
-        Update { fresh: self.fresh(), gateways, loads, ..Update::default() }
+        let version = held_version(&self.shared.member.published().borrow());
+        Update { fresh: self.fresh(), version, gateways, loads, ..Update::default() }
     }
 
     /// What is in flight at the targets, when it is time to tell.
@@ -246,16 +238,6 @@
         Some(loads)
     }
 
-    /// Notes since when a configuration is on its way, unless it is the gateway's first: that one waited
-    /// for the gateway.
-    fn note_under_way(&self, brings: Brings) {
-        if let Brings::Version(version) = brings
-            && self.cursor.version > 0
-        {
-            *lock(self.under_way) = Some((version, Instant::now()));
-        }
-    }
-
     /// Takes note of what the gateway tells of a parcel.
     fn hear(&mut self, word: Word) {
         let shared = self.shared;
@@ -300,6 +282,10 @@
     }
 }
 
+fn held_version(published: &Published) -> u64 {
+    published.document.as_ref().map_or(0, |document| document.version)
+}
+
 fn member_addrs(published: &Published) -> Vec<SocketAddr> {
     published.members.0.iter().map(|member| member.addr).collect()
 }
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -173,6 +173,7 @@
         let newest = now.document.as_ref().map_or(0, |document| document.version);
         if newest != version {
             version = newest;
+            lock(&shared.rollout).hold(shared.now(), version);
             info!(shared.log, "configuration held"; "event" => "configuration",
                 "version" => version, "index" => now.applied, "term" => term);
         }
--- a/tests/fleet/group.rs
+++ b/tests/fleet/group.rs
@@ -173,6 +173,7 @@
         "latchmount_member_configuration_version 7",
         "latchmount_member_targets 1",
         "latchmount_member_gateways 1",
+        "latchmount_member_followers 1",
         "latchmount_member_calls_total{call=\"put_configuration\",outcome=\"200\"}",
     ] {
         assert!(text.contains(line), "{line} in {text}");
@@ -184,6 +185,8 @@
     let text = call(scraped, "GET", "/metrics", "").await.expect("an answer").body;
     for line in [
         "latchmount_gateway_configuration_version 7",
+        "latchmount_gateway_configuration_told 7",
+        "latchmount_gateway_in_force_seconds_count 2",
         "latchmount_gateway_requests_total{service=\"s\"} 1",
         "latchmount_gateway_answers_total{status=\"200\"} 1",
         "latchmount_gateway_refused_total{reason=\"no_route\"} 1",
--- a/tests/fleet/news.rs
+++ b/tests/fleet/news.rs
@@ -62,6 +62,13 @@
     let from: Vec<String> = fleet.gateways.iter().map(|gateway| came_from(gateway, 2)).collect();
     let by_member = from.iter().filter(|from| from.starts_with(&format!("{member}:"))).count();
     assert!((1..6).contains(&by_member), "{from:?}");
+    let line = eventually("the member's word that all gateways have it", async || {
+        let log = fleet.members[0].log();
+        let mut lines = log.lines().filter(|line| line.contains("event=configuration_everywhere"));
+        lines.find(|line| line.contains(" version=2 ")).map(str::to_owned)
+    })
+    .await;
+    assert!(line.contains("gateways=6") && line.contains("waited_ms="), "{line}");
 }
 
 #[tokio::test]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod herd;
 mod news;
 mod requests;
+mod rollout;
 mod routes;
 #[path = "../seeds/seed.rs"]
 mod seeds;
