Three tests that fail, of the late configuration

Ruled out as the cause of the 2.6 s: a change that puts another off (all gateways took version 16 itself in the plays).

--- /dev/null
+++ b/tests/fleet/followers.rs
@@ -0,0 +1,79 @@
+//! Which members gateways get their news from.
+//!
+//! Users got 404 for a route that had been acknowledged more than 2.5 s before. In order: all
+//! gateways start with the seeds of their settings, three members of five; one of the three loses its
+//! process for half a second; 12 s later a configuration grows by 1,720 routes, and two of 87
+//! gateways work by the older one for 2.6 s.
+//!
+//! The cause was in who followed whom. Gateways stayed with the seeds, those of a lost member all turned to the
+//! same next one, and none came back, so that one member carried 57 to 64 of 87: at 22 KB each its
+//! link was full for over 2 s. Those that heard nothing for a second left it, all for the same next
+//! member, and waited there again. Evidence: in plays of such a day the last gateway was 2.0 to 2.6 s
+//! late wherever a lost seed had left half of the gateways or more to one member, and 1.2 to 1.7 s where
+//! another member was lost; the last gateways' own logs show both moves.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use crate::doors::configuration;
+use crate::harness::{Fleet, Process, eventually};
+
+const MEMBERS: usize = 5;
+const SEEDS: usize = 3;
+const GATEWAYS: usize = 24;
+
+/// The member that a gateway follows, by its log.
+fn followed(gateway: &Process) -> Option<IpAddr> {
+    let log = gateway.log();
+    let mut news = log.lines().rev().filter(|line| line.contains(" event=member_"));
+    let last = news.find(|line| line.contains("event=member_followed"))?;
+    let member = last.split_whitespace().find_map(|part| part.strip_prefix("member="))?;
+    let (ip, _port) = member.trim_matches('"').rsplit_once(':')?;
+    ip.parse().ok()
+}
+
+/// Gateways by the member that they follow.
+fn shares(fleet: &Fleet) -> BTreeMap<IpAddr, usize> {
+    let mut shares: BTreeMap<_, _> = fleet.members.iter().map(|member| (member.ip, 0)).collect();
+    for member in fleet.gateways.iter().filter_map(followed) {
+        *shares.entry(member).or_default() += 1;
+    }
+    shares
+}
+
+async fn started() -> Fleet {
+    let fleet = Fleet::start(MEMBERS, GATEWAYS).await;
+    fleet.configure(&configuration(1)).await;
+    fleet
+}
+
+#[tokio::test]
+async fn members_that_are_no_seeds_serve_gateways_too() {
+    let fleet = started().await;
+    eventually("gateways at every member", async || {
+        let shares = shares(&fleet);
+        shares.values().all(|share| *share > 0).then_some(())
+    })
+    .await;
+}
+
+/// Each gateway of a lost member turns to another of its own choice. By chance alone two thirds of all
+/// would be with one of four members once in 50,000 times.
+#[tokio::test]
+async fn gateways_of_a_lost_member_do_not_all_turn_to_the_same_next_one() {
+    let mut fleet = started().await;
+    let shares_before = shares(&fleet);
+    let share = |member: &usize| shares_before[&fleet.members[*member].ip];
+    // The seed that makes most gateways of one member if all go to the next.
+    let with_next = |member: &usize| share(member) + share(&((member + 1) % SEEDS));
+    let lost = (0..SEEDS).max_by_key(with_next).expect("seeds");
+    let gone = fleet.members[lost].ip;
+    fleet.members[lost].kill();
+    let after = eventually("all gateways at members that run", async || {
+        let shares = shares(&fleet);
+        (shares[&gone] == 0).then_some(shares)
+    })
+    .await;
+    let most = after.values().max().expect("members");
+    assert!(*most < GATEWAYS * 2 / 3, "{shares_before:?}, then {after:?}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod balance;
 mod budget;
 mod directory;
+mod documents;
 mod events;
 mod health;
 mod herd;
