A small change of a configuration weighs little however large it has grown

Cause: the base goes to the compressor as a dictionary, and the cheapest level finds in it only what stands near its end. After a growth to 375 KB each small change weighed 16 KB on its way to each gateway, and went as large news. Now the base is a prefix of the text, with long-distance matching over both.

Ruled out: a larger table at the same level (megabytes for each packing).

--- a/src/document.rs
+++ b/src/document.rs
@@ -1,11 +1,17 @@
 //! The configuration document as operators sent it, and how it travels: as the difference from a
 //! version that the receiver holds.
 
+use std::io;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use zstd::bulk::Compressor;
+use zstd::zstd_safe::CParameter;
 
 /// Compression level: the cheapest, since documents change often and links are wide enough then.
 const LEVEL: i32 = 1;
+/// Smallest window of a difference, as a power of two of bytes; the library takes none below 10.
+const LEAST_WINDOW_LOG: u32 = 10;
 /// Largest document, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
 
@@ -58,8 +64,10 @@
             return Err(PackError::TooLarge);
         }
         let known: &[u8] = base.map_or(&[], |base| &base.bytes);
-        let mut compressor = zstd::bulk::Compressor::with_dictionary(LEVEL, known)
-            .map_err(|_| PackError::Damaged)?;
+        let mut compressor = Compressor::new(LEVEL).map_err(|_| PackError::Damaged)?;
+        if !known.is_empty() {
+            build_on(&mut compressor, known, self.bytes.len()).map_err(|_| PackError::Damaged)?;
+        }
         let packed = compressor.compress(&self.bytes).map_err(|_| PackError::Damaged)?;
         Ok(Packed {
             version: self.version,
@@ -70,6 +78,18 @@
     }
 }
 
+/// Has the compressor build on `known`, wherever in it a piece of a text of `len` bytes stands.
+///
+/// As a plain dictionary the cheapest level finds what stands near its end only: one changed value
+/// of 1,960 routes weighed 10.9 KB, and weighs 0.1 KB.
+fn build_on<'a>(compressor: &mut Compressor<'a>, known: &'a [u8], len: usize) -> io::Result<()> {
+    let window_log = (known.len() + len).next_power_of_two().ilog2().max(LEAST_WINDOW_LOG);
+    compressor.set_parameter(CParameter::WindowLog(window_log))?;
+    compressor.set_parameter(CParameter::EnableLongDistanceMatching(true))?;
+    let taken = compressor.context_mut().ref_prefix(known);
+    taken.map(|_| ()).map_err(|code| io::Error::other(zstd::zstd_safe::get_error_name(code)))
+}
+
 impl Packed {
     /// Unpacks the document, given the one that the receiver holds.
     ///
