Each gateway turns to members in an order of its own, and returns to one that was away

Cause of the late configuration: gateways stayed with the seeds of their settings, all of a lost member turned to the same next one, and none came back; 57 to 64 of 87 followed one member, whose link was full for over 2 s by a configuration of 22 KB, and those that gave up waiting met again at the next member.

Now the order is a hash over the gateway's name and the members' addresses (gateway/order.rs), and a gateway that follows another looks after 2 to 4 s, then less and less often, whether an earlier member can be followed (gateway/lookout.rs). It goes back only to one that hears a leader and holds no less than itself, while nothing that it was told of is on its way.

Ruled out: members that tell how many they serve (a word that all gateways act on together).

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,15 +4,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slog::{info, warn};
+use slog::{error, info, warn};
 
 use super::Gateway;
+use super::left::Left;
+use super::lookout::{Look, Lookout};
 use super::mechanism::Mechanism;
-use super::news::News;
+use super::news::{Fetched, News};
+use super::order::MemberOrder;
 use super::race::{self, Subscribed};
 use crate::group::loads::own_loads_interval;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
-use crate::link::{FrameSender, LinkError, LinkTiming, dial};
+use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
 use crate::sync::lock;
 
 /// Silence of a member after which another one is followed.
@@ -32,24 +35,33 @@
 
 /// Follows members for ever.
 pub(super) async fn follow(gateway: Arc<Gateway>) {
-    let members = lock(&gateway.seeds).clone();
+    let seeds = lock(&gateway.seeds).clone();
+    let Some(order) = MemberOrder::new(&gateway.settings.host, seeds) else {
+        error!(gateway.log, "no members to follow"; "event" => "no_members");
+        return;
+    };
     let mut follower = Follower {
-        members,
+        order,
         news: News::new(gateway.clone()),
-        at: rand::random_range(0..usize::from(u16::MAX)),
+        lookout: Lookout::new(gateway.settings.source),
         lost: false,
         told_none: false,
         gateway,
     };
     loop {
-        let (member, ended) = match follower.news.version() {
+        let (member, left) = match follower.news.version() {
             0 if follower.gateway.uses(Mechanism::Race) => follower.follow_first_to_tell().await,
-            _ => follower.follow_next().await,
+            _ => follower.follow_current().await,
         };
-        follower.note_left(member, &ended);
-        follower.learn(follower.members.clone());
-        follower.at += 1;
-        tokio::time::sleep(PAUSE).await;
+        follower.note_left(member, &left);
+        follower.learn(follower.order.from_current());
+        match left {
+            Left::Earlier(earlier) => follower.order.turn_to(earlier),
+            _ => {
+                follower.order.turn_to_next();
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
     }
 }
 
@@ -62,36 +74,24 @@
     Configured,
 }
 
-/// Why a member is followed no longer.
-#[derive(Debug, thiserror::Error)]
-enum Left {
-    /// The connection failed, or the member fell silent.
-    #[error("{0}")]
-    Link(#[from] LinkError),
-    /// It hears no leader.
-    #[error("it hears no leader")]
-    Leaderless,
-    /// It was followed for the first configuration only.
-    #[error("it told the first configuration, and another is next")]
-    First,
-}
-
-impl Left {
-    fn label(&self) -> &'static str {
-        match self {
-            Left::Link(error) => error.label(),
-            Left::Leaderless => "leaderless",
-            Left::First => "first",
-        }
-    }
+/// What happens while a member is followed.
+enum Event {
+    /// The member told something.
+    Told(Box<Update>),
+    /// A parcel was fetched from another gateway, or not.
+    Fetched(Fetched),
+    /// A look for an earlier member.
+    Look(Look),
+    /// It is time to tell what is in flight.
+    LoadsDue,
 }
 
 struct Follower {
     gateway: Arc<Gateway>,
     /// Members that have been told of, and those of the settings.
-    members: Vec<SocketAddr>,
+    order: MemberOrder,
     news: News,
-    at: usize,
+    lookout: Lookout,
     /// Whether the members are out of reach, and that was logged.
     lost: bool,
     /// Whether the member knows that nothing is in flight here.
@@ -99,9 +99,9 @@
 }
 
 impl Follower {
-    /// Follows the next member; tells which, and why no longer.
-    async fn follow_next(&mut self) -> (SocketAddr, Left) {
-        let member = self.members[self.at % self.members.len()];
+    /// Follows the member that it is the turn of; tells which, and why no longer.
+    async fn follow_current(&mut self) -> (SocketAddr, Left) {
+        let member = self.order.current();
         let subscribed = async {
             let (mut sender, receiver) = dial(self.gateway.settings.source, member, TIMING).await?;
             sender.send(&ToMember::Subscribe(self.subscription())).await?;
@@ -114,14 +114,12 @@
     }
 
     /// Takes the first configuration from whichever member tells one, and then follows the member that
-    /// is next by its own order.
+    /// it is the turn of.
     ///
     /// Most gateways of a start hear the same member first, the one that is up or leads before the
     /// others: if all stayed with it, its link would carry every later change to all of them.
     async fn follow_first_to_tell(&mut self) -> (SocketAddr, Left) {
-        let mut members = self.members.clone();
-        let next = self.at % members.len();
-        members.rotate_left(next);
+        let members = self.order.from_current();
         let subscription = self.subscription();
         let racing = race::first_to_tell(self.gateway.settings.source, &members, &subscription);
         let Ok(subscribed) = tokio::time::timeout(LONGEST_RACE, racing).await else {
@@ -132,7 +130,7 @@
             return (member, self.stay(subscribed, Until::Lost).await);
         }
         match self.stay(subscribed, Until::Configured).await {
-            Left::First => self.follow_next().await,
+            Left::First => self.follow_current().await,
             left => (member, left),
         }
     }
@@ -147,6 +145,11 @@
         }
     }
 
+    /// A subscription that only looks, and neither passes parcels on nor is given any to fetch.
+    fn subscription_to_look(&self) -> Subscription {
+        Subscription { passes_on_at: None, ..self.subscription() }
+    }
+
     /// Takes what a member tells; tells why no longer.
     async fn stay(&mut self, subscribed: Subscribed, until: Until) -> Left {
         match self.take_news(subscribed, until).await {
@@ -161,15 +164,55 @@
         info!(self.gateway.log, "member followed"; "event" => "member_followed",
             "member" => %member, "until" => ?until, "version" => self.gateway.version());
         self.news.forget_fetches();
+        self.lookout.start();
         let mut fresh_at = Instant::now();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
         if let Some(first) = first {
             self.hear(member, first, &mut sender).await?;
         }
         while until == Until::Lost || self.news.version() == 0 {
+            match self.next_event(&mut receiver, loads_at).await? {
+                Event::Told(update) => {
+                    if self.hear(member, *update, &mut sender).await? {
+                        fresh_at = Instant::now();
+                    } else if fresh_at.elapsed() >= LEADERLESS {
+                        return Ok(Left::Leaderless);
+                    }
+                }
+                Event::Fetched(fetched) => self.news.take_fetched(fetched, &mut sender).await?,
+                Event::LoadsDue => {
+                    loads_at = tokio::time::Instant::now() + self.loads_interval();
+                    self.tell_loads(&mut sender).await?;
+                }
+                Event::Look(Look::Due) => {
+                    self.lookout.look(&self.order, self.subscription_to_look());
+                }
+                // What is on its way would be lost with the connection.
+                Event::Look(Look::Found(earlier)) if self.news.complete() => {
+                    return Ok(Left::Earlier(earlier));
+                }
+                Event::Look(Look::Found(_)) => {}
+            }
+        }
+        Ok(Left::First)
+    }
+
+    /// Waits for what happens next while a member is followed.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the connection fails, or nothing has come for too long.
+    async fn next_event(
+        &mut self,
+        receiver: &mut FrameReceiver,
+        loads_at: tokio::time::Instant,
+    ) -> Result<Event, LinkError> {
+        loop {
             let silent_at = tokio::time::Instant::from_std(receiver.heard_at() + SILENCE);
-            let update = tokio::select! {
-                update = receiver.receive() => update?,
+            let event = tokio::select! {
+                received = receiver.receive() => match received? {
+                    FromMember::Update(update) => Event::Told(update),
+                    FromMember::Reply { .. } => return Err(LinkError::Garbled),
+                },
                 () = tokio::time::sleep_until(silent_at) => {
                     // A long frame may be on its way.
                     if receiver.heard_at().elapsed() >= SILENCE {
@@ -177,26 +220,12 @@
                     }
                     continue;
                 }
-                fetched = self.news.fetched() => {
-                    self.news.take_fetched(fetched, &mut sender).await?;
-                    continue;
-                }
-                () = tokio::time::sleep_until(loads_at) => {
-                    loads_at = tokio::time::Instant::now() + self.loads_interval();
-                    self.tell_loads(&mut sender).await?;
-                    continue;
-                }
-            };
-            let FromMember::Update(update) = update else {
-                return Err(LinkError::Garbled);
+                look = self.lookout.next() => Event::Look(look),
+                fetched = self.news.fetched() => Event::Fetched(fetched),
+                () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
             };
-            if self.hear(member, *update, &mut sender).await? {
-                fresh_at = Instant::now();
-            } else if fresh_at.elapsed() >= LEADERLESS {
-                return Ok(Left::Leaderless);
-            }
+            return Ok(event);
         }
-        Ok(Left::First)
     }
 
     /// Takes an update, and tells whether the member hears a leader.
@@ -236,14 +265,9 @@
     }
 
     /// Remembers where members are, and keeps those of the settings.
-    fn learn(&mut self, members: Vec<SocketAddr>) {
-        let current = self.members[self.at % self.members.len()];
-        let mut known = members;
-        known.extend(lock(&self.gateway.seeds).iter());
-        known.sort_unstable();
-        known.dedup();
-        self.at = known.iter().position(|addr| *addr == current).unwrap_or(self.at);
-        self.members = known;
+    fn learn(&mut self, mut members: Vec<SocketAddr>) {
+        members.extend(lock(&self.gateway.seeds).iter());
+        self.order.learn(members);
     }
 
     fn note_found(&mut self, member: SocketAddr) {
--- /dev/null
+++ b/src/gateway/left.rs
@@ -0,0 +1,34 @@
+//! Why a gateway follows a member no longer.
+
+use std::net::SocketAddr;
+
+use crate::link::LinkError;
+
+/// Why a member is followed no longer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Left {
+    /// The connection failed, or the member fell silent.
+    #[error("{0}")]
+    Link(#[from] LinkError),
+    /// It hears no leader.
+    #[error("it hears no leader")]
+    Leaderless,
+    /// It was followed for the first configuration only.
+    #[error("it told the first configuration, and another is next")]
+    First,
+    /// One that comes earlier in the gateway's order can be followed again.
+    #[error("{0} comes earlier and can be followed")]
+    Earlier(SocketAddr),
+}
+
+impl Left {
+    /// Its name among metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Left::Link(error) => error.label(),
+            Left::Leaderless => "leaderless",
+            Left::First => "first",
+            Left::Earlier(_) => "earlier",
+        }
+    }
+}
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -29,6 +29,8 @@
     gateway: Arc<Gateway>,
     /// The configuration, as the next difference builds on it.
     document: Option<Document>,
+    /// Version that a member last told of.
+    told: u64,
     /// When a member last told that it holds no newer configuration than this gateway.
     current_at: Option<Instant>,
     /// Parcels that are being fetched.
@@ -37,7 +39,7 @@
 
 impl News {
     pub(super) fn new(gateway: Arc<Gateway>) -> Self {
-        News { gateway, document: None, current_at: None, fetches: JoinSet::new() }
+        News { gateway, document: None, told: 0, current_at: None, fetches: JoinSet::new() }
     }
 
     /// Version of the last configuration that came, be it readable or not; 0 for none.
@@ -50,6 +52,11 @@
         read(&self.gateway.targets).revision()
     }
 
+    /// Whether nothing is on its way that a member has told of.
+    pub(super) fn complete(&self) -> bool {
+        self.fetches.is_empty() && self.told <= self.version()
+    }
+
     /// Takes what an update of a member brings, or begins to fetch it.
     ///
     /// # Errors
@@ -147,6 +154,7 @@
     /// Takes what an update tells besides parcels.
     fn take_signs(&mut self, update: &Update) {
         self.gateway.metrics.version_told.set(update.version as i64);
+        self.told = update.version;
         if update.version <= self.version() {
             self.current_at = Some(Instant::now());
         }
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -70,17 +70,41 @@
     member: SocketAddr,
     subscription: &Subscription,
 ) -> Result<Subscribed, LinkError> {
-    let (mut sender, mut receiver) = dial(source, member, TIMING).await?;
-    sender.send(&ToMember::Subscribe(subscription.clone())).await?;
+    let (sender, mut receiver) = open(source, member, subscription).await?;
     let since = Instant::now();
     loop {
-        let received = tokio::time::timeout(SILENCE, receiver.receive());
-        let FromMember::Update(first) = received.await.map_err(|_| LinkError::Timeout)?? else {
-            return Err(LinkError::Garbled);
-        };
+        let first = next_update(&mut receiver).await?;
         let lives = first.fresh && since.elapsed() >= TELLS_WITHIN;
         if !first.parcels.is_empty() || first.elsewhere.is_some() || lives {
-            return Ok(Subscribed { member, sender, receiver, first: Some(*first) });
+            return Ok(Subscribed { member, sender, receiver, first: Some(first) });
         }
     }
 }
+
+/// Subscribes at a member to hear its first word, and leaves again.
+pub(super) async fn ask(
+    source: Option<IpAddr>,
+    member: SocketAddr,
+    subscription: &Subscription,
+) -> Result<Update, LinkError> {
+    let (_sender, mut receiver) = open(source, member, subscription).await?;
+    next_update(&mut receiver).await
+}
+
+async fn open(
+    source: Option<IpAddr>,
+    member: SocketAddr,
+    subscription: &Subscription,
+) -> Result<(FrameSender, FrameReceiver), LinkError> {
+    let (mut sender, receiver) = dial(source, member, TIMING).await?;
+    sender.send(&ToMember::Subscribe(subscription.clone())).await?;
+    Ok((sender, receiver))
+}
+
+async fn next_update(receiver: &mut FrameReceiver) -> Result<Update, LinkError> {
+    let received = tokio::time::timeout(SILENCE, receiver.receive());
+    match received.await.map_err(|_| LinkError::Timeout)?? {
+        FromMember::Update(update) => Ok(*update),
+        FromMember::Reply { .. } => Err(LinkError::Garbled),
+    }
+}
