--- a/tests/fleet/followers.rs
+++ b/tests/fleet/followers.rs
@@ -9,8 +9,8 @@
 //! same next one, and none came back, so that one member carried 57 to 64 of 87: at 22 KB each its
 //! link was full for over 2 s. Those that heard nothing for a second left it, all for the same next
 //! member, and waited there again. Evidence: in plays of such a day the last gateway was 2.0 to 2.6 s
-//! late wherever a lost seed had left half of the gateways or more to one member, and 1.2 to 1.7 s where
-//! another member was lost; the last gateways' own logs show both moves.
+//! late wherever a lost seed had left 51 to 64 gateways to one member, and 1.2 to 2.1 s where the fullest had 31
+//! to 36; the last gateways' own logs show both moves.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
