--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::disk::FakeDisk;
+use crate::promises::Promises;
 
 pub const MEMBERS: usize = 5;
 pub const TEMPLATES: usize = 3;
@@ -85,17 +86,10 @@
     rng: StdRng,
     next_id: u64,
     lossy: bool,
-    /// The naive model: every committed command in order, applied to a plain map of versions.
-    model: BTreeMap<u64, (Change, Answer)>,
     /// Everything ever proposed, by its place in a leader's log.
     proposals: BTreeMap<Position, Change>,
-    versions: BTreeMap<String, u64>,
-    answered: BTreeMap<String, Answer>,
-    /// Changes whose answer reached their operator as accepted.
-    acknowledged: BTreeMap<String, u64>,
+    promises: Promises,
     leaders: BTreeMap<Term, StoreId>,
-    /// Newest revision acknowledged so far.
-    newest: u64,
     /// Rules by which the group keeps its number of voters up by itself, if it does.
     rules: Option<Upkeep>,
 }
@@ -119,13 +113,9 @@
             rng: StdRng::seed_from_u64(seed),
             next_id: 1,
             lossy: true,
-            model: BTreeMap::new(),
             proposals: BTreeMap::new(),
-            versions: BTreeMap::new(),
-            answered: BTreeMap::new(),
-            acknowledged: BTreeMap::new(),
+            promises: Promises::default(),
             leaders: BTreeMap::new(),
-            newest: 0,
         };
         for number in 0..MEMBERS {
             group.hosts.push(Host {
@@ -274,7 +264,7 @@
 
     /// Resends a change whose answer was acknowledged before.
     pub fn resend(&mut self, number: usize) {
-        let known: Vec<Change> = self.model.values().map(|(change, _)| change.clone()).collect();
+        let known: Vec<Change> = self.promises.changes().cloned().collect();
         if known.is_empty() || !self.runs(number) {
             return;
         }
@@ -391,37 +381,13 @@
 
     /// Holds an answer against the naive model.
     fn check_committed(&mut self, number: usize, at: Position, answer: Answer) {
-        if let Some((_, first)) = self.model.get(&at.index) {
-            assert_eq!(*first, answer, "index {} differs at member {number}", at.index);
-        } else {
-            let change = self.proposals[&at].clone();
-            let expected = self.naive(at.index, &change);
-            assert_eq!(answer, expected, "index {} against the naive model", at.index);
-            self.model.insert(at.index, (change, expected));
-        }
+        let proposed = &self.proposals;
+        self.promises.commit(number, at.index, || proposed[&at].clone(), &answer);
         if let Some(change) = self.hosts[number].proposed.remove(&at)
             && let Answer::Accepted { revision, .. } = answer
         {
-            let first = *self.acknowledged.entry(change.id.clone()).or_insert(revision);
-            assert_eq!(first, revision, "change {} was answered twice, differently", change.id);
-            self.newest = self.newest.max(revision);
-        }
-    }
-
-    /// A plain map with a version for each name.
-    fn naive(&mut self, index: u64, change: &Change) -> Answer {
-        if let Some(answer) = self.answered.get(&change.id) {
-            return answer.clone();
+            self.promises.acknowledge(change.id, revision);
         }
-        let version = self.versions.entry(change.template.name.clone()).or_default();
-        let answer = if *version == change.base {
-            *version += 1;
-            Answer::Accepted { version: *version, revision: index }
-        } else {
-            Answer::Conflict { in_force: *version }
-        };
-        self.answered.insert(change.id.clone(), answer.clone());
-        answer
     }
 
     fn check_leader(&mut self, number: usize) {
@@ -446,7 +412,8 @@
         assert!(holders.len() <= 1, "two leases hold at {:?}", self.time);
         for host in holders {
             let revision = host.replica.as_ref().expect("a holder").store().revision();
-            assert!(revision >= self.newest, "a lease holder lacks an acknowledged change");
+            let newest = self.promises.newest();
+            assert!(revision >= newest, "a lease holder lacks an acknowledged change");
         }
     }
 
@@ -474,21 +441,12 @@
     }
 
     fn check_stores(&self) {
-        for (_, store) in self.stores() {
-            let versions: BTreeMap<String, u64> = store
-                .templates()
-                .iter()
-                .map(|(name, stored)| (name.clone(), stored.version))
-                .collect();
-            let expected = self.versions.iter().filter(|(_, version)| **version > 0);
-            assert!(versions.iter().eq(expected), "a store differs from the naive model");
-            assert!(store.revision() >= self.newest, "an acknowledged change is lost");
-        }
+        self.stores().for_each(|(_, store)| self.promises.check(store));
     }
 
     /// Changes acknowledged as accepted.
     pub fn acknowledged(&self) -> usize {
-        self.acknowledged.len()
+        self.promises.acknowledged()
     }
 
     pub fn leader(&self) -> Option<usize> {
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -5,6 +5,7 @@
 
 mod disk;
 mod group;
+mod promises;
 mod replication;
 #[path = "../seeds/mod.rs"]
 mod seeds;
