--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod feed;
 pub mod fleet_size;
 pub mod health;
+pub mod lateness;
 mod left;
 mod listener;
 mod lookout;
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -3,11 +3,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use slog::{info, warn};
 use tokio::task::JoinSet;
 
+use super::lateness::Lateness;
 use super::{Gateway, neighbours};
 use crate::document::{Document, Packed};
 use crate::group::listing::PackedDelta;
@@ -29,17 +29,14 @@
     gateway: Arc<Gateway>,
     /// The configuration, as the next difference builds on it.
     document: Option<Document>,
-    /// Version that a member last told of.
-    told: u64,
-    /// When a member last told that it holds no newer configuration than this gateway.
-    current_at: Option<Instant>,
+    lateness: Lateness,
     /// Parcels that are being fetched.
     fetches: JoinSet<Fetched>,
 }
 
 impl News {
     pub(super) fn new(gateway: Arc<Gateway>) -> Self {
-        News { gateway, document: None, told: 0, current_at: None, fetches: JoinSet::new() }
+        News { gateway, document: None, lateness: Lateness::default(), fetches: JoinSet::new() }
     }
 
     /// Version of the last configuration that came, be it readable or not; 0 for none.
@@ -54,7 +51,7 @@
 
     /// Whether nothing is on its way that a member has told of.
     pub(super) fn complete(&self) -> bool {
-        self.fetches.is_empty() && self.told <= self.version()
+        self.fetches.is_empty() && self.lateness.told() <= self.version()
     }
 
     /// Takes what an update of a member brings, or begins to fetch it.
@@ -153,11 +150,9 @@
 
     /// Takes what an update tells besides parcels.
     fn take_signs(&mut self, update: &Update) {
-        self.gateway.metrics.version_told.set(update.version as i64);
-        self.told = update.version;
-        if update.version <= self.version() {
-            self.current_at = Some(Instant::now());
-        }
+        let held = self.version();
+        self.lateness.hear(self.gateway.now(), update.fresh, update.version, held);
+        self.gateway.metrics.version_told.set(self.lateness.told() as i64);
         if let Some(loads) = &update.loads {
             self.gateway.take_loads(loads);
         }
@@ -182,7 +177,7 @@
                 let mut shown = write(&self.gateway.table);
                 *shown = Some(table);
                 self.gateway.metrics.version.set(document.version as i64);
-                let waited = self.current_at.map(|at| at.elapsed());
+                let waited = self.lateness.at_most(self.gateway.now());
                 if let Some(waited) = waited {
                     self.gateway.metrics.in_force.observe(waited.as_secs_f64());
                 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod health;
 mod herd;
 mod incarnations;
+mod lateness;
 mod news;
 mod order;
 mod requests;
