Orders about data halls in the replicated store: a repeated one never undoes a newer one

Cause: evacuations are asked for and withdrawn by calls that bear no number and are sent again; the two do not commute, and a member repeats what it proposes. Change: a command names the hall's last order as its member read it at the leader when the call came in, and takes effect only while that is still the last; an order that finds the hall as it wants it counts too, since it makes an older one void that is still under way. The log's format changes. Tests (agreement): operators of three halls order, withdraw and resend at any member, members repeat and hold up calls however old, under all faults of the schedules, against a naive model.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod document;
+pub mod evacuations;
 pub mod explain;
 pub mod freshness;
 pub mod gateway;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -294,7 +294,8 @@
             | Answer::Released
             | Answer::Configured { .. }
             | Answer::WrongBase
-            | Answer::Listed => Err(ControlError::Unknown.into()),
+            | Answer::Listed
+            | Answer::Evacuation(_) => Err(ControlError::Unknown.into()),
         }
     }
 
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -8,6 +8,7 @@
 use crate::claims::{Claim, Release, Verdict};
 use crate::directory::Announcement;
 use crate::document::Packed;
+use crate::evacuations::{EvacuationOrder, OrderVerdict};
 use crate::jsonc::{Fault, Validate};
 use crate::template::{Spec, Template, check_name};
 
@@ -39,6 +40,8 @@
     Silence(Vec<String>),
     /// Targets have been there for a while.
     Settle(Vec<String>),
+    /// An operator evacuates a data hall, or takes it back into use.
+    Evacuate(EvacuationOrder),
 }
 
 /// The move of an engine to another model, during which it gets no new work.
@@ -129,6 +132,8 @@
     WrongBase,
     /// The directory of targets holds it.
     Listed,
+    /// What became of an order about a data hall.
+    Evacuation(OrderVerdict),
 }
 
 impl Answer {
@@ -144,6 +149,7 @@
             Answer::Configured { .. } => "configured",
             Answer::WrongBase => "wrong_base",
             Answer::Listed => "listed",
+            Answer::Evacuation(_) => "evacuation",
         }
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,6 +13,7 @@
 use crate::claims::Claims;
 use crate::directory::Directory;
 use crate::document::{Document, Packed};
+use crate::evacuations::Evacuations;
 use crate::jsonc::Fault;
 use crate::template::Template;
 
@@ -77,6 +78,7 @@
     claims: Claims,
     document: Option<Document>,
     directory: Directory,
+    evacuations: Evacuations,
 }
 
 impl Store {
@@ -105,6 +107,11 @@
         &self.directory
     }
 
+    /// Orders about data halls.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Claims on request keys.
     pub fn claims(&self) -> &Claims {
         &self.claims
@@ -147,6 +154,11 @@
                 self.directory.silence(index, &ids);
                 self.listed()
             }
+            Command::Evacuate(order) => {
+                let verdict = self.evacuations.apply(index, order);
+                self.revision = self.revision.max(self.evacuations.revision());
+                Answer::Evacuation(verdict)
+            }
         }
     }
 
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -14,11 +14,14 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::disk::FakeDisk;
+use crate::orders::{Call, Orders};
 use crate::promises::Promises;
 
 pub const MEMBERS: usize = 5;
 pub const TEMPLATES: usize = 3;
 const COMPACT_AFTER: usize = 8;
+/// Calls that members may still repeat.
+const LATEST_CALLS: usize = 6;
 const STEP: Duration = Duration::from_millis(10);
 /// Clocks run at 95 to 105 % of true time.
 const MAX_DRIFT: f64 = 0.05;
@@ -70,6 +73,8 @@
     deaf_to: Option<usize>,
     /// Proposals made here whose answer is awaited.
     proposed: BTreeMap<Position, Change>,
+    /// The same for calls about data halls.
+    called: BTreeMap<Position, Call>,
 }
 
 impl Host {
@@ -89,6 +94,9 @@
     /// Everything ever proposed, by its place in a leader's log.
     proposals: BTreeMap<Position, Change>,
     promises: Promises,
+    /// Calls about data halls ever proposed, by their place in a leader's log.
+    calls: BTreeMap<Position, Call>,
+    orders: Orders,
     leaders: BTreeMap<Term, StoreId>,
     /// Rules by which the group keeps its number of voters up by itself, if it does.
     rules: Option<Upkeep>,
@@ -115,6 +123,8 @@
             lossy: true,
             proposals: BTreeMap::new(),
             promises: Promises::default(),
+            calls: BTreeMap::new(),
+            orders: Orders::default(),
             leaders: BTreeMap::new(),
         };
         for number in 0..MEMBERS {
@@ -129,6 +139,7 @@
                 cut: false,
                 deaf_to: None,
                 proposed: BTreeMap::new(),
+                called: BTreeMap::new(),
             });
             group.start(number);
         }
@@ -179,6 +190,7 @@
         let host = &mut self.hosts[number];
         host.replica = None;
         host.proposed.clear();
+        host.called.clear();
         host.disk.crash(torn);
     }
 
@@ -282,6 +294,50 @@
         self.flush(number);
     }
 
+    /// The operator of a data hall calls a member: with its next order, or with the last one again.
+    ///
+    /// The member reads at the leader which order was the hall's last, and proposes, unless it is held
+    /// up before.
+    pub fn order(&mut self, number: usize, hall: usize, next: bool, held_up: bool) {
+        let leader = self.leader().filter(|_| self.runs(number));
+        let Some(leader) = leader else {
+            return;
+        };
+        let after = self.replica(leader).store().evacuations().last(&Orders::name(hall));
+        let call = self.orders.call(hall, next, after);
+        if let Some(call) = call.filter(|_| !held_up) {
+            self.send_call(number, leader, call);
+        }
+    }
+
+    /// A member repeats one of the latest calls by itself, or goes on with one that was held up.
+    pub fn repeat_call(&mut self, number: usize, pick: usize) {
+        let mut latest = self.orders.made().iter().rev().take(LATEST_CALLS).cloned();
+        if let Some(call) = latest.nth(pick % LATEST_CALLS)
+            && self.runs(number)
+        {
+            let leader = self.leader().unwrap_or(number);
+            self.send_call(number, leader, call);
+        }
+    }
+
+    fn send_call(&mut self, number: usize, leader: usize, call: Call) {
+        if !self.runs(leader) {
+            return;
+        }
+        let now = self.hosts[leader].now(self.time);
+        let command = Command::Evacuate(call.order.clone());
+        if let Ok(at) = self.replica(leader).propose(now, command) {
+            self.calls.insert(at, call.clone());
+            // Whoever waits for the answer waits at the leader.
+            let heard = if self.hosts[number].cut { None } else { Some(call) };
+            heard.into_iter().for_each(|call| {
+                self.hosts[leader].called.insert(at, call);
+            });
+        }
+        self.flush(leader);
+    }
+
     /// Lets `millis` pass.
     pub fn pass(&mut self, millis: u64) {
         let until = self.time + Duration::from_millis(millis);
@@ -381,6 +437,13 @@
 
     /// Holds an answer against the naive model.
     fn check_committed(&mut self, number: usize, at: Position, answer: Answer) {
+        if let Answer::Evacuation(verdict) = answer {
+            self.orders.commit(at.index, &self.calls[&at], verdict);
+            if let Some(call) = self.hosts[number].called.remove(&at) {
+                self.orders.answer(&call, verdict);
+            }
+            return;
+        }
         let proposed = &self.proposals;
         self.promises.commit(number, at.index, || proposed[&at].clone(), &answer);
         if let Some(change) = self.hosts[number].proposed.remove(&at)
@@ -441,7 +504,15 @@
     }
 
     fn check_stores(&self) {
-        self.stores().for_each(|(_, store)| self.promises.check(store));
+        self.stores().for_each(|(_, store)| {
+            self.promises.check(store);
+            self.orders.check(store);
+        });
+    }
+
+    /// Orders about data halls whose answer reached their operator.
+    pub fn orders_acknowledged(&self) -> usize {
+        self.orders.acknowledged()
     }
 
     /// Changes acknowledged as accepted.
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -5,6 +5,7 @@
 
 mod disk;
 mod group;
+mod orders;
 mod promises;
 mod replication;
 #[path = "../seeds/mod.rs"]
@@ -12,6 +13,7 @@
 mod wal;
 
 use group::{Group, MEMBERS, TEMPLATES};
+use orders::HALLS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -22,6 +24,8 @@
     Pass(u64),
     Propose { member: usize, name: usize, skew: u64 },
     Resend(usize),
+    Order { member: usize, hall: usize, next: bool, held_up: bool },
+    RepeatCall { member: usize, pick: usize },
     Crash { member: usize, torn: usize },
     CrashLeader,
     Start(usize),
@@ -43,6 +47,11 @@
         8 => (member.clone(), 0..TEMPLATES, prop_oneof![9 => Just(0u64), 1 => Just(1)])
             .prop_map(|(member, name, skew)| Step::Propose { member, name, skew }),
         2 => member.clone().prop_map(Step::Resend),
+        8 => (member.clone(), 0..HALLS, any::<bool>(), any::<bool>()).prop_map(
+            |(member, hall, next, held_up)| Step::Order { member, hall, next, held_up },
+        ),
+        6 => (member.clone(), any::<usize>())
+            .prop_map(|(member, pick)| Step::RepeatCall { member, pick }),
         2 => (member.clone(), 0usize..60).prop_map(|(member, torn)| Step::Crash { member, torn }),
         1 => Just(Step::CrashLeader),
         3 => member.clone().prop_map(Step::Start),
@@ -66,6 +75,10 @@
             group.propose(member, name, skew);
         }
         Step::Resend(member) => group.resend(group.leader().unwrap_or(member)),
+        Step::Order { member, hall, next, held_up } => {
+            group.order(member, hall, next, held_up);
+        }
+        Step::RepeatCall { member, pick } => group.repeat_call(member, pick),
         Step::Crash { member, torn } => group.crash(member, torn),
         Step::CrashLeader => group.leader().into_iter().for_each(|leader| group.crash(leader, 0)),
         Step::Start(member) if group.running(member) => {}
@@ -125,6 +138,11 @@
         group.propose(leader, round % TEMPLATES, 0);
         group.pass(200);
     }
+    for round in 0..60 {
+        group.order(round % MEMBERS, round % HALLS, true, false);
+        group.pass(200);
+    }
     group.settle();
+    assert_eq!(group.orders_acknowledged(), 60);
     assert!(group.acknowledged() > 150, "only {} accepted", group.acknowledged());
 }
