Cold targets: each gateway keeps its part of what they bear, and a hall that returns counts as cold

Change: announcements tell how long a start still takes (its end and another start are news, the time between is not); the rate stands with the service; each gateway sends a cold target one request in a gap that grows with the gateways alive, the first at a drawn time; targets of a hall that is taken back count as cold for a start, whatever they said before. With cold targets only, what they can't bear is refused at once.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -79,7 +79,7 @@
 }
 
 /// A group of targets that do the same.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -95,6 +95,12 @@
     /// Whether its targets can fetch what they keep of a prompt from each other.
     #[serde(default)]
     pub fetches: bool,
+    /// How long a target may stay slow after its start.
+    #[serde(with = "millis", rename = "cold_start_ms", default)]
+    pub cold_start: Duration,
+    /// Requests a second that a target bears while it is slow after its start; 0 where none is stated.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// What a client may send and how long it may take.
@@ -137,7 +143,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Higher ones take the place of lower ones.
     pub version: u64,
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderName, Method};
 use serde::{Deserialize, Serialize};
@@ -225,6 +226,8 @@
     data_hall: String,
     slots: u32,
     state: TargetState,
+    #[serde(default)]
+    cold_left_ms: u64,
     sequence: u64,
 }
 
@@ -269,6 +272,7 @@
             data_hall: heartbeat.data_hall,
             slots: heartbeat.slots,
             state: heartbeat.state,
+            cold_left: Duration::from_millis(heartbeat.cold_left_ms),
             sequence: heartbeat.sequence,
         })
     }
--- a/src/directory/entry.rs
+++ b/src/directory/entry.rs
@@ -1,6 +1,7 @@
 //! A target in the directory, and the forms in which it travels.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,6 +35,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: TargetState,
+    /// How long it stays slow yet after its start; zero once it is warm.
+    pub cold_left: Duration,
     /// Grows with each heartbeat of this target.
     pub sequence: u64,
 }
@@ -67,6 +70,8 @@
     pub target: u64,
     /// Whether it takes new work.
     pub state: TargetState,
+    /// How long it stayed slow yet when it last brought something new; zero once it is warm.
+    pub cold_left: Duration,
     /// Its home, once it has one.
     pub home: Option<u32>,
 }
@@ -108,8 +113,16 @@
     }
 
     pub(super) fn moved(&self) -> Moved {
-        let target = key(&self.announcement.id);
-        Moved { target, state: self.announcement.state, home: self.home }
+        let Announcement { id, state, cold_left, .. } = &self.announcement;
+        Moved { target: key(id), state: *state, cold_left: *cold_left, home: self.home }
+    }
+
+    /// Whether a heartbeat says what is known: the time that is left of a start goes down by itself.
+    pub(super) fn says_nothing_new(known: &Announcement, heartbeat: &Announcement) -> bool {
+        let turned = known.cold_left.is_zero() != heartbeat.cold_left.is_zero();
+        let longer = heartbeat.cold_left > known.cold_left;
+        let Announcement { sequence, cold_left, .. } = *known;
+        !turned && !longer && Announcement { sequence, cold_left, ..heartbeat.clone() } == *known
     }
 
     /// Whether a target is where it was, as far as gateways are concerned.
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -135,8 +135,11 @@
         if heartbeat.sequence < known.sequence {
             return Heartbeat::Late;
         }
-        let same = Announcement { sequence: known.sequence, ..heartbeat.clone() } == *known;
-        if same { Heartbeat::Known } else { Heartbeat::News }
+        if DirectoryEntry::says_nothing_new(known, heartbeat) {
+            Heartbeat::Known
+        } else {
+            Heartbeat::News
+        }
     }
 
     /// Takes a heartbeat that brings news.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -28,6 +28,8 @@
     /// Requests that it is thought to have.
     pub(super) load: f64,
     pub(super) candidates: usize,
+    /// Whether it is slow after a start, or may be.
+    pub(super) cold: bool,
     /// Candidates that are left alone if another will do.
     pub(super) doubtful: usize,
     /// Revision of the directory.
@@ -54,8 +56,12 @@
     pub(super) fn choose(&self, plan: &Plan) -> Option<Choice> {
         let now = self.now();
         let known = read(&self.targets);
-        let usable =
-            |target: &&Arc<Target>| target.open_to_work() && !plan.tried.contains(&target.key);
+        let cold = self.cold_limit(&plan.service);
+        let usable = |target: &&Arc<Target>| {
+            target.open_to_work()
+                && !plan.tried.contains(&target.key)
+                && cold.is_none_or(|limit| limit.may_ask(now, target))
+        };
         let targets: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
         let usual = usual_others(&targets, now);
         let gateways = self.gateways();
@@ -90,6 +96,7 @@
             target: targets[at].clone(),
             load: candidates[at].load,
             candidates: candidates.len(),
+            cold: cold.is_some_and(|limit| limit.cold(now, targets[at])),
             doubtful: candidates.iter().filter(|candidate| candidate.doubtful).count(),
             list_revision: known.revision(),
         })
@@ -98,14 +105,30 @@
     /// Why no target can be chosen for the request.
     pub(super) fn why_no_choice(&self, plan: &Plan) -> Refusal {
         let known = read(&self.targets);
-        let mut targets = known.of(&plan.service).iter();
-        match targets.any(|target| target.evacuated() && !target.draining()) {
-            true if plan.tried.is_empty() => Refusal::Evacuated,
+        let there = |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
+        let there: Vec<_> = known.of(&plan.service).iter().filter(there).collect();
+        if there.iter().any(|target| !target.evacuated()) {
+            return Refusal::Cold;
+        }
+        match there.is_empty() {
+            false if plan.tried.is_empty() => Refusal::Evacuated,
             _ if plan.connect_failures > 0 => Refusal::ConnectFailed,
             _ => Refusal::NoTarget,
         }
     }
 
+    /// Counts a request that goes to a target now, if it is cold.
+    pub(super) fn note_asked(&self, target: &Target) {
+        if let Some(limit) = self.cold_limit(&target.announcement.service) {
+            let now = self.now();
+            let mut warmth = target.warmth();
+            if warmth.cold(now, limit.cold_start) {
+                self.metrics.asked_cold(&target.announcement.service);
+                warmth.note_asked(now, limit.gap);
+            }
+        }
+    }
+
     /// The affinity as it counts for the bound of loads.
     fn weighed(&self, affinity: Affinity) -> Affinity {
         match self.uses(Mechanism::CheapFirst) {
--- /dev/null
+++ b/src/gateway/cold.rs
@@ -0,0 +1,101 @@
+//! How often a gateway may ask a target that has just started.
+//!
+//! A cold target bears so many requests a second from all gateways together and falls over at more. No gateway
+//! sees what the others send, and a target that comes back is the first home of many prompts, so all of them
+//! would turn to it at once. Each gateway therefore keeps its part of the rate by itself: one request in a gap
+//! that grows with the number of gateways, the first at a time drawn within the first gap. How this does against
+//! a few gateways chosen by hash and against permits that members deal out stands in docs/design/shifted-work.md.
+
+use std::time::Duration;
+
+/// Part of what a cold target may get in any second that all gateways together use on average when each
+/// always has a request for it. Their draws differ: with 65 gateways, 24.5 requests allowed in any second and 400 that
+/// want the target, the fullest second of 400 spells has 20; with 0.5 it has 23 (`gateway: cold`).
+const USED: f64 = 0.4;
+/// Gap where no rate is stated or nothing is known of the other gateways.
+const NEVER: Duration = Duration::from_secs(24 * 3_600);
+
+/// What a cold target may get from all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRule {
+    /// Requests a second that it bears.
+    pub per_s: f64,
+    /// Multiple of that which still does no harm.
+    pub over: f64,
+    /// Requests beyond that multiple which do no harm in any second.
+    pub slack: f64,
+}
+
+impl ColdRule {
+    /// Most requests in any second.
+    pub fn in_any_second(&self) -> f64 {
+        self.per_s * self.over + self.slack
+    }
+
+    /// Time between two requests of one of so many gateways to one cold target.
+    pub fn gap(&self, gateways: u32) -> Duration {
+        let used = self.in_any_second() * USED;
+        if gateways == 0 || used <= 0.0 {
+            return NEVER;
+        }
+        Duration::try_from_secs_f64(f64::from(gateways) / used).unwrap_or(NEVER).min(NEVER)
+    }
+}
+
+/// What a gateway knows of a target's start, and when it may ask it next while it is cold.
+///
+/// Times are since the start of the gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Warmth {
+    /// Until when it is cold by its own word.
+    told_until: Duration,
+    /// When its data hall was taken back into use: it may have turned cold shortly before.
+    returned_at: Option<Duration>,
+    /// When it may be asked next, while a spell lasts.
+    next_at: Option<Duration>,
+}
+
+impl Warmth {
+    /// The target said that it stays cold for so long, or for none.
+    pub fn told(&mut self, now: Duration, cold_left: Duration) {
+        self.told_until = if cold_left.is_zero() { Duration::ZERO } else { now + cold_left };
+    }
+
+    /// Its data hall takes work again since `at`.
+    pub fn returned(&mut self, at: Duration) {
+        self.returned_at = Some(at);
+    }
+
+    /// When its data hall was taken back into use, if it ever was evacuated.
+    pub fn returned_at(&self) -> Option<Duration> {
+        self.returned_at
+    }
+
+    /// Whether it is cold, or may be, where a start takes `cold_start`.
+    pub fn cold(&self, now: Duration, cold_start: Duration) -> bool {
+        let returned = self.returned_at.is_some_and(|at| now < at + cold_start);
+        returned || now < self.told_until
+    }
+
+    /// Whether it may be asked now; `chance` from 0 to 1 draws the time of the first request of a spell.
+    pub fn may_ask(
+        &mut self,
+        now: Duration,
+        cold_start: Duration,
+        gap: Duration,
+        chance: f64,
+    ) -> bool {
+        if !self.cold(now, cold_start) {
+            self.next_at = None;
+            return true;
+        }
+        now >= *self.next_at.get_or_insert(now + gap.mul_f64(chance))
+    }
+
+    /// A request goes to it now.
+    pub fn note_asked(&mut self, now: Duration, gap: Duration) {
+        if let Some(next_at) = &mut self.next_at {
+            *next_at = now + gap;
+        }
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -235,6 +235,7 @@
 ) -> Result<Answer, Refusal> {
     let target = &choice.target;
     plan.tried.push(target.key);
+    gateway.note_asked(target);
     let limits = ConnectionLimits {
         source: gateway.settings.source,
         connect: gateway.settings.connect_timeout(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     attempts: IntCounterVec,
     spent: IntCounterVec,
     withheld: IntCounterVec,
+    asked_cold: IntCounterVec,
     parcels_asked: IntCounterVec,
     parcels_fetched: IntCounterVec,
     members_left: IntCounterVec,
@@ -116,6 +117,11 @@
                 "Further attempts that the budget did not allow.",
                 &["service"],
             )?,
+            asked_cold: set.counters(
+                "latchmount_gateway_cold_attempts_total",
+                "Attempts at targets that are slow after a start, or may be.",
+                &["service"],
+            )?,
             parcels_asked: set.counters(
                 "latchmount_gateway_parcels_asked_total",
                 "Parcels of news that other gateways asked this one for, by whether it had them.",
@@ -212,6 +218,11 @@
         self.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// A request goes to a target that is slow after a start, or may be.
+    pub(super) fn asked_cold(&self, service: &str) {
+        self.asked_cold.with_label_values(&[service]).inc();
+    }
+
     /// A connection was opened, or could not be.
     pub(super) fn connected(&self, opened: Result<(), ConnectError>, time: Duration) {
         let outcome = match opened {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod budget;
 mod choice;
+pub mod cold;
 mod connection;
 pub mod events;
 mod exchange;
@@ -47,6 +48,7 @@
 use tokio::sync::watch;
 
 use self::budget::ServiceBudget;
+use self::cold::ColdRule;
 use self::fleet_size::FleetSize;
 use self::health::{AttemptOutcome, Tally};
 use self::mechanism::Mechanism;
@@ -104,6 +106,27 @@
     Closed,
 }
 
+/// How one gateway keeps its part of what cold targets of a service may get.
+#[derive(Clone, Copy, Debug)]
+struct ColdLimit {
+    /// How long a target may stay cold.
+    cold_start: Duration,
+    /// Time between two requests to one cold target.
+    gap: Duration,
+}
+
+impl ColdLimit {
+    /// Whether a target is cold, or may be.
+    fn cold(self, now: Duration, target: &Target) -> bool {
+        target.warmth().cold(now, self.cold_start)
+    }
+
+    /// Whether a target may be asked now.
+    fn may_ask(self, now: Duration, target: &Target) -> bool {
+        target.warmth().may_ask(now, self.cold_start, self.gap, rand::random())
+    }
+}
+
 /// Counts a request of a client until dropped.
 pub(crate) struct OpenRequest(Arc<Gateway>);
 
@@ -175,6 +198,22 @@
         (stated.unwrap_or(DEFAULT_CONNECTIONS) / self.gateways().max(1)).max(1)
     }
 
+    /// What targets of a service may get while they are cold; `None` where no rate is stated.
+    fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+        let table = self.table()?;
+        let service = table.service(service)?;
+        if service.cold_per_s <= 0.0 {
+            return None;
+        }
+        let rule = ColdRule {
+            per_s: service.cold_per_s,
+            over: self.settings.cold_over,
+            slack: self.settings.cold_slack,
+        };
+        let gateways = lock(&self.fleet_size).settled(self.now());
+        Some(ColdLimit { cold_start: service.cold_start, gap: rule.gap(gateways) })
+    }
+
     /// Targets of a service that are known, whatever their state.
     fn targets_of(&self, service: &str) -> usize {
         read(&self.targets).of(service).len()
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -147,7 +147,7 @@
         let mut targets = write(&self.gateway.targets);
         let changed = delta.changed.len() + delta.moved.len();
         let removed = delta.removed.len();
-        if targets.apply(delta) {
+        if targets.apply(self.gateway.now(), delta) {
             self.gateway.metrics.targets.set(targets.len() as i64);
             info!(self.gateway.log, "targets changed"; "event" => "targets",
                 "revision" => targets.revision(), "targets" => targets.len(),
@@ -167,7 +167,7 @@
         let evacuated = halls.halls.iter().filter(|hall| hall.state == Evacuation::InForce);
         let evacuated: Vec<&str> = evacuated.map(|hall| hall.data_hall.as_str()).collect();
         let evacuated = evacuated.join(",");
-        if write(&self.gateway.targets).obey(halls) {
+        if write(&self.gateway.targets).obey(self.gateway.now(), halls) {
             info!(self.gateway.log, "orders about data halls"; "event" => "evacuations",
                 "revision" => revision, "evacuated" => evacuated, "from" => %from);
         }
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -18,6 +18,10 @@
 /// order after seconds at the least, and a caller that comes sooner is refused again.
 const EVACUATED: Duration = Duration::from_secs(1);
 
+/// Time for a caller to come back when all targets are cold and have had what they bear: another gateway may have
+/// a turn at one of them meanwhile.
+const COLD: Duration = Duration::from_millis(250);
+
 /// Why a request was refused or given up on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -43,6 +47,8 @@
     NoTarget,
     /// All targets of the service that could take the request stand in evacuated data halls.
     Evacuated,
+    /// All targets that could take the request are slow after a start, and have had what they bear.
+    Cold,
     /// No target could be connected to, and nothing was sent.
     ConnectFailed,
     /// A target said that it did not run the request.
@@ -59,7 +65,7 @@
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 17] = [
+    pub const ALL: [Refusal; 18] = [
         Refusal::NoConfiguration,
         Refusal::Stopping,
         Refusal::Stale,
@@ -71,6 +77,7 @@
         Refusal::BodyTooSlow,
         Refusal::NoTarget,
         Refusal::Evacuated,
+        Refusal::Cold,
         Refusal::ConnectFailed,
         Refusal::NotRun,
         Refusal::TooLate,
@@ -93,6 +100,7 @@
             Refusal::BodyTooSlow => "body_too_slow",
             Refusal::NoTarget => "no_target",
             Refusal::Evacuated => "evacuated",
+            Refusal::Cold => "cold",
             Refusal::ConnectFailed => "connect_failed",
             Refusal::NotRun => "not_run",
             Refusal::TooLate => "too_late",
@@ -118,6 +126,7 @@
             | Refusal::Stale
             | Refusal::NoTarget
             | Refusal::Evacuated
+            | Refusal::Cold
             | Refusal::ConnectFailed
             | Refusal::NotRun
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -138,6 +147,7 @@
             }
             Refusal::Stale => Some(NEWS_WITHIN),
             Refusal::Evacuated => Some(EVACUATED),
+            Refusal::Cold => Some(COLD),
             Refusal::Stopping
             | Refusal::NoTarget
             | Refusal::ConnectFailed
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -55,6 +55,10 @@
     pub retry_slack: f64,
     /// No engine gets more than this multiple of the mean load, and some.
     pub load_bound: f64,
+    /// Multiple of the stated rate that a target may get from all gateways while it is slow after its start.
+    pub cold_over: f64,
+    /// Requests beyond that multiple in any second.
+    pub cold_slack: f64,
     /// Longest time to connect to a target.
     pub connect_timeout_ms: u64,
     /// Longest time that bytes sent to a target stay unacknowledged.
@@ -85,6 +89,8 @@
             retry_window_s: 10.0,
             retry_slack: 10.0,
             load_bound: 1.25,
+            cold_over: 1.0,
+            cold_slack: 0.0,
             connect_timeout_ms: 300,
             unacknowledged_ms: 500,
             stop_within_ms: 10_000,
@@ -129,6 +135,8 @@
         checks.positive("retry_window_s", self.retry_window_s);
         checks.demand(self.retry_slack >= 0.0, "retry_slack", "must be at least 0");
         checks.demand(self.load_bound >= 1.0, "load_bound", "must be at least 1");
+        checks.demand(self.cold_over >= 0.0, "cold_over", "must be at least 0");
+        checks.demand(self.cold_slack >= 0.0, "cold_slack", "must be at least 0");
         checks.above_zero(&[
             ("stale_after_ms", self.stale_after_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use super::cold::Warmth;
 use super::connection::Idle;
 use super::health::Health;
 use crate::dialect::TargetLoad;
@@ -51,6 +52,7 @@
     pub(super) connections: AtomicU32,
     pub(super) idle: Mutex<Vec<Idle>>,
     health: Mutex<Health>,
+    warmth: Mutex<Warmth>,
     /// Requests in flight from this gateway as last told to a member.
     told: AtomicU32,
     /// What others have in flight, from the members.
@@ -71,6 +73,7 @@
             connections: AtomicU32::new(0),
             idle: Mutex::default(),
             health: Mutex::default(),
+            warmth: Mutex::default(),
             told: AtomicU32::new(0),
             others_by_members: Mutex::default(),
             others_by_target: Mutex::default(),
@@ -140,6 +143,11 @@
         lock(&self.health)
     }
 
+    /// What is known of its start.
+    pub(super) fn warmth(&self) -> MutexGuard<'_, Warmth> {
+        lock(&self.warmth)
+    }
+
     /// Counts a request until the guard is dropped.
     pub(super) fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -220,6 +228,9 @@
     revision: Revision,
     /// Orders about data halls; `None` before any word of them.
     halls: Option<HallNews>,
+    /// When data halls were taken back into use, by the revision that did so and the time since the start
+    /// of the gateway.
+    returned: HashMap<String, (Revision, Duration)>,
     /// Who has each home of each service, and who had it before.
     homes: HashMap<(String, u32), Arc<Target>>,
     former: HashMap<(String, u32), Former>,
@@ -246,17 +257,34 @@
 
     /// Takes orders about data halls, unless they are older than those that are obeyed; tells whether they
     /// were taken.
-    pub(super) fn obey(&mut self, news: HallNews) -> bool {
+    pub(super) fn obey(&mut self, now: Duration, news: HallNews) -> bool {
         if self.halls_revision().is_some_and(|known| news.revision < known) {
             return false;
         }
-        self.halls = Some(news);
-        for target in self.by_id.values() {
-            target.set_evacuated(self.hall_evacuated(&target.announcement.data_hall));
+        for hall in &news.halls {
+            let known = self.returned.get(&hall.data_hall);
+            let known = known.is_some_and(|(since, _)| *since == hall.since);
+            if let Evacuation::Withdrawn { for_ms } = hall.state
+                && !known
+            {
+                let at = now.saturating_sub(Duration::from_millis(for_ms));
+                self.returned.insert(hall.data_hall.clone(), (hall.since, at));
+            }
         }
+        self.halls = Some(news);
+        self.by_id.values().for_each(|target| self.tell_of_hall(target));
         true
     }
 
+    /// Has a target follow the orders about its data hall.
+    fn tell_of_hall(&self, target: &Target) {
+        let data_hall = &target.announcement.data_hall;
+        target.set_evacuated(self.hall_evacuated(data_hall));
+        if let Some((_, at)) = self.returned.get(data_hall) {
+            target.warmth().returned(*at);
+        }
+    }
+
     fn hall_evacuated(&self, data_hall: &str) -> bool {
         let mut halls = self.halls.iter().flat_map(|news| &news.halls);
         let hall = halls.find(|hall| hall.data_hall == data_hall);
@@ -283,7 +311,7 @@
     }
 
     /// Takes news, unless they are older than what is known; tells whether they were taken.
-    pub(super) fn apply(&mut self, delta: DirectoryDelta) -> bool {
+    pub(super) fn apply(&mut self, now: Duration, delta: DirectoryDelta) -> bool {
         if delta.revision <= self.revision {
             return false;
         }
@@ -300,11 +328,14 @@
         }
         delta.removed.iter().for_each(|id| self.remove(id));
         for listed in delta.changed {
+            let cold_left = listed.announcement.cold_left;
             let target = self.change(listed);
+            target.warmth().told(now, cold_left);
             self.note_home(&target, first);
         }
-        for Moved { target, state, home } in delta.moved {
+        for Moved { target, state, cold_left, home } in delta.moved {
             if let Some(target) = self.by_key.get(&target).cloned() {
+                target.warmth().told(now, cold_left);
                 target.set_state(state);
                 target.set_home(home);
                 self.note_home(&target, first);
@@ -343,7 +374,7 @@
 
     fn insert(&mut self, target: Arc<Target>) {
         let announcement = &target.announcement;
-        target.set_evacuated(self.hall_evacuated(&announcement.data_hall));
+        self.tell_of_hall(&target);
         if !self.by_service.contains_key(&announcement.service) {
             self.by_service.insert(announcement.service.clone(), Vec::new());
         }
--- a/src/group/evacuation.rs
+++ b/src/group/evacuation.rs
@@ -129,7 +129,7 @@
                 true => Evacuation::InForce,
                 false => Evacuation::Withdrawn { for_ms: known_for() },
             };
-            HallState { data_hall: hall.to_owned(), state }
+            HallState { data_hall: hall.to_owned(), since: order.since, state }
         });
         HallNews { revision: evacuations.revision(), halls: halls.collect() }
     }
--- a/src/group/listing.rs
+++ b/src/group/listing.rs
@@ -4,6 +4,7 @@
 //! and a gateway that starts needs all of them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use zstd::bulk::Compressor;
@@ -33,6 +34,8 @@
     removed: Vec<String>,
     moved_targets: Vec<u64>,
     moved_states: Vec<TargetState>,
+    /// In milliseconds, as below.
+    moved_cold_left: Vec<u32>,
     moved_homes: Vec<Option<u32>>,
     ids: Vec<String>,
     services: Vec<String>,
@@ -40,6 +43,7 @@
     data_halls: Vec<String>,
     slots: Vec<u32>,
     states: Vec<TargetState>,
+    cold_left: Vec<u32>,
     homes: Vec<Option<u32>>,
 }
 
@@ -67,12 +71,14 @@
         let column = |of: fn(&Announcement) -> &String| {
             changed.iter().map(|listed| of(&listed.announcement).clone()).collect()
         };
+        let cold_left = changed.iter().map(|listed| millis(listed.announcement.cold_left));
         let columns = Columns {
             revision: delta.revision,
             whole: delta.whole,
             removed: delta.removed,
             moved_targets: delta.moved.iter().map(|moved| moved.target).collect(),
             moved_states: delta.moved.iter().map(|moved| moved.state).collect(),
+            moved_cold_left: delta.moved.iter().map(|moved| millis(moved.cold_left)).collect(),
             moved_homes: delta.moved.iter().map(|moved| moved.home).collect(),
             ids: column(|announcement| &announcement.id),
             services: column(|announcement| &announcement.service),
@@ -80,6 +86,7 @@
             addrs: changed.iter().map(|listed| listed.announcement.addr).collect(),
             slots: changed.iter().map(|listed| listed.announcement.slots).collect(),
             states: changed.iter().map(|listed| listed.announcement.state).collect(),
+            cold_left: cold_left.collect(),
             homes: changed.iter().map(|listed| listed.home).collect(),
         };
         let plain = postcard::to_stdvec(&columns).map_err(|_| LinkError::Garbled)?;
@@ -99,17 +106,29 @@
         let columns: Columns = postcard::from_bytes(&plain).map_err(|_| LinkError::Garbled)?;
         let Columns { revision, whole, .. } = columns;
         let moved = columns.moved_targets.into_iter().zip(columns.moved_states);
-        let moved = moved.zip(columns.moved_homes);
-        let moved = moved.map(|((target, state), home)| Moved { target, state, home }).collect();
+        let moved = moved.zip(columns.moved_cold_left).zip(columns.moved_homes);
+        let moved = moved.map(|(((target, state), cold_left), home)| {
+            let cold_left = Duration::from_millis(cold_left.into());
+            Moved { target, state, cold_left, home }
+        });
+        let moved = moved.collect();
         let places = columns.ids.into_iter().zip(columns.services).zip(columns.addrs);
         let places = places.zip(columns.data_halls).zip(columns.slots);
-        let listed = places.zip(columns.states).zip(columns.homes);
-        let changed = listed.map(|((((((id, service), addr), data_hall), slots), state), home)| {
+        let starts = columns.states.into_iter().zip(columns.cold_left);
+        let listed = places.zip(starts).zip(columns.homes);
+        let changed = listed.map(|((place, (state, cold_left)), home)| {
+            let ((((id, service), addr), data_hall), slots) = place;
+            let cold_left = Duration::from_millis(cold_left.into());
             let announcement =
-                Announcement { id, service, addr, data_hall, slots, state, sequence: 0 };
+                Announcement { id, service, addr, data_hall, slots, state, cold_left, sequence: 0 };
             Listed { announcement, home }
         });
         let changed = changed.collect();
         Ok(DirectoryDelta { revision, whole, changed, moved, removed: columns.removed })
     }
 }
+
+/// In whole milliseconds, rounded up: what is cold must not seem warm.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
+}
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -194,6 +194,8 @@
 pub struct HallState {
     /// Its name.
     pub data_hall: String,
+    /// Revision since which it is so.
+    pub since: Revision,
     /// How it is now.
     pub state: Evacuation,
 }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -117,6 +117,7 @@
         data_hall: "hall".into(),
         slots: 8,
         state,
+        cold_left: std::time::Duration::ZERO,
         sequence,
     }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and members of a self-forming group as real processes, spoken to in the platform's
 //! dialect by stand-ins for clients, targets and operators.
 
+mod cold;
 mod doors;
 mod evacuations;
 mod followers;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -74,6 +74,8 @@
     replaced: Arc<AtomicBool>,
     tasks: Vec<JoinHandle<()>>,
     state: Arc<Mutex<(&'static str, u64)>>,
+    /// How long it says that it stays cold, in milliseconds.
+    cold_left: Arc<AtomicU64>,
     data_hall: String,
 }
 
@@ -119,12 +121,21 @@
             replaced,
             tasks: vec![tokio::spawn(listen(listener, Arc::new(serving), open))],
             state,
+            cold_left: Arc::default(),
             data_hall: data_hall.to_owned(),
         };
-        standin.tasks.push(tokio::spawn(standin.heartbeats(doors)));
+        if !doors.is_empty() {
+            standin.announce_at(doors);
+        }
         standin
     }
 
+    /// Begins to announce itself at `doors`.
+    pub fn announce_at(&mut self, doors: Vec<SocketAddr>) {
+        let heartbeats = tokio::spawn(self.heartbeats(doors));
+        self.tasks.push(heartbeats);
+    }
+
     pub fn behave(&self, behaviour: Behaviour) {
         *self.behaviour.lock().expect("no panic") = behaviour;
     }
@@ -138,6 +149,11 @@
         self.replaced.store(true, Ordering::Relaxed);
     }
 
+    /// Has it say that it stays cold for so long.
+    pub fn stay_cold(&self, left_ms: u64) {
+        self.cold_left.store(left_ms, Ordering::Relaxed);
+    }
+
     /// Connections open now.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -172,6 +188,7 @@
             service: self.service.clone(),
             addr: self.addr,
             data_hall: self.data_hall.clone(),
+            cold_left: self.cold_left.clone(),
         }
     }
 
@@ -200,6 +217,7 @@
     service: String,
     addr: SocketAddr,
     data_hall: String,
+    cold_left: Arc<AtomicU64>,
 }
 
 async fn beat(
@@ -215,7 +233,7 @@
     let body = json!({
         "service": announced.service, "address": announced.addr, "zone": announced.data_hall,
         "version": "v1", "slots": 8,
-        "state": word, "cold-left-ms": 0, "stage": "both", "sequence": sequence,
+        "state": word, "cold-left-ms": announced.cold_left.load(Ordering::Relaxed), "stage": "both", "sequence": sequence,
     });
     call(door, "PUT", &format!("/instances/{}", announced.id), &body.to_string()).await
 }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -18,6 +18,7 @@
         data_hall: "z".into(),
         slots: 8,
         state,
+        cold_left: std::time::Duration::ZERO,
         sequence,
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 
 mod balance;
 mod budget;
+mod cold;
 mod directory;
 mod documents;
 mod events;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -37,6 +37,8 @@
             slots: None,
             engine: false,
             fetches: false,
+            cold_start: Duration::ZERO,
+            cold_per_s: 0.0,
         }],
         limits: ClientLimits::default(),
         teams: None,
