Routes and teams bound to regions: only targets of these get their requests

Cause: where a configuration binds a route or a team to regions, nothing kept its requests there. Change: 'regions' of routes and teams ('allowed-regions' in the platform's words), both binding; data halls with their regions stand in the settings; a target whose region is not known is allowed by no bound. Test: fleet: a_request_reaches_targets_of_the_regions_of_its_route_and_team_only.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -70,6 +70,9 @@
     pub services: Vec<Weighted>,
     /// Most targets that a request is sent to.
     pub max_attempts: u32,
+    /// Regions whose targets may get its requests; any without one.
+    #[serde(default)]
+    pub regions: Vec<String>,
     /// Whether requests need no key.
     #[serde(default)]
     pub public: bool,
@@ -140,6 +143,9 @@
     /// Rank of its requests, 0 first.
     #[serde(default)]
     pub priority: u32,
+    /// Regions whose targets may get its requests; any without one. Those of a route bind besides.
+    #[serde(default)]
+    pub regions: Vec<String>,
 }
 
 /// A whole configuration.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -59,6 +59,7 @@
         let cold = self.cold_limit(&plan.service);
         let usable = |target: &&Arc<Target>| {
             target.open_to_work()
+                && self.may_leave_for(plan, target)
                 && !plan.tried.contains(&target.key)
                 && cold.is_none_or(|limit| limit.may_ask(now, target))
         };
@@ -105,7 +106,11 @@
     /// Why no target can be chosen for the request.
     pub(super) fn why_no_choice(&self, plan: &Plan) -> Refusal {
         let known = read(&self.targets);
-        let there = |target: &&Arc<Target>| !target.draining() && !plan.tried.contains(&target.key);
+        let there = |target: &&Arc<Target>| {
+            !target.draining()
+                && self.may_leave_for(plan, target)
+                && !plan.tried.contains(&target.key)
+        };
         let there: Vec<_> = known.of(&plan.service).iter().filter(there).collect();
         if there.iter().any(|target| !target.evacuated()) {
             return Refusal::Cold;
@@ -117,6 +122,17 @@
         }
     }
 
+    /// Whether the regions of the request's route and team allow a target; one whose region is not known
+    /// is allowed by none.
+    fn may_leave_for(&self, plan: &Plan, target: &Target) -> bool {
+        let of_team = plan.team.as_ref().map_or(&[][..], |team| &team.regions);
+        let bound = [plan.route.regions.as_slice(), of_team];
+        bound.into_iter().filter(|regions| !regions.is_empty()).all(|regions| {
+            let region = self.settings.data_halls.get(&target.announcement.data_hall);
+            region.is_some_and(|region| regions.contains(region))
+        })
+    }
+
     /// Counts a request that goes to a target now, if it is cold.
     pub(super) fn note_asked(&self, target: &Target) {
         if let Some(limit) = self.cold_limit(&target.announcement.service) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use super::relay;
 use super::trace::{self, Departure, text};
 use super::{Gateway, Stage};
-use crate::configuration::Route;
+use crate::configuration::{Route, Team};
 use crate::route_table::Caller;
 
 /// Targets that could not be connected to before a request is given up on.
@@ -39,6 +39,8 @@
     pub(super) service: String,
     pub(super) outgoing: Outgoing,
     pub(super) affinity: Option<Affinity>,
+    /// Team that sends it, if one does.
+    pub(super) team: Option<Arc<Team>>,
     /// Version of the configuration that decided.
     pub(super) version: u64,
     pub(super) arrived: Instant,
@@ -124,6 +126,10 @@
         service,
         outgoing,
         affinity,
+        team: match caller {
+            Caller::Team(team) => Some(team),
+            _ => None,
+        },
         version: table.version(),
         arrived,
         tried: Vec::new(),
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::doors::configuration;
 use crate::harness::Fleet;
 use crate::refusals::{Ask, code};
@@ -209,3 +211,31 @@
     let answer = sticky("r-5").send(fleet.front(0)).await.expect("an answer");
     assert_eq!((answer.status, home_of("r-5")), (200, Some(home)));
 }
+
+/// Routes and teams may each be bound to regions, and where both are, both bind.
+#[tokio::test]
+async fn a_request_reaches_targets_of_the_regions_of_its_route_and_team_only() {
+    let fleet = Fleet::start(1, 1).await;
+    let north = Standin::start_in("hall-b", "i-north", "s", fleet.doors()).await;
+    let south = Standin::start_in("hall-c", "i-south", "s", fleet.doors()).await;
+    let nowhere = Standin::start_in("hall-q", "i-nowhere", "s", fleet.doors()).await;
+    let mut configuration = configuration(1);
+    // The safe route, the unsafe one and the retried one; the others are free.
+    configuration["routes"][0]["allowed-regions"] = json!(["south"]);
+    configuration["routes"][1]["allowed-regions"] = json!(["south", "north"]);
+    configuration["routes"][2]["allowed-regions"] = json!(["north"]);
+    configuration["tenants"][0]["allowed-regions"] = json!(["south"]);
+    fleet.configure(&configuration).await;
+    fleet.knows_targets(0, 3).await;
+    for round in 0..30 {
+        for path in ["/safe/x", "/unsafe/x", "/sticky/x"] {
+            let id = format!("r-{round}");
+            let answer = Ask::new(path, &id).send(fleet.front(0)).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{path}: {answer:?}");
+        }
+    }
+    assert_eq!(south.arrivals().len(), 90);
+    assert!(north.arrivals().is_empty() && nowhere.arrivals().is_empty());
+    let answer = Ask::new("/retried/x", "r-none").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "no_target"));
+}
--- a/tests/gateway/cold.rs
+++ b/tests/gateway/cold.rs
@@ -56,7 +56,7 @@
 /// When each gateway hears that the target is there, and cold.
 fn hears(rng: &mut StdRng, gateways: usize) -> Vec<f64> {
     let heard = |at: usize| {
-        let latest = if at % MISSES == 0 { COLD_FOR } else { 0.5 };
+        let latest = if at.is_multiple_of(MISSES) { COLD_FOR } else { 0.5 };
         rng.random_range(0.0..latest)
     };
     (0..gateways).map(heard).collect()
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -22,6 +22,7 @@
         priority: 0,
         services: vec![Weighted { service: "s".into(), weight: 1 }],
         max_attempts: 2,
+        regions: Vec::new(),
         public: false,
         sticky: false,
     }
@@ -47,7 +48,7 @@
 
 fn team(name: &str, keys: &[&str]) -> Team {
     let keys = keys.iter().map(|key| key.to_string()).collect();
-    Team { name: name.into(), keys, priority: 0 }
+    Team { name: name.into(), keys, priority: 0, regions: Vec::new() }
 }
 
 #[rstest]
