Soak: evacuations in series, a data hall lost whole, cold targets with a bound over all gateways

Targets stand in three halls; an operator orders, withdraws and repeats orders over the other faults, at random members; at the end what was acknowledged last is in force, and nothing arrives in an evacuated hall in calm times; a target that comes during the run is cold for 1.2 s and no second of that may hold more than it bears.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,11 +1,13 @@
 //! Holds what was seen against the promises of the pages, once every fault has ended.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::harness::{call, eventually};
-use crate::ledger::{Book, Ended};
+use crate::ledger::{Book, Ended, Order};
 use crate::seeds;
-use crate::world::World;
+use crate::target::COLD_FOR;
+use crate::world::{COLD, World};
 
 /// Time after which an acknowledged drain is known at every gateway in touch, on a machine that has
 /// time for it; `LATCHMOUNT_SOAK_STRICT=1` holds runs by hand to it.
@@ -18,6 +20,7 @@
 const SLACK: f64 = 200.0;
 const RATIO: f64 = 0.2;
 const WINDOW: Duration = Duration::from_secs(10);
+const SECOND: Duration = Duration::from_secs(1);
 
 /// Waits until the fleet is whole again, then checks everything.
 pub async fn check(world: &mut World) {
@@ -29,6 +32,8 @@
     check_runs(&book, &mut broken);
     check_drains(&book, &mut broken);
     check_budget(&book, &mut broken);
+    check_evacuations(&book, &mut broken);
+    check_cold(&book, &mut broken);
     drop(book);
     for process in world.fleet.members.iter_mut().chain(&mut world.fleet.gateways) {
         if process.died() {
@@ -59,6 +64,7 @@
     if sent.as_deref() != Some(&read) {
         world.ledger.broken(format!("CONFIG: version {version} is not what was sent under it"));
     }
+    check_orders(world).await;
     world.configure_until_acknowledged().await;
     for gateway in 0..world.fleet.gateways.len() {
         world.fleet.in_force(gateway, world.version).await;
@@ -77,6 +83,76 @@
     .await;
 }
 
+/// What was ordered last about each hall, and acknowledged, is in force. Then all halls are taken back.
+async fn check_orders(world: &mut World) {
+    let doors = world.doors.clone();
+    let listed = eventually("the orders are read back", async || {
+        let answer = call(doors[0], "GET", "/evacuations/", "").await?;
+        (answer.status == 200).then_some(answer.body)
+    })
+    .await;
+    let mut last: BTreeMap<String, Order> = BTreeMap::new();
+    for order in &world.ledger.book().orders {
+        last.insert(order.data_hall.clone(), order.clone());
+    }
+    for (data_hall, order) in &last {
+        let evacuated = listed.contains(&format!("\"{data_hall}\""));
+        if order.acknowledged.is_some() && evacuated != order.evacuate {
+            world.ledger.broken(format!("LOST: {order:?}, in force is {listed}"));
+        }
+    }
+    if last.values().any(|order| order.evacuate && order.acknowledged.is_some()) {
+        // Calm enough that every gateway is in touch.
+        tokio::time::sleep(CALM + SECOND * 2).await;
+    }
+    let now = world.ledger.now();
+    world.ledger.book().ended = now;
+    for data_hall in last.keys() {
+        eventually(&format!("{data_hall} is taken back"), async || {
+            let answer = call(doors[0], "DELETE", &format!("/evacuations/{data_hall}"), "").await?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+}
+
+/// EVAC: in calm times nothing arrives in a hall much later than its evacuation was acknowledged.
+fn check_evacuations(book: &Book, broken: &mut Vec<String>) {
+    let strict = seeds::number("LATCHMOUNT_SOAK_STRICT") == Some(1);
+    let bound = if strict { DRAIN_BOUND } else { DRAIN_BOUND_ANYWHERE };
+    for (number, order) in book.orders.iter().enumerate().filter(|(_, order)| order.evacuate) {
+        let Some(acknowledged) = order.acknowledged else { continue };
+        let mut later = book.orders[number + 1..].iter();
+        let next = later.find(|next| next.data_hall == order.data_hall);
+        let until = next.map_or(Duration::MAX, |next| next.made).min(book.ended);
+        for run in book.runs.values().flatten() {
+            let there = book.targets[&run.target].data_hall == order.data_hall;
+            if there && run.at > acknowledged + bound && run.at < until && calm(book, run.at) {
+                broken.push(format!("EVAC: {run:?} after {order:?}"));
+            }
+        }
+    }
+}
+
+/// FAILBACK: in no second does a cold target get more than it bears, from whatever gateways.
+fn check_cold(book: &Book, broken: &mut Vec<String>) {
+    let most = COLD.0 * COLD.1 + COLD.2;
+    for (id, place) in &book.targets {
+        // Those of the start were cold before there was any caller.
+        let cold = |at: &Duration| *at < place.started + COLD_FOR;
+        let runs = book.runs.values().flatten().filter(|run| run.target == *id);
+        let mut at: Vec<Duration> = runs.map(|run| run.at).filter(cold).collect();
+        at.sort_unstable();
+        for first in &at {
+            let within = at.iter().filter(|at| *at >= first && **at < *first + SECOND).count();
+            if within as f64 > most {
+                broken.push(format!("FAILBACK: {id} got {within} from {first:?}, {place:?}"));
+                break;
+            }
+        }
+    }
+}
+
 /// TWICE, REFUSED, UNASKED: how often each request ran, against what its caller was told.
 fn check_runs(book: &Book, broken: &mut Vec<String>) {
     for seen in &book.seen {
@@ -106,20 +182,21 @@
 fn check_drains(book: &Book, broken: &mut Vec<String>) {
     let strict = seeds::number("LATCHMOUNT_SOAK_STRICT") == Some(1);
     let bound = if strict { DRAIN_BOUND } else { DRAIN_BOUND_ANYWHERE };
-    let calm = |at: Duration| {
-        let near = |other: &&Duration| **other + CALM > at && **other < at;
-        !book.disturbed.iter().any(|other| near(&other))
-    };
     for (id, run) in book.runs.iter().flat_map(|(id, runs)| runs.iter().map(move |run| (id, run))) {
         if let Some(drained) = book.drained.get(&run.target)
             && run.at > *drained + bound
-            && calm(run.at)
+            && calm(book, run.at)
         {
             broken.push(format!("DRAIN: {id} reached {run:?}, drained at {drained:?}"));
         }
     }
 }
 
+/// Whether there was no fault near that time.
+fn calm(book: &Book, at: Duration) -> bool {
+    !book.disturbed.iter().any(|other| *other + CALM > at && *other < at)
+}
+
 /// BUDGET: in no window are there more further arrivals than the rule allows.
 fn check_budget(book: &Book, broken: &mut Vec<String>) {
     let mut further: Vec<Duration> = Vec::new();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -7,8 +7,8 @@
 use tokio::time::Instant;
 
 use crate::harness::call;
-use crate::ledger::Ledger;
-use crate::world::{World, put};
+use crate::ledger::{Ledger, Order};
+use crate::world::{HALLS, World, order, put};
 
 /// What may happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +38,10 @@
     FaultyTarget,
     CrashTarget,
     ReplaceTarget,
+    LoseHall,
+    Evacuate,
+    Withdraw,
+    EvacuateAndWithdraw,
     Configure,
     Storm,
     Race,
@@ -46,7 +50,7 @@
 }
 
 impl Fault {
-    const ALL: [Fault; 30] = [
+    const ALL: [Fault; 34] = [
         Fault::KillGateway,
         Fault::StopGateway,
         Fault::PauseGateway,
@@ -72,6 +76,10 @@
         Fault::FaultyTarget,
         Fault::CrashTarget,
         Fault::ReplaceTarget,
+        Fault::LoseHall,
+        Fault::Evacuate,
+        Fault::Withdraw,
+        Fault::EvacuateAndWithdraw,
         Fault::Configure,
         Fault::Storm,
         Fault::Race,
@@ -173,6 +181,10 @@
             ResetTarget | DelayTarget | MuteTarget | FaultyTarget | CrashTarget => {
                 self.strike_target(fault);
             }
+            LoseHall => self.lose_hall(),
+            Evacuate => self.order(&[true]).await,
+            Withdraw => self.order(&[false]).await,
+            EvacuateAndWithdraw => self.order(&[true, false, true, false]).await,
             ReplaceTarget => self.replace_target().await,
             Configure | Storm | Race | OldConfiguration | FaultyConfiguration => {
                 self.operate(fault).await;
@@ -335,6 +347,46 @@
         self.later(Repair::HealTarget(at));
     }
 
+    /// Every target of a hall is out of reach at once, and back at once.
+    fn lose_hall(&mut self) {
+        let lost = HALLS[1 + 2 * self.world.rng.random_range(0..2)];
+        let of_hall = |at: &usize| {
+            self.world.targets[*at].0.data_hall == lost && !self.busy_targets.contains(at)
+        };
+        let lost_ones: Vec<usize> = (0..self.world.targets.len()).filter(of_hall).collect();
+        self.note(format!("LoseHall {lost}"));
+        for at in &lost_ones {
+            let network = &self.world.targets[*at].1;
+            network.reset();
+            network.change(|faults| faults.deaf = true);
+        }
+        let after = Duration::from_millis(self.world.rng.random_range(100..4_000));
+        for at in lost_ones {
+            self.busy_targets.push(at);
+            self.repairs.push((Instant::now() + after, Repair::HealTarget(at)));
+        }
+    }
+
+    /// Orders and withdrawals about one hall, in series; each is acknowledged or given up before the next.
+    async fn order(&mut self, evacuate: &[bool]) {
+        let data_hall = HALLS[1 + 2 * self.world.rng.random_range(0..2)];
+        for evacuate in evacuate {
+            self.note(format!("Order {data_hall} evacuate={evacuate}"));
+            let now = self.world.ledger.now();
+            let made = Order {
+                data_hall: data_hall.to_owned(),
+                evacuate: *evacuate,
+                made: now,
+                acknowledged: None,
+            };
+            self.world.ledger.book().orders.push(made);
+            let (at, twice) = (self.world.rng.random_range(0..8), self.world.rng.random_bool(0.5));
+            order(&self.world.ledger, &self.world.doors, at, *evacuate, twice).await;
+            let pause = self.world.rng.random_range(0..200);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
     /// A new target comes, an old one drains and then leaves.
     async fn replace_target(&mut self) {
         let busy = self.busy_targets.clone();
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -57,6 +57,23 @@
     pub team: String,
 }
 
+/// An order of the operator about a data hall.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub data_hall: String,
+    pub evacuate: bool,
+    pub made: Duration,
+    /// When it was first acknowledged.
+    pub acknowledged: Option<Duration>,
+}
+
+/// Where a target stands, and since when.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub data_hall: String,
+    pub started: Duration,
+}
+
 /// Everything seen in one run of the soak.
 #[derive(Default)]
 pub struct Book {
@@ -71,8 +88,14 @@
     pub acknowledged: BTreeMap<u64, Duration>,
     /// When the drain of a target was acknowledged.
     pub drained: HashMap<String, Duration>,
+    /// Orders about data halls, in the order in which they were made.
+    pub orders: Vec<Order>,
+    /// Data hall and start of each target.
+    pub targets: HashMap<String, Place>,
     /// Times at which some fault began or ended.
     pub disturbed: Vec<Duration>,
+    /// When all faults had ended, and the halls were taken back into use.
+    pub ended: Duration,
     /// Promises found broken while running.
     pub broken: Vec<String>,
 }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -24,9 +24,11 @@
 
 use crate::caller::{FORGED, SYSTEM_HEADERS};
 use crate::harness::call;
-use crate::ledger::{Ledger, Run};
+use crate::ledger::{Ledger, Place, Run};
 
 const HEARTBEAT: Duration = Duration::from_millis(300);
+/// How long a target that comes during the run is cold after its start.
+pub const COLD_FOR: Duration = Duration::from_millis(1_200);
 /// Events of a stream.
 pub const EVENTS: u32 = 8;
 
@@ -40,6 +42,7 @@
 /// A target; ends when dropped.
 pub struct Target {
     pub id: String,
+    pub data_hall: &'static str,
     serving: Arc<Serving>,
     public: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
@@ -47,6 +50,8 @@
 
 struct Serving {
     id: String,
+    data_hall: &'static str,
+    cold_until: Duration,
     ledger: Ledger,
     rng: Mutex<StdRng>,
     /// Part of the requests that go wrong.
@@ -65,6 +70,7 @@
     /// Starts a target at `private`, which others reach at `public`.
     pub async fn start(
         id: String,
+        data_hall: &'static str,
         private: SocketAddr,
         public: SocketAddr,
         doors: Vec<SocketAddr>,
@@ -72,8 +78,13 @@
         seed: u64,
     ) -> Self {
         let listener = TcpListener::bind(private).await.expect("an own address");
+        let started = ledger.now();
+        let place = Place { data_hall: data_hall.to_owned(), started };
+        ledger.book().targets.insert(id.clone(), place);
         let serving = Arc::new(Serving {
             id: id.clone(),
+            data_hall,
+            cold_until: started + COLD_FOR,
             ledger,
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
             faulty: Mutex::new(0.02),
@@ -84,7 +95,7 @@
             tokio::spawn(listen(listener, serving.clone())),
             tokio::spawn(heartbeats(serving.clone(), public, doors)),
         ];
-        Target { id, serving, public, tasks }
+        Target { id, data_hall, serving, public, tasks }
     }
 
     pub fn set_faulty(&self, part: f64) {
@@ -120,9 +131,11 @@
 }
 
 async fn beat(serving: &Serving, addr: SocketAddr, door: SocketAddr) -> bool {
+    let cold_left = serving.cold_until.saturating_sub(serving.ledger.now()).as_millis() as u64;
     let body = json!({
-        "service": "s", "address": addr, "zone": "hall-a", "version": "v1", "slots": 16,
-        "state": *serving.state.lock().expect("no panic"), "cold-left-ms": 0, "stage": "both",
+        "service": "s", "address": addr, "zone": serving.data_hall, "version": "v1", "slots": 16,
+        "state": *serving.state.lock().expect("no panic"), "cold-left-ms": cold_left,
+        "stage": "both",
         "sequence": serving.sequence.fetch_add(1, Ordering::Relaxed) + 1,
     });
     let path = format!("/instances/{}", serving.id);
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -12,7 +12,7 @@
 use crate::harness::{Fleet, call, eventually};
 use crate::ledger::Ledger;
 use crate::proxy::Network;
-use crate::target::Target;
+use crate::target::{COLD_FOR, Target};
 
 /// How many of each take part.
 #[derive(Clone, Copy, Debug)]
@@ -25,8 +25,14 @@
     pub length: Duration,
 }
 
+/// Longest time in which an operator sends an order again.
+const ORDER_FOR: Duration = Duration::from_secs(4);
 /// Routes that make a configuration a large one.
 const LARGE_BY: u64 = 200;
+/// Data halls that targets come to in turn. The first is never evacuated nor lost.
+pub const HALLS: [&str; 4] = ["hall-a", "hall-b", "hall-a", "hall-c"];
+/// Requests a second that a cold target bears, the multiple of that which does no harm, and requests beyond.
+pub const COLD: (f64, f64, f64) = (4.0, 1.5, 8.0);
 /// Everything that takes part in one run.
 pub struct World {
     pub fleet: Fleet,
@@ -90,6 +96,8 @@
             process.set("source", json!(process.ip));
             process.set("members", json!(seeds));
             process.set("retry_slack", json!(200));
+            process.set("cold_over", json!(COLD.1));
+            process.set("cold_slack", json!(COLD.2));
             gateway_networks.push(network);
             fronts.push(public);
         }
@@ -156,7 +164,8 @@
         let id = format!("i-{}", self.next_target);
         let (doors, ledger) = (self.doors.clone(), self.ledger.clone());
         let seed = self.rng.random();
-        let target = Target::start(id, private, public, doors, ledger, seed).await;
+        let data_hall = HALLS[self.next_target % HALLS.len()];
+        let target = Target::start(id, data_hall, private, public, doors, ledger, seed).await;
         self.targets.push((target, network));
     }
 
@@ -185,7 +194,8 @@
         }));
         json!({
             "version": version, "routes": routes,
-            "services": [{"name": "s", "health-path": "/health", "max-conns": 400}],
+            "services": [{"name": "s", "health-path": "/health", "max-conns": 400,
+                "cold-start-s": COLD_FOR.as_secs_f64(), "cold-per-s": COLD.0}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
             "tenants": [{"name": "tenant-a", "api-keys": ["key-a"], "priority": 1}],
@@ -229,3 +239,34 @@
     }
     answer.status == 200
 }
+
+/// Sends an order about a data hall to one door after the other until it is acknowledged, and once more after
+/// that where `twice`; gives up after some seconds, as the pages say.
+pub async fn order(ledger: &Ledger, doors: &[SocketAddr], at: usize, evacuate: bool, twice: bool) {
+    let method = if evacuate { "POST" } else { "DELETE" };
+    let mut sent = 0;
+    let started = ledger.now();
+    let number = ledger.book().orders.len() - 1;
+    let data_hall = ledger.book().orders[number].data_hall.clone();
+    while ledger.now() < started + ORDER_FOR {
+        let door = doors[(at + sent) % doors.len()];
+        sent += 1;
+        let path = format!("/evacuations/{data_hall}");
+        let calling = call(door, method, &path, "");
+        let answer = tokio::time::timeout(Duration::from_secs(1), calling).await;
+        let Ok(Some(answer)) = answer else {
+            continue;
+        };
+        if (400..500).contains(&answer.status) {
+            ledger.broken(format!("EVAC: {method} {data_hall} was answered {answer:?}"));
+        }
+        if answer.status != 200 {
+            continue;
+        }
+        let now = ledger.now();
+        let again = ledger.book().orders[number].acknowledged.replace(now).is_some();
+        if again || !twice {
+            return;
+        }
+    }
+}
