Evidence about targets is the fleet's: gateways tell members how attempts went, and leave a bad target together

Change: outcomes go with the words about loads; members add up, half as much each 0.7 s, a gateway counts for three failures at most and two must have met them; a target clearly worse than its like is left by all, who come back spread over time, and at once when others are answered there; where over 64 targets fail nothing is told. A target that is silent beyond a request's patience is blamed then, not when the wait ends. Tests: gateway: evidence (5).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,6 +47,8 @@
     pub(super) longest: Duration,
     /// Whether another target could be asked.
     pub(super) may_turn: &'a (dyn Fn() -> bool + Send + Sync),
+    /// Called when the target is waited for beyond that.
+    pub(super) is_over: &'a (dyn Fn() + Send + Sync),
 }
 
 /// Sends the request and waits for the head of the answer.
@@ -75,7 +77,10 @@
         let until = deadline.min(tokio::time::Instant::now() + patience.longest);
         let answered = match tokio::time::timeout_at(until, &mut sending).await {
             Err(_) if (patience.may_turn)() => return Err(AttemptError::Late),
-            Err(_) => tokio::time::timeout_at(deadline, sending).await,
+            Err(_) => {
+                (patience.is_over)();
+                tokio::time::timeout_at(deadline, sending).await
+            }
             answered => answered,
         };
         match answered {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -253,10 +253,12 @@
     let longest = patience::for_answer(&plan.route);
     let watch = SilenceWatch::begin(gateway, target, longest);
     let may_turn = || plan.route.kind.idempotent() && gateway.could_send_after(plan);
-    let patience = Patience { longest, may_turn: &may_turn };
+    let is_over = || watch.blame();
+    let patience = Patience { longest, may_turn: &may_turn, is_over: &is_over };
     let sent =
         attempt::send(target, choice.fetch_from, &plan.outgoing, gateway.names(), limits, patience)
             .await;
+    let blamed = watch.blamed();
     watch.end();
     if !matches!(sent, Err(AttemptError::NotSent(_))) {
         plan.arrivals += 1;
@@ -273,7 +275,7 @@
         }
         Err(error) => {
             let (refusal, outcome) = blame(error);
-            if let Some(outcome) = outcome {
+            if let Some(outcome) = outcome.filter(|_| !blamed) {
                 gateway.note_outcome(target, outcome);
             }
             gateway.metrics.attempt_failed(refusal);
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -41,6 +41,11 @@
 }
 
 impl Tally {
+    /// So many failures among so many outcomes, told just now.
+    pub fn of(now: Duration, failures: f64, outcomes: f64) -> Self {
+        Tally { failures, outcomes, newest: now }
+    }
+
     /// Counts an outcome.
     pub fn note(&mut self, now: Duration, outcome: AttemptOutcome) {
         *self = self.as_of(now);
@@ -93,6 +98,8 @@
     pauses: u32,
     paused_until: Option<Duration>,
     last_answer: Option<Duration>,
+    /// When it was last left because of what all gateways saw.
+    left_together_at: Option<Duration>,
 }
 
 impl Health {
@@ -115,6 +122,45 @@
         }
     }
 
+    /// Leaves the target because of what all gateways saw until `failed_at`, unless it was left for that already;
+    /// tells whether it is left now.
+    ///
+    /// The gateways come back at times that `chance`, from 0 to 1, spreads over `spread`: what the first of
+    /// them meet the others are told.
+    pub fn leave_together(
+        &mut self,
+        now: Duration,
+        failed_at: Duration,
+        spread: Duration,
+        chance: f64,
+    ) -> bool {
+        if self.left_together_at.is_some_and(|left_at| failed_at <= left_at) {
+            return false;
+        }
+        if self.left_together_at.is_some() && self.paused(now) {
+            // What was under way when it was left fails now; the pause is as long as it was.
+            self.left_together_at = Some(now);
+            return false;
+        }
+        let longer = FIRST_PAUSE * 2u32.saturating_pow(self.pauses.min(8));
+        let until = now + longer.min(LONGEST_PAUSE) + spread.mul_f64(chance);
+        self.paused_until = self.paused_until.max(Some(until));
+        self.pauses += 1;
+        self.left_together_at = Some(now);
+        true
+    }
+
+    /// Comes back to a target that was left because of what all gateways saw, since others are answered
+    /// there; tells whether it was left.
+    pub fn return_together(&mut self, now: Duration) -> bool {
+        let left = self.left_together_at.take().is_some() && self.paused(now);
+        if left {
+            self.paused_until = None;
+            self.pauses = 0;
+        }
+        left
+    }
+
     fn pause(&mut self, now: Duration) -> bool {
         if self.paused(now) {
             return false;
--- a/src/gateway/mechanism.rs
+++ b/src/gateway/mechanism.rs
@@ -18,6 +18,8 @@
     Pauses,
     /// Failures are held against those of other targets.
     Peers,
+    /// What other gateways saw of targets counts too.
+    Evidence,
     /// A repeatable request turns from a silent target to another.
     Silence,
     /// Loads of all gateways, told by the members.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     spent: IntCounterVec,
     withheld: IntCounterVec,
     asked_cold: IntCounterVec,
+    left_together: IntCounterVec,
     parcels_asked: IntCounterVec,
     parcels_fetched: IntCounterVec,
     members_left: IntCounterVec,
@@ -122,6 +123,11 @@
                 "Attempts at targets that are slow after a start, or may be.",
                 &["service"],
             )?,
+            left_together: set.counters(
+                "latchmount_gateway_targets_left_together_total",
+                "Times that a target was left because of what all gateways saw.",
+                &["service"],
+            )?,
             parcels_asked: set.counters(
                 "latchmount_gateway_parcels_asked_total",
                 "Parcels of news that other gateways asked this one for, by whether it had them.",
@@ -223,6 +229,11 @@
         self.asked_cold.with_label_values(&[service]).inc();
     }
 
+    /// A target was left because of what all gateways saw.
+    pub(super) fn left_together(&self, service: &str) {
+        self.left_together.with_label_values(&[service]).inc();
+    }
+
     /// A connection was opened, or could not be.
     pub(super) fn connected(&self, opened: Result<(), ConnectError>, time: Duration) {
         let outcome = match opened {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 mod connection;
 pub mod events;
+pub mod evidence;
 mod exchange;
 mod feed;
 pub mod fleet_size;
@@ -244,6 +245,7 @@
 
     fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
         let now = self.now();
+        target.count_outcome(outcome != AttemptOutcome::Answered);
         let others = match outcome {
             AttemptOutcome::Failed if self.uses(Mechanism::Peers) => {
                 self.tallies_of_others(now, target)
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -183,6 +183,9 @@
         if let Some(loads) = &update.loads {
             self.gateway.take_loads(loads);
         }
+        if let Some(evidence) = &update.evidence {
+            self.gateway.take_evidence(evidence);
+        }
         lock(&self.gateway.fleet_size).note(self.gateway.now(), update.gateways);
         let before = self.gateway.gateways.swap(update.gateways, Ordering::Relaxed);
         if before != update.gateways {
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -1,6 +1,7 @@
 //! How long a gateway waits for a target that says nothing.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use slog::info;
@@ -36,13 +37,30 @@
     target: Arc<Target>,
     longest: Duration,
     since: Option<Instant>,
+    blamed: AtomicBool,
 }
 
 impl SilenceWatch {
     /// Begins to wait for the target.
     pub(super) fn begin(gateway: &Arc<Gateway>, target: &Arc<Target>, longest: Duration) -> Self {
         let (gateway, target) = (gateway.clone(), target.clone());
-        SilenceWatch { gateway, target, longest, since: Some(Instant::now()) }
+        let (since, blamed) = (Some(Instant::now()), AtomicBool::new(false));
+        SilenceWatch { gateway, target, longest, since, blamed }
+    }
+
+    /// Blames the target now, though it is waited for on: who asks it next should know.
+    pub(super) fn blame(&self) {
+        if !self.blamed.swap(true, Ordering::Relaxed) {
+            info!(self.gateway.log, "target silent"; "event" => "target_silent",
+                "target" => &self.target.announcement.id,
+                "silent_ms" => self.longest.as_millis() as u64);
+            self.gateway.note_outcome(&self.target, AttemptOutcome::Failed);
+        }
+    }
+
+    /// Whether the target was blamed.
+    pub(super) fn blamed(&self) -> bool {
+        self.blamed.load(Ordering::Relaxed)
     }
 
     /// The target said something, or is blamed otherwise.
@@ -54,11 +72,8 @@
 impl Drop for SilenceWatch {
     fn drop(&mut self) {
         let silent_for = self.since.map(|since| since.elapsed());
-        if let Some(silent_for) = silent_for.filter(|silent_for| *silent_for >= self.longest) {
-            info!(self.gateway.log, "target silent"; "event" => "target_silent",
-                "target" => &self.target.announcement.id,
-                "silent_ms" => silent_for.as_millis() as u64);
-            self.gateway.note_outcome(&self.target, AttemptOutcome::Failed);
+        if silent_for.is_some_and(|silent_for| silent_for >= self.longest) {
+            self.blame();
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -271,6 +271,7 @@
                 && self.gateway.could_send_again(&self.plan)
         };
         if waited.is_err() && !may_turn() {
+            watch.blame();
             waited = tokio::time::timeout_at(deadline, frame).await;
         }
         watch.end();
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -10,6 +10,8 @@
 use super::health::Health;
 use crate::dialect::TargetLoad;
 use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState, key};
+use crate::group::evidence::Outcomes;
+use crate::group::loads::LoadKey;
 use crate::group::message::{Evacuation, HallNews};
 use crate::store::Revision;
 use crate::sync::lock;
@@ -53,6 +55,8 @@
     pub(super) idle: Mutex<Vec<Idle>>,
     health: Mutex<Health>,
     warmth: Mutex<Warmth>,
+    /// Attempts of this gateway that failed and that were answered, not told to a member yet.
+    untold: Mutex<(u32, u32)>,
     /// Requests in flight from this gateway as last told to a member.
     told: AtomicU32,
     /// What others have in flight, from the members.
@@ -74,6 +78,7 @@
             idle: Mutex::default(),
             health: Mutex::default(),
             warmth: Mutex::default(),
+            untold: Mutex::default(),
             told: AtomicU32::new(0),
             others_by_members: Mutex::default(),
             others_by_target: Mutex::default(),
@@ -148,6 +153,20 @@
         lock(&self.warmth)
     }
 
+    /// Counts an outcome for the next word to a member.
+    pub(super) fn count_outcome(&self, failed: bool) {
+        let mut untold = lock(&self.untold);
+        let count = if failed { &mut untold.0 } else { &mut untold.1 };
+        *count = count.saturating_add(1);
+    }
+
+    /// Outcomes since the last word, if there were any; told from now on.
+    pub(super) fn tell_outcomes(&self) -> Option<Outcomes> {
+        let (failed, answered) = std::mem::take(&mut *lock(&self.untold));
+        let target = LoadKey::of(self.key);
+        (failed + answered > 0).then_some(Outcomes { target, failed, answered })
+    }
+
     /// Counts a request until the guard is dropped.
     pub(super) fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -31,8 +31,9 @@
         loop {
             let now = shared.now();
             match receiver.receive().await? {
-                ToMember::Loads(loads) => {
+                ToMember::Loads { loads, outcomes } => {
                     lock(&shared.board).hear_gateway(now, &gateway, loads);
+                    lock(&shared.evidence).hear_gateway(now, &gateway, &outcomes);
                 }
                 ToMember::InForce(version) => note_in_force(shared, connection, version),
                 ToMember::Obeys(revision) => shared.note_obeyed(obeying, revision),
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -43,10 +43,11 @@
             ToMember::Presence(gateways) => {
                 lock(&shared.presence).hear(shared.now(), gateways);
             }
-            ToMember::MemberLoads { from, loads } => {
+            ToMember::MemberLoads { from, loads, evidence } => {
                 lock(&shared.board).hear_member(shared.now(), from, loads);
+                lock(&shared.evidence).hear_member(shared.now(), from, evidence);
             }
-            ToMember::Loads(_)
+            ToMember::Loads { .. }
             | ToMember::InForce(_)
             | ToMember::Obeys(_)
             | ToMember::Has(_)
--- a/src/group/loads.rs
+++ b/src/group/loads.rs
@@ -22,7 +22,7 @@
 const KEY_BITS: u32 = 24;
 
 /// The part of a target's hash by which loads name it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LoadKey(u32);
 
 impl LoadKey {
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::evidence::{Evidence, Outcomes};
 use super::loads::Loads;
 use crate::directory::Announcement;
 use crate::parcel::ParcelId;
@@ -36,9 +37,16 @@
         from: SocketAddr,
         /// What they have in flight.
         loads: Loads,
+        /// How their attempts at targets went, where any failed.
+        evidence: Vec<Evidence>,
     },
     /// What the gateway on this connection has in flight.
-    Loads(Loads),
+    Loads {
+        /// What it has in flight.
+        loads: Loads,
+        /// How its attempts went since its last word.
+        outcomes: Vec<Outcomes>,
+    },
     /// The gateway on this connection now works by the configuration of this version.
     InForce(u64),
     /// The gateway on this connection now obeys the orders about data halls up to this revision.
@@ -162,6 +170,8 @@
     pub gateways: u32,
     /// What all gateways have in flight at targets that have anything, when it is time for that.
     pub loads: Option<Loads>,
+    /// How attempts of all gateways at targets went, where any failed, when it is time for that.
+    pub evidence: Option<Vec<Evidence>>,
 }
 
 impl Update {
@@ -175,6 +185,7 @@
             members: self.members.or(earlier.members),
             halls: self.halls.or(earlier.halls),
             loads: self.loads.or(earlier.loads),
+            evidence: self.evidence.or(earlier.evidence),
             ..self
         }
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -10,6 +10,7 @@
 mod deltas;
 mod doors;
 mod evacuation;
+pub mod evidence;
 mod feed;
 mod heartbeats;
 mod incoming;
@@ -52,6 +53,7 @@
 use self::board::LoadBoard;
 use self::deltas::Deltas;
 use self::evacuation::Returns;
+use self::evidence::EvidenceBoard;
 use self::heartbeats::Heard;
 use self::liveness::Liveness;
 use self::message::{Call, Reply};
@@ -121,6 +123,7 @@
     orders_rollout: Mutex<Rollout>,
     returns: Mutex<Returns>,
     board: Mutex<LoadBoard>,
+    evidence: Mutex<EvidenceBoard>,
     heard: Mutex<Heard>,
     /// Of parcels that are sent along with signs of life.
     pace_of_small: Pacer,
@@ -178,6 +181,7 @@
             orders_rollout: Mutex::default(),
             returns: Mutex::default(),
             board: Mutex::default(),
+            evidence: Mutex::default(),
             heard: Mutex::default(),
             pace_of_small: Pacer::new(settings.link_mbps, pacer::PART_FOR_SMALL),
             pace_of_large: Pacer::new(settings.link_mbps, pacer::PART_FOR_LARGE)
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -243,7 +243,9 @@
         let loads = self.next_loads(now);
         let version = held_version(&self.shared.member.published().borrow());
         let halls = self.next_halls();
-        Update { fresh: self.fresh(), version, halls, gateways, loads, ..Update::default() }
+        let evidence = loads.is_some().then(|| lock(&self.shared.evidence).everywhere(now));
+        let fresh = self.fresh();
+        Update { fresh, version, halls, gateways, loads, evidence, ..Update::default() }
     }
 
     /// What is in flight at the targets, when it is time to tell.
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -107,7 +107,8 @@
         let longest = shared.loads_count_for();
         let loads = lock(&shared.board).here(shared.now(), longest);
         if lock(&shared.presence).any_connected() {
-            shared.tell_others(&ToMember::MemberLoads { from: shared.own, loads });
+            let evidence = lock(&shared.evidence).here(shared.now());
+            shared.tell_others(&ToMember::MemberLoads { from: shared.own, loads, evidence });
         }
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod documents;
 mod events;
+mod evidence;
 mod health;
 mod herd;
 mod incarnations;
