Prompts are fetched out of an evacuated hall, and back when it returns

Change: a target that stands in for one of an evacuated hall is told to fetch from there, and one of a hall that returned from whoever stood in, for 20 s. Nothing of that is a request to the hall. 'fetch_out' leaves it out. Test: gateway: the_keeper_away_is_the_target_that_would_be_chosen_were_it_there.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -119,6 +119,20 @@
     placed.max_by_key(|(place, _)| *place).map(|(_, at)| at)
 }
 
+/// Which of the targets that may not be chosen comes before all candidates in the order of an affinity, if
+/// one does: it has served that affinity so far.
+pub fn earlier_home(
+    candidates: &[Candidate],
+    away: &[Candidate],
+    affinity: Affinity,
+) -> Option<usize> {
+    let order = Order::of(candidates, affinity);
+    let placed = away.iter().enumerate().filter_map(|(at, one)| Some((order.place(one)?, at)));
+    let (place, at) = placed.max()?;
+    let first = candidates.iter().filter_map(|candidate| order.place(candidate)).max();
+    (Some(place) > first).then_some(at)
+}
+
 /// Whether a candidate is the first in the order of an affinity, among all.
 pub fn is_first_home(candidates: &[Candidate], chosen: usize, affinity: Affinity) -> bool {
     let order = Order::of(candidates, affinity);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,7 +9,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
-use super::balance::{Affinity, Candidate, Wish, choose, is_first_home, likely_keeper};
+use super::balance::{
+    Affinity, Candidate, Wish, choose, earlier_home, is_first_home, likely_keeper,
+};
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
 use super::reason::Refusal;
@@ -22,6 +24,9 @@
 /// How long ago a target that the members do not hear must have answered to be trusted.
 const ANSWERED_LATELY: Duration = Duration::from_secs(3);
 
+/// How long after its hall was taken back into use a target is thought to lack what others read meanwhile.
+const RETURNED_FOR: Duration = Duration::from_secs(20);
+
 /// A target chosen for an attempt, and what the choice was made of.
 pub(super) struct Choice {
     pub(super) target: Arc<Target>,
@@ -63,7 +68,8 @@
                 && !plan.tried.contains(&target.key)
                 && cold.is_none_or(|limit| limit.may_ask(now, target))
         };
-        let targets: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
+        let of_service = known.of(&plan.service);
+        let targets: Vec<&Arc<Target>> = of_service.iter().filter(usable).collect();
         let usual = usual_others(&targets, now);
         let gateways = self.gateways();
         let homes = self.uses(Mechanism::Homes);
@@ -77,7 +83,7 @@
             doubtful: self.doubtful(now, target),
         };
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
-        let alive = known.of(&plan.service).iter().filter(|target| !target.silent());
+        let alive = of_service.iter().filter(|target| !target.silent());
         let wish = Wish {
             affinity: plan.affinity.map(|affinity| self.weighed(affinity)),
             load_bound: self.load_bound(),
@@ -89,7 +95,16 @@
         let fetches = self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches);
         let affinity = plan.affinity.filter(|_| fetches);
         let fetch_from = affinity.and_then(|affinity| {
-            let keeper = keeper(&known, &targets, &candidates, at, affinity)?;
+            let evacuated: Vec<&Arc<Target>> = match self.uses(Mechanism::FetchOut) {
+                true => of_service.iter().filter(|t| t.evacuated() && !t.draining()).collect(),
+                false => Vec::new(),
+            };
+            let away: Vec<Candidate> = evacuated.iter().map(candidate).collect();
+            if let Some(earlier) = earlier_home(&candidates, &away, affinity) {
+                return Some(evacuated[earlier].announcement.addr);
+            }
+            let lately = self.uses(Mechanism::FetchOut) && returned_lately(now, targets[at]);
+            let keeper = keeper(&known, &targets, &candidates, at, affinity, lately)?;
             Some(keeper.announcement.addr)
         });
         Some(Choice {
@@ -204,15 +219,21 @@
     candidates: &[Candidate],
     chosen: usize,
     affinity: Affinity,
+    returned_lately: bool,
 ) -> Option<&'a Arc<Target>> {
     let other = || likely_keeper(candidates, chosen, affinity).map(|at| targets[at]);
-    if !is_first_home(candidates, chosen, affinity) {
+    if returned_lately || !is_first_home(candidates, chosen, affinity) {
         return other();
     }
     let former = known.moved_in_lately(targets[chosen])?;
     former.or_else(other)
 }
 
+/// Whether a target's hall was taken back into use a short time ago: others have served its affinities meanwhile.
+fn returned_lately(now: Duration, target: &Target) -> bool {
+    target.warmth().returned_at().is_some_and(|at| now < at + RETURNED_FOR)
+}
+
 /// Mean load that other gateways bring to the targets that told of it lately.
 fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
     let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
--- a/src/gateway/mechanism.rs
+++ b/src/gateway/mechanism.rs
@@ -14,6 +14,8 @@
     CheapFirst,
     /// Targets fetch what they lack of a prompt from the likely keeper.
     Fetch,
+    /// Targets fetch from those of an evacuated hall, and those of a hall that returns from whoever stood in.
+    FetchOut,
     /// Failing and unreachable targets are left alone for a while.
     Pauses,
     /// Failures are held against those of other targets.
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use latchmount::gateway::balance::{Affinity, Candidate, Wish, choose};
+use latchmount::gateway::balance::{Affinity, Candidate, Wish, choose, earlier_home};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -95,3 +95,19 @@
     }
     assert!(chosen.iter().all(|times| (20..400).contains(times)), "{chosen:?}");
 }
+
+/// Who kept a prompt before its hall was evacuated is whoever would be chosen if it were not.
+#[test]
+fn the_keeper_away_is_the_target_that_would_be_chosen_were_it_there() {
+    let mut rng = StdRng::seed_from_u64(seeds::seed());
+    let all: Vec<Candidate> = (0..30).map(|home| candidate(home, 0.0)).collect();
+    let (there, away) = all.split_at(20);
+    for affinity in 0..500 {
+        let affinity = shared(affinity, 0);
+        let wish = Wish { affinity: Some(affinity), load_bound: 2.0, targets: 30 };
+        let chosen = choose(&all, wish, &mut rng).expect("candidates");
+        let expected = chosen.checked_sub(there.len());
+        assert_eq!(earlier_home(there, away, affinity), expected);
+    }
+    assert_eq!(earlier_home(there, &[], shared(1, 0)), None);
+}
