Test: clients that leave unanswered have their requests end at the targets, and sent nowhere else

Twenty-four clients of all four kinds close before any answer, at two silent targets: none is worked for afterwards, and nothing arrives in their names.

--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -4,6 +4,9 @@
 
 use futures_util::StreamExt;
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
 use crate::doors::configuration;
 use crate::harness::{Fleet, eventually};
 use crate::refusals::{Ask, code};
@@ -147,3 +150,34 @@
     let from = arrival.headers.get("kv-fetch").expect("where to fetch from");
     assert_eq!(from, standins[0].addr.to_string().as_str());
 }
+
+/// Whoever closes its connection, or gives a stream up, has its target let go, also where nothing was answered
+/// yet; and nothing is sent on in its name.
+#[tokio::test]
+async fn clients_that_leave_have_their_requests_end_at_the_targets_and_sent_nowhere_else() {
+    let (fleet, standins) = fleet_with(&[Behaviour::Mute, Behaviour::Mute]).await;
+    let arrivals = || standins.iter().map(|standin| standin.arrivals().len()).sum::<usize>();
+    let mut clients = Vec::new();
+    for round in 0..24 {
+        let path = ["/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"][round % 4];
+        let mut client = TcpStream::connect(fleet.front(0)).await.expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: r-{round}\r\n\
+            x-credential: key-a\r\nx-deadline-ms: 3500\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        client.write_all(head.as_bytes()).await.expect("sent");
+        clients.push(client);
+    }
+    eventually("all have arrived", async || (arrivals() >= 24).then_some(())).await;
+    drop(clients);
+    eventually("no target works for them", async || {
+        (standins.iter().map(Standin::open).sum::<usize>() == 0).then_some(())
+    })
+    .await;
+    // Patience with a silent target would have turned to the other one by now.
+    let before = arrivals();
+    tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+    assert_eq!(arrivals(), before);
+    let left = fleet.gateways[0].log().matches("event=client_left").count();
+    assert_eq!(left, 24);
+}
