Whether a target is left again depends on what came since it was left

Change: the evidence at the time of leaving, faded as it would have, is taken off; the age of failures is told no more. Test: gateway: evidence (used again within 2 s).

--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -88,7 +88,8 @@
             let others: Vec<Tally> = others
                 .map(|other| tally(now, told.get(&LoadKey::of(other.key)).copied()))
                 .collect();
-            match judge(now, evidence, &others) {
+            let since_left = target.health().since_left(now, evidence);
+            match judge(now, &since_left, &others) {
                 Verdict::Leave => self.leave_together(now, target, evidence),
                 Verdict::Return => {
                     target.health().return_together(now);
@@ -99,9 +100,8 @@
     }
 
     fn leave_together(&self, now: Duration, target: &Target, evidence: &Evidence) {
-        let failed_at = now.saturating_sub(Duration::from_millis(evidence.age_ms.into()));
         let spread = spread(self.gateways());
-        if target.health().leave_together(now, failed_at, spread, rand::random()) {
+        if target.health().leave_together(now, evidence, spread, rand::random()) {
             self.metrics.left_together(&target.announcement.service);
             info!(self.log, "target left by all"; "event" => "target_left_by_all",
                 "target" => &target.announcement.id, "service" => &target.announcement.service,
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::group::evidence::Evidence;
+
 /// First time that a failing target is left alone.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time that a failing target is left alone.
@@ -98,8 +100,8 @@
     pauses: u32,
     paused_until: Option<Duration>,
     last_answer: Option<Duration>,
-    /// When it was last left because of what all gateways saw.
-    left_together_at: Option<Duration>,
+    /// When it was last left because of what all gateways saw, and what that was.
+    left_together: Option<(Duration, Evidence)>,
 }
 
 impl Health {
@@ -122,38 +124,41 @@
         }
     }
 
-    /// Leaves the target because of what all gateways saw until `failed_at`, unless it was left for that already;
-    /// tells whether it is left now.
+    /// What all gateways saw since the target was left because of that, if it was.
+    pub fn since_left(&self, now: Duration, evidence: &Evidence) -> Evidence {
+        match &self.left_together {
+            Some((at, then)) => evidence.since(then, now.saturating_sub(*at)),
+            None => *evidence,
+        }
+    }
+
+    /// Leaves the target because of what all gateways saw; tells whether it was not left before.
     ///
     /// The gateways come back at times that `chance`, from 0 to 1, spreads over `spread`: what the first of
     /// them meet the others are told.
     pub fn leave_together(
         &mut self,
         now: Duration,
-        failed_at: Duration,
+        evidence: &Evidence,
         spread: Duration,
         chance: f64,
     ) -> bool {
-        if self.left_together_at.is_some_and(|left_at| failed_at <= left_at) {
-            return false;
-        }
-        if self.left_together_at.is_some() && self.paused(now) {
+        let left_before = self.left_together.replace((now, *evidence)).is_some();
+        if left_before && self.paused(now) {
             // What was under way when it was left fails now; the pause is as long as it was.
-            self.left_together_at = Some(now);
             return false;
         }
         let longer = FIRST_PAUSE * 2u32.saturating_pow(self.pauses.min(8));
         let until = now + longer.min(LONGEST_PAUSE) + spread.mul_f64(chance);
         self.paused_until = self.paused_until.max(Some(until));
         self.pauses += 1;
-        self.left_together_at = Some(now);
         true
     }
 
     /// Comes back to a target that was left because of what all gateways saw, since others are answered
     /// there; tells whether it was left.
     pub fn return_together(&mut self, now: Duration) -> bool {
-        let left = self.left_together_at.take().is_some() && self.paused(now);
+        let left = self.left_together.take().is_some() && self.paused(now);
         if left {
             self.paused_until = None;
             self.pauses = 0;
--- a/src/group/evidence.rs
+++ b/src/group/evidence.rs
@@ -46,8 +46,6 @@
     pub answered: f32,
     /// Gateways at which attempts failed lately.
     pub reporters: u16,
-    /// Time since a failure was last told of, in milliseconds.
-    pub age_ms: u16,
 }
 
 /// What a member tells of the targets at which attempts failed; empty where too many do.
@@ -63,17 +61,20 @@
 
 impl Told {
     fn as_of(self, now: Duration) -> Told {
-        let halves = now.saturating_sub(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let kept = 0.5_f64.powf(halves);
+        let kept = kept_after(now.saturating_sub(self.at));
         Told { at: now, failed: self.failed * kept, answered: self.answered * kept }
     }
 }
 
+/// Part of what was told that still counts after so long.
+fn kept_after(time: Duration) -> f64 {
+    0.5_f64.powf(time.as_secs_f64() / HALF_LIFE.as_secs_f64())
+}
+
 /// What is known of one target by the gateways of this member.
 #[derive(Debug, Default)]
 struct Record {
     by_gateway: HashMap<String, Told>,
-    failed_at: Option<Duration>,
 }
 
 /// How attempts went, as the gateways connected here and the other members tell.
@@ -92,9 +93,6 @@
             *told = told.as_of(now);
             told.failed = (told.failed + f64::from(outcome.failed)).min(MOST_OF_ONE);
             told.answered += f64::from(outcome.answered);
-            if outcome.failed > 0 {
-                record.failed_at = Some(now);
-            }
         }
     }
 
@@ -142,22 +140,29 @@
         }
         let answered: f64 = told.iter().map(|told| told.answered).sum();
         let reporters = told.iter().filter(|told| told.failed >= TOLD_FROM).count();
-        let age = now.saturating_sub(self.failed_at.unwrap_or_default());
         Some(Evidence {
             target,
             failed: failed as f32,
             answered: answered as f32,
             reporters: u16::try_from(reporters).unwrap_or(u16::MAX),
-            age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
         })
     }
 }
 
 impl Evidence {
+    /// What came to this since it was `before`, so long ago.
+    pub fn since(&self, before: &Evidence, ago: Duration) -> Evidence {
+        let kept = kept_after(ago) as f32;
+        Evidence {
+            failed: (self.failed - before.failed * kept).max(0.0),
+            answered: (self.answered - before.answered * kept).max(0.0),
+            ..*self
+        }
+    }
+
     fn add(&mut self, other: &Evidence) {
         self.failed += other.failed;
         self.answered += other.answered;
         self.reporters = self.reporters.saturating_add(other.reporters);
-        self.age_ms = self.age_ms.min(other.age_ms);
     }
 }
--- a/tests/gateway/evidence.rs
+++ b/tests/gateway/evidence.rs
@@ -21,6 +21,8 @@
 /// The target fails all that it gets from here to there, in seconds.
 const BAD: (f64, f64) = (2.0, 7.0);
 const LASTS: f64 = 16.0;
+/// Time over which it is counted whether the target is used again.
+const LOOK: f64 = 0.5;
 
 fn secs(secs: f64) -> Duration {
     Duration::from_secs_f64(secs)
@@ -77,8 +79,8 @@
             day.failed += usize::from(bad);
             self.note(secs(now), gateway, target, bad);
             got += usize::from(target == 0);
-            if now >= window + 0.5 {
-                let half = a_second / self.targets as f64 * 0.5 * 0.5;
+            if now >= window + LOOK {
+                let half = a_second / self.targets as f64 * LOOK * 0.5;
                 if now > BAD.1 && got as f64 >= half && day.back_after.is_none() {
                     day.back_after = Some(now - BAD.1);
                 }
@@ -143,12 +145,11 @@
                 .filter(|other| *other != target)
                 .map(|other| tally(now, of(other)))
                 .collect();
-            let failed_at = now.saturating_sub(Duration::from_millis(evidence.age_ms.into()));
             let health = &mut self.health[gateway][target];
-            match judge(now, evidence, &others) {
+            match judge(now, &health.since_left(now, evidence), &others) {
                 Verdict::Leave => {
                     let chance = self.rng.random();
-                    health.leave_together(now, failed_at, spread(GATEWAYS as u32), chance);
+                    health.leave_together(now, evidence, spread(GATEWAYS as u32), chance);
                 }
                 Verdict::Return => {
                     health.return_together(now);
@@ -171,11 +172,11 @@
     let together = Fleet::new(targets, true).play(a_second);
     println!("{targets} targets: alone {alone:?}, together {together:?}");
     assert!(together.failed * 2 < alone.failed, "alone {alone:?}, together {together:?}");
-    assert!(together.back_after.is_some(), "{together:?}");
+    assert!(together.back_after.is_some_and(|after| after < 2.0), "{together:?}");
 }
 
 fn evidence(target: usize, failed: f32, answered: f32, reporters: u16) -> Evidence {
-    Evidence { target: key(target), failed, answered, reporters, age_ms: 0 }
+    Evidence { target: key(target), failed, answered, reporters }
 }
 
 #[test]
