Halls that returned long ago are warm after a loss of power

Change: once the longest start is over the leader puts in the log that a hall is warm again, and it is told no more. Test: fleet: targets_of_a_hall_that_returned_long_ago_are_warm_after_the_loss_of_all_processes (fails without).

--- a/src/evacuations.rs
+++ b/src/evacuations.rs
@@ -42,6 +42,18 @@
     pub since: Revision,
     /// Revision of the order.
     pub at: Revision,
+    /// Whether it was withdrawn so long ago that its targets are surely warm. The log has no clock, and a
+    /// member that starts knows of no time before that, so the leader says so once.
+    pub warm_again: bool,
+}
+
+/// A data hall whose targets are surely warm since it was taken back into use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmAgain {
+    /// The hall.
+    pub data_hall: String,
+    /// Revision that took it back.
+    pub since: Revision,
 }
 
 /// The last order of each data hall that ever had one.
@@ -81,8 +93,28 @@
         let known = self.halls.get(&order.data_hall);
         let since = if as_wanted { known.map_or(0, |known| known.since) } else { index };
         self.revision = self.revision.max(since);
-        let last = HallOrder { evacuated: order.evacuate, since, at: index };
+        let warm_again = as_wanted && known.is_some_and(|known| known.warm_again);
+        let last = HallOrder { evacuated: order.evacuate, since, at: index, warm_again };
         self.halls.insert(order.data_hall, last);
         OrderVerdict::InForce
     }
+
+    /// Halls that were taken back and whose targets may still be cold.
+    pub fn returning(&self) -> impl Iterator<Item = WarmAgain> {
+        let returning =
+            |order: &HallOrder| !order.evacuated && order.since > 0 && !order.warm_again;
+        let halls = self.halls.iter().filter(move |(_, order)| returning(order));
+        halls.map(|(hall, order)| WarmAgain { data_hall: hall.clone(), since: order.since })
+    }
+
+    /// Notes halls whose targets are surely warm, unless they had an order since.
+    pub fn note_warm(&mut self, halls: &[WarmAgain]) {
+        for warm in halls {
+            if let Some(order) = self.halls.get_mut(&warm.data_hall)
+                && order.since == warm.since
+            {
+                order.warm_again = true;
+            }
+        }
+    }
 }
--- a/src/group/evacuation.rs
+++ b/src/group/evacuation.rs
@@ -9,11 +9,14 @@
 use super::rollout::Connection;
 use super::{Shared, Unavailable};
 use crate::control::member::Published;
-use crate::evacuations::{EvacuationOrder, Evacuations, OrderVerdict};
+use crate::evacuations::{EvacuationOrder, Evacuations, HallOrder, OrderVerdict, WarmAgain};
 use crate::jsonc::Fault;
 use crate::store::{Answer, Command, Revision};
 use crate::sync::lock;
 
+/// Time beyond the longest start after which targets are surely warm: gateways count a start from when they are told.
+const WARM_MARGIN: Duration = Duration::from_secs(1);
+
 /// An order was not taken.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum OrderError {
@@ -122,7 +125,8 @@
     pub(super) fn hall_news(&self) -> HallNews {
         let evacuations = self.member.published().borrow().evacuations.clone();
         let (now, returns) = (self.now(), lock(&self.returns));
-        let changed = evacuations.halls().filter(|(_, order)| order.since > 0);
+        let told = |order: &HallOrder| order.since > 0 && !order.warm_again;
+        let changed = evacuations.halls().filter(|(_, order)| told(order));
         let halls = changed.map(|(hall, order)| {
             let known_for = || returns.known_for(now, hall, order.since).as_millis() as u64;
             let state = match order.evacuated {
@@ -134,6 +138,29 @@
         HallNews { revision: evacuations.revision(), halls: halls.collect() }
     }
 
+    /// Halls that were taken back so long ago that their targets are surely warm, as far as this member has
+    /// followed them.
+    pub(super) fn warm_again(&self) -> Vec<WarmAgain> {
+        let published = self.published();
+        let mut returning = published.evacuations.returning().peekable();
+        if returning.peek().is_none() {
+            return Vec::new();
+        }
+        let (now, longest) = (self.now(), self.longest_start(&published));
+        let returns = lock(&self.returns);
+        returning
+            .filter(|hall| returns.known_for(now, &hall.data_hall, hall.since) >= longest)
+            .collect()
+    }
+
+    /// Longest time that a target may be cold, by the configuration held.
+    fn longest_start(&self, published: &Published) -> Duration {
+        let document = published.document.as_ref();
+        let read = document.and_then(|held| self.dialect.configuration(&held.bytes).ok());
+        let starts = read.iter().flat_map(|held| &held.services).map(|service| service.cold_start);
+        starts.max().unwrap_or_default() + WARM_MARGIN
+    }
+
     /// Takes note of orders that this member has now applied.
     pub(super) fn note_orders(&self, evacuations: &Evacuations) {
         let now = self.now();
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -136,7 +136,8 @@
     }
 }
 
-/// While this member leads, marks targets that have become silent, and settles new ones.
+/// While this member leads, marks targets that have become silent, settles new ones, and notes halls whose targets are
+/// warm again.
 pub(super) async fn watch_targets(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(TARGETS_INTERVAL).await;
@@ -150,6 +151,11 @@
                 shared.propose_here(Command::Settle(due.to_vec())).await;
             }
         }
+        let warm = if leads { shared.warm_again() } else { Vec::new() };
+        if !warm.is_empty() {
+            info!(shared.log, "halls warm again"; "event" => "halls_warm", "halls" => ?warm);
+            shared.propose_here(Command::WarmAgain(warm)).await;
+        }
         if !silent.is_empty() {
             info!(shared.log, "targets silent"; "event" => "targets_silent", "ids" => ?silent);
             shared.propose_here(Command::Silence(silent)).await;
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -8,7 +8,7 @@
 use crate::claims::{Claim, Release, Verdict};
 use crate::directory::Announcement;
 use crate::document::Packed;
-use crate::evacuations::{EvacuationOrder, OrderVerdict};
+use crate::evacuations::{EvacuationOrder, OrderVerdict, WarmAgain};
 use crate::jsonc::{Fault, Validate};
 use crate::template::{Spec, Template, check_name};
 
@@ -42,6 +42,8 @@
     Settle(Vec<String>),
     /// An operator evacuates a data hall, or takes it back into use.
     Evacuate(EvacuationOrder),
+    /// Targets of data halls that were taken back into use are surely warm by now.
+    WarmAgain(Vec<WarmAgain>),
 }
 
 /// The move of an engine to another model, during which it gets no new work.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -154,6 +154,10 @@
                 self.directory.silence(index, &ids);
                 self.listed()
             }
+            Command::WarmAgain(halls) => {
+                self.evacuations.note_warm(&halls);
+                self.listed()
+            }
             Command::Evacuate(order) => {
                 let verdict = self.evacuations.apply(index, order);
                 self.revision = self.revision.max(self.evacuations.revision());
--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -121,3 +121,24 @@
     .header("retry-after")
     .expect("a time to come back");
 }
+
+/// A member that starts knows no time from before, but it knows which halls returned long ago.
+#[tokio::test]
+async fn targets_of_a_hall_that_returned_long_ago_are_warm_after_the_loss_of_all_processes() {
+    let (mut fleet, warm) = fleet().await;
+    for method in ["POST", "DELETE"] {
+        let answer = call(fleet.door(0), method, "/evacuations/hall-a", "").await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    let halls_warm = |fleet: &Fleet| fleet.members[0].log().contains("event=halls_warm");
+    eventually("the hall is warm again", async || halls_warm(&fleet).then_some(())).await;
+    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::kill);
+    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
+    let before = warm.arrivals().len();
+    let served = eventually("a gateway that knows its targets answers", async || {
+        let answer = Ask::new("/unsafe/x", "r-1").send(fleet.front(0)).await.ok()?;
+        (answer.status == 200 || code(&answer) == "cold").then_some(answer)
+    });
+    assert_eq!(served.await.status, 200);
+    assert_eq!(warm.arrivals().len(), before + 1);
+}
