A target that was silent counts as cold for a start

Cause: nobody heard whether it turned cold meanwhile, and the heartbeat that ends its silence may be a delayed one. Change: gateways take it as cold for a start of its service from when they are told that it is ready again. Test: fleet: a_target_that_was_silent_counts_as_cold_for_a_start (fails without; its first form took word of the silence for word of the return and failed by that).

--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -49,7 +49,7 @@
 pub struct Warmth {
     /// Until when it is cold by its own word.
     told_until: Duration,
-    /// When its data hall was taken back into use: it may have turned cold shortly before.
+    /// When its data hall was taken back into use, or it was heard again: it may have turned cold shortly before.
     returned_at: Option<Duration>,
     /// When it may be asked next, while a spell lasts.
     next_at: Option<Duration>,
@@ -61,12 +61,12 @@
         self.told_until = if cold_left.is_zero() { Duration::ZERO } else { now + cold_left };
     }
 
-    /// Its data hall takes work again since `at`.
+    /// It, or its data hall, takes work again since `at`.
     pub fn returned(&mut self, at: Duration) {
         self.returned_at = Some(at);
     }
 
-    /// When its data hall was taken back into use, if it ever was evacuated.
+    /// When it, or its data hall, took work again, if it ever was away.
     pub fn returned_at(&self) -> Option<Duration> {
         self.returned_at
     }
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -355,6 +355,10 @@
         for Moved { target, state, cold_left, home } in delta.moved {
             if let Some(target) = self.by_key.get(&target).cloned() {
                 target.warmth().told(now, cold_left);
+                if target.silent() && state == TargetState::Ready {
+                    // It may have turned cold unheard, and the word that ends its silence may be an old one.
+                    target.warmth().returned(now);
+                }
                 target.set_state(state);
                 target.set_home(home);
                 self.note_home(&target, first);
--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -122,6 +122,41 @@
     .expect("a time to come back");
 }
 
+#[tokio::test]
+async fn a_target_that_was_silent_counts_as_cold_for_a_start() {
+    let (fleet, warm) = fleet().await;
+    let mut back = Standin::start_in("hall-b", "i-back", "s", fleet.doors()).await;
+    for gateway in 0..GATEWAYS {
+        fleet.knows_targets(gateway, 2).await;
+    }
+    let changes = |gateway: &Process| gateway.log().matches("msg=\"targets changed\"").count();
+    let before: Vec<usize> = fleet.gateways.iter().map(changes).collect();
+    let told = async |times: usize| {
+        for (gateway, before) in fleet.gateways.iter().zip(&before) {
+            eventually("word of it", async || (changes(gateway) >= before + times).then_some(()))
+                .await;
+        }
+    };
+    back.fall_silent();
+    told(1).await;
+    back.announce_at(fleet.doors());
+    told(2).await;
+    let since = Instant::now();
+    let before = back.arrivals().len();
+    for subject in 0..150 {
+        ask_about(&fleet, subject).await;
+        assert!(back.arrivals().len() - before <= most(since), "{}", back.arrivals().len());
+    }
+    assert!(!warm.arrivals().is_empty());
+    let mut subject = 0;
+    eventually("it gets its part", async || {
+        subject += 1;
+        ask_about(&fleet, subject).await;
+        (back.arrivals().len() >= before + 30).then_some(())
+    })
+    .await;
+}
+
 /// A member that starts knows no time from before, but it knows which halls returned long ago.
 #[tokio::test]
 async fn targets_of_a_hall_that_returned_long_ago_are_warm_after_the_loss_of_all_processes() {
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -135,6 +135,11 @@
         self.tasks.remove(0).abort();
     }
 
+    /// Announces itself no more.
+    pub fn fall_silent(&mut self) {
+        self.tasks.remove(1).abort();
+    }
+
     /// Begins to announce itself at `doors`.
     pub fn announce_at(&mut self, doors: Vec<SocketAddr>) {
         let heartbeats = tokio::spawn(self.heartbeats(doors));
