--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -15,7 +15,8 @@
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
 use super::reason::Refusal;
-use super::target::{Target, Targets};
+use super::target::Target;
+use super::targets::Targets;
 use crate::configuration::Route;
 use crate::group::loads::{LoadKey, Loads, TargetLoad, loads_count_for};
 use crate::store::Revision;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod settings;
 pub mod shelf;
 mod target;
+mod targets;
 mod trace;
 
 use std::collections::HashMap;
@@ -57,7 +58,8 @@
 pub use self::running::RunningGateway;
 use self::settings::{GatewaySettings, OnStale};
 use self::shelf::Shelf;
-use self::target::{Target, Targets};
+use self::target::Target;
+use self::targets::Targets;
 
 use crate::dialect::{Headers, SharedDialect};
 use crate::route_table::RouteTable;
--- /dev/null
+++ b/src/gateway/targets.rs
@@ -0,0 +1,213 @@
+//! All targets that a gateway knows: by service, by home, and as the orders about their data halls want them.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::target::Target;
+use crate::directory::{DirectoryDelta, Listed, Moved, TargetState};
+use crate::group::message::{Evacuation, HallNews};
+use crate::store::Revision;
+
+/// How long after it got a home a target is thought to lack what its predecessor kept.
+const MOVED_IN_FOR: Duration = Duration::from_secs(20);
+
+/// A home that changed hands.
+struct Former {
+    /// Who had it before; nobody if it is a new one.
+    target: Option<Arc<Target>>,
+    since: Instant,
+}
+
+/// All targets that a gateway knows.
+#[derive(Default)]
+pub(super) struct Targets {
+    revision: Revision,
+    /// Orders about data halls; `None` before any word of them.
+    halls: Option<HallNews>,
+    /// When data halls were taken back into use, by the revision that did so and the time since the start
+    /// of the gateway.
+    returned: HashMap<String, (Revision, Duration)>,
+    /// Who has each home of each service, and who had it before.
+    homes: HashMap<(String, u32), Arc<Target>>,
+    former: HashMap<(String, u32), Former>,
+    by_id: HashMap<String, Arc<Target>>,
+    by_key: HashMap<u64, Arc<Target>>,
+    by_service: HashMap<String, Vec<Arc<Target>>>,
+}
+
+impl Targets {
+    /// Revision of the directory that these are from.
+    pub(super) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Every target.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.by_id.values()
+    }
+
+    /// Revision of the orders about data halls that are obeyed; `None` before any word of them.
+    pub(super) fn halls_revision(&self) -> Option<Revision> {
+        self.halls.as_ref().map(|halls| halls.revision)
+    }
+
+    /// Takes orders about data halls, unless they are older than those that are obeyed; tells whether they
+    /// were taken.
+    pub(super) fn obey(&mut self, now: Duration, news: HallNews) -> bool {
+        if self.halls_revision().is_some_and(|known| news.revision < known) {
+            return false;
+        }
+        for hall in &news.halls {
+            let known = self.returned.get(&hall.data_hall);
+            let known = known.is_some_and(|(since, _)| *since == hall.since);
+            if let Evacuation::Withdrawn { for_ms } = hall.state
+                && !known
+            {
+                let at = now.saturating_sub(Duration::from_millis(for_ms));
+                self.returned.insert(hall.data_hall.clone(), (hall.since, at));
+            }
+        }
+        self.halls = Some(news);
+        self.by_id.values().for_each(|target| self.tell_of_hall(target));
+        true
+    }
+
+    /// Has a target follow the orders about its data hall.
+    fn tell_of_hall(&self, target: &Target) {
+        let data_hall = &target.announcement.data_hall;
+        target.set_evacuated(self.hall_evacuated(data_hall));
+        if let Some((_, at)) = self.returned.get(data_hall) {
+            target.warmth().returned(*at);
+        }
+    }
+
+    fn hall_evacuated(&self, data_hall: &str) -> bool {
+        let mut halls = self.halls.iter().flat_map(|news| &news.halls);
+        let hall = halls.find(|hall| hall.data_hall == data_hall);
+        hall.is_some_and(|hall| hall.state == Evacuation::InForce)
+    }
+
+    /// Number of targets.
+    pub(super) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Targets of a service.
+    pub(super) fn of(&self, service: &str) -> &[Arc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether a target has had its home for a short time only, and who had it before if that one
+    /// is still there.
+    pub(super) fn moved_in_lately(&self, target: &Target) -> Option<Option<&Arc<Target>>> {
+        let former = self.former.get(&(target.announcement.service.clone(), target.home()?))?;
+        let lately = former.since.elapsed() < MOVED_IN_FOR;
+        let there = |target: &&Arc<Target>| self.by_id.contains_key(&target.announcement.id);
+        lately.then(|| former.target.as_ref().filter(there))
+    }
+
+    /// Takes news, unless they are older than what is known; tells whether they were taken.
+    pub(super) fn apply(&mut self, now: Duration, delta: DirectoryDelta) -> bool {
+        if delta.revision <= self.revision {
+            return false;
+        }
+        self.revision = delta.revision;
+        // What was there when the gateway started has not just come.
+        let first = self.homes.is_empty();
+        if delta.whole {
+            let kept: HashSet<&str> =
+                delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
+            let known = self.by_id.keys();
+            let gone: Vec<String> =
+                known.filter(|id| !kept.contains(id.as_str())).cloned().collect();
+            gone.iter().for_each(|id| self.remove(id));
+        }
+        delta.removed.iter().for_each(|id| self.remove(id));
+        for listed in delta.changed {
+            let cold_left = listed.announcement.cold_left;
+            let target = self.change(listed);
+            target.warmth().told(now, cold_left);
+            self.note_home(&target, first);
+        }
+        for Moved { target, state, cold_left, home } in delta.moved {
+            if let Some(target) = self.by_key.get(&target).cloned() {
+                target.warmth().told(now, cold_left);
+                if target.silent() && state == TargetState::Ready {
+                    // It may have turned cold unheard, and the word that ends its silence may be an old one.
+                    target.warmth().returned(now);
+                }
+                target.set_state(state);
+                target.set_home(home);
+                self.note_home(&target, first);
+            }
+        }
+        self.former.retain(|_, former| former.since.elapsed() < MOVED_IN_FOR);
+        true
+    }
+
+    /// Notes who has a home now, and who had it before.
+    fn note_home(&mut self, target: &Arc<Target>, first: bool) {
+        let Some(home) = target.home() else {
+            return;
+        };
+        let place = (target.announcement.service.clone(), home);
+        let before = self.homes.insert(place.clone(), target.clone());
+        let same = before.as_ref().is_some_and(|before| before.key == target.key);
+        if !same && !first {
+            self.former.insert(place, Former { target: before, since: Instant::now() });
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(target) = self.by_id.remove(id) else {
+            return;
+        };
+        self.by_key.remove(&target.key);
+        // Requests that hold the target must not keep its connections.
+        target.set_state(TargetState::Draining);
+        if let Some(of_service) = self.by_service.get_mut(&target.announcement.service)
+            && let Ok(at) = position(of_service, id)
+        {
+            of_service.remove(at);
+        }
+    }
+
+    fn insert(&mut self, target: Arc<Target>) {
+        let announcement = &target.announcement;
+        self.tell_of_hall(&target);
+        if !self.by_service.contains_key(&announcement.service) {
+            self.by_service.insert(announcement.service.clone(), Vec::new());
+        }
+        if let Some(of_service) = self.by_service.get_mut(&announcement.service)
+            && let Err(at) = position(of_service, &announcement.id)
+        {
+            of_service.insert(at, target.clone());
+        }
+        self.by_key.insert(target.key, target.clone());
+        self.by_id.insert(announcement.id.clone(), target);
+    }
+
+    /// Takes what is now known of a target, and returns the target.
+    fn change(&mut self, listed: Listed) -> Arc<Target> {
+        let Listed { announcement, home } = listed;
+        if let Some(known) = self.by_id.get(&announcement.id)
+            && known.announcement.addr == announcement.addr
+            && known.announcement.service == announcement.service
+        {
+            known.set_state(announcement.state);
+            known.set_home(home);
+            return known.clone();
+        }
+        self.remove(&announcement.id);
+        let target = Arc::new(Target::new(announcement));
+        target.set_home(home);
+        self.insert(target.clone());
+        target
+    }
+}
+
+/// Where a target stands among those of its service, or where it belongs.
+fn position(of_service: &[Arc<Target>], id: &str) -> Result<usize, usize> {
+    of_service.binary_search_by(|target| target.announcement.id.as_str().cmp(id))
+}
