No more than a third of a service's targets are left together

Change: where a third is left, no more are by evidence of others. Test: gateway: no_more_than_a_third_of_the_targets_are_left_together.

--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -1,6 +1,7 @@
 //! What all gateways together saw of targets: which of them to leave, and to come back to.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::info;
@@ -21,6 +22,9 @@
 const CALM: f64 = 0.35;
 /// Answers that show so.
 const ANSWERS: f32 = 1.5;
+/// Part of a service's targets that may be left together: one data hall of three or four. Where more do worse the rest
+/// would get their load, and their prompts would be read again.
+const MOST_LEFT: f64 = 1.0 / 3.0;
 /// Time for each gateway alive over which they come back to a target that they left together: so ten a second
 /// try it, and those that fail are told of before many more do.
 const SPREAD_EACH: Duration = Duration::from_millis(100);
@@ -59,6 +63,11 @@
     }
 }
 
+/// Whether one more of so many targets may be left while `left` are.
+pub fn may_leave(left: usize, targets: usize) -> bool {
+    (left + 1) as f64 <= (targets as f64 * MOST_LEFT).max(1.0)
+}
+
 /// Time over which so many gateways come back to a target that they left together.
 pub fn spread(gateways: u32) -> Duration {
     (SPREAD_EACH * gateways).min(LONGEST_SPREAD)
@@ -83,13 +92,15 @@
             let Some(evidence) = told.get(&LoadKey::of(target.key)) else {
                 continue;
             };
-            let of_service = targets.of(&target.announcement.service).iter();
-            let others = of_service.filter(|other| other.key != target.key && other.open_to_work());
+            let of_service = targets.of(&target.announcement.service);
+            let others =
+                of_service.iter().filter(|other| other.key != target.key && other.open_to_work());
             let others: Vec<Tally> = others
                 .map(|other| tally(now, told.get(&LoadKey::of(other.key)).copied()))
                 .collect();
             let since_left = target.health().since_left(now, evidence);
             match judge(now, &since_left, &others) {
+                Verdict::Leave if !self.may_leave(now, target, of_service) => {}
                 Verdict::Leave => self.leave_together(now, target, evidence),
                 Verdict::Return => {
                     target.health().return_together(now);
@@ -99,6 +110,15 @@
         }
     }
 
+    /// Whether a target is left already, or may be besides those that are.
+    fn may_leave(&self, now: Duration, target: &Target, of_service: &[Arc<Target>]) -> bool {
+        if target.health().is_left_together(now) {
+            return true;
+        }
+        let left = of_service.iter().filter(|target| target.health().is_left_together(now)).count();
+        may_leave(left, of_service.len())
+    }
+
     fn leave_together(&self, now: Duration, target: &Target, evidence: &Evidence) {
         let spread = spread(self.gateways());
         if target.health().leave_together(now, evidence, spread, rand::random()) {
--- a/tests/gateway/evidence.rs
+++ b/tests/gateway/evidence.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use latchmount::gateway::evidence::{Verdict, judge, spread, tally};
+use latchmount::gateway::evidence::{Verdict, judge, may_leave, spread, tally};
 use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
 use latchmount::group::evidence::{Evidence, EvidenceBoard, Outcomes};
 use latchmount::group::loads::LoadKey;
@@ -221,3 +221,18 @@
     // What was told long ago counts no more.
     assert!(board.here(now + secs(20.0)).is_empty());
 }
+
+#[rstest]
+#[case::a_service_of_one(0, 1, true)]
+#[case::one_of_four(0, 4, true)]
+#[case::two_of_four(1, 4, false)]
+#[case::two_of_six(1, 6, true)]
+#[case::a_hall_of_112(36, 112, true)]
+#[case::more_than_a_hall(37, 112, false)]
+fn no_more_than_a_third_of_the_targets_are_left_together(
+    #[case] left: usize,
+    #[case] targets: usize,
+    #[case] may: bool,
+) {
+    assert_eq!(may_leave(left, targets), may);
+}
