--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -22,9 +22,9 @@
 /// Answers that show so.
 const ANSWERS: f32 = 1.5;
 /// Failure rate from which a target that keeps prompts is left: at another one they are read again, so that one
-/// which fails less is better kept. On trinacria-farm trouble-1 eleven of 18 engines lose 0.4 of their answers for 4 s; with every
-/// clear difference as a reason to leave they were left and used again by turns: 1.11 million tokens were read again rather
-/// than 0.75, while as many requests were served.
+/// which fails less is better kept. Where eleven of 18 engines lose 0.4 of their answers for 4 s, and every clear
+/// difference is a reason to leave, they are left and used again by turns: 1.11 million tokens are read again in a day
+/// rather than 0.75, while as many requests are served (docs/design/shifted-work.md).
 const BAD_KEEPER: f64 = 0.5;
 /// Time for each gateway alive over which they come back to a target that they left together: so ten a second
 /// try it, and those that fail are told of before many more do.
