One way to refuse an order at a member's door

Cause, found on reading the change again: two kinds of fault were logged and answered by two copies of the same lines, which differed in the status only. Change: the kind gives status and fault, one log line and one answer follow; status, body and log stay as they were.

--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -196,20 +196,17 @@
 }
 
 async fn order(shared: &Shared, data_hall: &str, evacuate: bool, body: &[u8]) -> Answered {
-    match shared.order_evacuation(data_hall, evacuate, body).await {
-        Ok(()) => empty(StatusCode::OK),
-        Err(OrderError::Faulty(fault)) => {
-            info!(shared.log, "order refused"; "event" => "order_refused", "hall" => data_hall,
-                "evacuate" => evacuate, "fault" => %fault);
-            faulty(StatusCode::BAD_REQUEST, &[fault])
+    let (status, fault) = match shared.order_evacuation(data_hall, evacuate, body).await {
+        Ok(()) => return empty(StatusCode::OK),
+        Err(OrderError::Overtaken | OrderError::Unavailable) => {
+            return unavailable(shared, "order");
         }
-        Err(OrderError::UnknownHall(fault)) => {
-            info!(shared.log, "order refused"; "event" => "order_refused", "hall" => data_hall,
-                "evacuate" => evacuate, "fault" => %fault);
-            faulty(StatusCode::NOT_FOUND, &[fault])
-        }
-        Err(OrderError::Overtaken | OrderError::Unavailable) => unavailable(shared, "order"),
-    }
+        Err(OrderError::Faulty(fault)) => (StatusCode::BAD_REQUEST, fault),
+        Err(OrderError::UnknownHall(fault)) => (StatusCode::NOT_FOUND, fault),
+    };
+    info!(shared.log, "order refused"; "event" => "order_refused", "hall" => data_hall,
+        "evacuate" => evacuate, "fault" => %fault);
+    faulty(status, &[fault])
 }
 
 async fn list_orders(shared: &Shared) -> Answered {
