Tests of cold targets: one wait until a target gets its part

Cause: three tests held the same loop that asks about one subject after the other until so many requests have arrived. Change: one function; the counts that each test waits for, and all assertions, are as they were.

--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -37,6 +37,17 @@
     ask.send(fleet.front(subject % GATEWAYS)).await.expect("an answer");
 }
 
+/// Waits until so many requests have reached a target, which is asked for as any other.
+async fn gets_its_part(fleet: &Fleet, what: &str, target: &Standin, arrivals: usize) {
+    let mut subject = 0;
+    eventually(what, async || {
+        subject += 1;
+        ask_about(fleet, subject).await;
+        (target.arrivals().len() >= arrivals).then_some(())
+    })
+    .await;
+}
+
 /// Most requests that may reach a cold target in so long.
 fn most(since: Instant) -> usize {
     GATEWAYS * (1 + (since.elapsed().as_secs_f64() / GAP_S) as usize)
@@ -62,13 +73,7 @@
     assert!(warm.arrivals().len() >= 300 - most(since));
     cold.stay_cold(0);
     let before = cold.arrivals().len();
-    let mut subject = 0;
-    eventually("the warm target gets its part", async || {
-        subject += 1;
-        ask_about(&fleet, subject).await;
-        (cold.arrivals().len() >= before + 20).then_some(())
-    })
-    .await;
+    gets_its_part(&fleet, "the warm target gets its part", &cold, before + 20).await;
 }
 
 #[tokio::test]
@@ -100,13 +105,7 @@
         assert!(back.arrivals().len() - before <= most(since), "{}", back.arrivals().len());
     }
     assert!(warm.arrivals().len() + most(since) >= asked);
-    let mut subject = 0;
-    eventually("the hall gets its part", async || {
-        subject += 1;
-        ask_about(&fleet, subject).await;
-        (back.arrivals().len() >= before + 30).then_some(())
-    })
-    .await;
+    gets_its_part(&fleet, "the hall gets its part", &back, before + 30).await;
 }
 
 #[tokio::test]
@@ -148,13 +147,7 @@
         assert!(back.arrivals().len() - before <= most(since), "{}", back.arrivals().len());
     }
     assert!(!warm.arrivals().is_empty());
-    let mut subject = 0;
-    eventually("it gets its part", async || {
-        subject += 1;
-        ask_about(&fleet, subject).await;
-        (back.arrivals().len() >= before + 30).then_some(())
-    })
-    .await;
+    gets_its_part(&fleet, "it gets its part", &back, before + 30).await;
 }
 
 /// A member that starts knows no time from before, but it knows which halls returned long ago.
