Gateways tell each other which targets keep a prompt where nobody expects it

The guess is the first home; where that was full, new or left alone another target read it, and only one gateway of 65 knew.

Change: a gateway tells its member with the loads of each reading at a target that is not first in the order (prompts from 1,024 tokens, 8 bytes each); members pass that on to each other and to all gateways, 32 entries a word at most.

Ruled out: events of the engines (two listeners each), for what they tell would have to take the same way.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -140,6 +140,20 @@
     first.is_some() && order.place(&candidates[chosen]) == first
 }
 
+/// Whether a target with this home is the first in the order of an affinity among targets with such homes, so
+/// that everybody expects it to keep what the affinity shares.
+pub fn expected_keeper(
+    home: Option<u32>,
+    homes: impl Iterator<Item = Option<u32>>,
+    affinity: Affinity,
+) -> bool {
+    let place = |home: u32| xxh3_64_with_seed(&home.to_le_bytes(), affinity.hash);
+    let Some(own) = home.map(place) else {
+        return false;
+    };
+    homes.flatten().map(place).all(|other| other <= own)
+}
+
 /// Load that a target may have with one more request, which shares so many tokens with others.
 ///
 /// Where a target is nearly full, cheap requests leave it first: elsewhere they cost little.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -10,7 +10,7 @@
 
 use super::Gateway;
 use super::balance::{
-    Affinity, Candidate, Wish, choose, earlier_home, is_first_home, likely_keeper,
+    Affinity, Candidate, Wish, choose, earlier_home, expected_keeper, is_first_home, likely_keeper,
 };
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
@@ -18,9 +18,10 @@
 use super::target::Target;
 use super::targets::Targets;
 use crate::configuration::Route;
+use crate::group::keepers::PromptKey;
 use crate::group::loads::{LoadKey, Loads, TargetLoad, loads_count_for};
 use crate::store::Revision;
-use crate::sync::read;
+use crate::sync::{lock, read};
 
 /// How long ago a target that the members do not hear must have answered to be trusted.
 const ANSWERED_LATELY: Duration = Duration::from_secs(3);
@@ -42,6 +43,8 @@
     pub(super) list_revision: Revision,
     /// Where the target may fetch what it lacks of the prompt.
     pub(super) fetch_from: Option<SocketAddr>,
+    /// Whether the others take it to keep the prompt, without being told.
+    pub(super) expected: bool,
 }
 
 impl Gateway {
@@ -96,6 +99,9 @@
         let fetches = self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches);
         let affinity = plan.affinity.filter(|_| fetches);
         let fetch_from = affinity.and_then(|affinity| {
+            if let Some(told) = self.told_keeper(now, of_service, targets[at], affinity) {
+                return told;
+            }
             let evacuated: Vec<&Arc<Target>> = match self.uses(Mechanism::FetchOut) {
                 true => of_service.iter().filter(|t| t.evacuated() && !t.draining()).collect(),
                 false => Vec::new(),
@@ -108,8 +114,12 @@
             let keeper = keeper(&known, &targets, &candidates, at, affinity, lately)?;
             Some(keeper.announcement.addr)
         });
+        let all_homes = of_service.iter().map(|target| target.home());
+        let expected = affinity
+            .is_none_or(|affinity| expected_keeper(targets[at].home(), all_homes, affinity));
         Some(Choice {
             fetch_from,
+            expected,
             target: targets[at].clone(),
             load: candidates[at].load,
             candidates: candidates.len(),
@@ -119,6 +129,30 @@
         })
     }
 
+    /// Where the chosen target may fetch what an affinity shares, by what gateways told: `None` when they told
+    /// nothing, and nowhere when the target itself keeps it.
+    fn told_keeper(
+        &self,
+        now: Duration,
+        of_service: &[Arc<Target>],
+        chosen: &Target,
+        affinity: Affinity,
+    ) -> Option<Option<SocketAddr>> {
+        if !self.uses(Mechanism::Keepers) {
+            return None;
+        }
+        let told: Vec<LoadKey> =
+            lock(&self.keepers).of(now, PromptKey::of(affinity.hash)).collect();
+        if told.contains(&LoadKey::of(chosen.key)) {
+            return Some(None);
+        }
+        let sound = |target: &&Arc<Target>| !target.silent() && !target.health().paused(now);
+        let keepers = told.iter().filter_map(|told| {
+            of_service.iter().filter(sound).find(|target| LoadKey::of(target.key) == *told)
+        });
+        keepers.map(|keeper| Some(keeper.announcement.addr)).next()
+    }
+
     /// Why no target can be chosen for the request.
     pub(super) fn why_no_choice(&self, plan: &Plan) -> Refusal {
         let known = read(&self.targets);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -288,6 +288,9 @@
         Ok(answer) => {
             gateway.note_answer(target, &answer.headers);
             gateway.note_outcome(target, answered(answer.status));
+            if answer.status.is_success() {
+                gateway.note_read(plan, choice);
+            }
             trace::attempt(gateway, plan, choice, began, Ok(answer.status));
             Ok(answer)
         }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -256,11 +256,12 @@
     /// Tells the member what this gateway has in flight, if that has changed or is not nothing.
     async fn tell_loads(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
         let (loads, outcomes) = (self.gateway.tell_loads(), self.gateway.tell_outcomes());
-        if loads.is_empty() && outcomes.is_empty() && self.told_none {
+        let keepers = lock(&self.gateway.keepers).tell();
+        if loads.is_empty() && outcomes.is_empty() && keepers.is_empty() && self.told_none {
             return Ok(());
         }
         self.told_none = loads.is_empty();
-        let frame = ToMember::Loads { loads, outcomes };
+        let frame = ToMember::Loads { loads, outcomes, keepers };
         let sending = sender.send(&frame);
         tokio::time::timeout(SILENCE, sending).await.map_err(|_| LinkError::Timeout)?
     }
--- a/src/gateway/mechanism.rs
+++ b/src/gateway/mechanism.rs
@@ -14,6 +14,8 @@
     CheapFirst,
     /// Targets fetch what they lack of a prompt from the likely keeper.
     Fetch,
+    /// Gateways tell each other which targets keep a prompt where that is not the one that everybody expects.
+    Keepers,
     /// Targets fetch from those of an evacuated hall, and those of a hall that returns from whoever stood in.
     FetchOut,
     /// Failing and unreachable targets are left alone for a while.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod first_news;
 pub mod fleet_size;
 pub mod health;
+pub mod keepers;
 pub mod lateness;
 mod left;
 mod listener;
@@ -54,6 +55,7 @@
 use self::cold::ColdRule;
 use self::fleet_size::FleetSize;
 use self::health::{AttemptOutcome, Tally};
+use self::keepers::Keepers;
 use self::mechanism::Mechanism;
 use self::metrics::GatewayMetrics;
 pub use self::running::RunningGateway;
@@ -79,6 +81,8 @@
     /// The configuration in force; `None` before the first.
     table: watch::Sender<Option<Arc<RouteTable>>>,
     targets: RwLock<Targets>,
+    /// Which targets keep which prompts.
+    keepers: Mutex<Keepers>,
     /// Gateways alive, as the members tell; 0 while not told.
     gateways: AtomicU32,
     /// Gateways that share the budgets.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -183,6 +183,7 @@
         if let Some(loads) = &update.loads {
             self.gateway.take_loads(loads);
         }
+        lock(&self.gateway.keepers).hear(self.gateway.now(), &update.keepers);
         if let Some(evidence) = &update.evidence {
             self.gateway.take_evidence(evidence);
         }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -74,6 +74,7 @@
             dialect,
             table: watch::Sender::new(None),
             targets: RwLock::default(),
+            keepers: Mutex::default(),
             gateways: AtomicU32::new(0),
             fleet_size: Mutex::new(FleetSize::new(window)),
             fresh_at: Mutex::default(),
--- a/src/group/cursor.rs
+++ b/src/group/cursor.rs
@@ -6,6 +6,7 @@
 use crate::parcel::{Parcel, ParcelId};
 use crate::store::Revision;
 
+use super::keepers::Told;
 use super::message::Subscription;
 
 /// What a parcel brings a gateway to.
@@ -44,6 +45,8 @@
     pub(super) fresh: bool,
     /// When loads are to be told next.
     pub(super) loads_at: Duration,
+    /// Keepers of prompts that it was told of.
+    pub(super) keepers: Told,
     /// Whether nothing is in flight anywhere.
     pub(super) idle: bool,
     /// What it fetches now. Nothing that builds on that is sent before it has it.
@@ -59,6 +62,7 @@
             members: Vec::new(),
             fresh: false,
             loads_at: Duration::ZERO,
+            keepers: Told::default(),
             idle: true,
             loan: None,
         }
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -5,6 +5,7 @@
 
 use super::Shared;
 use super::evacuation::rollout_number;
+use super::keepers::Teller;
 use super::message::{Subscription, ToMember};
 use super::push::{Push, Word};
 use super::rollout::Connection;
@@ -31,9 +32,10 @@
         loop {
             let now = shared.now();
             match receiver.receive().await? {
-                ToMember::Loads { loads, outcomes } => {
+                ToMember::Loads { loads, outcomes, keepers } => {
                     lock(&shared.board).hear_gateway(now, &gateway, loads);
                     lock(&shared.evidence).hear_gateway(now, &gateway, &outcomes);
+                    lock(&shared.keepers).hear(now, Teller::Gateway, &keepers);
                 }
                 ToMember::InForce(version) => note_in_force(shared, connection, version),
                 ToMember::Obeys(revision) => shared.note_obeyed(obeying, revision),
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -5,6 +5,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+use super::keepers::Teller;
 use super::message::{Call, FromMember, ToMember};
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, frames};
@@ -43,9 +44,10 @@
             ToMember::Presence(gateways) => {
                 lock(&shared.presence).hear(shared.now(), gateways);
             }
-            ToMember::MemberLoads { from, loads, evidence } => {
+            ToMember::MemberLoads { from, loads, evidence, keepers } => {
                 lock(&shared.board).hear_member(shared.now(), from, loads);
                 lock(&shared.evidence).hear_member(shared.now(), from, evidence);
+                lock(&shared.keepers).hear(shared.now(), Teller::Member, &keepers);
             }
             ToMember::Loads { .. }
             | ToMember::InForce(_)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evidence::{Evidence, Outcomes};
+use super::keepers::Keeper;
 use super::loads::Loads;
 use crate::directory::Announcement;
 use crate::parcel::ParcelId;
@@ -39,6 +40,8 @@
         loads: Loads,
         /// How their attempts at targets went, where any failed.
         evidence: Vec<Evidence>,
+        /// Targets that keep prompts, as they told since the last word.
+        keepers: Vec<Keeper>,
     },
     /// What the gateway on this connection has in flight.
     Loads {
@@ -46,6 +49,8 @@
         loads: Loads,
         /// How its attempts went since its last word.
         outcomes: Vec<Outcomes>,
+        /// Targets that keep prompts, since its last word.
+        keepers: Vec<Keeper>,
     },
     /// The gateway on this connection now works by the configuration of this version.
     InForce(u64),
@@ -172,6 +177,8 @@
     pub loads: Option<Loads>,
     /// How attempts of all gateways at targets went, where any failed, when it is time for that.
     pub evidence: Option<Vec<Evidence>>,
+    /// Targets that keep prompts, since the last word, when it is time for that.
+    pub keepers: Vec<Keeper>,
 }
 
 impl Update {
@@ -179,8 +186,11 @@
     pub fn after(self, earlier: Update) -> Update {
         let mut parcels = earlier.parcels;
         parcels.extend(self.parcels);
+        let mut keepers = earlier.keepers;
+        keepers.extend(self.keepers);
         Update {
             parcels,
+            keepers,
             elsewhere: self.elsewhere.or(earlier.elsewhere),
             members: self.members.or(earlier.members),
             halls: self.halls.or(earlier.halls),
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod heartbeats;
 mod incoming;
+pub mod keepers;
 pub mod listing;
 mod liveness;
 pub mod loads;
@@ -55,6 +56,7 @@
 use self::evacuation::Returns;
 use self::evidence::EvidenceBoard;
 use self::heartbeats::Heard;
+use self::keepers::KeeperBoard;
 use self::liveness::Liveness;
 use self::message::{Call, Reply};
 use self::metrics::MemberMetrics;
@@ -124,6 +126,7 @@
     returns: Mutex<Returns>,
     board: Mutex<LoadBoard>,
     evidence: Mutex<EvidenceBoard>,
+    keepers: Mutex<KeeperBoard>,
     heard: Mutex<Heard>,
     /// Of parcels that are sent along with signs of life.
     pace_of_small: Pacer,
@@ -182,6 +185,7 @@
             returns: Mutex::default(),
             board: Mutex::default(),
             evidence: Mutex::default(),
+            keepers: Mutex::default(),
             heard: Mutex::default(),
             pace_of_small: Pacer::new(settings.link_mbps, pacer::PART_FOR_SMALL),
             pace_of_large: Pacer::new(settings.link_mbps, pacer::PART_FOR_LARGE)
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -245,8 +245,12 @@
         let halls = self.next_halls();
         let slack = self.shared.loads_interval() / 4;
         let evidence = loads.is_some().then(|| lock(&self.shared.evidence).everywhere(now, slack));
+        let keepers = match loads {
+            Some(_) => lock(&self.shared.keepers).next_for_gateway(now, &mut self.cursor.keepers),
+            None => Vec::new(),
+        };
         let fresh = self.fresh();
-        Update { fresh, version, halls, gateways, loads, evidence, ..Update::default() }
+        Update { fresh, version, halls, gateways, loads, evidence, keepers, ..Update::default() }
     }
 
     /// What is in flight at the targets, when it is time to tell.
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use super::Shared;
+use super::keepers::Told;
 use super::loads::{loads_count_for, loads_interval, member_loads_interval};
 use super::message::{Call, Reply, ToMember};
 use crate::control::member::Outbox;
@@ -101,6 +102,7 @@
 
 /// Tells the others what the gateways connected here have in flight.
 pub(super) async fn tell_loads(shared: Arc<Shared>) {
+    let mut told = Told::default();
     loop {
         let busy = lock(&shared.board).busy();
         tokio::time::sleep(member_loads_interval(shared.gateways_alive(), busy)).await;
@@ -108,7 +110,9 @@
         let loads = lock(&shared.board).here(shared.now(), longest);
         if lock(&shared.presence).any_connected() {
             let evidence = lock(&shared.evidence).here(shared.now());
-            shared.tell_others(&ToMember::MemberLoads { from: shared.own, loads, evidence });
+            let keepers = lock(&shared.keepers).next_for_members(shared.now(), &mut told);
+            let from = shared.own;
+            shared.tell_others(&ToMember::MemberLoads { from, loads, evidence, keepers });
         }
     }
 }
--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -8,10 +8,13 @@
 use tokio::net::TcpStream;
 
 use crate::doors::configuration;
-use crate::harness::{Fleet, eventually};
+use crate::harness::{Fleet, Process, eventually};
 use crate::refusals::{Ask, code};
 use crate::standin::{Behaviour, Standin, event};
 
+/// Requests that a target works on at once.
+const SLOTS: usize = 8;
+
 fn events(up_to: u32) -> String {
     (1..=up_to).map(event).collect()
 }
@@ -151,6 +154,72 @@
     assert_eq!(from, standins[0].addr.to_string().as_str());
 }
 
+/// A prompt that many ask with.
+const PROMPT: &str = "aa:900,bb:3000,cc:40";
+/// How long a client waits for the home that answers nobody.
+const GIVES_UP: Duration = Duration::from_millis(300);
+
+fn asks_with_prompt(id: &str) -> Ask<'_> {
+    Ask::new("/sticky/x", id).with("x-prompt-prefix", PROMPT)
+}
+
+/// A prompt's first home was full for a moment, so that another target read it too. A second gateway, which saw none
+/// of that, names that other one to the first home.
+#[tokio::test]
+async fn a_gateway_names_a_keeper_that_another_gateway_told_of() {
+    let mut fleet = Fleet::prepare(1, 2);
+    fleet.members[0].start();
+    fleet.settled().await;
+    let mut standins = Vec::new();
+    for id in ["i-0", "i-1"] {
+        let standin = Standin::start(id, "s", fleet.doors()).await;
+        standin.behave(Behaviour::Stream(3));
+        standins.push(standin);
+    }
+    fleet.submit(0, &configuration(1)).await;
+    tokio::time::sleep(FORMING).await;
+    // Gateways that start now take both for old tenants of their homes.
+    fleet.gateways.iter_mut().for_each(Process::start);
+    for gateway in 0..2 {
+        fleet.in_force(gateway, 1).await;
+        fleet.knows_targets(gateway, 2).await;
+    }
+    let first_ask = asks_with_prompt("r-1").send(fleet.front(0)).await;
+    first_ask.expect("a whole answer");
+    let home = standins.iter().position(|standin| !standin.arrivals().is_empty()).expect("one");
+    let (first, other) = (&standins[home], &standins[1 - home]);
+    first.behave(Behaviour::Mute);
+    let mut held = Vec::new();
+    for number in 0..SLOTS {
+        let mut client = TcpStream::connect(fleet.front(0)).await.expect("a connection");
+        let head = format!(
+            "POST /sticky/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: h-{number}\r\n\
+            x-prompt-prefix: {PROMPT}\r\n\
+            x-credential: key-a\r\nx-deadline-ms: 3500\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        client.write_all(head.as_bytes()).await.expect("sent");
+        held.push(client);
+    }
+    eventually("the other one is asked", async || {
+        let id = format!("o-{}", rand::random::<u32>());
+        let ask = asks_with_prompt(&id);
+        let _ = tokio::time::timeout(GIVES_UP, ask.send(fleet.front(0))).await;
+        (!other.arrivals().is_empty()).then_some(())
+    })
+    .await;
+    drop(held);
+    first.behave(Behaviour::Stream(3));
+    let named = other.addr.to_string();
+    eventually("the first home is told where to fetch from", async || {
+        let id = format!("n-{}", rand::random::<u32>());
+        let _ = asks_with_prompt(&id).send(fleet.front(1)).await;
+        let arrivals = first.arrivals();
+        let mut from = arrivals.iter().filter_map(|arrival| arrival.headers.get("kv-fetch"));
+        from.any(|from| from == named.as_str()).then_some(())
+    })
+    .await;
+}
+
 /// Whoever closes its connection, or gives a stream up, has its target let go, also where nothing was answered
 /// yet; and nothing is sent on in its name.
 #[tokio::test]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod health;
 mod herd;
 mod incarnations;
+mod keepers;
 mod lateness;
 mod news;
 mod order;
