--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -150,7 +150,10 @@
         let keepers = told.iter().filter_map(|told| {
             of_service.iter().filter(sound).find(|target| LoadKey::of(target.key) == *told)
         });
-        keepers.map(|keeper| Some(keeper.announcement.addr)).next()
+        let keepers: Vec<&Arc<Target>> = keepers.collect();
+        let near = keepers.iter().find(|keeper| keeper.hall == chosen.hall);
+        let keeper = near.or(keepers.first())?;
+        Some(Some(keeper.announcement.addr))
     }
 
     /// Why no target can be chosen for the request.
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -38,6 +38,8 @@
     pub(super) announcement: Announcement,
     /// Hash of its identity.
     pub(super) key: u64,
+    /// Hash of the data hall that it stands in.
+    pub(super) hall: u64,
     draining: AtomicBool,
     /// Whether its data hall is evacuated.
     evacuated: AtomicBool,
@@ -64,6 +66,7 @@
     pub(super) fn new(announcement: Announcement) -> Self {
         let target = Target {
             key: key(&announcement.id),
+            hall: key(&announcement.data_hall),
             draining: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
             home: AtomicU32::new(NO_HOME),
