--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -169,6 +169,7 @@
     fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         self.check_routes(&mut faults);
+        self.check_services(&mut faults);
         self.check_teams(&mut faults);
         faults
     }
@@ -200,6 +201,15 @@
         }
     }
 
+    fn check_services(&self, faults: &mut Vec<Fault>) {
+        for (at, service) in self.services.iter().enumerate() {
+            if !service.cold_per_s.is_finite() || service.cold_per_s < 0.0 {
+                let message = "must be a number of at least 0";
+                faults.push(Fault::new(format!("services[{at}].cold_per_s"), message));
+            }
+        }
+    }
+
     fn check_teams(&self, faults: &mut Vec<Fault>) {
         let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
         for (at, team) in self.teams.iter().flatten().enumerate() {
--- a/tests/fleet/doors.rs
+++ b/tests/fleet/doors.rs
@@ -113,6 +113,19 @@
             }),
             "tenants[1].api-keys",
         ),
+        (spoilt(|whole| whole["services"][0]["cold-per-s"] = json!(-13)), "services[0].cold-per-s"),
+        (
+            spoilt(|whole| whole["services"][0]["cold-start-s"] = json!(-1.5)),
+            "services[0].cold-start-s",
+        ),
+        (
+            spoilt(|whole| whole["services"][0]["cold-start-s"] = json!(1e30)),
+            "services[0].cold-start-s",
+        ),
+        (
+            spoilt(|whole| whole["services"][0]["cold-per-s"] = json!("many")),
+            "services[0].cold-per-s",
+        ),
     ];
     for (text, path) in cases {
         let answer = call(fleet.door(1), "PUT", "/config", &text).await.expect("an answer");
