--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -58,6 +58,13 @@
     pub(crate) members: Members,
 }
 
+impl Published {
+    /// Version of the configuration that is held; 0 for none.
+    pub(crate) fn version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+}
+
 /// What the member believes of the group.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Standing {
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -132,7 +132,7 @@
         let (published, standing) = (shared.published(), shared.member.standing());
         let now = shared.now();
         let votes = published.members.0.iter().filter(|one| one.standing == Standing::Voter);
-        let version = published.document.as_ref().map_or(0, |document| document.version);
+        let version = published.version();
         let evacuated = published.evacuations.halls().filter(|(_, order)| order.evacuated);
         self.evacuated.set(evacuated.count() as i64);
         self.term.set(standing.term as i64);
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -241,7 +241,7 @@
         let now = self.shared.now();
         let gateways = self.shared.gateways_alive();
         let loads = self.next_loads(now);
-        let version = held_version(&self.shared.member.published().borrow());
+        let version = self.shared.member.published().borrow().version();
         let halls = self.next_halls();
         let slack = self.shared.loads_interval() / 4;
         let evidence = loads.is_some().then(|| lock(&self.shared.evidence).everywhere(now, slack));
@@ -310,10 +310,6 @@
     }
 }
 
-fn held_version(published: &Published) -> u64 {
-    published.document.as_ref().map_or(0, |document| document.version)
-}
-
 fn member_addrs(published: &Published) -> Vec<SocketAddr> {
     published.members.0.iter().map(|member| member.addr).collect()
 }
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -186,7 +186,7 @@
             orders = now.evacuations.revision();
             shared.note_orders(&now.evacuations);
         }
-        let newest = now.document.as_ref().map_or(0, |document| document.version);
+        let newest = now.version();
         if newest != version {
             version = newest;
             lock(&shared.rollout).hold(shared.now(), version);
