--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,26 +9,20 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
-use super::balance::{
-    Affinity, Candidate, Wish, choose, earlier_home, expected_keeper, is_first_home, likely_keeper,
-};
+use super::balance::{Affinity, Candidate, Wish, choose, expected_keeper};
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
 use super::reason::Refusal;
+use super::source::Search;
 use super::target::Target;
-use super::targets::Targets;
 use crate::configuration::Route;
-use crate::group::keepers::PromptKey;
 use crate::group::loads::{LoadKey, Loads, TargetLoad, loads_count_for};
 use crate::store::Revision;
-use crate::sync::{lock, read};
+use crate::sync::read;
 
 /// How long ago a target that the members do not hear must have answered to be trusted.
 const ANSWERED_LATELY: Duration = Duration::from_secs(3);
 
-/// How long after its hall was taken back into use a target is thought to lack what others read meanwhile.
-const RETURNED_FOR: Duration = Duration::from_secs(20);
-
 /// A target chosen for an attempt, and what the choice was made of.
 pub(super) struct Choice {
     pub(super) target: Arc<Target>,
@@ -99,20 +93,11 @@
         let fetches = self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches);
         let affinity = plan.affinity.filter(|_| fetches);
         let fetch_from = affinity.and_then(|affinity| {
-            if let Some(told) = self.told_keeper(now, of_service, targets[at], affinity) {
-                return told;
-            }
-            let evacuated: Vec<&Arc<Target>> = match self.uses(Mechanism::FetchOut) {
-                true => of_service.iter().filter(|t| t.evacuated() && !t.draining()).collect(),
-                false => Vec::new(),
-            };
-            let away: Vec<Candidate> = evacuated.iter().map(candidate).collect();
-            if let Some(earlier) = earlier_home(&candidates, &away, affinity) {
-                return Some(evacuated[earlier].announcement.addr);
-            }
-            let lately = self.uses(Mechanism::FetchOut) && returned_lately(now, targets[at]);
-            let keeper = keeper(&known, &targets, &candidates, at, affinity, lately)?;
-            Some(keeper.announcement.addr)
+            let known = &known;
+            let (targets, candidates) = (&targets, &candidates);
+            let search =
+                Search { now, known, of_service, targets, candidates, chosen: at, affinity };
+            Some(self.source(&search)?.announcement.addr)
         });
         let all_homes = of_service.iter().map(|target| target.home());
         let expected = affinity
@@ -129,33 +114,6 @@
         })
     }
 
-    /// Where the chosen target may fetch what an affinity shares, by what gateways told: `None` when they told
-    /// nothing, and nowhere when the target itself keeps it.
-    fn told_keeper(
-        &self,
-        now: Duration,
-        of_service: &[Arc<Target>],
-        chosen: &Target,
-        affinity: Affinity,
-    ) -> Option<Option<SocketAddr>> {
-        if !self.uses(Mechanism::Keepers) {
-            return None;
-        }
-        let told: Vec<LoadKey> =
-            lock(&self.keepers).of(now, PromptKey::of(affinity.hash)).collect();
-        if told.contains(&LoadKey::of(chosen.key)) {
-            return Some(None);
-        }
-        let sound = |target: &&Arc<Target>| !target.silent() && !target.health().paused(now);
-        let keepers = told.iter().filter_map(|told| {
-            of_service.iter().filter(sound).find(|target| LoadKey::of(target.key) == *told)
-        });
-        let keepers: Vec<&Arc<Target>> = keepers.collect();
-        let near = keepers.iter().find(|keeper| keeper.hall == chosen.hall);
-        let keeper = near.or(keepers.first())?;
-        Some(Some(keeper.announcement.addr))
-    }
-
     /// Why no target can be chosen for the request.
     pub(super) fn why_no_choice(&self, plan: &Plan) -> Refusal {
         let known = read(&self.targets);
@@ -249,29 +207,6 @@
     }
 }
 
-/// Who most likely keeps what the chosen target may lack of a prompt: for the first home of an affinity
-/// only while it is new there.
-fn keeper<'a>(
-    known: &'a Targets,
-    targets: &[&'a Arc<Target>],
-    candidates: &[Candidate],
-    chosen: usize,
-    affinity: Affinity,
-    returned_lately: bool,
-) -> Option<&'a Arc<Target>> {
-    let other = || likely_keeper(candidates, chosen, affinity).map(|at| targets[at]);
-    if returned_lately || !is_first_home(candidates, chosen, affinity) {
-        return other();
-    }
-    let former = known.moved_in_lately(targets[chosen])?;
-    former.or_else(other)
-}
-
-/// Whether a target's hall was taken back into use a short time ago: others have served its affinities meanwhile.
-fn returned_lately(now: Duration, target: &Target) -> bool {
-    target.warmth().returned_at().is_some_and(|at| now < at + RETURNED_FOR)
-}
-
 /// Mean load that other gateways bring to the targets that told of it lately.
 fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
     let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod running;
 pub mod settings;
 pub mod shelf;
+mod source;
 mod target;
 mod targets;
 mod trace;
