--- a/src/gateway/first_news.rs
+++ b/src/gateway/first_news.rs
@@ -4,7 +4,7 @@
 //! The load that this answers is the return of all power. Gateways listen some hundred milliseconds before the
 //! members have told them anything, the balancer sends them clients all the same since no other host is ready, and
 //! each of those clients has lost an answer just before: most come back once and no more. A refusal is then the
-//! last word for them, while the configuration is a few hundredths of a second away.
+//! last word for them, while the configuration is a tenth or two of a second away.
 
 use std::sync::Arc;
 use std::time::Duration;
