Sight: what makes two tries the same request, and what was found at a target that lost an answer

Cause of the blindness: every log line bore the id of one try, and a lost answer looked the same whether its target had ended or only a connection was lost. The connection is kept for a later request if it was taken. Taken only where an answer broke off.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to targets: made, kept for a while, and used for one request at a time.
 
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -32,9 +33,12 @@
     /// Nobody answered in time.
     #[error("no connection in time")]
     Timeout,
-    /// The connection was refused or broke at once.
+    /// Nobody listens at the target's address.
     #[error("connection refused")]
     Refused,
+    /// The connection broke at once, or could not be made for another reason.
+    #[error("the connection broke at once")]
+    Broke,
     /// This gateway has as many connections to the target as it may.
     #[error("too many connections")]
     TooMany,
@@ -92,6 +96,29 @@
     open(target, limits).await
 }
 
+/// What a new connection tells of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Found {
+    /// Nobody listens at its address: it has ended.
+    Ended,
+    /// It takes connections.
+    Lives,
+    /// Neither can be told.
+    Unknown,
+}
+
+/// Looks whether a target still takes connections. One that it takes is kept for a later request.
+pub(super) async fn look_at(target: &Arc<Target>, limits: ConnectionLimits<'_>) -> Found {
+    match open(target, limits).await {
+        Ok(connection) => {
+            connection.keep(&HeaderMap::new());
+            Found::Lives
+        }
+        Err(ConnectError::Refused) => Found::Ended,
+        Err(_) => Found::Unknown,
+    }
+}
+
 fn take_idle(target: &Arc<Target>, reuse: Reuse) -> Option<Idle> {
     let mut idle = lock(&target.idle);
     let now = Instant::now();
@@ -140,10 +167,13 @@
     let connecting = connect_from(limits.source, target.announcement.addr);
     let connected = tokio::time::timeout(limits.connect, connecting).await;
     let stream = connected.map_err(|_| ConnectError::Timeout)?;
-    let stream = stream.map_err(|_| ConnectError::Refused)?;
-    give_up_after(&stream, limits.unacknowledged).map_err(|_| ConnectError::Refused)?;
+    let stream = stream.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused => ConnectError::Refused,
+        _ => ConnectError::Broke,
+    })?;
+    give_up_after(&stream, limits.unacknowledged).map_err(|_| ConnectError::Broke)?;
     let (sender, driver) =
-        handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError::Refused)?;
+        handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError::Broke)?;
     tokio::spawn(driver);
     Ok(Connection { sender, target: target.clone() })
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 use super::attempt::{self, Answer, AttemptError, Patience};
 use super::balance::Affinity;
 use super::choice::Choice;
-use super::connection::{ConnectError, ConnectionLimits};
+use super::connection::ConnectError;
 use super::health::AttemptOutcome;
 use super::outgoing::Outgoing;
 use super::patience::{self, SilenceWatch};
@@ -23,6 +23,7 @@
 use super::trace::{self, Departure, text};
 use super::{Gateway, Stage};
 use crate::configuration::{Route, Team};
+use crate::poison::Identity;
 use crate::route_table::Caller;
 
 /// What connections that could not be made may cost a request before it is given up on: four that hang, or sixteen that
@@ -240,6 +241,11 @@
 }
 
 impl Plan {
+    /// What identifies the request across its tries.
+    pub(super) fn identity(&self) -> Identity<'_> {
+        self.outgoing.identity(self.team.as_ref().map(|team| team.name.as_str()))
+    }
+
     /// Notes that a target ran the request, at least in part, and failed.
     pub(super) fn note_ran(&mut self, refusal: Refusal) {
         self.may_have_run = self.may_have_run.or(Some(refusal));
@@ -260,13 +266,7 @@
     let target = &choice.target;
     plan.tried.push(target.key);
     gateway.note_asked(target);
-    let limits = ConnectionLimits {
-        source: gateway.settings.source,
-        connect: gateway.settings.connect_timeout(),
-        unacknowledged: Duration::from_millis(gateway.settings.unacknowledged_ms),
-        most: gateway.connections_to(&plan.service),
-        metrics: &gateway.metrics,
-    };
+    let limits = gateway.connection_limits(&plan.service);
     let began = Instant::now();
     let longest = patience::for_answer(&plan.route);
     let watch = SilenceWatch::begin(gateway, target, longest);
@@ -301,6 +301,9 @@
             }
             gateway.metrics.attempt_failed(refusal);
             trace::attempt(gateway, plan, choice, began, Err((refusal, error)));
+            if error == AttemptError::Lost {
+                gateway.inquire(plan, target);
+            }
             Err(Failed { refusal, error })
         }
     }
--- /dev/null
+++ b/src/gateway/inquest.rs
@@ -0,0 +1,36 @@
+//! Looks at a target whose answer broke off: whether it has ended, or only a connection was lost.
+//!
+//! A lost answer alone does not tell: targets lose answers and reset connections while they run well. One whose
+//! process has ended refuses connections at once, until it or another starts there again.
+
+use std::sync::Arc;
+
+use slog::info;
+
+use super::Gateway;
+use super::connection::look_at;
+use super::exchange::Plan;
+use super::target::Target;
+use super::trace::{millis_since, text};
+use crate::sync::lock;
+
+impl Gateway {
+    /// Finds out, beside the request, what became of the target that lost its answer.
+    pub(super) fn inquire(self: &Arc<Self>, plan: &Plan, target: &Arc<Target>) {
+        let (gateway, target) = (self.clone(), target.clone());
+        let (id, service) = (plan.outgoing.id.clone(), plan.service.clone());
+        let (fingerprint, route) = (plan.identity().fingerprint(), plan.route.name.clone());
+        let began = std::time::Instant::now();
+        tokio::spawn(async move {
+            let found = look_at(&target, gateway.connection_limits(&service)).await;
+            gateway.metrics.inquired(&service, found);
+            if let Some(stands_for) = lock(&gateway.inquest_lines).keep(gateway.now()) {
+                info!(gateway.log, "looked at a target"; "event" => "inquest",
+                    "id" => text(Some(&id)), "target" => &target.announcement.id,
+                    "found" => ?found, "fingerprint" => %fingerprint, "route" => route,
+                    "service" => service, "draining" => target.draining(),
+                    "took_ms" => millis_since(began), "stands_for" => stands_for);
+            }
+        });
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use prometheus::{Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
-use super::connection::ConnectError;
+use super::connection::{ConnectError, Found};
 use super::reason::Refusal;
 use crate::link::LinkError;
 use crate::metrics::{MetricSet, SECONDS, SHORT_SECONDS};
@@ -19,6 +19,7 @@
     first_news_waits: IntCounterVec,
     attempts_failed: IntCounterVec,
     cut: IntCounterVec,
+    inquests: IntCounterVec,
     resumed: IntCounter,
     left: IntCounter,
     first: HistogramVec,
@@ -83,6 +84,11 @@
                 "Streams cut after they had begun.",
                 &["reason"],
             )?,
+            inquests: set.counters(
+                "latchmount_gateway_inquests_total",
+                "Looks at targets whose answer broke off, by what was found.",
+                &["service", "found"],
+            )?,
             resumed: set.counter(
                 "latchmount_gateway_streams_resumed_total",
                 "Streams that went on at another target.",
@@ -251,12 +257,23 @@
             Ok(()) => "open",
             Err(ConnectError::Timeout) => "timeout",
             Err(ConnectError::Refused) => "refused",
+            Err(ConnectError::Broke) => "broke",
             Err(ConnectError::TooMany) => "too_many",
             Err(ConnectError::NotWanted) => "not_wanted",
         };
         self.connect.with_label_values(&[outcome]).observe(time.as_secs_f64());
     }
 
+    /// A target whose answer broke off was looked at.
+    pub(super) fn inquired(&self, service: &str, found: Found) {
+        let found = match found {
+            Found::Ended => "ended",
+            Found::Lives => "lives",
+            Found::Unknown => "unknown",
+        };
+        self.inquests.with_label_values(&[service, found]).inc();
+    }
+
     /// The budget allowed a further attempt, or did not.
     pub(super) fn retried(&self, service: &str, allowed: bool) {
         let counter = if allowed { &self.spent } else { &self.withheld };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod first_news;
 pub mod fleet_size;
 pub mod health;
+mod inquest;
 pub mod keepers;
 pub mod lateness;
 mod left;
@@ -54,6 +55,7 @@
 
 use self::budget::ServiceBudget;
 use self::cold::ColdRule;
+use self::connection::ConnectionLimits;
 use self::fleet_size::FleetSize;
 use self::health::{AttemptOutcome, Tally};
 use self::keepers::Keepers;
@@ -100,6 +102,7 @@
     last_request: Mutex<Instant>,
     attempt_lines: Mutex<Sampler>,
     answer_lines: Mutex<Sampler>,
+    inquest_lines: Mutex<Sampler>,
     started: Instant,
     metrics: GatewayMetrics,
     log: Logger,
@@ -224,6 +227,17 @@
         Some(ColdLimit { cold_start: service.cold_start, gap: rule.gap(gateways) })
     }
 
+    /// Limits on connections to targets of a service.
+    fn connection_limits(&self, service: &str) -> ConnectionLimits<'_> {
+        ConnectionLimits {
+            source: self.settings.source,
+            connect: self.settings.connect_timeout(),
+            unacknowledged: Duration::from_millis(self.settings.unacknowledged_ms),
+            most: self.connections_to(service),
+            metrics: &self.metrics,
+        }
+    }
+
     /// Targets of a service that are known, whatever their state.
     fn targets_of(&self, service: &str) -> usize {
         read(&self.targets).of(service).len()
--- a/src/gateway/outgoing.rs
+++ b/src/gateway/outgoing.rs
@@ -4,15 +4,19 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
+};
 use http::request::Parts;
 use http::{HeaderName, Method, Request, Uri};
 use http_body_util::Full;
 
 use super::reuse::Reuse;
 use super::target::Target;
+use super::trace::text;
 use crate::configuration::Route;
 use crate::dialect::Headers;
+use crate::poison::Identity;
 use crate::route_table::Caller;
 
 /// Most urgent rank is 0; routes have three ranks within each of a team.
@@ -80,6 +84,12 @@
         }
     }
 
+    /// What identifies the request of this team across its tries.
+    pub(super) fn identity<'a>(&'a self, team: Option<&'a str>) -> Identity<'a> {
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        Identity { team, host: text(self.headers.get(HOST)), path, body: &self.body }
+    }
+
     /// Has the next target go on with a stream after the event `last`.
     pub(super) fn go_on_after(&mut self, names: &Headers, last: HeaderValue) {
         self.headers.insert(names.last_event_id.clone(), last);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -77,6 +77,9 @@
         };
         gateway.note_outcome(&target, AttemptOutcome::Failed);
         trace::broke_off(gateway, &plan, &target, refusal, "");
+        if refusal == Refusal::AnswerLost {
+            gateway.inquire(&plan, &target);
+        }
         plan.note_ran(refusal);
         if plan.route.kind.idempotent() && gateway.could_send_again(&plan) {
             return PassedOn::Retry(Box::new(plan));
@@ -288,6 +291,9 @@
         gateway.note_outcome(&self.answer.target, AttemptOutcome::Failed);
         let last = self.splitter.last_id().unwrap_or("");
         trace::broke_off(&gateway, &self.plan, &self.answer.target, refusal, last);
+        if refusal == Refusal::AnswerLost {
+            gateway.inquire(&self.plan, &self.answer.target);
+        }
         self.plan.note_ran(refusal);
         if !self.plan.route.kind.idempotent() {
             return Err(refusal);
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -86,6 +86,7 @@
             last_request: Mutex::new(Instant::now()),
             attempt_lines: Mutex::default(),
             answer_lines: Mutex::default(),
+            inquest_lines: Mutex::default(),
             started: Instant::now(),
             metrics: GatewayMetrics::new()?,
             log,
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -19,7 +19,7 @@
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
-fn millis_since(at: Instant) -> u64 {
+pub(super) fn millis_since(at: Instant) -> u64 {
     at.elapsed().as_millis() as u64
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod parcel;
 pub mod placement;
 pub mod platform;
+pub mod poison;
 pub mod process;
 pub mod queue;
 pub mod raft;
--- /dev/null
+++ b/tests/poison/main.rs
@@ -0,0 +1,5 @@
+//! Poison requests: those that end each target that begins to run them.
+//!
+//! `LATCHMOUNT_SEED` sets the seed of the random cases.
+
+mod identity;
