--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -19,6 +19,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::harness::{Called, call};
@@ -99,6 +100,18 @@
         doors: Vec<SocketAddr>,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::serve(listener, data_hall, id, service, doors, None)
+    }
+
+    /// Starts a target that answers on `listener`; requests that are poison to it call `ends`.
+    pub fn serve(
+        listener: TcpListener,
+        data_hall: &str,
+        id: &str,
+        service: &str,
+        doors: Vec<SocketAddr>,
+        ends: Option<Arc<Notify>>,
+    ) -> Self {
         let addr = listener.local_addr().expect("bound");
         let behaviour = Arc::new(Mutex::new(Behaviour::Answer));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
@@ -110,6 +123,7 @@
             replaced: replaced.clone(),
             behaviour: behaviour.clone(),
             arrivals: arrivals.clone(),
+            ends,
         };
         let mut standin = Standin {
             id: id.to_owned(),
@@ -253,8 +267,14 @@
     id: String,
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    ends: Option<Arc<Notify>>,
 }
 
+/// Beginning of the body of a request that ends each mortal target that runs it.
+pub const POISON: &[u8] = b"poison";
+/// Events that a target makes of such a request before it ends.
+const LAST_EVENTS: u32 = 3;
+
 /// Makes the library cut the connection.
 #[derive(Debug, thiserror::Error)]
 #[error("cut")]
@@ -299,6 +319,7 @@
             return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
         }
         let behaviour = *self.behaviour.lock().expect("no panic");
+        let poison = body.starts_with(POISON);
         self.arrivals.lock().expect("no panic").push(Arrival {
             id: id.clone(),
             method: head.method.to_string(),
@@ -310,6 +331,14 @@
             .header("x-request-id", &id)
             .header("x-server-load", "1,0,8")
             .header("x-server-stamp", format!("stamp-{}-{id}", self.id));
+        if let Some(ends) = self.ends.clone().filter(|_| poison) {
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                ends.notify_one();
+            });
+            answer = answer.header("content-type", "text/event-stream");
+            return Ok(answer.body(stalled(last, last + LAST_EVENTS)).expect("sound"));
+        }
         let body = match behaviour {
             Behaviour::Answer => whole(format!("answer to {id}")),
             Behaviour::Slow(time) => {
--- a/tests/poison/identity.rs
+++ b/tests/poison/identity.rs
@@ -3,7 +3,12 @@
 use latchmount::poison::{Fingerprint, Identity, NotAFingerprint};
 use proptest::prelude::*;
 
-fn identity<'a>(team: Option<&'a str>, host: &'a str, path: &'a str, body: &'a str) -> Identity<'a> {
+fn identity<'a>(
+    team: Option<&'a str>,
+    host: &'a str,
+    path: &'a str,
+    body: &'a str,
+) -> Identity<'a> {
     Identity { team, host, path, body: body.as_bytes() }
 }
 
