Trial: ways to tell poison requests from those that run beside them, in virtual time

A board of requests under which targets ended, as a pure function that any number of gateways and members keep from the same reports; a fleet in virtual time around it. Four ways: every end counts; a request that ends well is cleared; and is let go if each of its ends has another culprit; suspects run where least is lost. Not wired up yet.

--- a/tests/poison/main.rs
+++ b/tests/poison/main.rs
@@ -3,3 +3,7 @@
 //! `LATCHMOUNT_SEED` sets the seed of the random cases.
 
 mod identity;
+mod model;
+#[path = "../seeds/seed.rs"]
+mod seeds;
+mod ways;
