A request under which three targets ended is sent to none, by any gateway

Cause: attempts, retries and budgets bound one try at one gateway, or a service; nothing knew a request beyond its id, and callers repeat it under new ids, mostly at other gateways. Each resumable try ended two targets. Ruled out: overload (the fingerprints of the test are one, and innocent streams end well elsewhere).

Now each gateway keeps a board of requests under which targets ended (an answer broke off and a new connection was refused; planned ends don't count), tells its member at once, members tell each other and all gateways. Three ends that count, and the request is sent to none: first attempts, retries and resumed streams ask in one place before each sending. One that ends well is cleared, everywhere. A block lasts 10 minutes from the last end; then gateways take turns, so that the fleet makes about one trial. A gateway's word counts only for what it saw itself, and alone blocks four requests at most elsewhere. The caller gets 500 ends_targets at once, with not_run as it is for this try and no Retry-After. latchmount poison list and lift; metrics; log lines.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -85,6 +85,13 @@
         #[bpaf(positional("NAME"))]
         name: String,
     },
+    /// Look at requests that are sent nowhere because targets ended under them.
+    #[bpaf(command)]
+    Poison {
+        /// What to do.
+        #[bpaf(external(poison_command))]
+        command: PoisonCommand,
+    },
     /// Evacuate data halls, and take them back into use.
     #[bpaf(command)]
     Evacuation {
@@ -187,6 +194,33 @@
     }
 }
 
+/// Commands on requests under which targets ended.
+#[derive(Clone, Debug, Bpaf)]
+pub enum PoisonCommand {
+    /// List the requests that are sent nowhere, with their teams, routes and ends.
+    #[bpaf(command)]
+    List(#[bpaf(external(doors))] Doors),
+    /// Have one sent to targets again, at all gateways.
+    #[bpaf(command)]
+    Lift {
+        /// Whom to tell.
+        #[bpaf(external(doors))]
+        doors: Doors,
+        /// Fingerprint of the request, as logs and the list have it.
+        #[bpaf(positional("FINGERPRINT"))]
+        fingerprint: crate::poison::Fingerprint,
+    },
+}
+
+impl PoisonCommand {
+    /// Whom to tell or ask.
+    pub fn doors(&self) -> &Doors {
+        match self {
+            PoisonCommand::List(doors) | PoisonCommand::Lift { doors, .. } => doors,
+        }
+    }
+}
+
 /// Commands on templates.
 #[derive(Clone, Debug, Bpaf)]
 pub enum TemplateCommand {
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -80,6 +80,13 @@
     },
     /// An operator asks which data halls are evacuated.
     ListOrders,
+    /// An operator asks which requests are sent nowhere because targets ended under them.
+    ListPoison,
+    /// An operator has such a request sent again.
+    LiftPoison {
+        /// Its fingerprint, as the path has it.
+        fingerprint: &'a str,
+    },
 }
 
 /// One part of a prompt.
@@ -111,6 +118,8 @@
     pub targets: &'static str,
     /// What precedes the name of a data hall in orders about it.
     pub evacuations: &'static str,
+    /// What precedes the fingerprint of a request under which targets ended.
+    pub poison: &'static str,
 }
 
 /// How the outside speaks.
@@ -159,6 +168,13 @@
                 _ => None,
             };
         }
+        if let Some(fingerprint) = path.strip_prefix(paths.poison) {
+            return match *method {
+                Method::GET if fingerprint.is_empty() => Some(Door::ListPoison),
+                Method::DELETE => Some(Door::LiftPoison { fingerprint }),
+                _ => None,
+            };
+        }
         let id = path.strip_prefix(paths.targets).filter(|id| !id.is_empty())?;
         match *method {
             Method::PUT => Some(Door::Announce { id }),
@@ -256,6 +272,7 @@
             configuration: "/v1/configuration",
             targets: "/v1/targets/",
             evacuations: "/v1/evacuations/",
+            poison: "/v1/poison/",
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One request of a client, from its head to the head of its answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,7 +23,7 @@
 use super::trace::{self, Departure, text};
 use super::{Gateway, Stage};
 use crate::configuration::{Route, Team};
-use crate::poison::Identity;
+use crate::poison::{Fingerprint, Identity, Suspect};
 use crate::route_table::Caller;
 
 /// What connections that could not be made may cost a request before it is given up on: four that hang, or sixteen that
@@ -60,6 +60,8 @@
     pub(super) departure: Departure,
     /// The first failure after which a target may have run the request.
     may_have_run: Option<Refusal>,
+    /// Its fingerprint, once that was needed.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 /// Serves one request.
@@ -140,6 +142,7 @@
         connect_cost: 0,
         departure,
         may_have_run: None,
+        fingerprint: OnceLock::new(),
     })
 }
 
@@ -206,6 +209,10 @@
         if Instant::now() >= plan.outgoing.deadline {
             return Err(plan.may_have_run.unwrap_or(Refusal::TooLate));
         }
+        if gateway.blocks_as_poison(plan) {
+            let ran = plan.may_have_run.is_some();
+            return Err(if ran { Refusal::EndedTargets } else { Refusal::EndsTargets });
+        }
         if plan.arrivals > 0 && !gateway.may_send_again(plan) {
             return Err(plan.may_have_run.unwrap_or(Refusal::NotRun));
         }
@@ -246,6 +253,21 @@
         self.outgoing.identity(self.team.as_ref().map(|team| team.name.as_str()))
     }
 
+    /// The request as it is told of when targets end under it.
+    pub(super) fn suspect(&self) -> Suspect {
+        Suspect::new(&self.identity(), self.fingerprint(), &self.route.name)
+    }
+
+    /// Digest of what identifies the request, made when it is first needed: it reads the whole body.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| self.identity().fingerprint())
+    }
+
+    /// The same if it was needed, for logs.
+    pub(super) fn known_fingerprint(&self) -> Option<Fingerprint> {
+        self.fingerprint.get().copied()
+    }
+
     /// Notes that a target ran the request, at least in part, and failed.
     pub(super) fn note_ran(&mut self, refusal: Refusal) {
         self.may_have_run = self.may_have_run.or(Some(refusal));
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -46,6 +46,7 @@
         lookout: Lookout::new(gateway.settings.source),
         lost: false,
         told_none: false,
+        poison_told: 0,
         gateway,
     };
     loop {
@@ -84,6 +85,8 @@
     Look(Look),
     /// It is time to tell what is in flight.
     LoadsDue,
+    /// A target ended under a request, or one that was suspected ended well.
+    Poison,
 }
 
 struct Follower {
@@ -96,6 +99,8 @@
     lost: bool,
     /// Whether the member knows that nothing is in flight here.
     told_none: bool,
+    /// Up to which change the member knows under which requests targets ended here.
+    poison_told: u64,
 }
 
 impl Follower {
@@ -166,6 +171,9 @@
             "member" => %member, "until" => ?until, "version" => self.gateway.version());
         self.news.forget_fetches();
         self.lookout.start();
+        // A member that has just started knows of nothing.
+        self.poison_told = 0;
+        self.tell_poison(&mut sender).await?;
         let mut fresh_at = Instant::now();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
         if let Some(first) = first {
@@ -185,6 +193,7 @@
                     loads_at = tokio::time::Instant::now() + self.loads_interval();
                     self.tell_loads(&mut sender).await?;
                 }
+                Event::Poison => self.tell_poison(&mut sender).await?,
                 Event::Look(Look::Due) => {
                     self.lookout.look(&self.order, self.subscription_to_look());
                 }
@@ -221,6 +230,7 @@
                     }
                     continue;
                 }
+                () = self.gateway.poison_news.notified() => Event::Poison,
                 look = self.lookout.next() => Event::Look(look),
                 fetched = self.news.fetched() => Event::Fetched(fetched),
                 () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
@@ -266,6 +276,21 @@
         tokio::time::timeout(SILENCE, sending).await.map_err(|_| LinkError::Timeout)?
     }
 
+    /// Tells the member what it does not know yet of requests under which targets ended here. Such words are small,
+    /// and wait for nothing.
+    async fn tell_poison(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
+        loop {
+            let (word, upto) = self.gateway.poison_news_since(self.poison_told);
+            if word.is_empty() {
+                return Ok(());
+            }
+            let frame = ToMember::Poison(word);
+            let sending = sender.send(&frame);
+            tokio::time::timeout(SILENCE, sending).await.map_err(|_| LinkError::Timeout)??;
+            self.poison_told = upto;
+        }
+    }
+
     /// Remembers where members are, and keeps those of the settings.
     fn learn(&mut self, mut members: Vec<SocketAddr>) {
         members.extend(lock(&self.gateway.seeds).iter());
--- a/src/gateway/inquest.rs
+++ b/src/gateway/inquest.rs
@@ -8,7 +8,7 @@
 use slog::info;
 
 use super::Gateway;
-use super::connection::look_at;
+use super::connection::{Found, look_at};
 use super::exchange::Plan;
 use super::target::Target;
 use super::trace::{millis_since, text};
@@ -19,16 +19,22 @@
     pub(super) fn inquire(self: &Arc<Self>, plan: &Plan, target: &Arc<Target>) {
         let (gateway, target) = (self.clone(), target.clone());
         let (id, service) = (plan.outgoing.id.clone(), plan.service.clone());
-        let (fingerprint, route) = (plan.identity().fingerprint(), plan.route.name.clone());
+        let (fingerprint, suspect) = (plan.fingerprint(), plan.suspect());
+        let route = plan.route.name.clone();
+        // Where it leaves as planned, its end is no request's doing.
+        let leaves = target.draining();
         let began = std::time::Instant::now();
         tokio::spawn(async move {
             let found = look_at(&target, gateway.connection_limits(&service)).await;
             gateway.metrics.inquired(&service, found);
+            if found == Found::Ended && !leaves {
+                gateway.note_end(suspect, target.key);
+            }
             if let Some(stands_for) = lock(&gateway.inquest_lines).keep(gateway.now()) {
                 info!(gateway.log, "looked at a target"; "event" => "inquest",
                     "id" => text(Some(&id)), "target" => &target.announcement.id,
                     "found" => ?found, "fingerprint" => %fingerprint, "route" => route,
-                    "service" => service, "draining" => target.draining(),
+                    "service" => service, "leaves" => leaves,
                     "took_ms" => millis_since(began), "stands_for" => stands_for);
             }
         });
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -20,6 +20,13 @@
     attempts_failed: IntCounterVec,
     cut: IntCounterVec,
     inquests: IntCounterVec,
+    poison_cleared: IntCounter,
+    /// Requests under which targets ended, forgotten for want of room.
+    pub(super) poison_dropped: IntCounter,
+    /// Requests under which targets ended.
+    pub(super) poison_known: IntGauge,
+    /// Requests that are sent nowhere.
+    pub(super) poison_blocked: IntGauge,
     resumed: IntCounter,
     left: IntCounter,
     first: HistogramVec,
@@ -84,6 +91,22 @@
                 "Streams cut after they had begun.",
                 &["reason"],
             )?,
+            poison_cleared: set.counter(
+                "latchmount_gateway_poison_cleared_total",
+                "Requests under which a target ended and that ended well later.",
+            )?,
+            poison_dropped: set.counter(
+                "latchmount_gateway_poison_dropped_total",
+                "Requests under which targets ended that were forgotten for want of room.",
+            )?,
+            poison_known: set.gauge(
+                "latchmount_gateway_poison_known",
+                "Requests under which targets ended.",
+            )?,
+            poison_blocked: set.gauge(
+                "latchmount_gateway_poison_blocked",
+                "Requests of these that are sent nowhere.",
+            )?,
             inquests: set.counters(
                 "latchmount_gateway_inquests_total",
                 "Looks at targets whose answer broke off, by what was found.",
@@ -264,6 +287,11 @@
         self.connect.with_label_values(&[outcome]).observe(time.as_secs_f64());
     }
 
+    /// A request under which a target ended has ended well.
+    pub(super) fn poison_cleared(&self) {
+        self.poison_cleared.inc();
+    }
+
     /// A target whose answer broke off was looked at.
     pub(super) fn inquired(&self, service: &str, found: Found) {
         let found = match found {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod order;
 pub mod outgoing;
 pub mod patience;
+mod poison;
 mod race;
 pub mod reason;
 mod relay;
@@ -51,7 +52,7 @@
 
 use http::HeaderMap;
 use slog::{Logger, info};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use self::budget::ServiceBudget;
 use self::cold::ColdRule;
@@ -68,6 +69,7 @@
 use self::targets::Targets;
 
 use crate::dialect::{Headers, SharedDialect};
+use crate::poison::Board;
 use crate::route_table::RouteTable;
 use crate::sampler::Sampler;
 use crate::sync::{lock, read};
@@ -100,6 +102,10 @@
     stage: watch::Sender<Stage>,
     open: AtomicU32,
     last_request: Mutex<Instant>,
+    /// Requests under which targets ended.
+    poison: Mutex<Board>,
+    /// Wakes who tells members of them.
+    poison_news: Notify,
     attempt_lines: Mutex<Sampler>,
     answer_lines: Mutex<Sampler>,
     inquest_lines: Mutex<Sampler>,
@@ -253,6 +259,9 @@
         let age = lock(&self.fresh_at).map_or(-1.0, |at| at.elapsed().as_secs_f64());
         self.metrics.news_age.set(age);
         self.metrics.revision.set(read(&self.targets).revision() as i64);
+        let (known, blocked) = self.count_poison();
+        self.metrics.poison_known.set(known as i64);
+        self.metrics.poison_blocked.set(blocked as i64);
         self.metrics.render()
     }
 
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -184,6 +184,7 @@
             self.gateway.take_loads(loads);
         }
         lock(&self.gateway.keepers).hear(self.gateway.now(), &update.keepers);
+        self.gateway.take_poison_news(&update.poison);
         if let Some(evidence) = &update.evidence {
             self.gateway.take_evidence(evidence);
         }
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -61,11 +61,15 @@
     AnswerLate,
     /// The answer belonged to another request, or was not a target's.
     WrongAnswer,
+    /// Targets ended under this request before, and it is sent to none. It was not sent in this try.
+    EndsTargets,
+    /// The same, found when it had been sent in this try.
+    EndedTargets,
 }
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 18] = [
+    pub const ALL: [Refusal; 20] = [
         Refusal::NoConfiguration,
         Refusal::Stopping,
         Refusal::Stale,
@@ -84,6 +88,8 @@
         Refusal::AnswerLost,
         Refusal::AnswerLate,
         Refusal::WrongAnswer,
+        Refusal::EndsTargets,
+        Refusal::EndedTargets,
     ];
 
     /// Stable code for logs, metrics and bodies.
@@ -107,6 +113,8 @@
             Refusal::AnswerLost => "answer_lost",
             Refusal::AnswerLate => "answer_late",
             Refusal::WrongAnswer => "wrong_answer",
+            Refusal::EndsTargets => "ends_targets",
+            Refusal::EndedTargets => "ended_targets",
         }
     }
 
@@ -121,6 +129,8 @@
             Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::AnswerLost | Refusal::WrongAnswer => StatusCode::BAD_GATEWAY,
             Refusal::AnswerLate => StatusCode::GATEWAY_TIMEOUT,
+            // A fault that stays, unlike those of 503, which would have callers try again elsewhere.
+            Refusal::EndsTargets | Refusal::EndedTargets => StatusCode::INTERNAL_SERVER_ERROR,
             Refusal::NoConfiguration
             | Refusal::Stopping
             | Refusal::Stale
@@ -135,7 +145,13 @@
 
     /// Whether a target may have run the request.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Refusal::AnswerLost | Refusal::AnswerLate | Refusal::WrongAnswer)
+        matches!(
+            self,
+            Refusal::AnswerLost
+                | Refusal::AnswerLate
+                | Refusal::WrongAnswer
+                | Refusal::EndedTargets
+        )
     }
 
     /// When the caller should come back, for requests that did not run, to a gateway that has run
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -92,6 +92,9 @@
         return PassedOn::Answer(give_up(gateway, plan, Refusal::WrongAnswer));
     }
     trace::answered(gateway, &plan, &target, status);
+    if status.is_success() {
+        gateway.note_ended_well(&plan);
+    }
     trace::ended(gateway, &mut plan);
     let mut response = Response::new(AnswerBody::Whole(Some(bytes.freeze())));
     *response.status_mut() = status;
@@ -319,6 +322,7 @@
 
     /// Keeps the connection of a stream that has ended.
     fn end(mut self) {
+        self.gateway.note_ended_well(&self.plan);
         trace::ended(&self.gateway, &mut self.plan);
         self.answer.connection.keep(&self.answer.headers);
     }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -6,7 +6,7 @@
 
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::fleet_size::FleetSize;
 use super::mechanism::Mechanism;
@@ -14,6 +14,7 @@
 use super::settings::GatewaySettings;
 use super::{Gateway, Stage, feed, listener, neighbours};
 use crate::dialect::SharedDialect;
+use crate::poison::{Board, Reporter, Rule};
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::sync::lock;
 
@@ -68,6 +69,7 @@
             "retry_ratio" => settings.retry_ratio, "retry_slack" => settings.retry_slack,
             "without" => ?settings.without);
         let window = Duration::from_secs_f64(settings.retry_window_s);
+        let reporter = Reporter::of(&settings.host);
         let gateway = Arc::new(Gateway {
             seeds: Mutex::new(settings.member_peers()),
             settings,
@@ -84,6 +86,8 @@
             stage: watch::Sender::new(Stage::Serving),
             open: AtomicU32::new(0),
             last_request: Mutex::new(Instant::now()),
+            poison: Mutex::new(Board::new(Rule::default(), Some(reporter))),
+            poison_news: Notify::new(),
             attempt_lines: Mutex::default(),
             answer_lines: Mutex::default(),
             inquest_lines: Mutex::default(),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -46,6 +46,7 @@
         "budget_left" => gateway.budget_left(&plan.service), "gateways" => gateway.gateways(),
         "version" => plan.version, "targets" => gateway.targets_of(&plan.service),
         "news_age_ms" => gateway.news_age_ms(), "elapsed_ms" => millis_since(plan.arrived),
+        "fingerprint" => plan.known_fingerprint().map(|one| one.to_string()),
         "left_ms" => millis_left(plan));
 }
 
--- a/src/group/cursor.rs
+++ b/src/group/cursor.rs
@@ -47,6 +47,8 @@
     pub(super) loads_at: Duration,
     /// Keepers of prompts that it was told of.
     pub(super) keepers: Told,
+    /// Change up to which it was told of requests under which targets ended.
+    pub(super) poison: u64,
     /// Whether nothing is in flight anywhere.
     pub(super) idle: bool,
     /// What it fetches now. Nothing that builds on that is sent before it has it.
@@ -63,6 +65,7 @@
             fresh: false,
             loads_at: Duration::ZERO,
             keepers: Told::default(),
+            poison: 0,
             idle: true,
             loan: None,
         }
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -21,6 +21,7 @@
 use crate::dialect::Door;
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
 use crate::jsonc::{Fault, Validate};
+use crate::poison::NotAFingerprint;
 use crate::store::{Answer, Command};
 
 /// Longest time that a connection is idle, or takes for the head of a call.
@@ -82,6 +83,8 @@
             (call, order(shared, data_hall, evacuate, &body).await)
         }
         Door::ListOrders => ("list_evacuations", list_orders(shared).await),
+        Door::ListPoison => ("list_poison", list_poison(shared)),
+        Door::LiftPoison { fingerprint } => ("lift_poison", lift_poison(shared, fingerprint)),
     };
     shared.metrics.called(call, answered.status().as_str());
     answered
@@ -222,6 +225,30 @@
     }
 }
 
+/// What this member knows; all are told the same within some milliseconds.
+fn list_poison(shared: &Shared) -> Answered {
+    let text = serde_json::json!({ "blocked": shared.list_poison() }).to_string();
+    json(StatusCode::OK, text.into())
+}
+
+fn lift_poison(shared: &Shared, fingerprint: &str) -> Answered {
+    let fingerprint = match fingerprint.parse() {
+        Ok(fingerprint) => fingerprint,
+        Err(error) => {
+            let error: NotAFingerprint = error;
+            let fault = Fault::new("fingerprint", error.to_string());
+            return faulty(StatusCode::BAD_REQUEST, &[fault]);
+        }
+    };
+    match shared.lift_poison(fingerprint) {
+        true => empty(StatusCode::OK),
+        false => {
+            let fault = Fault::new("fingerprint", "no target ended under such a request");
+            faulty(StatusCode::NOT_FOUND, &[fault])
+        }
+    }
+}
+
 fn unavailable(shared: &Shared, call: &'static str) -> Answered {
     let standing = shared.member.standing();
     warn!(shared.log, "call not answered"; "event" => "unavailable", "call" => call,
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -37,6 +37,7 @@
                     lock(&shared.evidence).hear_gateway(now, &gateway, &outcomes);
                     lock(&shared.keepers).hear(now, Teller::Gateway, &keepers);
                 }
+                ToMember::Poison(word) => shared.hear_poison_of(&gateway, word)?,
                 ToMember::InForce(version) => note_in_force(shared, connection, version),
                 ToMember::Obeys(revision) => shared.note_obeyed(obeying, revision),
                 ToMember::Has(parcel) => tell(&words, Word::Has(parcel)).await?,
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -9,6 +9,7 @@
 use super::message::{Call, FromMember, ToMember};
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, frames};
+use crate::poison::Origin;
 use crate::sync::lock;
 
 /// Replies that wait to be sent on one connection.
@@ -49,6 +50,7 @@
                 lock(&shared.evidence).hear_member(shared.now(), from, evidence);
                 lock(&shared.keepers).hear(shared.now(), Teller::Member, &keepers);
             }
+            ToMember::Poison(word) => shared.hear_poison(Origin::Elsewhere, word)?,
             ToMember::Loads { .. }
             | ToMember::InForce(_)
             | ToMember::Obeys(_)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -10,6 +10,7 @@
 use super::loads::Loads;
 use crate::directory::Announcement;
 use crate::parcel::ParcelId;
+use crate::poison::Report;
 use crate::raft::{Envelope, Index, StoreId};
 use crate::store::{Answer, Command, Revision};
 
@@ -52,6 +53,9 @@
         /// Targets that keep prompts, since its last word.
         keepers: Vec<Keeper>,
     },
+    /// Requests under which targets ended, or that ended well since: from the gateway on this connection, or from
+    /// another member.
+    Poison(Vec<Report>),
     /// The gateway on this connection now works by the configuration of this version.
     InForce(u64),
     /// The gateway on this connection now obeys the orders about data halls up to this revision.
@@ -179,6 +183,8 @@
     pub evidence: Option<Vec<Evidence>>,
     /// Targets that keep prompts, since the last word, when it is time for that.
     pub keepers: Vec<Keeper>,
+    /// Requests under which targets ended and that gateways are to know, since the last word.
+    pub poison: Vec<Report>,
 }
 
 impl Update {
@@ -188,9 +194,12 @@
         parcels.extend(self.parcels);
         let mut keepers = earlier.keepers;
         keepers.extend(self.keepers);
+        let mut poison = earlier.poison;
+        poison.extend(self.poison);
         Update {
             parcels,
             keepers,
+            poison,
             elsewhere: self.elsewhere.or(earlier.elsewhere),
             members: self.members.or(earlier.members),
             halls: self.halls.or(earlier.halls),
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -59,6 +59,10 @@
     targets: IntGauge,
     gateways: IntGauge,
     followers: IntGauge,
+    poison_known: IntGauge,
+    poison_blocked: IntGauge,
+    /// Requests under which targets ended, forgotten for want of room.
+    pub(super) poison_dropped: IntCounter,
 }
 
 impl MemberMetrics {
@@ -113,6 +117,12 @@
             voters: gauge("voters", "Members that vote.")?,
             targets: gauge("targets", "Targets in the directory.")?,
             gateways: gauge("gateways", "Gateways alive.")?,
+            poison_known: gauge("poison_known", "Requests under which targets ended.")?,
+            poison_blocked: gauge("poison_blocked", "Requests of these that are sent nowhere.")?,
+            poison_dropped: set.counter(
+                "latchmount_member_poison_dropped_total",
+                "Requests under which targets ended that were forgotten for want of room.",
+            )?,
             followers: gauge("followers", "Gateways that get their news from this member.")?,
             set,
         })
@@ -143,6 +153,9 @@
         self.voters.set(votes.count() as i64);
         self.targets.set(published.directory.targets().count() as i64);
         self.gateways.set(i64::from(lock(&shared.presence).alive(now)));
+        let (known, blocked) = shared.count_poison();
+        self.poison_known.set(known as i64);
+        self.poison_blocked.set(blocked as i64);
         self.followers.set(lock(&shared.rollout).followers() as i64);
         self.set.render()
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -22,6 +22,7 @@
 mod metrics;
 pub mod pacer;
 mod peers;
+mod poison;
 mod presence;
 mod push;
 pub mod rollout;
@@ -37,11 +38,12 @@
 
 use prometheus::Histogram;
 use slog::{Logger, info, o};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::control::member::{Member, Published, Started};
 use crate::dialect::SharedDialect;
+use crate::poison::{Board, Rule};
 use crate::raft::{
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
     TimedDisk, WalError, fresh_store,
@@ -128,6 +130,12 @@
     evidence: Mutex<EvidenceBoard>,
     keepers: Mutex<KeeperBoard>,
     heard: Mutex<Heard>,
+    /// Requests under which targets ended, as all gateways tell.
+    poison: Mutex<Board>,
+    /// Last change of those that gateways are to know.
+    poison_news: watch::Sender<u64>,
+    /// Wakes who tells the other members what gateways told here.
+    poison_heard: Notify,
     /// Of parcels that are sent along with signs of life.
     pace_of_small: Pacer,
     /// Of large parcels that go to one gateway, which passes them on.
@@ -187,6 +195,9 @@
             evidence: Mutex::default(),
             keepers: Mutex::default(),
             heard: Mutex::default(),
+            poison: Mutex::new(Board::new(Rule::default(), None)),
+            poison_news: watch::Sender::new(0),
+            poison_heard: Notify::new(),
             pace_of_small: Pacer::new(settings.link_mbps, pacer::PART_FOR_SMALL),
             pace_of_large: Pacer::new(settings.link_mbps, pacer::PART_FOR_LARGE)
                 .with_burst(pacer::BURST_FOR_LARGE),
@@ -202,6 +213,7 @@
         tokio::spawn(upkeep::join(shared.clone()));
         tokio::spawn(upkeep::tell_presence(shared.clone()));
         tokio::spawn(upkeep::tell_loads(shared.clone()));
+        tokio::spawn(poison::tell_members(shared.clone()));
         tokio::spawn(upkeep::watch_targets(shared.clone()));
         tokio::spawn(heartbeats::report(shared.clone()));
         tokio::spawn(upkeep::log_beliefs(shared.clone()));
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -79,9 +79,11 @@
     /// Sends until the connection ends.
     pub(super) async fn run(&mut self, mut words: mpsc::Receiver<Word>) -> Result<(), LinkError> {
         let mut published = self.shared.member.published();
+        let mut poison = self.shared.poison_news.subscribe();
         loop {
+            let known_poison = *poison.borrow_and_update();
             let lacked = self.lacked(&published.borrow_and_update())?;
-            if self.lacks_evacuations() {
+            if self.lacks_evacuations() || self.cursor.poison < known_poison {
                 self.tell_sign().await?;
                 continue;
             }
@@ -105,6 +107,7 @@
             self.await_turn(lacked.large.is_some());
             tokio::select! {
                 changed = published.changed() => changed.map_err(|_| LinkError::Closed)?,
+                changed = poison.changed() => changed.map_err(|_| LinkError::Closed)?,
                 word = words.recv() => self.hear(word.ok_or(LinkError::Closed)?),
                 turn = granted(&mut self.turn) => self.tell_large(turn).await?,
                 () = room.notified() => {}
@@ -249,8 +252,10 @@
             Some(_) => lock(&self.shared.keepers).next_for_gateway(now, &mut self.cursor.keepers),
             None => Vec::new(),
         };
-        let fresh = self.fresh();
-        Update { fresh, version, halls, gateways, loads, evidence, keepers, ..Update::default() }
+        let (poison, told) = lock(&self.shared.poison).news_for_gateways(now, self.cursor.poison);
+        self.cursor.poison = told;
+        let signs = Update { version, halls, gateways, loads, evidence, ..Update::default() };
+        Update { fresh: self.fresh(), keepers, poison, ..signs }
     }
 
     /// What is in flight at the targets, when it is time to tell.
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -119,7 +119,7 @@
 
 impl Shared {
     /// Sends a frame to every other member that is known.
-    fn tell_others(&self, frame: &ToMember) {
+    pub(super) fn tell_others(&self, frame: &ToMember) {
         let others = self.known_members().into_iter().filter(|addr| *addr != self.own);
         others.for_each(|addr| self.peers.send(addr, frame.clone()));
     }
--- /dev/null
+++ b/src/operator/doors.rs
@@ -0,0 +1,94 @@
+//! Calls at the doors of members of a group that forms itself.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+
+use super::{OperatorError, TRY_PAUSE};
+use crate::cli::{Doors, EvacuationCommand, PoisonCommand};
+use crate::dialect::Dialect;
+use crate::jsonc::Fault;
+
+/// Longest time for one call at a member's door, which answers within 0.9 s.
+const DOOR_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Orders or withdraws an evacuation, or lists those in force.
+///
+/// # Errors
+/// [`OperatorError::Faulty`] for what a member refuses, [`OperatorError::NoAnswer`] without a clear answer.
+pub async fn evacuation(
+    command: &EvacuationCommand,
+    dialect: &dyn Dialect,
+) -> Result<String, OperatorError> {
+    let prefix = dialect.paths().evacuations;
+    let doors = command.doors();
+    match command {
+        EvacuationCommand::Order { data_hall, .. } => {
+            call_doors(doors, Method::POST, &format!("{prefix}{}", escape(data_hall))).await?;
+            Ok(format!("{data_hall} is evacuated"))
+        }
+        EvacuationCommand::Withdraw { data_hall, .. } => {
+            call_doors(doors, Method::DELETE, &format!("{prefix}{}", escape(data_hall))).await?;
+            Ok(format!("{data_hall} takes work"))
+        }
+        EvacuationCommand::List(_) => call_doors(doors, Method::GET, prefix).await,
+    }
+}
+
+/// Lists requests that are sent nowhere because targets ended under them, or lifts the block of one.
+///
+/// # Errors
+/// [`OperatorError::Faulty`] for what a member refuses, [`OperatorError::NoAnswer`] without a clear answer.
+pub async fn poison(
+    command: &PoisonCommand,
+    dialect: &dyn Dialect,
+) -> Result<String, OperatorError> {
+    let prefix = dialect.paths().poison;
+    match command {
+        PoisonCommand::List(doors) => call_doors(doors, Method::GET, prefix).await,
+        PoisonCommand::Lift { doors, fingerprint } => {
+            call_doors(doors, Method::DELETE, &format!("{prefix}{fingerprint}")).await?;
+            Ok(format!("{fingerprint} is sent to targets again"))
+        }
+    }
+}
+
+/// A name as one segment of a path.
+fn escape(name: &str) -> String {
+    percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC).to_string()
+}
+
+/// Calls one member after the other until one gives a clear answer; returns its body.
+async fn call_doors(doors: &Doors, method: Method, path: &str) -> Result<String, OperatorError> {
+    let client = reqwest::Client::builder().timeout(DOOR_TIMEOUT).build()?;
+    let deadline = Instant::now() + Duration::from_secs(doors.timeout_s);
+    for member in doors.member.iter().cycle() {
+        let sent = client.request(method.clone(), format!("http://{member}{path}")).send().await;
+        if let Ok(answer) = sent {
+            let (status, text) = (answer.status(), answer.text().await?);
+            if status.is_success() {
+                return Ok(text);
+            }
+            if status.is_client_error() {
+                return Err(OperatorError::Faulty(faults_in(&text)));
+            }
+        }
+        if Instant::now() >= deadline {
+            break;
+        }
+        tokio::time::sleep(TRY_PAUSE).await;
+    }
+    Err(OperatorError::NoAnswer { seconds: doors.timeout_s })
+}
+
+/// The faults that a member names in its answer.
+fn faults_in(text: &str) -> Vec<Fault> {
+    #[derive(serde::Deserialize)]
+    struct Refusal {
+        faults: Vec<Fault>,
+    }
+    match serde_json::from_str::<Refusal>(text) {
+        Ok(refusal) => refusal.faults,
+        Err(_) => vec![Fault::new("", text)],
+    }
+}
--- a/src/operator.rs
+++ b/src/operator/mod.rs
@@ -1,15 +1,16 @@
 //! The operators' client: one command, one answer, and what to do next when it fails.
 
+mod doors;
+
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use http::Method;
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::HttpClient;
 
+pub use self::doors::{evacuation, poison};
 use crate::account::Account;
-use crate::cli::{ChangeArgs, Doors, EvacuationCommand, Remote, TemplateCommand};
-use crate::dialect::Dialect;
+use crate::cli::{ChangeArgs, Remote, TemplateCommand};
 use crate::explain::Story;
 use crate::gateway::settings::GatewaySettings;
 use crate::group::settings::MemberSettings;
@@ -22,8 +23,6 @@
 
 /// Longest time for one call, so that a member that hangs is left for the next.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
-/// Longest time for one call at a member's door, which answers within 0.9 s.
-const DOOR_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest wait for a revision within one call.
 const WAIT_MS: u64 = 2_000;
 /// Field that a template has and settings have not.
@@ -208,69 +207,6 @@
     }
 }
 
-/// Orders or withdraws an evacuation, or lists those in force.
-///
-/// # Errors
-/// [`OperatorError::Faulty`] for what a member refuses, [`OperatorError::NoAnswer`] without a clear answer.
-pub async fn evacuation(
-    command: &EvacuationCommand,
-    dialect: &dyn Dialect,
-) -> Result<String, OperatorError> {
-    let prefix = dialect.paths().evacuations;
-    let doors = command.doors();
-    match command {
-        EvacuationCommand::Order { data_hall, .. } => {
-            call_doors(doors, Method::POST, &format!("{prefix}{}", escape(data_hall))).await?;
-            Ok(format!("{data_hall} is evacuated"))
-        }
-        EvacuationCommand::Withdraw { data_hall, .. } => {
-            call_doors(doors, Method::DELETE, &format!("{prefix}{}", escape(data_hall))).await?;
-            Ok(format!("{data_hall} takes work"))
-        }
-        EvacuationCommand::List(_) => call_doors(doors, Method::GET, prefix).await,
-    }
-}
-
-/// A name as one segment of a path.
-fn escape(name: &str) -> String {
-    percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC).to_string()
-}
-
-/// Calls one member after the other until one gives a clear answer; returns its body.
-async fn call_doors(doors: &Doors, method: Method, path: &str) -> Result<String, OperatorError> {
-    let client = reqwest::Client::builder().timeout(DOOR_TIMEOUT).build()?;
-    let deadline = Instant::now() + Duration::from_secs(doors.timeout_s);
-    for member in doors.member.iter().cycle() {
-        let sent = client.request(method.clone(), format!("http://{member}{path}")).send().await;
-        if let Ok(answer) = sent {
-            let (status, text) = (answer.status(), answer.text().await?);
-            if status.is_success() {
-                return Ok(text);
-            }
-            if status.is_client_error() {
-                return Err(OperatorError::Faulty(faults_in(&text)));
-            }
-        }
-        if Instant::now() >= deadline {
-            break;
-        }
-        tokio::time::sleep(TRY_PAUSE).await;
-    }
-    Err(OperatorError::NoAnswer { seconds: doors.timeout_s })
-}
-
-/// The faults that a member names in its answer.
-fn faults_in(text: &str) -> Vec<Fault> {
-    #[derive(serde::Deserialize)]
-    struct Refusal {
-        faults: Vec<Fault>,
-    }
-    match serde_json::from_str::<Refusal>(text) {
-        Ok(refusal) => refusal.faults,
-        Err(_) => vec![Fault::new("", text)],
-    }
-}
-
 /// State of the group, as a table or JSON.
 ///
 /// # Errors
--- a/src/poison/board.rs
+++ b/src/poison/board.rs
@@ -24,8 +24,6 @@
     pub ends: usize,
     /// Whether a request that ended well is cleared.
     pub clears: bool,
-    /// Whether requests are let go whose every end another blocked request had a part in.
-    pub explains: bool,
     /// Time from the last end for which it is sent to no target: a caller mends its request, or operators the
     /// targets, in minutes, and one target in so long is what a trial may cost.
     pub blocked_for: Duration,
@@ -45,7 +43,6 @@
         Rule {
             ends: 3,
             clears: true,
-            explains: true,
             blocked_for: Duration::from_secs(600),
             trials_apart: Duration::from_millis(500),
             remembered_for: Duration::from_secs(3_600),
@@ -77,6 +74,17 @@
     Blocked,
 }
 
+/// A request that was blocked, or is no more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Turned {
+    /// The request.
+    pub suspect: Suspect,
+    /// Targets that ended under it, as far as they are remembered.
+    pub ends: usize,
+    /// Whether it is blocked now.
+    pub blocked: bool,
+}
+
 /// A target that ended under a request.
 #[derive(Clone, Copy, Debug)]
 struct End {
@@ -114,6 +122,8 @@
     widely: BTreeMap<u64, Fingerprint>,
     /// Number of the last change.
     changes: u64,
+    /// Requests that were blocked, or are no more, since this was last asked.
+    turned: Vec<Turned>,
     /// Records dropped for want of room, not told yet.
     dropped: u64,
     looked_at: Duration,
@@ -131,6 +141,7 @@
             here: BTreeMap::new(),
             widely: BTreeMap::new(),
             changes: 0,
+            turned: Vec::new(),
             dropped: 0,
             looked_at: Duration::ZERO,
         }
@@ -151,6 +162,11 @@
         self.outlines.contains_key(&outline)
     }
 
+    /// Requests that were blocked, or are no more, since this was last asked.
+    pub fn take_turned(&mut self) -> Vec<Turned> {
+        std::mem::take(&mut self.turned)
+    }
+
     /// Records dropped for want of room since this was last asked.
     pub fn take_dropped(&mut self) -> u64 {
         std::mem::take(&mut self.dropped)
@@ -201,8 +217,8 @@
         let settled =
             report.settled_ago_ms.map(|ago| now.saturating_sub(Duration::from_millis(ago)));
         let settled = record.settle(settled);
-        let ended = told.fold(false, |changed, end| record.add(end) || changed);
-        if settled || ended {
+        let new_ends = told.filter(|end| record.add(*end)).count();
+        if settled || new_ends > 0 {
             self.note_change(origin, fingerprint);
             self.judge(fingerprint);
         }
@@ -235,9 +251,9 @@
         self.records.get(&fingerprint).map_or(0, |record| record.ends.len())
     }
 
-    /// Requests that are sent nowhere.
-    pub fn convicted(&self) -> impl Iterator<Item = Fingerprint> {
-        self.records.iter().filter(|(_, record)| record.convicted).map(|(one, _)| *one)
+    /// Number of requests that are blocked.
+    pub fn blocked_len(&self) -> usize {
+        self.records.values().filter(|record| record.convicted).count()
     }
 
     /// What was seen here since change `known`, and up to which change that is.
@@ -312,11 +328,15 @@
         }
         let convicted = self.convict();
         for (fingerprint, record) in &mut self.records {
-            record.convicted = convicted.contains(fingerprint);
+            let blocked = convicted.contains(fingerprint);
+            if std::mem::replace(&mut record.convicted, blocked) != blocked {
+                let (suspect, ends) = (record.suspect.clone(), record.ends.len());
+                self.turned.push(Turned { suspect, ends, blocked });
+            }
         }
     }
 
-    /// Requests under which enough targets ended, as enough gateways tell, less those that only ran beside others.
+    /// Requests under which enough targets ended, as gateways tell that are believed.
     fn convict(&self) -> HashSet<Fingerprint> {
         let enough = self.records.values().filter(|record| record.ends.len() >= self.rule.ends);
         let mut accused: Vec<&Record> = enough.collect();
@@ -325,9 +345,6 @@
             .sort_by_key(|record| (record.ends[self.rule.ends - 1].at, record.suspect.fingerprint));
         let mut alone: HashMap<Reporter, usize> = HashMap::new();
         accused.retain(|record| self.believed(record, &mut alone));
-        if self.rule.explains {
-            drop_explained(&mut accused);
-        }
         accused.iter().map(|record| record.suspect.fingerprint).collect()
     }
 
@@ -415,24 +432,6 @@
     }
 }
 
-/// Drops requests whose every end is an end of another that stays, from the last to have had enough on: they ran
-/// beside requests that end targets, while each of those has ends that it shares with no other.
-fn drop_explained(accused: &mut Vec<&Record>) {
-    let mut parts: HashMap<u64, usize> = HashMap::new();
-    for end in accused.iter().flat_map(|record| &record.ends) {
-        *parts.entry(end.target).or_default() += 1;
-    }
-    for at in (0..accused.len()).rev() {
-        let ends = &accused[at].ends;
-        if ends.iter().all(|end| parts[&end.target] > 1) {
-            for end in ends {
-                parts.entry(end.target).and_modify(|parts| *parts -= 1);
-            }
-            accused.remove(at);
-        }
-    }
-}
-
 impl Record {
     /// Takes word that the request ended well or was lifted; tells whether that is new.
     fn settle(&mut self, at: Option<Duration>) -> bool {
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -8,8 +8,10 @@
 
 mod board;
 mod identity;
+mod logged;
 mod report;
 
-pub use self::board::{Board, Origin, Rule, Verdict};
+pub use self::board::{Board, Origin, Rule, Turned, Verdict};
 pub use self::identity::{Fingerprint, Identity, NotAFingerprint, Outline};
+pub(crate) use self::logged::log_turned;
 pub use self::report::{EndReport, MOST_IN_WORD, Report, Reporter, Suspect};
--- a/src/poison/report.rs
+++ b/src/poison/report.rs
@@ -43,11 +43,11 @@
 }
 
 impl Suspect {
-    /// The request of this identity, on a route.
-    pub fn new(identity: &Identity<'_>, route: &str) -> Self {
+    /// The request of this identity and its fingerprint, on a route.
+    pub fn new(identity: &Identity<'_>, fingerprint: Fingerprint, route: &str) -> Self {
         let short = |name: &str| name.chars().take(LONGEST_NAME).collect();
         Suspect {
-            fingerprint: identity.fingerprint(),
+            fingerprint,
             outline: identity.outline(),
             team: identity.team.map(short),
             route: short(route),
