--- a/src/poison/board.rs
+++ b/src/poison/board.rs
@@ -201,9 +201,6 @@
         self.forget_old(now);
         let fingerprint = report.suspect.fingerprint;
         if !self.records.contains_key(&fingerprint) {
-            if report.ends.is_empty() && origin == Origin::Elsewhere {
-                return;
-            }
             self.insert(report.suspect);
         }
         let Some(record) = self.records.get_mut(&fingerprint) else {
--- a/tests/poison/main.rs
+++ b/tests/poison/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `LATCHMOUNT_SEED` sets the seed of the random cases.
 
+mod board;
 mod identity;
 mod model;
 #[path = "../seeds/seed.rs"]
