--- a/src/gateway/inquest.rs
+++ b/src/gateway/inquest.rs
@@ -32,7 +32,7 @@
             }
             if let Some(stands_for) = lock(&gateway.inquest_lines).keep(gateway.now()) {
                 info!(gateway.log, "looked at a target"; "event" => "inquest",
-                    "id" => text(Some(&id)), "target" => &target.announcement.id,
+                    "request" => text(Some(&id)), "target" => &target.announcement.id,
                     "found" => ?found, "fingerprint" => %fingerprint, "route" => route,
                     "service" => service, "leaves" => leaves,
                     "took_ms" => millis_since(began), "stands_for" => stands_for);
