Soak: requests that end each target that runs them, amid all other faults

A target that runs one gives some events, ends with its listener and all its connections, and is started again at its address under another id after 0.6 to 2.5 s. Callers repeat the request at any gateway. Checked from what targets and callers saw: at most three sends in calm times later than 3 s after the third end; never more than three ends for each start of a gateway; under 1% of innocent requests taken for one.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -137,12 +137,40 @@
                 let text = String::from_utf8_lossy(body);
                 self.ledger.broken(format!("MIXED or ORDER: {id} ({kind:?}) got {text:?}"));
             }
+        } else if status == 500 && head.stamp.is_none() {
+            self.ledger.book().accused += 1;
         } else if head.stamp.is_some() && status != 500 {
             self.ledger.broken(format!("MIXED: {id} got a signed {status}"));
         }
     }
 }
 
+/// Repeats one request that ends each target that runs it, at any gateway.
+pub async fn repeat_poison(number: usize, fronts: Vec<SocketAddr>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    for attempt in 0.. {
+        let pause = rng.random_range(50..500);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let front = fronts[rng.random_range(0..fronts.len())];
+        let Some(mut connection) = open(front).await else {
+            continue;
+        };
+        let request = Request::post("/resumable/x")
+            .header("host", "h.example")
+            .header("x-request-id", format!("poison{number}-{attempt}"))
+            .header("x-credential", "key-a")
+            .header("x-deadline-ms", PATIENCE.as_millis() as u64)
+            .body(Full::new(Bytes::from(format!("poison {number}"))))
+            .expect("a sound request");
+        let asking = async {
+            let response = connection.send_request(request).await?;
+            response.into_body().collect().await
+        };
+        // It earns nothing, and nobody misses its answer.
+        let _ = tokio::time::timeout(PATIENCE + BEYOND, asking).await;
+    }
+}
+
 #[derive(Debug)]
 struct Head {
     stamp: Option<String>,
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::harness::{call, eventually};
-use crate::ledger::{Book, Ended, Order};
+use crate::ledger::{Bite, Book, Ended, Order};
 use crate::seeds;
 use crate::target::COLD_FOR;
 use crate::world::{COLD, World};
@@ -20,6 +20,13 @@
 const SLACK: f64 = 200.0;
 const RATIO: f64 = 0.2;
 const WINDOW: Duration = Duration::from_secs(10);
+/// Targets that may end under a request before it is to be sent nowhere.
+const ENDS: usize = 3;
+/// Time from the third until all gateways in touch know, and sends that may come later.
+const CONTACT: Duration = Duration::from_millis(3_000);
+const MOST_LATE: usize = 3;
+/// Part of the innocent requests that may be taken for one that ends targets.
+const MOST_ACCUSED: f64 = 0.01;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Waits until the fleet is whole again, then checks everything.
@@ -34,6 +41,7 @@
     check_budget(&book, &mut broken);
     check_evacuations(&book, &mut broken);
     check_cold(&book, &mut broken);
+    check_poison(&book, &mut broken);
     drop(book);
     for process in world.fleet.members.iter_mut().chain(&mut world.fleet.gateways) {
         if process.died() {
@@ -153,6 +161,36 @@
     }
 }
 
+/// BUDGET: a request under which three targets ended is sent on little, and innocent ones are hardly ever taken for one.
+fn check_poison(book: &Book, broken: &mut Vec<String>) {
+    let strict = seeds::number("LATCHMOUNT_SOAK_STRICT") == Some(1);
+    let bound = if strict { CONTACT } else { DRAIN_BOUND_ANYWHERE };
+    for (poison, bites) in &book.poisoned {
+        // Two tries may run at the same target; it ends once.
+        let mut first_ends = BTreeMap::new();
+        for (target, at) in bites.iter().filter_map(Bite::ended) {
+            first_ends.entry(target).or_insert(at);
+        }
+        let mut ends: Vec<Duration> = first_ends.into_values().collect();
+        ends.sort_unstable();
+        if let Some(third) = ends.get(ENDS - 1) {
+            let reached = bites.iter().filter_map(Bite::reached);
+            let late = reached.filter(|at| *at > *third + bound && calm(book, *at)).count();
+            if late > MOST_LATE {
+                broken.push(format!("BUDGET: {poison} was sent {late} times later: {bites:?}"));
+            }
+        }
+        // Whoever is cut off, or has just started, finds out by itself.
+        if ends.len() > ENDS * book.gateway_starts {
+            broken.push(format!("BUDGET: {} targets ended under {poison}: {bites:?}", ends.len()));
+        }
+    }
+    let accused = f64::from(book.accused) / book.seen.len().max(1) as f64;
+    if accused > MOST_ACCUSED {
+        broken.push(format!("{} of {} innocent requests accused", book.accused, book.seen.len()));
+    }
+}
+
 /// TWICE, REFUSED, UNASKED: how often each request ran, against what its caller was told.
 fn check_runs(book: &Book, broken: &mut Vec<String>) {
     for seen in &book.seen {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -329,7 +329,7 @@
         let Some(at) = self.draw(self.world.targets.len(), &busy) else {
             return;
         };
-        self.note(format!("{fault:?} {}", self.world.targets[at].0.id));
+        self.note(format!("{fault:?} {}", self.world.targets[at].0.id()));
         let (target, network) = &self.world.targets[at];
         match fault {
             Fault::ResetTarget => return network.reset(),
@@ -393,7 +393,7 @@
         let Some(at) = self.draw(self.world.targets.len(), &busy) else {
             return;
         };
-        let id = self.world.targets[at].0.id.clone();
+        let id = self.world.targets[at].0.id();
         self.note(format!("ReplaceTarget {id}"));
         self.world.add_target().await;
         let doors = self.world.doors.clone();
@@ -466,13 +466,17 @@
 
     async fn carry_out(&mut self, repair: Repair) {
         match repair {
-            Repair::StartGateway(at) => self.world.fleet.gateways[at].start(),
+            Repair::StartGateway(at) => {
+                self.world.fleet.gateways[at].start();
+                self.world.ledger.book().gateway_starts += 1;
+            }
             Repair::AwaitGateway(at) => {
                 let process = &mut self.world.fleet.gateways[at];
                 if !process.ended().await {
                     self.world.ledger.broken(format!("gateway {at} did not stop well"));
                 }
                 process.start();
+                self.world.ledger.book().gateway_starts += 1;
             }
             Repair::ResumeGateway(at) => self.world.fleet.gateways[at].signal(Signal::SIGCONT),
             Repair::HealGateway(at) => {
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -74,6 +74,31 @@
     pub started: Duration,
 }
 
+/// What became of a request that ends targets, at a target.
+#[derive(Clone, Debug)]
+pub enum Bite {
+    /// It reached one.
+    Reached(Duration),
+    /// One ended under it.
+    Ended { at: Duration, target: String },
+}
+
+impl Bite {
+    pub fn reached(&self) -> Option<Duration> {
+        match self {
+            Bite::Reached(at) => Some(*at),
+            Bite::Ended { .. } => None,
+        }
+    }
+
+    pub fn ended(&self) -> Option<(&str, Duration)> {
+        match self {
+            Bite::Reached(_) => None,
+            Bite::Ended { at, target } => Some((target, *at)),
+        }
+    }
+}
+
 /// Everything seen in one run of the soak.
 #[derive(Default)]
 pub struct Book {
@@ -94,6 +119,12 @@
     pub targets: HashMap<String, Place>,
     /// Times at which some fault began or ended.
     pub disturbed: Vec<Duration>,
+    /// Requests that end targets, by body.
+    pub poisoned: HashMap<String, Vec<Bite>>,
+    /// Innocent requests that were refused as if they ended targets.
+    pub accused: u32,
+    /// Starts of gateways, which then know of nothing.
+    pub gateway_starts: usize,
     /// When all faults had ended, and the halls were taken back into use.
     pub ended: Duration,
     /// Promises found broken while running.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -26,10 +26,22 @@
 use faults::Storm;
 use world::{Size, World};
 
-const SMALL: Size =
-    Size { members: 5, gateways: 3, targets: 4, callers: 8, length: Duration::from_secs(8) };
-const LARGE: Size =
-    Size { members: 5, gateways: 24, targets: 24, callers: 64, length: Duration::from_secs(25) };
+const SMALL: Size = Size {
+    members: 5,
+    gateways: 3,
+    targets: 4,
+    callers: 8,
+    poison: 1,
+    length: Duration::from_secs(8),
+};
+const LARGE: Size = Size {
+    members: 5,
+    gateways: 24,
+    targets: 24,
+    callers: 64,
+    poison: 3,
+    length: Duration::from_secs(25),
+};
 
 async fn soak(size: Size, seed: u64) {
     eprintln!("soak: LATCHMOUNT_SEED={seed}");
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -20,11 +20,13 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::caller::{FORGED, SYSTEM_HEADERS};
 use crate::harness::call;
-use crate::ledger::{Ledger, Place, Run};
+use crate::ledger::{Bite, Ledger, Place, Run};
+use crate::proxy::Network;
 
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// How long a target that comes during the run is cold after its start.
@@ -39,13 +41,39 @@
 
 type Body = UnsyncBoxBody<Bytes, Cut>;
 
-/// A target; ends when dropped.
+/// Beginning of the body of a request that ends each target that runs it.
+pub const POISON: &[u8] = b"poison";
+/// Time from its start until its target ends, and until that is started again, in milliseconds.
+const ENDS_AFTER_MS: u64 = 50;
+const STARTS_AFTER_MS: std::ops::Range<u64> = 600..2_500;
+
+/// Where a target runs, and where it is started again under another id when it has ended.
 pub struct Target {
-    pub id: String,
     pub data_hall: &'static str,
-    serving: Arc<Serving>,
+    site: Site,
+    serving: Arc<Mutex<Arc<Serving>>>,
+    keeper: JoinHandle<()>,
+}
+
+/// What stays the same over the starts of a target.
+#[derive(Clone)]
+struct Site {
+    name: String,
+    data_hall: &'static str,
+    private: SocketAddr,
     public: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
+    network: Network,
+    doors: Vec<SocketAddr>,
+    ledger: Ledger,
+}
+
+/// One start of a target; ends when dropped.
+struct Start(Vec<JoinHandle<()>>);
+
+impl Drop for Start {
+    fn drop(&mut self) {
+        self.0.iter().for_each(JoinHandle::abort);
+    }
 }
 
 struct Serving {
@@ -58,61 +86,60 @@
     faulty: Mutex<f64>,
     state: Mutex<&'static str>,
     sequence: AtomicU64,
+    /// Woken when a request ends it.
+    ends: Notify,
 }
 
 impl Drop for Target {
     fn drop(&mut self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.keeper.abort();
     }
 }
 
 impl Target {
-    /// Starts a target at `private`, which others reach at `public`.
+    /// Starts a target at `private`, which others reach at `public` through its network.
     pub async fn start(
-        id: String,
+        name: String,
         data_hall: &'static str,
-        private: SocketAddr,
-        public: SocketAddr,
+        (private, public): (SocketAddr, SocketAddr),
+        network: Network,
         doors: Vec<SocketAddr>,
         ledger: Ledger,
         seed: u64,
     ) -> Self {
-        let listener = TcpListener::bind(private).await.expect("an own address");
-        let started = ledger.now();
-        let place = Place { data_hall: data_hall.to_owned(), started };
-        ledger.book().targets.insert(id.clone(), place);
-        let serving = Arc::new(Serving {
-            id: id.clone(),
-            data_hall,
-            cold_until: started + COLD_FOR,
-            ledger,
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
-            faulty: Mutex::new(0.02),
-            state: Mutex::new("ready"),
-            sequence: AtomicU64::new(0),
-        });
-        let tasks = vec![
-            tokio::spawn(listen(listener, serving.clone())),
-            tokio::spawn(heartbeats(serving.clone(), public, doors)),
-        ];
-        Target { id, data_hall, serving, public, tasks }
+        let site = Site { name, data_hall, private, public, network, doors, ledger };
+        let first = site.serving(0, seed);
+        let start = site.start(&first).await;
+        let serving = Arc::new(Mutex::new(first));
+        let keeper = tokio::spawn(site.clone().keep(start, serving.clone(), seed));
+        Target { data_hall, site, serving, keeper }
+    }
+
+    /// Its id of now.
+    pub fn id(&self) -> String {
+        self.serving().id.clone()
+    }
+
+    fn serving(&self) -> Arc<Serving> {
+        self.serving.lock().expect("no panic").clone()
     }
 
     pub fn set_faulty(&self, part: f64) {
-        *self.serving.faulty.lock().expect("no panic") = part;
+        *self.serving().faulty.lock().expect("no panic") = part;
     }
 
     /// Says that it drains, to one member after the other until one acknowledges.
     pub async fn drain(&self, doors: &[SocketAddr], within: Duration) -> bool {
-        *self.serving.state.lock().expect("no panic") = "draining";
+        let serving = self.serving();
+        *serving.state.lock().expect("no panic") = "draining";
         let started = tokio::time::Instant::now();
         for door in doors.iter().cycle() {
             if started.elapsed() >= within {
                 return false;
             }
-            if beat(&self.serving, self.public, *door).await {
-                let now = self.serving.ledger.now();
-                self.serving.ledger.book().drained.entry(self.id.clone()).or_insert(now);
+            if beat(&serving, self.site.public, *door).await {
+                let now = serving.ledger.now();
+                serving.ledger.book().drained.entry(serving.id.clone()).or_insert(now);
                 return true;
             }
         }
@@ -122,7 +149,7 @@
     /// Says that it leaves for good.
     pub async fn leave(&self, doors: &[SocketAddr]) {
         for door in doors {
-            let path = format!("/instances/{}", self.id);
+            let path = format!("/instances/{}", self.id());
             if call(*door, "DELETE", &path, "").await.is_some_and(|answer| answer.status == 200) {
                 return;
             }
@@ -130,6 +157,59 @@
     }
 }
 
+impl Site {
+    /// What the target is in its start of this number.
+    fn serving(&self, start: u64, seed: u64) -> Arc<Serving> {
+        let id = if start == 0 { self.name.clone() } else { format!("{}-{start}", self.name) };
+        let started = self.ledger.now();
+        let place = Place { data_hall: self.data_hall.to_owned(), started };
+        self.ledger.book().targets.insert(id.clone(), place);
+        Arc::new(Serving {
+            id,
+            data_hall: self.data_hall,
+            cold_until: started + COLD_FOR,
+            ledger: self.ledger.clone(),
+            rng: Mutex::new(StdRng::seed_from_u64(seed.wrapping_add(start))),
+            faulty: Mutex::new(0.02),
+            state: Mutex::new("ready"),
+            sequence: AtomicU64::new(0),
+            ends: Notify::new(),
+        })
+    }
+
+    async fn start(&self, serving: &Arc<Serving>) -> Start {
+        let listener = loop {
+            match TcpListener::bind(self.private).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        };
+        self.network.proxy(self.public, self.private).await;
+        let heartbeats = heartbeats(serving.clone(), self.public, self.doors.clone());
+        Start(vec![tokio::spawn(listen(listener, serving.clone())), tokio::spawn(heartbeats)])
+    }
+
+    /// Starts the target again whenever a request has ended it, unless it was about to leave.
+    async fn keep(self, first: Start, current: Arc<Mutex<Arc<Serving>>>, seed: u64) {
+        let mut running = first;
+        for start in 1.. {
+            let serving = current.lock().expect("no panic").clone();
+            serving.ends.notified().await;
+            self.network.stop();
+            drop(running);
+            self.ledger.disturb();
+            if *serving.state.lock().expect("no panic") == "draining" {
+                return;
+            }
+            let away = serving.rng.lock().expect("no panic").random_range(STARTS_AFTER_MS);
+            tokio::time::sleep(Duration::from_millis(away)).await;
+            let next = self.serving(start, seed);
+            running = self.start(&next).await;
+            *current.lock().expect("no panic") = next;
+        }
+    }
+}
+
 async fn beat(serving: &Serving, addr: SocketAddr, door: SocketAddr) -> bool {
     let cold_left = serving.cold_until.saturating_sub(serving.ledger.now()).as_millis() as u64;
     let body = json!({
@@ -206,13 +286,35 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    /// Begins to answer, and ends.
+    fn run_poison(self: &Arc<Self>, id: &str, body: &[u8]) -> Response<Body> {
+        let poison = String::from_utf8_lossy(body).into_owned();
+        let now = self.ledger.now();
+        self.ledger.book().poisoned.entry(poison.clone()).or_default().push(Bite::Reached(now));
+        let serving = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(ENDS_AFTER_MS)).await;
+            let now = serving.ledger.now();
+            let ended = Bite::Ended { at: now, target: serving.id.clone() };
+            serving.ledger.book().poisoned.entry(poison).or_default().push(ended);
+            serving.ends.notify_one();
+        });
+        Response::builder()
+            .header("x-request-id", id)
+            .header("x-server-load", "1,0,16")
+            .header("x-server-stamp", format!("stamp-{id}"))
+            .header("content-type", "text/event-stream")
+            .body(stream(0, EVENTS, false))
+            .expect("sound")
+    }
+
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let (head, body) = request.into_parts();
         let text = |name: &str| {
             head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
         };
         let id = text("x-request-id");
-        body.collect().await.map_err(|_| Cut)?;
+        let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
         for name in SYSTEM_HEADERS {
             if head.headers.get_all(name).iter().any(|value| value == FORGED) {
                 self.ledger.broken(format!("UNASKED: {id} came with its caller's {name}"));
@@ -221,6 +323,9 @@
         if text("x-expect-instance") != self.id {
             return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
         }
+        if body.starts_with(POISON) {
+            return Ok(self.run_poison(&id, &body));
+        }
         let wrong = self.draw();
         if wrong == Wrong::TurnedAway {
             *self.ledger.book().turned_away.entry(id).or_default() += 1;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
-use crate::caller::Caller;
+use crate::caller::{Caller, repeat_poison};
 use crate::harness::{Fleet, call, eventually};
 use crate::ledger::Ledger;
 use crate::proxy::Network;
@@ -21,6 +21,8 @@
     pub gateways: usize,
     pub targets: usize,
     pub callers: usize,
+    /// Requests that end each target that runs them, repeated all the while.
+    pub poison: usize,
     /// Length of the time with faults.
     pub length: Duration,
 }
@@ -132,6 +134,12 @@
             };
             world.callers.push(tokio::spawn(caller.run()));
         }
+        world.ledger.book().gateway_starts = size.gateways;
+        for number in 0..size.poison {
+            let seed = world.rng.random();
+            let repeating = repeat_poison(number, world.fronts.clone(), seed);
+            world.callers.push(tokio::spawn(repeating));
+        }
         world
     }
 
@@ -159,13 +167,14 @@
         let private = SocketAddr::new(self.fleet.addresses.host(), port);
         let public = SocketAddr::new(self.fleet.addresses.host(), port);
         let network = Network::new();
-        network.proxy(public, private).await;
         self.next_target += 1;
         let id = format!("i-{}", self.next_target);
         let (doors, ledger) = (self.doors.clone(), self.ledger.clone());
         let seed = self.rng.random();
         let data_hall = HALLS[self.next_target % HALLS.len()];
-        let target = Target::start(id, data_hall, private, public, doors, ledger, seed).await;
+        let addrs = (private, public);
+        let target =
+            Target::start(id, data_hall, addrs, network.clone(), doors, ledger, seed).await;
         self.targets.push((target, network));
     }
 
