A target that starts again under its identity is a new target

Cause: the directory knew a target by its id alone. One that had been removed was late for ever, one that ended without a word was unheard until its counts passed the old ones, and whatever was known of it (home, health, evidence, loads, keepers, pauses, connections) would have been held against the new one. Now a start is an id and the time that it says it began (born); each start is a target of its own at members and gateways. A later time follows an earlier one at once; an earlier one (a clock that stepped back) once the known start is silent or gone; none, where it was said before, is late. Silence, homes and removals name a start; a removal that names none is of the one that is there. The short form of a target, by which loads, evidence, keepers and ends are told, is of the start. The log's format is 5.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
-use crate::directory::{Announcement, TargetState};
+use crate::directory::{Announcement, Born, TargetState};
 use crate::jsonc::{self, Fault, Validate};
 
 /// Names of the headers that routers read and write.
@@ -147,6 +147,18 @@
     /// What can't be read, with the path of the field.
     fn announcement(&self, id: &str, bytes: &[u8]) -> Result<Announcement, Vec<Fault>>;
 
+    /// Decodes what a target says that leaves for good: when it started, if it tells.
+    ///
+    /// # Errors
+    /// What can't be read, with the path of the field.
+    fn departure(&self, bytes: &[u8]) -> Result<Born, Vec<Fault>> {
+        if bytes.is_empty() {
+            return Ok(Born::default());
+        }
+        let departure: Departure = jsonc::from_open_slice(bytes)?;
+        Ok(Born(departure.born))
+    }
+
     /// Body of the answer to a heartbeat; later ones are best sent to `next`.
     fn heartbeat_answer(&self, next: Option<SocketAddr>) -> String;
 
@@ -244,9 +256,24 @@
     state: TargetState,
     #[serde(default)]
     cold_left_ms: u64,
+    #[serde(default)]
+    born: Option<u64>,
     sequence: u64,
 }
 
+/// What a target says that leaves for good.
+#[derive(Debug, Deserialize)]
+struct Departure {
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+impl Validate for Departure {
+    fn faults(&self) -> Vec<Fault> {
+        Vec::new()
+    }
+}
+
 impl Validate for OwnHeartbeat {
     fn faults(&self) -> Vec<Fault> {
         let silent = self.state == TargetState::Silent;
@@ -284,6 +311,7 @@
         let heartbeat: OwnHeartbeat = jsonc::from_slice(bytes)?;
         Ok(Announcement {
             id: id.to_owned(),
+            born: Born(heartbeat.born),
             service: heartbeat.service,
             addr: heartbeat.addr,
             data_hall: heartbeat.data_hall,
--- a/src/directory/entry.rs
+++ b/src/directory/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::store::Revision;
 
@@ -23,8 +23,10 @@
 /// What a target says of itself in a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
-    /// Identity of this start of the target.
+    /// Identity of the target, which it may have again after a start.
     pub id: String,
+    /// When it started, by its own clock: tells its starts apart.
+    pub born: Born,
     /// Service that it belongs to.
     pub service: String,
     /// Where it takes requests.
@@ -37,10 +39,38 @@
     pub state: TargetState,
     /// How long it stays slow yet after its start; zero once it is warm.
     pub cold_left: Duration,
-    /// Grows with each heartbeat of this target.
+    /// Grows with each heartbeat of this start of the target.
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Short form of this start of the target.
+    pub fn key(&self) -> u64 {
+        incarnation_key(&self.id, self.born)
+    }
+
+    /// This start of the target.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), born: self.born }
+    }
+}
+
+/// When a target started, by its own clock, in milliseconds since 1970. The clock may step, so that a later start may
+/// have an earlier time; none for a target that does not say.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Born(pub Option<u64>);
+
+/// One start of a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// Identity of the target.
+    pub id: String,
+    /// When it started.
+    pub born: Born,
+}
+
 /// A target in the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectoryEntry {
@@ -48,7 +78,7 @@
     pub announcement: Announcement,
     /// Revision that brought it, or changed it last.
     pub revision: Revision,
-    /// Revision that brought what its identity, service and address say.
+    /// Revision that brought what its identity, start, service and address say.
     pub since: Revision,
     /// Its home, once it has one.
     pub home: Option<u32>,
@@ -66,7 +96,7 @@
 /// A target that is known, in its present state and home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Moved {
-    /// Short form of its identity.
+    /// Short form of its start.
     pub target: u64,
     /// Whether it takes new work.
     pub state: TargetState,
@@ -76,9 +106,17 @@
     pub home: Option<u32>,
 }
 
-/// Short form of a target's identity.
-pub fn key(id: &str) -> u64 {
-    xxh3_64(id.as_bytes())
+/// Short form of a name.
+pub fn key(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Short form of one start of a target; that of its identity where it does not say when it started.
+fn incarnation_key(id: &str, born: Born) -> u64 {
+    match born.0 {
+        Some(born) => xxh3_64_with_seed(id.as_bytes(), born),
+        None => key(id),
+    }
 }
 
 /// What became of a heartbeat.
@@ -88,7 +126,7 @@
     Known,
     /// It must go into the log before it is acknowledged.
     News,
-    /// It is older than what is known, or of a target that was removed.
+    /// It is older than what is known, or of a start that was removed or that another one followed.
     Late,
 }
 
@@ -113,8 +151,8 @@
     }
 
     pub(super) fn moved(&self) -> Moved {
-        let Announcement { id, state, cold_left, .. } = &self.announcement;
-        Moved { target: key(id), state: *state, cold_left: *cold_left, home: self.home }
+        let Announcement { state, cold_left, .. } = self.announcement;
+        Moved { target: self.announcement.key(), state, cold_left, home: self.home }
     }
 
     /// Whether a heartbeat says what is known: the time that is left of a start goes down by itself.
@@ -128,7 +166,8 @@
     /// Whether a target is where it was, as far as gateways are concerned.
     pub(super) fn same_place(&self, other: &Announcement) -> bool {
         let here = &self.announcement;
-        here.addr == other.addr
+        here.born == other.born
+            && here.addr == other.addr
             && here.service == other.service
             && here.data_hall == other.data_hall
             && here.slots == other.slots
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -3,6 +3,9 @@
 //! The directory is part of the replicated store. First sights, changes of state and removals are
 //! entries of the log; heartbeats that bring nothing new are not.
 //!
+//! A target may start again under its identity. Each start is a target of its own that holds and knows nothing: it takes
+//! the place of the one before, whose home is given away, and nothing late of that one counts any more.
+//!
 //! Each target of a service has a *home*: a number that requests with an affinity are hashed to. A
 //! target that leaves gives its home to one that came to replace it, so that only its own requests
 //! meet a target that has not seen their prompts; a target that comes without another leaving gets
@@ -16,11 +19,12 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::entry::{
-    Announcement, DirectoryDelta, DirectoryEntry, Heartbeat, Listed, Moved, TargetState, key,
+    Announcement, Born, DirectoryDelta, DirectoryEntry, Heartbeat, Incarnation, Listed, Moved,
+    TargetState, key,
 };
 use crate::store::Revision;
 
-/// Removed targets that are remembered, so that late heartbeats of theirs are known as such.
+/// Starts of targets that are over and are remembered, so that late heartbeats of theirs are known as such.
 pub const REMOVED_LEN: usize = 4_096;
 
 /// All targets that are there.
@@ -31,10 +35,11 @@
 pub struct Directory {
     revision: Revision,
     targets: OrdMap<Id, Arc<DirectoryEntry>>,
-    /// Removed targets with the revision of their removal, oldest first.
-    removed: Vector<(Id, Revision)>,
-    removed_ids: OrdSet<Id>,
-    /// Removals up to this revision have been forgotten.
+    /// Starts that are over with the revision that ended them, oldest first.
+    over: Vector<(Id, Born, Revision)>,
+    /// The same by target.
+    over_by_id: OrdMap<Id, OrdSet<Born>>,
+    /// Ends up to this revision have been forgotten.
     forgotten: Revision,
     /// Targets by the revision that last changed them.
     by_revision: OrdSet<(Revision, Id)>,
@@ -52,18 +57,19 @@
 struct Saved {
     revision: Revision,
     entries: Vec<DirectoryEntry>,
-    removed: Vec<(String, Revision)>,
+    over: Vec<(String, Born, Revision)>,
     forgotten: Revision,
 }
 
 impl From<Directory> for Saved {
     fn from(directory: Directory) -> Self {
         let entries = directory.targets.values().map(|entry| DirectoryEntry::clone(entry));
-        let removed = directory.removed.iter().map(|(id, revision)| (id.to_string(), *revision));
+        let over = directory.over.iter();
+        let over = over.map(|(id, born, revision)| (id.to_string(), *born, *revision));
         Saved {
             revision: directory.revision,
             entries: entries.collect(),
-            removed: removed.collect(),
+            over: over.collect(),
             forgotten: directory.forgotten,
         }
     }
@@ -79,10 +85,8 @@
         for entry in saved.entries {
             directory.put(entry);
         }
-        for (id, revision) in saved.removed {
-            let id = Id::from(id);
-            directory.removed_ids.insert(id.clone());
-            directory.removed.push_back((id, revision));
+        for (id, born, revision) in saved.over {
+            directory.remember(Id::from(id), born, revision);
         }
         directory
     }
@@ -119,19 +123,29 @@
         self.targets.get(id).map(|entry| &entry.announcement)
     }
 
-    /// Whether a target with this identity was removed.
+    /// Whether this start of a target was removed, or another one followed it.
+    pub fn is_over(&self, id: &str, born: Born) -> bool {
+        self.over_by_id.get(id).is_some_and(|over| over.contains(&born))
+    }
+
+    /// Whether a target with this identity was there, and is no more.
     pub fn was_removed(&self, id: &str) -> bool {
-        self.removed_ids.contains(id)
+        self.over_by_id.contains_key(id) && self.get(id).is_none()
     }
 
     /// What a heartbeat brings.
     pub fn judge(&self, heartbeat: &Announcement) -> Heartbeat {
-        if self.was_removed(&heartbeat.id) {
+        if self.is_over(&heartbeat.id, heartbeat.born) {
             return Heartbeat::Late;
         }
         let Some(known) = self.get(&heartbeat.id) else {
-            return Heartbeat::News;
+            // One that said before when it started always says so.
+            let says_less = heartbeat.born.0.is_none() && self.was_removed(&heartbeat.id);
+            return if says_less { Heartbeat::Late } else { Heartbeat::News };
         };
+        if heartbeat.born != known.born {
+            return follows(known, heartbeat);
+        }
         if heartbeat.sequence < known.sequence {
             return Heartbeat::Late;
         }
@@ -148,6 +162,9 @@
             return;
         }
         let (id, service) = (heartbeat.id.clone(), heartbeat.service.clone());
+        if self.get(&id).is_some_and(|known| known.born != heartbeat.born) {
+            self.end(index, &id);
+        }
         let known = self.targets.get(id.as_str());
         let home = known.and_then(|entry| entry.home);
         let known = known.filter(|entry| entry.same_place(&heartbeat));
@@ -164,19 +181,25 @@
     }
 
     /// Gives homes of their own to targets that have been there for a while.
-    pub fn settle(&mut self, index: Revision, ids: &[String]) {
-        for id in ids {
-            let Some(entry) = self.targets.get(id.as_str()) else {
+    pub fn settle(&mut self, index: Revision, targets: &[Incarnation]) {
+        for target in targets {
+            let Some(entry) = self.start_of(target) else {
                 continue;
             };
             let ready = entry.announcement.state == TargetState::Ready;
             if entry.home.is_none() && ready {
                 let free = self.first_free_home(&entry.announcement.service.clone());
-                self.house(index, id, free);
+                self.house(index, &target.id, free);
             }
         }
     }
 
+    /// A target that is there, if it is in this start.
+    fn start_of(&self, target: &Incarnation) -> Option<&Arc<DirectoryEntry>> {
+        let entry = self.targets.get(target.id.as_str())?;
+        (entry.announcement.born == target.born).then_some(entry)
+    }
+
     /// Targets that take new work and have no home.
     pub fn unsettled(&self) -> impl Iterator<Item = &Announcement> {
         let ids = self.homeless.values().flat_map(|of_service| of_service.iter());
@@ -257,32 +280,54 @@
     }
 
     /// Marks targets that have not been heard for long.
-    pub fn silence(&mut self, index: Revision, ids: &[String]) {
-        for id in ids {
-            if self.get(id).is_some_and(|target| target.state != TargetState::Silent) {
-                self.change(index, id, |entry| entry.announcement.state = TargetState::Silent);
+    pub fn silence(&mut self, index: Revision, targets: &[Incarnation]) {
+        for target in targets {
+            let entry = self.start_of(target);
+            if entry.is_some_and(|entry| entry.announcement.state != TargetState::Silent) {
+                self.change(index, &target.id, |entry| {
+                    entry.announcement.state = TargetState::Silent;
+                });
             }
         }
     }
 
-    /// Removes a target for good.
-    pub fn remove(&mut self, index: Revision, id: &str) {
+    /// Removes a target for good, in the start that says so; in whichever it is where that is not said. Word of a start
+    /// that is over, or that was never heard, removes nothing.
+    pub fn remove(&mut self, index: Revision, id: &str, born: Born) {
         if self.was_removed(id) {
             return;
         }
-        if let Some(gone) = self.take(id)
-            && let Some(home) = gone.home
-        {
+        match self.get(id).map(|known| known.born) {
+            Some(known) if born.0.is_none() || born == known => self.end(index, id),
+            // Late word of an earlier start.
+            Some(_) => {}
+            None => {
+                self.remember(Id::from(id), born, index);
+                self.revision = index;
+            }
+        }
+    }
+
+    /// Ends the present start of a target: its home goes to another, and nothing late of it counts.
+    fn end(&mut self, index: Revision, id: &str) {
+        let Some(gone) = self.take(id) else {
+            return;
+        };
+        if let Some(home) = gone.home {
             self.give_away(index, &gone.announcement.service, home);
         }
-        let id = Id::from(id);
-        self.removed_ids.insert(id.clone());
-        self.removed.push_back((id, index));
+        self.remember(Id::from(id), gone.announcement.born, index);
         self.revision = index;
-        if self.removed.len() > REMOVED_LEN
-            && let Some((oldest, revision)) = self.removed.pop_front()
+    }
+
+    /// Remembers a start that is over, and forgets the oldest of too many.
+    fn remember(&mut self, id: Id, born: Born, index: Revision) {
+        self.over_by_id.entry(id.clone()).or_default().insert(born);
+        self.over.push_back((id, born, index));
+        if self.over.len() > REMOVED_LEN
+            && let Some((oldest, born, revision)) = self.over.pop_front()
         {
-            self.removed_ids.remove(&oldest);
+            drop_from(&mut self.over_by_id, &oldest, &born);
             self.forgotten = revision;
         }
     }
@@ -294,14 +339,14 @@
         }
         let whole = known == 0 || known < self.forgotten || known > self.revision;
         let (changed, moved) = if whole { (self.all(), Vec::new()) } else { self.after(known) };
-        let newest_first = self.removed.iter().rev();
-        let removed = newest_first.take_while(|(_, revision)| !whole && *revision > known);
+        let newest_first = self.over.iter().rev();
+        let over = newest_first.take_while(|(.., revision)| !whole && *revision > known);
         Some(DirectoryDelta {
             revision: self.revision,
             whole,
             changed,
             moved,
-            removed: removed.map(|(id, _)| id.to_string()).collect(),
+            removed: over.map(|(id, ..)| id.to_string()).collect(),
         })
     }
 
@@ -319,6 +364,16 @@
     }
 }
 
+/// Whether a heartbeat of another start than the known one is of one that follows it.
+///
+/// A later time tells so. An earlier one may be of a start before, whose first word was held up; or of a clock that
+/// stepped back, and then the known one is heard no more.
+fn follows(known: &Announcement, heartbeat: &Announcement) -> Heartbeat {
+    let later = heartbeat.born > known.born;
+    let stepped_back = heartbeat.born.0.is_some() && known.state == TargetState::Silent;
+    if later || stepped_back { Heartbeat::News } else { Heartbeat::Late }
+}
+
 /// Drops a value from a service's set, and the set once it is empty, so that equal directories have
 /// equal parts.
 fn drop_from<T: Clone + Ord>(sets: &mut OrdMap<Id, OrdSet<T>>, service: &str, value: &T) {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -65,7 +65,7 @@
 impl Target {
     pub(super) fn new(announcement: Announcement) -> Self {
         let target = Target {
-            key: key(&announcement.id),
+            key: announcement.key(),
             hall: key(&announcement.data_hall),
             draining: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -103,7 +103,7 @@
     pub(super) fn moved_in_lately(&self, target: &Target) -> Option<Option<&Arc<Target>>> {
         let former = self.former.get(&(target.announcement.service.clone(), target.home()?))?;
         let lately = former.since.elapsed() < MOVED_IN_FOR;
-        let there = |target: &&Arc<Target>| self.by_id.contains_key(&target.announcement.id);
+        let there = |target: &&Arc<Target>| self.by_key.contains_key(&target.key);
         lately.then(|| former.target.as_ref().filter(there))
     }
 
@@ -192,6 +192,7 @@
     fn change(&mut self, listed: Listed) -> Arc<Target> {
         let Listed { announcement, home } = listed;
         if let Some(known) = self.by_id.get(&announcement.id)
+            && known.announcement.born == announcement.born
             && known.announcement.addr == announcement.addr
             && known.announcement.service == announcement.service
         {
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -19,6 +19,7 @@
 use super::heartbeats::Taken;
 use super::{Shared, Unavailable};
 use crate::dialect::Door;
+use crate::directory::Incarnation;
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
 use crate::jsonc::{Fault, Validate};
 use crate::poison::NotAFingerprint;
@@ -77,7 +78,7 @@
         Door::PutConfiguration => ("put_configuration", put_configuration(shared, body).await),
         Door::GetConfiguration => ("get_configuration", get_configuration(shared).await),
         Door::Announce { id } => ("heartbeat", announce(shared, id, &body).await),
-        Door::Remove { id } => ("remove", remove(shared, id).await),
+        Door::Remove { id } => ("remove", remove(shared, id, &body).await),
         Door::Order { data_hall, evacuate } => {
             let call = if evacuate { "evacuate" } else { "withdraw_evacuation" };
             (call, order(shared, data_hall, evacuate, &body).await)
@@ -172,7 +173,8 @@
         Ok(Taken::News) => {
             info!(shared.log, "target announced"; "event" => "target_announced", "target" => id,
                 "service" => &announcement.service, "state" => ?announcement.state,
-                "addr" => %announcement.addr, "sequence" => announcement.sequence);
+                "addr" => %announcement.addr, "born" => announcement.born.0,
+                "sequence" => announcement.sequence);
             heartbeat_answer(shared)
         }
         Ok(Taken::Known) => heartbeat_answer(shared),
@@ -185,13 +187,23 @@
     json(StatusCode::OK, shared.dialect.heartbeat_answer(next).into())
 }
 
-async fn remove(shared: &Shared, id: &str) -> Answered {
-    if shared.published().directory.was_removed(id) {
+async fn remove(shared: &Shared, id: &str, body: &[u8]) -> Answered {
+    let born = match shared.dialect.departure(body) {
+        Ok(born) => born,
+        Err(faults) => {
+            info!(shared.log, "removal refused"; "event" => "removal_refused",
+                "target" => id, "fault" => %faults[0]);
+            return faulty(StatusCode::BAD_REQUEST, &faults);
+        }
+    };
+    let published = shared.published();
+    if published.directory.was_removed(id) || published.directory.is_over(id, born) {
         return empty(StatusCode::OK);
     }
-    match shared.propose(Command::Remove(id.to_owned())).await {
+    match shared.propose(Command::Remove(Incarnation { id: id.to_owned(), born })).await {
         Ok(_) => {
-            info!(shared.log, "target removed"; "event" => "target_removed", "target" => id);
+            info!(shared.log, "target removed"; "event" => "target_removed", "target" => id,
+                "born" => born.0);
             empty(StatusCode::OK)
         }
         Err(Unavailable) => unavailable(shared, "remove"),
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -11,7 +11,7 @@
 
 use super::message::{Call, Reply};
 use super::{Shared, Unavailable};
-use crate::directory::{Announcement, Heartbeat, key};
+use crate::directory::{Announcement, Heartbeat};
 use crate::store::Command;
 use crate::sync::lock;
 
@@ -69,7 +69,7 @@
         announcement: Announcement,
     ) -> Result<Taken, Unavailable> {
         if self.answers_alone(&announcement) {
-            lock(&self.heard).note(key(&announcement.id));
+            lock(&self.heard).note(announcement.key());
             return Ok(Taken::Known);
         }
         let reply = self.call_leader(Call::Announce(announcement)).await?;
@@ -95,7 +95,7 @@
         let now = self.now();
         let at_once = {
             let mut liveness = lock(&self.liveness);
-            liveness.hear(now, key(&announcement.id));
+            liveness.hear(now, announcement.key());
             let directory = self.published().directory;
             liveness.forming(now, &announcement.service, &directory)
         };
--- a/src/group/listing.rs
+++ b/src/group/listing.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use zstd::bulk::Compressor;
 
-use crate::directory::{Announcement, DirectoryDelta, Listed, Moved, TargetState};
+use crate::directory::{Announcement, Born, DirectoryDelta, Listed, Moved, TargetState};
 use crate::link::LinkError;
 use crate::store::Revision;
 
@@ -38,6 +38,7 @@
     moved_cold_left: Vec<u32>,
     moved_homes: Vec<Option<u32>>,
     ids: Vec<String>,
+    born: Vec<Born>,
     services: Vec<String>,
     addrs: Vec<SocketAddr>,
     data_halls: Vec<String>,
@@ -81,6 +82,7 @@
             moved_cold_left: delta.moved.iter().map(|moved| millis(moved.cold_left)).collect(),
             moved_homes: delta.moved.iter().map(|moved| moved.home).collect(),
             ids: column(|announcement| &announcement.id),
+            born: changed.iter().map(|listed| listed.announcement.born).collect(),
             services: column(|announcement| &announcement.service),
             data_halls: column(|announcement| &announcement.data_hall),
             addrs: changed.iter().map(|listed| listed.announcement.addr).collect(),
@@ -112,15 +114,25 @@
             Moved { target, state, cold_left, home }
         });
         let moved = moved.collect();
-        let places = columns.ids.into_iter().zip(columns.services).zip(columns.addrs);
+        let incarnations = columns.ids.into_iter().zip(columns.born);
+        let places = incarnations.zip(columns.services).zip(columns.addrs);
         let places = places.zip(columns.data_halls).zip(columns.slots);
         let starts = columns.states.into_iter().zip(columns.cold_left);
         let listed = places.zip(starts).zip(columns.homes);
         let changed = listed.map(|((place, (state, cold_left)), home)| {
-            let ((((id, service), addr), data_hall), slots) = place;
+            let (((((id, born), service), addr), data_hall), slots) = place;
             let cold_left = Duration::from_millis(cold_left.into());
-            let announcement =
-                Announcement { id, service, addr, data_hall, slots, state, cold_left, sequence: 0 };
+            let announcement = Announcement {
+                id,
+                born,
+                service,
+                addr,
+                data_hall,
+                slots,
+                state,
+                cold_left,
+                sequence: 0,
+            };
             Listed { announcement, home }
         });
         let changed = changed.collect();
--- a/src/group/liveness.rs
+++ b/src/group/liveness.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use crate::directory::{Directory, TargetState, key};
+use crate::directory::{Announcement, Directory, Incarnation, TargetState};
 
 /// Heartbeats that a target may miss before it counts as silent.
 const MISSED: u32 = 4;
@@ -16,7 +16,7 @@
     patience: Duration,
     waits_for_home: Duration,
     /// Since when targets without a home have been seen.
-    unsettled: HashMap<String, Duration>,
+    unsettled: HashMap<Incarnation, Duration>,
     heard: HashMap<u64, Duration>,
     /// When the first target of each service came, if it came here.
     first_seen: HashMap<String, Option<Duration>>,
@@ -58,7 +58,7 @@
         now: Duration,
         leads: bool,
         directory: &Directory,
-    ) -> Vec<String> {
+    ) -> Vec<Incarnation> {
         if !leads {
             self.leading_since = None;
             self.heard.clear();
@@ -69,10 +69,10 @@
         // A target that is gone is forgotten once it would count as silent.
         self.heard.retain(|_, heard| now < *heard + patience);
         let overdue = directory.targets().filter(|target| {
-            let heard = self.heard.get(&key(&target.id)).copied().unwrap_or(since).max(since);
+            let heard = self.heard.get(&target.key()).copied().unwrap_or(since).max(since);
             target.state != TargetState::Silent && now >= heard + patience
         });
-        overdue.map(|target| target.id.clone()).collect()
+        overdue.map(Announcement::incarnation).collect()
     }
 
     /// Targets that have waited for a home long enough.
@@ -81,16 +81,14 @@
         now: Duration,
         leads: bool,
         directory: &Directory,
-    ) -> Vec<String> {
-        let waiting: HashSet<&str> =
-            directory.unsettled().map(|target| target.id.as_str()).filter(|_| leads).collect();
-        self.unsettled.retain(|id, _| waiting.contains(id.as_str()));
-        for id in waiting {
-            if !self.unsettled.contains_key(id) {
-                self.unsettled.insert(id.to_owned(), now);
-            }
+    ) -> Vec<Incarnation> {
+        let waiting = directory.unsettled().filter(|_| leads);
+        let waiting: HashSet<Incarnation> = waiting.map(Announcement::incarnation).collect();
+        self.unsettled.retain(|target, _| waiting.contains(target));
+        for target in waiting {
+            self.unsettled.entry(target).or_insert(now);
         }
         let due = self.unsettled.iter().filter(|(_, since)| now >= **since + self.waits_for_home);
-        due.map(|(id, _)| id.clone()).collect()
+        due.map(|(target, _)| target.clone()).collect()
     }
 }
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -10,7 +10,7 @@
 use super::{Entry, HardState, Index, Log, Snapshot, StoreId, Write};
 
 const HEADER_BYTES: usize = 12;
-const FORMAT: u32 = 4;
+const FORMAT: u32 = 5;
 
 /// The log can't be read or written; the member must stop.
 #[derive(Debug, thiserror::Error)]
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -6,7 +6,7 @@
 
 use super::Revision;
 use crate::claims::{Claim, Release, Verdict};
-use crate::directory::Announcement;
+use crate::directory::{Announcement, Incarnation};
 use crate::document::Packed;
 use crate::evacuations::{EvacuationOrder, OrderVerdict, WarmAgain};
 use crate::jsonc::{Fault, Validate};
@@ -34,12 +34,12 @@
         /// Whether it gets a home now, rather than wait for one that somebody leaves.
         at_once: bool,
     },
-    /// A target leaves for good.
-    Remove(String),
+    /// A target leaves for good, in the start that it names; in whichever it is where it names none.
+    Remove(Incarnation),
     /// Targets have not been heard for long.
-    Silence(Vec<String>),
+    Silence(Vec<Incarnation>),
     /// Targets have been there for a while.
-    Settle(Vec<String>),
+    Settle(Vec<Incarnation>),
     /// An operator evacuates a data hall, or takes it back into use.
     Evacuate(EvacuationOrder),
     /// Targets of data halls that were taken back into use are surely warm by now.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -135,23 +135,23 @@
             }
             Command::Configure(packed) => self.apply_document(index, &packed),
             Command::Announce { announcement, at_once } => {
-                let id = announcement.id.clone();
+                let target = announcement.incarnation();
                 self.directory.announce(index, announcement);
                 if at_once {
-                    self.directory.settle(index, &[id]);
+                    self.directory.settle(index, &[target]);
                 }
                 self.listed()
             }
-            Command::Remove(id) => {
-                self.directory.remove(index, &id);
+            Command::Remove(target) => {
+                self.directory.remove(index, &target.id, target.born);
                 self.listed()
             }
-            Command::Settle(ids) => {
-                self.directory.settle(index, &ids);
+            Command::Settle(targets) => {
+                self.directory.settle(index, &targets);
                 self.listed()
             }
-            Command::Silence(ids) => {
-                self.directory.silence(index, &ids);
+            Command::Silence(targets) => {
+                self.directory.silence(index, &targets);
                 self.listed()
             }
             Command::WarmAgain(halls) => {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
+use latchmount::directory::{Announcement, Born, Directory, Heartbeat, Incarnation, TargetState};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -18,23 +18,37 @@
     revision: u64,
 }
 
-/// A directory that keeps nothing but the targets and who was removed.
+/// A directory that keeps nothing but the targets and which starts are over.
 #[derive(Default)]
 struct Naive {
     targets: BTreeMap<String, Entry>,
-    removed: Vec<String>,
+    over: Vec<Incarnation>,
 }
 
 impl Naive {
     fn announce(&mut self, index: u64, heartbeat: &Announcement) {
         let id = heartbeat.id.clone();
+        let start = heartbeat.incarnation();
+        let says_less = start.born == Born(None) && self.over.iter().any(|over| over.id == id);
+        if self.over.contains(&start) || (!self.targets.contains_key(&id) && says_less) {
+            return;
+        }
+        if let Some(known) = self.targets.get(&id).map(|entry| entry.announcement.clone())
+            && known.born != heartbeat.born
+        {
+            let silent = known.state == TargetState::Silent && heartbeat.born != Born(None);
+            if heartbeat.born < known.born && !silent {
+                return;
+            }
+            self.end(index, &known);
+        }
         let known = self.targets.get(&id);
         let late = known.is_some_and(|known| heartbeat.sequence < known.announcement.sequence);
         let same = known.is_some_and(|known| {
             let sequence = known.announcement.sequence;
             Announcement { sequence, ..heartbeat.clone() } == known.announcement
         });
-        if late || same || self.removed.contains(&id) {
+        if late || same {
             return;
         }
         let home = known.and_then(|known| known.home);
@@ -80,16 +94,27 @@
         }
     }
 
-    fn settle(&mut self, index: u64, id: &str) {
+    fn end(&mut self, index: u64, gone: &Announcement) {
+        self.over.push(gone.incarnation());
+        let home = self.targets.remove(&gone.id).and_then(|entry| entry.home);
+        self.give_away(index, &gone.service, home);
+    }
+
+    fn settle(&mut self, index: u64, target: &Incarnation) {
+        let Incarnation { id, born } = target;
         let Some(entry) = self.targets.get(id) else { return };
+        if entry.announcement.born != *born {
+            return;
+        }
         if entry.home.is_none() && entry.announcement.state == TargetState::Ready {
             let free = self.free(&entry.announcement.service.clone());
             self.house(index, id, free);
         }
     }
 
-    fn silence(&mut self, index: u64, id: &str) {
-        if let Some(entry) = self.targets.get_mut(id)
+    fn silence(&mut self, index: u64, target: &Incarnation) {
+        if let Some(entry) = self.targets.get_mut(&target.id)
+            && entry.announcement.born == target.born
             && entry.announcement.state != TargetState::Silent
         {
             entry.announcement.state = TargetState::Silent;
@@ -97,21 +122,29 @@
         }
     }
 
-    fn remove(&mut self, index: u64, id: &str) {
-        if self.removed.contains(&id.to_owned()) {
-            return;
-        }
-        self.removed.push(id.to_owned());
-        if let Some(gone) = self.targets.remove(id) {
-            self.give_away(index, &gone.announcement.service, gone.home);
+    fn remove(&mut self, index: u64, target: &Incarnation) {
+        let known = self.targets.get(&target.id).map(|entry| entry.announcement.clone());
+        match known {
+            Some(known) if target.born == Born(None) || target.born == known.born => {
+                self.end(index, &known);
+            }
+            Some(_) => {}
+            None if self.over.iter().any(|over| over.id == target.id) => {}
+            None => self.over.push(target.clone()),
         }
     }
 }
 
+/// When a start was, by a clock that may step; at times it is not said.
+fn born(rng: &mut StdRng) -> Born {
+    Born(rng.random_bool(0.8).then(|| rng.random_range(1..5)))
+}
+
 fn heartbeat(rng: &mut StdRng, state: TargetState, sequence: u64) -> Announcement {
     let number = rng.random_range(0..60);
     Announcement {
         id: format!("t{number}"),
+        born: born(rng),
         service: format!("s{}", number % 3),
         addr: SocketAddr::from(([10, 0, 0, number as u8], 80)),
         data_hall: "hall".into(),
@@ -138,6 +171,7 @@
             let late = rng.random_bool(0.1);
             let sequence = if late { index / 2 } else { index };
             let id = format!("t{}", rng.random_range(0..60));
+            let target = Incarnation { id, born: born(&mut rng) };
             match rng.random_range(0..12) {
                 0..5 => {
                     let ready = heartbeat(&mut rng, TargetState::Ready, sequence);
@@ -150,16 +184,16 @@
                     naive.announce(index, &draining);
                 }
                 7..10 => {
-                    directory.settle(index, std::slice::from_ref(&id));
-                    naive.settle(index, &id);
+                    directory.settle(index, std::slice::from_ref(&target));
+                    naive.settle(index, &target);
                 }
                 10 => {
-                    directory.silence(index, std::slice::from_ref(&id));
-                    naive.silence(index, &id);
+                    directory.silence(index, std::slice::from_ref(&target));
+                    naive.silence(index, &target);
                 }
                 _ if rng.random_bool(0.3) => {
-                    directory.remove(index, &id);
-                    naive.remove(index, &id);
+                    directory.remove(index, &target.id, target.born);
+                    naive.remove(index, &target);
                 }
                 _ => {}
             }
@@ -178,8 +212,8 @@
         assert_eq!(restored, directory);
         let known = heartbeat(&mut rng, TargetState::Ready, 1_000);
         assert_eq!(restored.judge(&known), directory.judge(&known));
-        assert!(naive.removed.iter().all(|id| {
-            let gone = Announcement { id: id.clone(), ..known.clone() };
+        assert!(naive.over.iter().all(|over| {
+            let gone = Announcement { id: over.id.clone(), born: over.born, ..known.clone() };
             restored.judge(&gone) == Heartbeat::Late
         }));
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod poison;
 mod refusals;
 mod requests;
+mod returns;
 mod standin;
 mod starts;
 mod stops;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -77,6 +77,8 @@
     state: Arc<Mutex<(&'static str, u64)>>,
     /// How long it says that it stays cold, in milliseconds.
     cold_left: Arc<AtomicU64>,
+    /// When it says that it started; nothing where 0.
+    born: Arc<AtomicU64>,
     data_hall: String,
 }
 
@@ -136,6 +138,7 @@
             tasks: vec![tokio::spawn(listen(listener, Arc::new(serving), open))],
             state,
             cold_left: Arc::default(),
+            born: Arc::default(),
             data_hall: data_hall.to_owned(),
         };
         if !doors.is_empty() {
@@ -178,6 +181,12 @@
         self.cold_left.store(left_ms, Ordering::Relaxed);
     }
 
+    /// Has it say that it started then, and count its heartbeats from there.
+    pub fn say_born(&self, born_ms: u64, sequence: u64) {
+        self.born.store(born_ms, Ordering::Relaxed);
+        self.state.lock().expect("no panic").1 = sequence;
+    }
+
     /// Connections open now.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -202,7 +211,8 @@
         .await;
     }
 
-    async fn beat(&self, door: SocketAddr) -> Option<Called> {
+    /// Sends one heartbeat.
+    pub async fn beat(&self, door: SocketAddr) -> Option<Called> {
         beat(door, &self.announced(), &self.state).await
     }
 
@@ -213,6 +223,7 @@
             addr: self.addr,
             data_hall: self.data_hall.clone(),
             cold_left: self.cold_left.clone(),
+            born: self.born.clone(),
         }
     }
 
@@ -242,6 +253,7 @@
     addr: SocketAddr,
     data_hall: String,
     cold_left: Arc<AtomicU64>,
+    born: Arc<AtomicU64>,
 }
 
 async fn beat(
@@ -254,11 +266,15 @@
         state.1 += 1;
         *state
     };
-    let body = json!({
+    let mut body = json!({
         "service": announced.service, "address": announced.addr, "zone": announced.data_hall,
         "version": "v1", "slots": 8,
         "state": word, "cold-left-ms": announced.cold_left.load(Ordering::Relaxed), "stage": "both", "sequence": sequence,
     });
+    match announced.born.load(Ordering::Relaxed) {
+        0 => {}
+        born => body["born"] = born.into(),
+    }
     call(door, "PUT", &format!("/instances/{}", announced.id), &body.to_string()).await
 }
 
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of targets: heartbeats, homes, differences.
 
-use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState, key};
+use latchmount::directory::{Announcement, Born, Directory, Heartbeat, Incarnation, TargetState};
 use latchmount::group::listing::Packer;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -13,6 +13,7 @@
 pub(crate) fn heartbeat(id: &str, state: TargetState, sequence: u64) -> Announcement {
     Announcement {
         id: id.into(),
+        born: Born::default(),
         service: "s".into(),
         addr: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_hall: "z".into(),
@@ -23,6 +24,11 @@
     }
 }
 
+/// A target that does not say when it started.
+pub(crate) fn first_start(id: &str) -> Incarnation {
+    Incarnation { id: id.to_owned(), born: Born::default() }
+}
+
 #[test]
 fn heartbeats_are_news_known_or_late() {
     let mut directory = Directory::default();
@@ -33,7 +39,7 @@
     directory.announce(11, heartbeat("a", TargetState::Draining, 8));
     assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 7)), Heartbeat::Late);
     assert_eq!(directory.judge(&heartbeat("a", TargetState::Draining, 9)), Heartbeat::Known);
-    directory.remove(12, "a");
+    directory.remove(12, "a", Born::default());
     assert_eq!(directory.judge(&heartbeat("a", TargetState::Ready, 99)), Heartbeat::Late);
     assert!(directory.targets().next().is_none());
 }
@@ -50,7 +56,7 @@
     for id in &ids {
         directory.announce(next(), heartbeat(id, TargetState::Ready, 1));
     }
-    directory.settle(next(), &ids);
+    directory.settle(next(), &ids.iter().map(|id| first_start(id)).collect::<Vec<_>>());
     let homes = |directory: &Directory| -> BTreeMap<String, u32> {
         let delta = directory.since(0).expect("changes");
         let changed = delta.changed.into_iter();
@@ -65,9 +71,9 @@
     let left = expected.remove("old2").expect("it had one");
     expected.insert("new".into(), left);
     assert_eq!(homes(&directory), expected);
-    directory.remove(next(), "old2");
+    directory.remove(next(), "old2", Born::default());
     assert_eq!(homes(&directory), expected);
-    directory.remove(next(), "old1");
+    directory.remove(next(), "old1", Born::default());
     expected.remove("old1");
     assert_eq!(homes(&directory), expected, "without a newcomer there is a gap");
     directory.announce(next(), heartbeat("later", TargetState::Ready, 1));
@@ -88,8 +94,8 @@
         match rng.random_range(0..10) {
             0..6 => directory.announce(index, heartbeat(&id, TargetState::Ready, index)),
             6 => directory.announce(index, heartbeat(&id, TargetState::Draining, index)),
-            7 => directory.silence(index, &[id]),
-            _ => directory.remove(index, &id),
+            7 => directory.silence(index, &[first_start(&id)]),
+            _ => directory.remove(index, &id, Born::default()),
         }
         let at = rng.random_range(0..followers.len());
         let (known, targets) = &mut followers[at];
@@ -106,7 +112,7 @@
                 targets.insert(changed.announcement.id.clone(), changed.announcement);
             }
             for moved in delta.moved {
-                let target = targets.values_mut().find(|target| key(&target.id) == moved.target);
+                let target = targets.values_mut().find(|target| target.key() == moved.target);
                 target.expect("a target that moved is known").state = moved.state;
             }
             *known = delta.revision;
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -1,10 +1,10 @@
 //! Heartbeats that a cut delayed: their sender has crashed, and another incarnation of it, under another
-//! identity, takes requests at the same address.
+//! identity or its own, takes requests at the same address.
 
-use latchmount::directory::{Announcement, Directory, Heartbeat, TargetState};
+use latchmount::directory::{Announcement, Born, Directory, Heartbeat, Incarnation, TargetState};
 use rstest::rstest;
 
-use crate::directory::heartbeat;
+use crate::directory::{first_start, heartbeat};
 
 /// What is known of the old incarnation when its heartbeat arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,15 +20,15 @@
     let mut directory = Directory::default();
     if old != Old::NeverHeard {
         directory.announce(1, heartbeat("old", TargetState::Ready, 5));
-        directory.settle(2, &["old".to_owned()]);
+        directory.settle(2, &[first_start("old")]);
     }
     match old {
-        Old::Silent => directory.silence(3, &["old".to_owned()]),
-        Old::Removed => directory.remove(3, "old"),
+        Old::Silent => directory.silence(3, &[first_start("old")]),
+        Old::Removed => directory.remove(3, "old", Born::default()),
         Old::Listed | Old::NeverHeard => {}
     }
     directory.announce(4, heartbeat("new", TargetState::Ready, 1));
-    directory.settle(5, &["new".to_owned()]);
+    directory.settle(5, &[first_start("new")]);
     directory
 }
 
@@ -69,3 +69,115 @@
     assert!(directory.get("old").is_none());
     assert_eq!(directory.revision(), revision, "gateways are told of nothing");
 }
+
+const FIRST: Born = Born(Some(1_000));
+const SECOND: Born = Born(Some(2_000));
+
+fn of(born: Born, state: TargetState, sequence: u64) -> Announcement {
+    Announcement { born, ..heartbeat("t", state, sequence) }
+}
+
+fn start(born: Born) -> Incarnation {
+    Incarnation { id: "t".to_owned(), born }
+}
+
+/// A target that has been there in its first start, with a home.
+fn first_heard(old: Old) -> Directory {
+    let mut directory = Directory::default();
+    if old != Old::NeverHeard {
+        directory.announce(1, of(FIRST, TargetState::Ready, 500));
+        directory.settle(2, &[start(FIRST)]);
+    }
+    match old {
+        Old::Silent => directory.silence(3, &[start(FIRST)]),
+        Old::Removed => directory.remove(3, "t", FIRST),
+        Old::Listed | Old::NeverHeard => {}
+    }
+    directory
+}
+
+/// What gateways know of the target: its start, state and home, and the revision of its last change.
+fn known(directory: &Directory) -> (Born, TargetState, Option<u32>, u64) {
+    let all = directory.since(0).expect("targets").changed;
+    let listed = all.into_iter().find(|listed| listed.announcement.id == "t").expect("listed");
+    let target = listed.announcement;
+    (target.born, target.state, listed.home, directory.revision())
+}
+
+#[rstest]
+fn nothing_late_of_an_earlier_start_touches_a_later_one(
+    #[values(Old::Listed, Old::Silent, Old::Removed, Old::NeverHeard)] old: Old,
+    #[values(TargetState::Ready, TargetState::Draining)] state: TargetState,
+    #[values(499, 501, 9_999)] sequence: u64,
+    #[values(false, true)] member_restarted: bool,
+) {
+    let mut directory = first_heard(old);
+    assert_eq!(directory.judge(&of(SECOND, TargetState::Ready, 1)), Heartbeat::News);
+    directory.announce(4, of(SECOND, TargetState::Ready, 1));
+    directory.settle(5, &[start(SECOND)]);
+    if member_restarted {
+        let saved = postcard::to_stdvec(&directory).expect("saved");
+        directory = postcard::from_bytes(&saved).expect("restored");
+    }
+    let before = known(&directory);
+    assert_eq!((before.0, before.1), (SECOND, TargetState::Ready));
+    assert_eq!(directory.judge(&of(FIRST, state, sequence)), Heartbeat::Late);
+    directory.announce(6, of(FIRST, state, sequence));
+    directory.silence(7, &[start(FIRST)]);
+    directory.settle(8, &[start(FIRST)]);
+    directory.remove(9, "t", FIRST);
+    assert_eq!(known(&directory), before);
+    assert_eq!(directory.judge(&of(SECOND, TargetState::Ready, 2)), Heartbeat::Known);
+}
+
+#[rstest]
+#[case::later(Old::Listed, SECOND, Heartbeat::News)]
+#[case::equal_and_counts_anew(Old::Listed, FIRST, Heartbeat::Late)]
+#[case::equal_after_removal(Old::Removed, FIRST, Heartbeat::Late)]
+#[case::earlier_while_the_known_one_is_heard(Old::Listed, Born(Some(500)), Heartbeat::Late)]
+#[case::earlier_when_it_is_heard_no_more(Old::Silent, Born(Some(500)), Heartbeat::News)]
+#[case::earlier_after_removal(Old::Removed, Born(Some(500)), Heartbeat::News)]
+#[case::missing_where_it_was_said(Old::Silent, Born(None), Heartbeat::Late)]
+#[case::missing_after_removal(Old::Removed, Born(None), Heartbeat::Late)]
+#[case::missing_at_first_sight(Old::NeverHeard, Born(None), Heartbeat::News)]
+fn which_start_a_first_heartbeat_is_of(
+    #[case] old: Old,
+    #[case] born: Born,
+    #[case] expected: Heartbeat,
+) {
+    let directory = first_heard(old);
+    assert_eq!(directory.judge(&of(born, TargetState::Ready, 1)), expected);
+}
+
+/// A target that said nothing of its start until now, and does.
+#[test]
+fn a_target_that_begins_to_say_when_it_started_is_a_new_one() {
+    let mut directory = Directory::default();
+    directory.announce(1, of(Born(None), TargetState::Ready, 9));
+    assert_eq!(directory.judge(&of(FIRST, TargetState::Ready, 1)), Heartbeat::News);
+}
+
+/// Gateways that follow by differences learn of the new start, at the same address too, with a home of its own.
+#[test]
+fn gateways_are_told_of_a_new_start_as_of_a_new_target() {
+    let mut directory = first_heard(Old::Listed);
+    let followed = directory.revision();
+    directory.announce(4, of(SECOND, TargetState::Ready, 1));
+    let delta = directory.since(followed).expect("news");
+    assert_eq!(delta.removed, ["t"]);
+    assert_eq!(delta.changed.len(), 1);
+    assert_eq!(delta.changed[0].announcement.born, SECOND);
+    assert!(delta.moved.is_empty());
+    let keys = [FIRST, SECOND].map(|born| of(born, TargetState::Ready, 1).key());
+    assert_ne!(keys[0], keys[1], "loads, evidence and keepers are told by start");
+}
+
+/// Word that it leaves, from whoever does not say which start it is.
+#[test]
+fn a_removal_without_a_start_removes_the_one_that_is_there() {
+    let mut directory = first_heard(Old::Listed);
+    directory.remove(4, "t", Born(None));
+    assert!(directory.get("t").is_none());
+    assert_eq!(directory.judge(&of(FIRST, TargetState::Ready, 9_999)), Heartbeat::Late);
+    assert_eq!(directory.judge(&of(SECOND, TargetState::Ready, 1)), Heartbeat::News);
+}
