Soak: targets that start again, each second time under the id that they had

Crashed as such or by a poison request; at times with a clock that stepped back. The ledger names starts, so that each check holds for one.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -37,6 +37,7 @@
     MuteTarget,
     FaultyTarget,
     CrashTarget,
+    RestartTarget,
     ReplaceTarget,
     LoseHall,
     Evacuate,
@@ -50,7 +51,7 @@
 }
 
 impl Fault {
-    const ALL: [Fault; 34] = [
+    const ALL: [Fault; 35] = [
         Fault::KillGateway,
         Fault::StopGateway,
         Fault::PauseGateway,
@@ -75,6 +76,7 @@
         Fault::MuteTarget,
         Fault::FaultyTarget,
         Fault::CrashTarget,
+        Fault::RestartTarget,
         Fault::ReplaceTarget,
         Fault::LoseHall,
         Fault::Evacuate,
@@ -178,7 +180,7 @@
                 self.strike_member(fault);
             }
             KillAllMembers => self.kill_all_members(),
-            ResetTarget | DelayTarget | MuteTarget | FaultyTarget | CrashTarget => {
+            ResetTarget | DelayTarget | MuteTarget | FaultyTarget | CrashTarget | RestartTarget => {
                 self.strike_target(fault);
             }
             LoseHall => self.lose_hall(),
@@ -333,6 +335,7 @@
         let (target, network) = &self.world.targets[at];
         match fault {
             Fault::ResetTarget => return network.reset(),
+            Fault::RestartTarget => return target.crash(),
             Fault::DelayTarget => {
                 network.change(|faults| faults.delay = Duration::from_millis(80));
             }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -43,6 +43,8 @@
 
 /// Beginning of the body of a request that ends each target that runs it.
 pub const POISON: &[u8] = b"poison";
+/// What targets say of their first start, in Unix milliseconds.
+const BORN_MS: u64 = 1_769_600_000_000;
 /// Time from its start until its target ends, and until that is started again, in milliseconds.
 const ENDS_AFTER_MS: u64 = 50;
 const STARTS_AFTER_MS: std::ops::Range<u64> = 600..2_500;
@@ -78,6 +80,10 @@
 
 struct Serving {
     id: String,
+    /// The id and the start, for the ledger.
+    name: String,
+    /// When it says that it started.
+    born_ms: u64,
     data_hall: &'static str,
     cold_until: Duration,
     ledger: Ledger,
@@ -124,6 +130,11 @@
         self.serving.lock().expect("no panic").clone()
     }
 
+    /// Ends it as a crash does; it is started again after a while.
+    pub fn crash(&self) {
+        self.serving().ends.notify_one();
+    }
+
     pub fn set_faulty(&self, part: f64) {
         *self.serving().faulty.lock().expect("no panic") = part;
     }
@@ -139,7 +150,7 @@
             }
             if beat(&serving, self.site.public, *door).await {
                 let now = serving.ledger.now();
-                serving.ledger.book().drained.entry(serving.id.clone()).or_insert(now);
+                serving.ledger.book().drained.entry(serving.name.clone()).or_insert(now);
                 return true;
             }
         }
@@ -160,12 +171,17 @@
 impl Site {
     /// What the target is in its start of this number.
     fn serving(&self, start: u64, seed: u64) -> Arc<Serving> {
-        let id = if start == 0 { self.name.clone() } else { format!("{}-{start}", self.name) };
+        // Each second start is under the id that it had, with a clock that goes on or, at times, has stepped back.
+        let id = format!("{}-{}", self.name, start / 2);
+        let name = format!("{id}@{start}");
+        let step = if start % 8 == 5 { BORN_MS - start } else { BORN_MS + start };
         let started = self.ledger.now();
         let place = Place { data_hall: self.data_hall.to_owned(), started };
-        self.ledger.book().targets.insert(id.clone(), place);
+        self.ledger.book().targets.insert(name.clone(), place);
         Arc::new(Serving {
             id,
+            name,
+            born_ms: step,
             data_hall: self.data_hall,
             cold_until: started + COLD_FOR,
             ledger: self.ledger.clone(),
@@ -216,6 +232,7 @@
         "service": "s", "address": addr, "zone": serving.data_hall, "version": "v1", "slots": 16,
         "state": *serving.state.lock().expect("no panic"), "cold-left-ms": cold_left,
         "stage": "both",
+        "born": serving.born_ms,
         "sequence": serving.sequence.fetch_add(1, Ordering::Relaxed) + 1,
     });
     let path = format!("/instances/{}", serving.id);
@@ -295,7 +312,7 @@
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(ENDS_AFTER_MS)).await;
             let now = serving.ledger.now();
-            let ended = Bite::Ended { at: now, target: serving.id.clone() };
+            let ended = Bite::Ended { at: now, target: serving.name.clone() };
             serving.ledger.book().poisoned.entry(poison).or_default().push(ended);
             serving.ends.notify_one();
         });
@@ -332,7 +349,7 @@
             let refusal = Response::builder().status(503).header("x-not-run", "1");
             return Ok(refusal.body(whole(String::new())).expect("sound"));
         }
-        let run = Run { target: self.id.clone(), at: self.ledger.now(), team: text("x-tenant") };
+        let run = Run { target: self.name.clone(), at: self.ledger.now(), team: text("x-tenant") };
         self.ledger.book().runs.entry(id.clone()).or_default().push(run);
         tokio::time::sleep(Duration::from_millis(5)).await;
         let answer = Response::builder()
