Announcements by other writers, and headers that say what can't be, end nothing and harm no target

Four sums overflowed on what a target, caller or operator said: loads, tokens of a prompt, the time that a connection is kept (a task ended in the middle of its request, in release too), weights of a route.

A known target's service can't change within a start, nor to one that no configuration has.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -81,6 +81,14 @@
     pub sticky: bool,
 }
 
+impl Route {
+    /// Sum of its services' weights.
+    pub fn total_weight(&self) -> u64 {
+        let weights = self.services.iter().map(|weighted| weighted.weight);
+        weights.fold(0, u64::saturating_add)
+    }
+}
+
 /// A group of targets that do the same.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -187,7 +195,7 @@
                     faults.push(Fault::new(format!("routes[{at}].service"), message));
                 }
             }
-            if route.services.iter().map(|weighted| weighted.weight).sum::<u64>() == 0 {
+            if route.total_weight() == 0 {
                 let message = "the weights of its services add up to 0";
                 faults.push(Fault::new(format!("routes[{at}].service"), message));
             }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -52,7 +52,8 @@
         let parts = self.dialect.prompt(value);
         let shared = &parts[..parts.len().saturating_sub(1).max(1).min(parts.len())];
         let hash = xxh3_64(shared.last()?.id.as_bytes());
-        Some(Affinity { hash, tokens: shared.iter().map(|part| part.tokens).sum() })
+        let tokens = shared.iter().fold(0_u64, |sum, part| sum.saturating_add(part.tokens));
+        Some(Affinity { hash, tokens })
     }
 
     /// Chooses a target that the request has not tried.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -20,6 +20,8 @@
 
 /// How long a target is taken to keep an idle connection when it does not say.
 const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
+/// Longest time that a connection is kept, whatever its target says.
+const LONGEST_KEPT: Duration = Duration::from_secs(3_600);
 /// Part of the stated time for which a connection is used again.
 const KEPT_PART: f64 = 0.6;
 /// Longest wait for a kept connection to become ready again.
@@ -184,7 +186,8 @@
         if self.sender.is_closed() || closes(answer) || !self.target.open_to_work() {
             return;
         }
-        let keep_for = stated_keep(answer).unwrap_or(KEPT_BY_DEFAULT).mul_f64(KEPT_PART);
+        let stated = stated_keep(answer).unwrap_or(KEPT_BY_DEFAULT);
+        let keep_for = stated.min(LONGEST_KEPT).mul_f64(KEPT_PART);
         let target = self.target.clone();
         let mut idle = lock(&target.idle);
         if idle.len() < MAX_IDLE {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -168,8 +168,7 @@
 
 /// Draws one of the route's services by weight.
 fn draw_service(route: &Route) -> String {
-    let total: u64 = route.services.iter().map(|weighted| weighted.weight).sum();
-    let mut at = rand::random_range(0..total.max(1));
+    let mut at = rand::random_range(0..route.total_weight().max(1));
     for weighted in &route.services {
         if at < weighted.weight {
             return weighted.service.clone();
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -173,7 +173,7 @@
 
     /// Notes the load that the target told of itself.
     pub(super) fn note_load(&self, now: Duration, load: TargetLoad) {
-        let told = f64::from(load.running + load.waiting);
+        let told = f64::from(load.running) + f64::from(load.waiting);
         let newest = (told - f64::from(self.in_flight())).max(0.0);
         let mut others = lock(&self.others_by_target);
         let requests = match *others {
--- a/src/group/doors.rs
+++ b/src/group/doors.rs
@@ -19,11 +19,12 @@
 use super::heartbeats::Taken;
 use super::{Shared, Unavailable};
 use crate::dialect::Door;
-use crate::directory::Incarnation;
+use crate::directory::{Announcement, Incarnation};
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
 use crate::jsonc::{Fault, Validate};
 use crate::poison::NotAFingerprint;
 use crate::store::{Answer, Command};
+use crate::sync::lock;
 
 /// Longest time that a connection is idle, or takes for the head of a call.
 const IDLE: Duration = Duration::from_secs(30);
@@ -36,6 +37,13 @@
 /// What callers are told when the group can't answer, in seconds.
 const COME_BACK_S: &str = "0.3";
 
+/// Largest body of any other call: an announcement has some hundred bytes.
+const MAX_WORD_BYTES: usize = 64 * 1024;
+/// Longest identity of a target, in bytes.
+const LONGEST_ID: usize = 256;
+/// Longest message of a fault that is told: it may quote what was sent.
+const LONGEST_MESSAGE: usize = 300;
+
 type Answered = Response<Full<Bytes>>;
 
 /// Takes connections for ever.
@@ -66,7 +74,11 @@
     let Some(door) = shared.dialect.door(&head.method, head.uri.path()) else {
         return faulty(StatusCode::NOT_FOUND, &[Fault::new("", "no such call")]);
     };
-    let body = Limited::new(body, MAX_DOCUMENT_BYTES).collect();
+    let longest = match door {
+        Door::PutConfiguration => MAX_DOCUMENT_BYTES,
+        _ => MAX_WORD_BYTES,
+    };
+    let body = Limited::new(body, longest).collect();
     let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
@@ -161,13 +173,9 @@
 }
 
 async fn announce(shared: &Shared, id: &str, body: &[u8]) -> Answered {
-    let announcement = match shared.dialect.announcement(id, body) {
+    let announcement = match read_announcement(shared, id, body) {
         Ok(announcement) => announcement,
-        Err(faults) => {
-            info!(shared.log, "heartbeat refused"; "event" => "heartbeat_refused",
-                "target" => id, "fault" => %faults[0]);
-            return faulty(StatusCode::BAD_REQUEST, &faults);
-        }
+        Err(faults) => return refuse_announcement(shared, id, &faults),
     };
     match shared.take_heartbeat(announcement.clone()).await {
         Ok(Taken::News) => {
@@ -182,6 +190,37 @@
     }
 }
 
+/// Reads an announcement; one that can't be a target's names none and harms none.
+fn read_announcement(shared: &Shared, id: &str, body: &[u8]) -> Result<Announcement, Vec<Fault>> {
+    if id.len() > LONGEST_ID {
+        let message = format!("must have at most {LONGEST_ID} bytes");
+        return Err(vec![Fault::new("id", message)]);
+    }
+    let announcement = shared.dialect.announcement(id, body)?;
+    if shared.names_another(&announcement) {
+        let message = "is not the service of the target that has this identity";
+        return Err(vec![Fault::new("service", message)]);
+    }
+    Ok(announcement)
+}
+
+fn refuse_announcement(shared: &Shared, id: &str, faults: &[Fault]) -> Answered {
+    let faults: Vec<Fault> = faults.iter().map(shortened).collect();
+    shared.metrics.refused_announcement(&faults[0].path);
+    if let Some(stands_for) = lock(&shared.refused_lines).keep(shared.now()) {
+        let id: String = id.chars().take(LONGEST_ID).collect();
+        info!(shared.log, "heartbeat refused"; "event" => "heartbeat_refused",
+            "target" => id, "fault" => %faults[0], "stands_for" => stands_for);
+    }
+    faulty(StatusCode::BAD_REQUEST, &faults)
+}
+
+/// A fault whose message quotes no more than is useful.
+fn shortened(fault: &Fault) -> Fault {
+    let message = fault.message.chars().take(LONGEST_MESSAGE).collect();
+    Fault { message, ..fault.clone() }
+}
+
 fn heartbeat_answer(shared: &Shared) -> Answered {
     let next = shared.own_door();
     json(StatusCode::OK, shared.dialect.heartbeat_answer(next).into())
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -85,6 +85,26 @@
         !standing.leads && standing.fresh(Instant::now()) && trusted() && known()
     }
 
+    /// Whether an announcement bears the identity of a target of another service, and so comes from another writer:
+    /// a start of a target keeps its service, and a new one has a service that there is.
+    pub(super) fn names_another(&self, announcement: &Announcement) -> bool {
+        let published = self.member.published();
+        let published = published.borrow();
+        let Some(known) = published.directory.get(&announcement.id) else {
+            return false;
+        };
+        if known.service == announcement.service {
+            return false;
+        }
+        let same_start = known.born == announcement.born || announcement.born.0.is_none();
+        let held = published.document.as_ref();
+        let held = held.and_then(|held| self.dialect.configuration(&held.bytes).ok());
+        let there_is = held.is_some_and(|held| {
+            held.services.iter().any(|service| service.name == announcement.service)
+        });
+        same_start || !there_is
+    }
+
     /// What a heartbeat brings, by the directory held here.
     fn judge(&self, announcement: &Announcement) -> Heartbeat {
         self.member.published().borrow().directory.judge(announcement)
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -12,6 +12,9 @@
 use crate::small_server;
 use crate::sync::lock;
 
+/// Longest name of a field that is told apart.
+const LONGEST_FIELD: usize = 16;
+
 /// The way of a large parcel to a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ParcelWay {
@@ -38,6 +41,7 @@
     set: MetricSet,
     /// Calls of operators and targets, by call and outcome.
     pub(super) calls: IntCounterVec,
+    refused: IntCounterVec,
     /// Elections won.
     pub(super) elections: IntCounter,
     /// Syncs of the log.
@@ -79,6 +83,11 @@
                 "Calls of operators and targets.",
                 &["call", "outcome"],
             )?,
+            refused: set.counters(
+                "latchmount_member_announcements_refused_total",
+                "Announcements that are no target's, by the field that tells so.",
+                &["field"],
+            )?,
             elections: set.counter(
                 "latchmount_member_elections_won_total",
                 "Times that this member became the leader.",
@@ -133,6 +142,15 @@
         self.calls.with_label_values(&[call, outcome]).inc();
     }
 
+    /// Counts an announcement that is no target's, by its faulty field. Fields come from outside, so that only the first
+    /// word of each is told, if it is short.
+    pub(super) fn refused_announcement(&self, path: &str) {
+        let field = path.split(['.', '[']).next().unwrap_or("");
+        let plain = field.bytes().all(|byte| byte.is_ascii_lowercase() || byte == b'-');
+        let field = if plain && field.len() <= LONGEST_FIELD { field } else { "other" };
+        self.refused.with_label_values(&[field]).inc();
+    }
+
     /// Counts a large parcel by the way that it went.
     pub(super) fn large_parcel(&self, way: ParcelWay) {
         self.large_parcels.with_label_values(&[way.label()]).inc();
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -48,6 +48,7 @@
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
     TimedDisk, WalError, fresh_store,
 };
+use crate::sampler::Sampler;
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::store::{Answer, Command};
 use crate::sync::lock;
@@ -130,6 +131,7 @@
     evidence: Mutex<EvidenceBoard>,
     keepers: Mutex<KeeperBoard>,
     heard: Mutex<Heard>,
+    refused_lines: Mutex<Sampler>,
     /// Requests under which targets ended, as all gateways tell.
     poison: Mutex<Board>,
     /// Last change of those that gateways are to know.
@@ -195,6 +197,7 @@
             evidence: Mutex::default(),
             keepers: Mutex::default(),
             heard: Mutex::default(),
+            refused_lines: Mutex::default(),
             poison: Mutex::new(Board::new(Rule::default(), None)),
             poison_news: watch::Sender::new(0),
             poison_heard: Notify::new(),
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -88,7 +88,9 @@
     if bytes.starts_with(BYTE_ORDER_MARK) {
         return Err(vec![Fault::new("", "begins with a byte-order mark; send plain UTF-8")]);
     }
-    let mut reader = serde_json::Deserializer::from_slice(bytes);
+    // Fields that nobody reads are not checked by the reader.
+    let text = std::str::from_utf8(bytes).map_err(|_| vec![Fault::new("", "is not UTF-8")])?;
+    let mut reader = serde_json::Deserializer::from_str(text);
     let document: T = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let path = error.path().to_string();
         let path = if path == "." { String::new() } else { path };
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,8 +15,11 @@
 mod refusals;
 mod requests;
 mod returns;
+#[path = "../seeds/seed.rs"]
+mod seeds;
 mod standin;
 mod starts;
 mod stops;
 mod stories;
 mod streams;
+mod writers;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -70,6 +70,8 @@
     pub addr: SocketAddr,
     service: String,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Headers that its answers bear besides.
+    odd_headers: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     open: Arc<AtomicUsize>,
     replaced: Arc<AtomicBool>,
@@ -120,11 +122,13 @@
         let state = Arc::new(Mutex::new(("ready", 0)));
         let open = Arc::new(AtomicUsize::new(0));
         let replaced = Arc::new(AtomicBool::new(false));
+        let odd_headers: Arc<Mutex<Vec<_>>> = Arc::default();
         let serving = Serving {
             id: id.to_owned(),
             replaced: replaced.clone(),
             behaviour: behaviour.clone(),
             arrivals: arrivals.clone(),
+            odd_headers: odd_headers.clone(),
             ends,
         };
         let mut standin = Standin {
@@ -132,6 +136,7 @@
             addr,
             service: service.to_owned(),
             behaviour,
+            odd_headers,
             arrivals,
             open: open.clone(),
             replaced,
@@ -167,6 +172,11 @@
         *self.behaviour.lock().expect("no panic") = behaviour;
     }
 
+    /// Has its answers bear a header besides.
+    pub fn say(&self, name: &'static str, value: &'static str) {
+        self.odd_headers.lock().expect("no panic").push((name, value));
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("no panic").clone()
     }
@@ -283,6 +293,7 @@
     id: String,
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    odd_headers: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     ends: Option<Arc<Notify>>,
 }
 
@@ -345,8 +356,14 @@
         });
         let mut answer = Response::builder()
             .header("x-request-id", &id)
-            .header("x-server-load", "1,0,8")
             .header("x-server-stamp", format!("stamp-{}-{id}", self.id));
+        let odd = self.odd_headers.lock().expect("no panic").clone();
+        if !odd.iter().any(|(name, _)| *name == "x-server-load") {
+            answer = answer.header("x-server-load", "1,0,8");
+        }
+        for (name, value) in odd {
+            answer = answer.header(name, value);
+        }
         if let Some(ends) = self.ends.clone().filter(|_| poison) {
             tokio::spawn(async move {
                 tokio::time::sleep(Duration::from_millis(50)).await;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -112,3 +112,12 @@
     assert_eq!(packed.unpack(Some(&document(8))), Err(PackError::WrongBase { base: 7 }));
     assert_eq!(newer.pack(None).expect("small").unpack(Some(&held)), Ok(newer));
 }
+
+#[test]
+fn weights_beyond_what_a_number_holds_are_no_fault_and_end_nothing() {
+    let mut heavy = route("a", "/x/");
+    let of = |weight| Weighted { service: "s".into(), weight };
+    heavy.services = vec![of(u64::MAX), of(1)];
+    assert_eq!(heavy.total_weight(), u64::MAX);
+    assert!(configuration(vec![heavy]).faults().is_empty());
+}
