One clock that counts the time for which a host is suspended

A leader that woke would have held its lease and answered reads with an old configuration, acknowledged heartbeats by it; a gateway would have taken news, loads, evidence, kept connections and the time left of its requests for as fresh as before.

Not shown with real processes: no test can suspend the host, and none may move its clock.

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::{Logger, error, info};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::clock::Instant;
 use crate::directory::Directory;
 use crate::document::Document;
 use crate::evacuations::Evacuations;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use super::outgoing::Outgoing;
 use super::reuse::Reuse;
 use super::target::{InFlight, Target};
+use crate::clock::Instant;
 use crate::dialect::Headers;
 
 /// The head of an answer, with all that must live until its body has been read.
@@ -64,7 +65,7 @@
     let mut reuse = outgoing.reuse;
     loop {
         let connecting = connect(target, reuse, limits);
-        let deadline = tokio::time::Instant::from_std(outgoing.deadline);
+        let deadline = tokio::time::Instant::from(outgoing.deadline);
         let mut connection = match tokio::time::timeout_at(deadline, connecting).await {
             Ok(connected) => connected.map_err(AttemptError::NotSent)?,
             Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
@@ -72,6 +73,10 @@
         if !target.open_to_work() {
             return Err(AttemptError::NotSent(ConnectError::NotWanted));
         }
+        if Instant::now() >= outgoing.deadline {
+            // Its time went by while this host was suspended: a timer does not tell.
+            return Err(AttemptError::NotSent(ConnectError::Timeout));
+        }
         let request = outgoing.to_target(target, fetch_from, names);
         let mut sending = pin!(connection.sender.try_send_request(request));
         let until = deadline.min(tokio::time::Instant::now() + patience.longest);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderMap};
@@ -15,6 +15,7 @@
 use super::metrics::GatewayMetrics;
 use super::reuse::Reuse;
 use super::target::Target;
+use crate::clock::Instant;
 use crate::link::{connect_from, give_up_after};
 use crate::sync::lock;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! One request of a client, from its head to the head of its answer.
 
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{HOST, HeaderValue};
@@ -22,6 +22,7 @@
 use super::relay;
 use super::trace::{self, Departure, text};
 use super::{Gateway, Stage};
+use crate::clock::Instant;
 use crate::configuration::{Route, Team};
 use crate::poison::{Fingerprint, Identity, Suspect};
 use crate::route_table::Caller;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::{error, info, warn};
 
@@ -13,6 +13,7 @@
 use super::news::{Fetched, News};
 use super::order::MemberOrder;
 use super::race::{self, Subscribed};
+use crate::clock::{Instant, Suspensions};
 use crate::group::loads::own_loads_interval;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
 use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
@@ -46,6 +47,7 @@
         lookout: Lookout::new(gateway.settings.source),
         lost: false,
         told_none: false,
+        suspensions: Suspensions::watch(),
         poison_told: 0,
         gateway,
     };
@@ -58,6 +60,8 @@
         follower.learn(follower.order.from_current());
         match left {
             Left::Earlier(earlier) => follower.order.turn_to(earlier),
+            // The same member tells all that is new, on a connection that holds nothing old.
+            Left::Suspended(_) => {}
             _ => {
                 follower.order.turn_to_next();
                 tokio::time::sleep(PAUSE).await;
@@ -83,6 +87,8 @@
     Fetched(Fetched),
     /// A look for an earlier member.
     Look(Look),
+    /// This host was suspended for so long, and woke.
+    Woken(Duration),
     /// It is time to tell what is in flight.
     LoadsDue,
     /// A target ended under a request, or one that was suspected ended well.
@@ -99,6 +105,7 @@
     lost: bool,
     /// Whether the member knows that nothing is in flight here.
     told_none: bool,
+    suspensions: Suspensions,
     /// Up to which change the member knows under which requests targets ended here.
     poison_told: u64,
 }
@@ -171,6 +178,7 @@
             "member" => %member, "until" => ?until, "version" => self.gateway.version());
         self.news.forget_fetches();
         self.lookout.start();
+        self.suspensions = Suspensions::watch();
         // A member that has just started knows of nothing.
         self.poison_told = 0;
         self.tell_poison(&mut sender).await?;
@@ -188,6 +196,7 @@
                         return Ok(Left::Leaderless);
                     }
                 }
+                Event::Woken(suspended) => return Ok(Left::Suspended(suspended)),
                 Event::Fetched(fetched) => self.news.take_fetched(fetched, &mut sender).await?,
                 Event::LoadsDue => {
                     loads_at = tokio::time::Instant::now() + self.loads_interval();
@@ -217,7 +226,7 @@
         loads_at: tokio::time::Instant,
     ) -> Result<Event, LinkError> {
         loop {
-            let silent_at = tokio::time::Instant::from_std(receiver.heard_at() + SILENCE);
+            let silent_at = tokio::time::Instant::from(receiver.heard_at() + SILENCE);
             let event = tokio::select! {
                 received = receiver.receive() => match received? {
                     FromMember::Update(update) => Event::Told(update),
@@ -235,7 +244,8 @@
                 fetched = self.news.fetched() => Event::Fetched(fetched),
                 () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
             };
-            return Ok(event);
+            // Whatever woke this first: what it brings may be from before.
+            return Ok(self.suspensions.look().map_or(event, Event::Woken));
         }
     }
 
--- a/src/gateway/inquest.rs
+++ b/src/gateway/inquest.rs
@@ -12,6 +12,7 @@
 use super::exchange::Plan;
 use super::target::Target;
 use super::trace::{millis_since, text};
+use crate::clock::Instant;
 use crate::sync::lock;
 
 impl Gateway {
@@ -23,7 +24,7 @@
         let route = plan.route.name.clone();
         // Where it leaves as planned, its end is no request's doing.
         let leaves = target.draining();
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         tokio::spawn(async move {
             let found = look_at(&target, gateway.connection_limits(&service)).await;
             gateway.metrics.inquired(&service, found);
--- a/src/gateway/left.rs
+++ b/src/gateway/left.rs
@@ -1,6 +1,7 @@
 //! Why a gateway follows a member no longer.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::link::LinkError;
 
@@ -16,6 +17,9 @@
     /// It was followed for the first configuration only.
     #[error("it told the first configuration, and another is next")]
     First,
+    /// This host was suspended: what the member sent meanwhile may be old, and come late.
+    #[error("this host was suspended for {0:?}")]
+    Suspended(Duration),
     /// One that comes earlier in the gateway's order can be followed again.
     #[error("{0} comes earlier and can be followed")]
     Earlier(SocketAddr),
@@ -28,6 +32,7 @@
             Left::Link(error) => error.label(),
             Left::Leaderless => "leaderless",
             Left::First => "first",
+            Left::Suspended(_) => "suspended",
             Left::Earlier(_) => "earlier",
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,7 +48,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::HeaderMap;
 use slog::{Logger, info};
@@ -68,6 +68,7 @@
 use self::target::Target;
 use self::targets::Targets;
 
+use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
 use crate::poison::Board;
 use crate::route_table::RouteTable;
--- a/src/gateway/neighbours.rs
+++ b/src/gateway/neighbours.rs
@@ -83,7 +83,7 @@
         tokio::select! {
             received = receiver.receive() => return received,
             () = tokio::time::sleep_until(silent_at) => {
-                silent_at = Instant::from_std(receiver.heard_at()) + SILENCE;
+                silent_at = Instant::from(receiver.heard_at() + SILENCE);
                 if silent_at <= Instant::now() {
                     return Err(LinkError::Timeout);
                 }
--- a/src/gateway/outgoing.rs
+++ b/src/gateway/outgoing.rs
@@ -1,7 +1,6 @@
 //! A request as it goes out: what of a client's head reaches a target, and what this gateway adds.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http::header::{
@@ -14,6 +13,7 @@
 use super::reuse::Reuse;
 use super::target::Target;
 use super::trace::text;
+use crate::clock::Instant;
 use crate::configuration::Route;
 use crate::dialect::Headers;
 use crate::poison::Identity;
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::info;
 
 use super::Gateway;
 use super::health::AttemptOutcome;
 use super::target::Target;
+use crate::clock::Instant;
 use crate::configuration::Route;
 
 /// Multiple of its goal after which an answer is thought not to come.
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -5,11 +5,12 @@
 //! the first member to come up.
 
 use std::net::{IpAddr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
+use crate::clock::Instant;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
 use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,7 +2,6 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -23,6 +22,8 @@
 use super::reason::Refusal;
 use super::trace::{self, text};
 
+use crate::clock::Instant;
+
 /// Answers in one piece that are longer are passed on as they come.
 const WHOLE_UP_TO: usize = 256 * 1024;
 
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -1,11 +1,12 @@
 //! Whether a request may go to one more target.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Gateway;
 use super::budget::{BudgetRule, CAUTION, ServiceBudget};
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
+use crate::clock::Instant;
 use crate::sync::lock;
 
 impl Gateway {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
@@ -13,6 +13,7 @@
 use super::metrics::GatewayMetrics;
 use super::settings::GatewaySettings;
 use super::{Gateway, Stage, feed, listener, neighbours};
+use crate::clock::Instant;
 use crate::dialect::SharedDialect;
 use crate::poison::{Board, Reporter, Rule};
 use crate::start::{StartError, listen_if_set, listen_on};
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::target::Target;
+use crate::clock::Instant;
 use crate::directory::{DirectoryDelta, Listed, Moved, TargetState};
 use crate::group::message::{Evacuation, HallNews};
 use crate::store::Revision;
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -1,7 +1,6 @@
 //! The log lines of a request: one for each decision, with what decided it.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
@@ -12,6 +11,7 @@
 use super::exchange::Plan;
 use super::reason::Refusal;
 use super::target::Target;
+use crate::clock::Instant;
 use crate::sync::lock;
 
 /// The text of a header's value; empty when there is none.
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -7,10 +7,11 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::message::{Call, Reply};
 use super::{Shared, Unavailable};
+use crate::clock::Instant;
 use crate::directory::{Announcement, Heartbeat};
 use crate::store::Command;
 use crate::sync::lock;
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -1,12 +1,12 @@
 //! Metrics of a member, read off its state at each scrape.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 use tokio::net::TcpListener;
 
 use super::Shared;
+use crate::clock::Instant;
 use crate::metrics::{MetricSet, SECONDS, SHORT_SECONDS};
 use crate::raft::Standing;
 use crate::small_server;
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -34,13 +34,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use prometheus::Histogram;
 use slog::{Logger, info, o};
 use tokio::sync::{Notify, oneshot, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clock::Instant;
 use crate::control::member::{Member, Published, Started};
 use crate::dialect::SharedDialect;
 use crate::poison::{Board, Rule};
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::info;
 use tokio::sync::{Notify, mpsc};
@@ -18,6 +18,7 @@
 use super::metrics::ParcelWay;
 use super::pacer::Turn;
 use super::swarm::Neighbour;
+use crate::clock::Instant;
 use crate::control::member::Published;
 use crate::link::{FrameSender, LinkError, encode};
 use crate::parcel::ParcelId;
--- a/src/group/upkeep.rs
+++ b/src/group/upkeep.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::info;
 
@@ -11,6 +11,7 @@
 use super::keepers::Told;
 use super::loads::{loads_count_for, loads_interval, member_loads_interval};
 use super::message::{Call, Reply, ToMember};
+use crate::clock::Instant;
 use crate::control::member::Outbox;
 use crate::raft::{Envelope, Members, StoreId};
 use crate::store::Command;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod choice;
 pub mod claims;
 pub mod cli;
+pub mod clock;
 pub mod configuration;
 pub mod control;
 pub mod dialect;
--- a/src/link.rs
+++ b/src/link.rs
@@ -7,7 +7,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -19,6 +19,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::clock::Instant;
+
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 /// Messages from this length on are compressed.
--- a/src/operator/doors.rs
+++ b/src/operator/doors.rs
@@ -1,11 +1,12 @@
 //! Calls at the doors of members of a group that forms itself.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::Method;
 
 use super::{OperatorError, TRY_PAUSE};
 use crate::cli::{Doors, EvacuationCommand, PoisonCommand};
+use crate::clock::Instant;
 use crate::dialect::Dialect;
 use crate::jsonc::Fault;
 
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -3,7 +3,7 @@
 mod doors;
 
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::HttpClient;
@@ -11,6 +11,7 @@
 pub use self::doors::{evacuation, poison};
 use crate::account::Account;
 use crate::cli::{ChangeArgs, Remote, TemplateCommand};
+use crate::clock::Instant;
 use crate::explain::Story;
 use crate::gateway::settings::GatewaySettings;
 use crate::group::settings::MemberSettings;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -15,13 +15,14 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use salvo::conn::Acceptor;
 use salvo::server::ServerHandle;
 use slog::{Logger, info, o, warn};
 use tokio::sync::oneshot;
 
+use crate::clock::Instant;
 use crate::freshness::Freshness;
 use crate::queue::Queue;
 use crate::reason::Reason;
--- a/tests/agreement/group.rs
+++ b/tests/agreement/group.rs
@@ -68,6 +68,8 @@
     started: Duration,
     rate: f64,
     frozen: bool,
+    /// Since when it is frozen, where its clock stands still meanwhile.
+    stands_since: Option<Duration>,
     cut: bool,
     /// Member whose messages do not reach this one.
     deaf_to: Option<usize>,
@@ -79,6 +81,7 @@
 
 impl Host {
     fn now(&self, time: Duration) -> Duration {
+        let time = self.stands_since.unwrap_or(time);
         (time - self.started).mul_f64(self.rate)
     }
 }
@@ -136,6 +139,7 @@
                 started: Duration::ZERO,
                 rate: 1.0,
                 frozen: false,
+                stands_since: None,
                 cut: false,
                 deaf_to: None,
                 proposed: BTreeMap::new(),
@@ -175,6 +179,7 @@
         host.started = self.time;
         host.rate = 1.0 + drift;
         host.frozen = false;
+        host.stands_since = None;
         let disk = host.disk.clone();
         let opened = Replica::open(disk, fresh, timing(), COMPACT_AFTER, Duration::ZERO, seed);
         let mut replica = opened.unwrap_or_else(|error| panic!("member {number}: {error}"));
@@ -239,6 +244,25 @@
         self.hosts[number].frozen = frozen;
     }
 
+    /// Suspends a host whose clock stands still meanwhile, or wakes it.
+    pub fn suspend_with_clock(&mut self, number: usize, suspended: bool) {
+        self.freeze(number, suspended);
+        let (time, host) = (self.time, &mut self.hosts[number]);
+        match host.stands_since.take() {
+            Some(since) if !suspended => host.started += time - since,
+            _ => host.stands_since = suspended.then_some(time),
+        }
+    }
+
+    /// Members that could answer reads by their lease now.
+    pub fn lease_holders(&self) -> Vec<usize> {
+        let holds = |host: &Host| {
+            let now = host.now(self.time);
+            host.replica.as_ref().is_some_and(|replica| replica.node().lease_valid(now))
+        };
+        (0..MEMBERS).filter(|number| holds(&self.hosts[*number])).collect()
+    }
+
     pub fn cut(&mut self, number: usize, cut: bool) {
         self.hosts[number].cut = cut;
     }
@@ -464,6 +488,9 @@
 
     /// Whoever holds a lease holds it alone and has all that was acknowledged.
     fn check_leases(&self) {
+        if self.hosts.iter().any(|host| host.stands_since.is_some()) {
+            return;
+        }
         let holders: Vec<&Host> = self
             .hosts
             .iter()
--- a/tests/agreement/main.rs
+++ b/tests/agreement/main.rs
@@ -146,3 +146,39 @@
     assert_eq!(group.orders_acknowledged(), 60);
     assert!(group.acknowledged() > 150, "only {} accepted", group.acknowledged());
 }
+
+/// A leader's host is suspended, and another leader is elected. When it wakes, before it has heard anybody, it holds no
+/// lease, so that it answers no read: its clock has counted that time. One that stood still would hold the old lease.
+#[test]
+fn a_leader_that_was_suspended_answers_no_read_before_it_hears_a_majority() {
+    for seed in 0..40 {
+        let mut group = Group::new(seed);
+        group.pass(3_000);
+        let old = group.leader().expect("a leader");
+        group.freeze(old, true);
+        group.pass(4_000);
+        let new = group.leader().expect("another leader");
+        assert_ne!(old, new, "seed {seed}");
+        group.propose(new, 1, 0);
+        group.pass(300);
+        group.freeze(old, false);
+        assert_eq!(group.lease_holders(), [new], "seed {seed}");
+        group.settle();
+    }
+}
+
+/// Why the clock must count that time.
+#[test]
+fn a_clock_that_stands_still_while_suspended_lets_two_leaders_answer_reads() {
+    let mut twice = 0;
+    for seed in 0..40 {
+        let mut group = Group::new(seed);
+        group.pass(3_000);
+        let old = group.leader().expect("a leader");
+        group.suspend_with_clock(old, true);
+        group.pass(4_000);
+        group.suspend_with_clock(old, false);
+        twice += usize::from(group.lease_holders().len() > 1);
+    }
+    assert!(twice > 20, "two leases at {twice} of 40 wake-ups");
+}
