--- a/tests/fleet/doors.rs
+++ b/tests/fleet/doors.rs
@@ -141,7 +141,8 @@
 #[case::no_json("x", "")]
 #[case::no_service(r#"{"address":"127.0.0.1:1","state":"ready","sequence":1}"#, "")]
 #[case::empty_service(
-    r#"{"service":"","address":"127.0.0.1:1","state":"ready","sequence":1}"#,
+    r#"{"service":"","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":"ready","cold-left-ms":0,
+        "sequence":1}"#,
     "service"
 )]
 #[case::bad_address(r#"{"service":"s","address":"here","state":"ready","sequence":1}"#, "address")]
@@ -161,8 +162,8 @@
 #[tokio::test]
 async fn a_heartbeat_is_answered_with_the_leader_s_door_and_unknown_calls_with_404() {
     let fleet = Fleet::start(3, 0).await;
-    let beat = json!({"service": "s", "address": "127.0.0.1:9", "zone": "z", "slots": 4,
-        "state": "ready", "sequence": 1, "models": [{"name": "m"}]});
+    let beat = json!({"service": "s", "address": "127.0.0.1:9", "zone": "z", "version": "v1",
+        "slots": 4, "state": "ready", "cold-left-ms": 0, "sequence": 1, "models": [{"name": "m"}]});
     for member in 0..3 {
         let text = beat.to_string();
         let answer = call(fleet.door(member), "PUT", "/instances/i-1", &text).await;
