--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,7 +16,7 @@
 use crate::clock::{Instant, Suspensions};
 use crate::group::loads::own_loads_interval;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
-use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming, dial};
+use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming};
 use crate::sync::{lock, read};
 
 /// Silence of a member after which another one is followed.
@@ -114,13 +114,13 @@
     /// Follows the member that it is the turn of; tells which, and why no longer.
     async fn follow_current(&mut self) -> (SocketAddr, Left) {
         let member = self.order.current();
-        let subscribed = async {
-            let (mut sender, receiver) = dial(self.gateway.settings.source, member, TIMING).await?;
-            sender.send(&ToMember::Subscribe(self.subscription())).await?;
-            Ok(Subscribed { member, sender, receiver, first: None })
-        };
-        match subscribed.await {
-            Ok(subscribed) => (member, self.stay(subscribed, Until::Lost).await),
+        let subscription = self.subscription();
+        let opened = race::open(self.gateway.settings.source, member, &subscription, TIMING).await;
+        match opened {
+            Ok((sender, receiver)) => {
+                let subscribed = Subscribed { member, sender, receiver, first: None };
+                (member, self.stay(subscribed, Until::Lost).await)
+            }
             Err(error) => (member, Left::Link(error)),
         }
     }
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -71,7 +71,7 @@
     member: SocketAddr,
     subscription: &Subscription,
 ) -> Result<Subscribed, LinkError> {
-    let (sender, mut receiver) = open(source, member, subscription).await?;
+    let (sender, mut receiver) = open(source, member, subscription, TIMING).await?;
     let since = Instant::now();
     let mut first = Update::default();
     loop {
@@ -89,16 +89,21 @@
     member: SocketAddr,
     subscription: &Subscription,
 ) -> Result<Update, LinkError> {
-    let (_sender, mut receiver) = open(source, member, subscription).await?;
+    let (_sender, mut receiver) = open(source, member, subscription, TIMING).await?;
     next_update(&mut receiver).await
 }
 
-async fn open(
+/// Connects to a member and subscribes there.
+///
+/// # Errors
+/// [`LinkError`] when it can't be reached in time.
+pub(super) async fn open(
     source: Option<IpAddr>,
     member: SocketAddr,
     subscription: &Subscription,
+    timing: LinkTiming,
 ) -> Result<(FrameSender, FrameReceiver), LinkError> {
-    let (mut sender, receiver) = dial(source, member, TIMING).await?;
+    let (mut sender, receiver) = dial(source, member, timing).await?;
     sender.send(&ToMember::Subscribe(subscription.clone())).await?;
     Ok((sender, receiver))
 }
