Members keep blocked requests on their disks

After a loss of all power nobody knew what was blocked: each such request would end three targets anew, and sends by gateways that are in touch by then count.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -23,6 +23,7 @@
 pub mod pacer;
 mod peers;
 mod poison;
+mod poison_file;
 mod presence;
 mod push;
 pub mod rollout;
@@ -139,6 +140,8 @@
     poison_news: watch::Sender<u64>,
     /// Wakes who tells the other members what gateways told here.
     poison_heard: Notify,
+    /// Wakes who writes what is blocked.
+    poison_turned: Notify,
     /// Of parcels that are sent along with signs of life.
     pace_of_small: Pacer,
     /// Of large parcels that go to one gateway, which passes them on.
@@ -204,6 +207,7 @@
             poison: Mutex::new(Board::new(Rule::default(), None)),
             poison_news: watch::Sender::new(0),
             poison_heard: Notify::new(),
+            poison_turned: Notify::new(),
             pace_of_small: Pacer::new(settings.link_mbps, pacer::PART_FOR_SMALL),
             pace_of_large: Pacer::new(settings.link_mbps, pacer::PART_FOR_LARGE)
                 .with_burst(pacer::BURST_FOR_LARGE),
@@ -221,7 +225,9 @@
         tokio::spawn(upkeep::join(shared.clone()));
         tokio::spawn(upkeep::tell_presence(shared.clone()));
         tokio::spawn(upkeep::tell_loads(shared.clone()));
+        poison_file::load(&shared);
         tokio::spawn(poison::tell_members(shared.clone()));
+        tokio::spawn(poison_file::keep(shared.clone()));
         tokio::spawn(upkeep::watch_targets(shared.clone()));
         tokio::spawn(heartbeats::report(shared.clone()));
         tokio::spawn(upkeep::log_beliefs(shared.clone()));
--- a/src/group/poison.rs
+++ b/src/group/poison.rs
@@ -70,9 +70,11 @@
     }
 
     /// Tells gateways and members that there may be news.
-    fn note_poison(&self) {
+    pub(super) fn note_poison(&self) {
         let mut board = lock(&self.poison);
-        log_turned(&mut board, &self.log);
+        if log_turned(&mut board, &self.log) {
+            self.poison_turned.notify_one();
+        }
         self.metrics.poison_dropped.inc_by(board.take_dropped());
         let newest = board.newest_for_gateways();
         drop(board);
--- a/src/poison/logged.rs
+++ b/src/poison/logged.rs
@@ -4,12 +4,14 @@
 
 use super::Board;
 
-/// Logs which requests are blocked from now on, or no more.
-pub(crate) fn log_turned(board: &mut Board, log: &Logger) {
-    for turned in board.take_turned() {
+/// Logs which requests are blocked from now on, or no more; tells whether there are any.
+pub(crate) fn log_turned(board: &mut Board, log: &Logger) -> bool {
+    let all = board.take_turned();
+    for turned in &all {
         let event = if turned.blocked { "poison_blocked" } else { "poison_free" };
         info!(log, "targets end under a request"; "event" => event,
-            "fingerprint" => %turned.suspect.fingerprint, "team" => turned.suspect.team,
-            "route" => turned.suspect.route, "ends" => turned.ends);
+            "fingerprint" => %turned.suspect.fingerprint, "team" => &turned.suspect.team,
+            "route" => &turned.suspect.route, "ends" => turned.ends);
     }
+    !all.is_empty()
 }
--- a/tests/fleet/poison.rs
+++ b/tests/fleet/poison.rs
@@ -148,6 +148,36 @@
     eventually("it is sent again", async || (deadly.ended() > ended).then_some(())).await;
 }
 
+/// All power is lost, and comes back: members have on their disks what was blocked.
+#[tokio::test]
+async fn what_was_blocked_stays_so_after_a_loss_of_all_power() {
+    let mut deadly = Deadly::start().await;
+    deadly.repeat_until_blocked().await;
+    let ended = deadly.ended();
+    let folders = deadly.fleet.members.iter().map(|member| member.setting("data_dir"));
+    let files: Vec<std::path::PathBuf> = folders
+        .map(|folder| std::path::Path::new(folder.as_str().expect("a path")).join("poison"))
+        .collect();
+    eventually("it is written", async || files.iter().all(|file| file.exists()).then_some(()))
+        .await;
+    let fleet = &mut deadly.fleet;
+    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(|process| process.kill());
+    // One of them was about to write, and left half of it.
+    std::fs::write(&files[0], b"half").expect("a writable folder");
+    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(|process| process.start());
+    for gateway in 0..GATEWAYS {
+        fleet.in_force(gateway, 1).await;
+        let process = &fleet.gateways[gateway];
+        eventually("the gateway knows again", async || {
+            (process.log().matches("event=poison_blocked").count() >= 2).then_some(())
+        })
+        .await;
+        let answer = poison("after").send(fleet.front(gateway)).await.expect("an answer");
+        assert_eq!((answer.status, code(&answer).as_str()), (500, "ends_targets"));
+    }
+    assert_eq!(deadly.ended(), ended, "nothing was sent");
+}
+
 /// Targets that lose answers and live on, and callers that are answered well between, block nothing.
 #[tokio::test]
 async fn answers_lost_by_targets_that_live_block_nothing() {
