A target that refused connections counts as cold for a start

Until its first heartbeat is at the gateways they send to it as to the one before, which was warm; a new identity would have been turned away by X-Expect... of the old one. Now whoever met a refused connection there takes the target as cold from then on. Acts only where a service states a cold rate. A gateway that asked nothing of it meanwhile still does not know, for a heartbeat at most.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -321,6 +321,9 @@
             if let Some(outcome) = outcome.filter(|_| !blamed) {
                 gateway.note_outcome(target, outcome);
             }
+            if error == AttemptError::NotSent(ConnectError::Refused) {
+                gateway.note_nobody_there(target);
+            }
             gateway.metrics.attempt_failed(refusal);
             trace::attempt(gateway, plan, choice, began, Err((refusal, error)));
             if error == AttemptError::Lost {
--- a/src/gateway/inquest.rs
+++ b/src/gateway/inquest.rs
@@ -16,6 +16,12 @@
 use crate::sync::lock;
 
 impl Gateway {
+    /// Nobody listens at a target's address: who does next has just started, and is cold whatever was known before. Word
+    /// of that start may come a heartbeat later.
+    pub(super) fn note_nobody_there(&self, target: &Target) {
+        target.warmth().returned(self.now());
+    }
+
     /// Finds out, beside the request, what became of the target that lost its answer.
     pub(super) fn inquire(self: &Arc<Self>, plan: &Plan, target: &Arc<Target>) {
         let (gateway, target) = (self.clone(), target.clone());
@@ -28,8 +34,11 @@
         tokio::spawn(async move {
             let found = look_at(&target, gateway.connection_limits(&service)).await;
             gateway.metrics.inquired(&service, found);
-            if found == Found::Ended && !leaves {
-                gateway.note_end(suspect, target.key);
+            if found == Found::Ended {
+                gateway.note_nobody_there(&target);
+                if !leaves {
+                    gateway.note_end(suspect, target.key);
+                }
             }
             if let Some(stands_for) = lock(&gateway.inquest_lines).keep(gateway.now()) {
                 info!(gateway.log, "looked at a target"; "event" => "inquest",
--- a/src/poison/board.rs
+++ b/src/poison/board.rs
@@ -9,7 +9,8 @@
 /// Most ends that are kept of one request; more say nothing new.
 const MOST_ENDS: usize = 8;
 /// Most requests that are blocked everywhere on the word of one gateway alone: it may be wrong, and this is the harm
-/// that it can do. Where two were always needed, a request that met one gateway three times ended one target more.
+/// that it can do. Where two gateways were always needed, the last of eight blocked after 376 ms instead of 54, and six
+/// requests at once ended 3.2 targets each instead of 3.0 (one seed in virtual time, a trial).
 const MOST_ACCUSED_ALONE: usize = 4;
 /// Two words that a request ended well that lie closer together are one, told on two ways of different length.
 const SAME_SETTLEMENT: Duration = Duration::from_secs(1);
@@ -19,8 +20,7 @@
 /// When a request is blocked, for how long, and how much is remembered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rule {
-    /// Targets that must have ended under it. Under two, innocent streams that were resumed in the middle of crashes
-    /// would be blocked in numbers (docs/design/poison-requests.md); three is what the platform allows.
+    /// Targets that must have ended under it: as many as a request may end on the users' platform.
     pub ends: usize,
     /// Whether a request that ended well is cleared.
     pub clears: bool,
--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -170,3 +170,40 @@
     assert_eq!(served.await.status, 200);
     assert_eq!(warm.arrivals().len(), before + 1);
 }
+
+/// A target ends and starts again under its identity, at its address, and no word of that reaches the gateways yet. Those
+/// that met nobody there meanwhile take it as cold.
+#[tokio::test]
+async fn a_target_that_refused_connections_counts_as_cold_for_a_start() {
+    let (mut fleet, warm) = fleet().await;
+    let mut target = Standin::start_in("hall-a", "i-1", "s", fleet.doors()).await;
+    for gateway in 0..GATEWAYS {
+        fleet.knows_targets(gateway, 2).await;
+    }
+    gets_its_part(&fleet, "it is warm and gets its part", &target, 10).await;
+    let addr = target.addr;
+    target.fall_silent();
+    target.stop_listening();
+    fleet.members[0].kill();
+    let mut number = 0;
+    eventually("each gateway met nobody there", async || {
+        number += 1;
+        let ask = Ask::new("/safe/x", "r-3");
+        ask.send(fleet.front(number % GATEWAYS)).await.ok()?;
+        let met = |log: String| log.contains("error=\"NotSent(Refused)\"");
+        fleet.gateways.iter().all(|gateway| met(gateway.log())).then_some(())
+    })
+    .await;
+    drop(target);
+    let listener =
+        eventually("its address is free", async || tokio::net::TcpListener::bind(addr).await.ok())
+            .await;
+    let again = Standin::serve(listener, "hall-a", "i-1", "s", Vec::new(), None);
+    let since = Instant::now();
+    for round in 0..300 {
+        let answer = Ask::new("/safe/x", "r-4").send(fleet.front(round % GATEWAYS)).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+        assert!(again.arrivals().len() <= most(since), "{} arrivals", again.arrivals().len());
+    }
+    assert!(warm.arrivals().len() >= 300 - most(since));
+}
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -123,6 +123,8 @@
     pub poisoned: HashMap<String, Vec<Bite>>,
     /// Innocent requests that were refused as if they ended targets.
     pub accused: u32,
+    /// Reads of the configuration that were answered.
+    pub reads: usize,
     /// Starts of gateways, which then know of nothing.
     pub gateway_starts: usize,
     /// When all faults had ended, and the halls were taken back into use.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -43,6 +43,9 @@
     length: Duration::from_secs(25),
 };
 
+/// Seeds that failed once: targets that started again under their identity got more than they bear while cold.
+const FAILED_ONCE: [u64; 3] = [120_005, 120_102, 120_201];
+
 async fn soak(size: Size, seed: u64) {
     eprintln!("soak: LATCHMOUNT_SEED={seed}");
     let mut world = World::start(size, seed).await;
@@ -54,8 +57,10 @@
     // Shown only when the test fails.
     eprintln!("{}", log.join("\n"));
     checks::check(&mut world).await;
-    let requests = world.ledger.book().seen.len();
-    eprintln!("soak: seed {seed}: {} faults and repairs, {requests} requests", log.len());
+    let book = world.ledger.book();
+    let (requests, reads) = (book.seen.len(), book.reads);
+    let faults = log.len();
+    eprintln!("soak: seed {seed}: {faults} faults and repairs, {requests} requests, {reads} reads");
 }
 
 #[tokio::test]
@@ -71,3 +76,10 @@
         soak(size, seed).await;
     }
 }
+
+#[tokio::test]
+async fn seeds_that_failed_once_hold() {
+    for seed in FAILED_ONCE {
+        soak(SMALL, seed).await;
+    }
+}
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -134,6 +134,9 @@
             };
             world.callers.push(tokio::spawn(caller.run()));
         }
+        let seed = world.rng.random();
+        let reading = keep_reading(world.ledger.clone(), world.doors.clone(), seed);
+        world.callers.push(tokio::spawn(reading));
         world.ledger.book().gateway_starts = size.gateways;
         for number in 0..size.poison {
             let seed = world.rng.random();
@@ -232,6 +235,29 @@
     }
 }
 
+/// Reads the configuration at any member, again and again: no answer may be older than what was acknowledged before the
+/// read was sent, whoever was frozen, cut off or lost meanwhile.
+async fn keep_reading(ledger: Ledger, doors: Vec<SocketAddr>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    loop {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(20..150))).await;
+        let acknowledged = ledger.book().acknowledged.keys().max().copied().unwrap_or(0);
+        let door = doors[rng.random_range(0..doors.len())];
+        let Some(answer) = call(door, "GET", "/config", "").await else {
+            continue;
+        };
+        if answer.status != 200 {
+            continue;
+        }
+        let read: Value = serde_json::from_str(&answer.body).expect("JSON");
+        let version = read["version"].as_u64().expect("a version");
+        ledger.book().reads += 1;
+        if version < acknowledged {
+            ledger.broken(format!("CONFIG: read {version} at {door}, acknowledged {acknowledged}"));
+        }
+    }
+}
+
 /// Sends a configuration once, and writes an acknowledgement down.
 pub async fn put(ledger: &Ledger, door: SocketAddr, version: u64, text: &str) -> bool {
     let calling = call(door, "PUT", "/config", text);
