Sight: what answers say of their targets is decoded, logged and counted

Each head that is a target's own is now heard in one place, whatever becomes of its request: the dialect decodes load, leaving and rest into one typed word; log lines target_leaving (once a start), target_rests (sampled), counters of both.

Nothing is decided by the two words yet. An answer that did not run its request now tells its target's load, too.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderName, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::checks::Checks;
 use crate::configuration::Configuration;
 use crate::directory::{Announcement, Born, TargetState};
 use crate::jsonc::{self, Fault, Validate};
+use crate::retry_after::RetryAfter;
 use crate::rollout::{Rollout, Stage};
 
 /// Names of the headers that routers read and write.
@@ -35,6 +36,12 @@
     pub stamp: HeaderName,
     /// In an answer: load of the target.
     pub load: HeaderName,
+    /// In an answer: the target is about to leave.
+    pub leaving: HeaderName,
+    /// Begin the names of headers that are the dialect's own.
+    pub own_prefixes: &'static [&'static str],
+    /// Further headers of the dialect's own that are only passed on.
+    pub passed_on: Vec<HeaderName>,
     /// Parts of the prompt.
     pub prompt: HeaderName,
     /// Target from which another is to fetch what it keeps of the prompt.
@@ -54,6 +61,13 @@
         let own = [&self.credential, &self.team, &self.expect_target, &self.fetch_from];
         own.into_iter().chain([&self.priority]).chain(&self.reserved)
     }
+
+    /// Whether a header of an answer is one of the dialect's own that is neither read nor known to be only passed on.
+    pub fn unread(&self, name: &HeaderName) -> bool {
+        let own = self.own_prefixes.iter().any(|prefix| name.as_str().starts_with(prefix));
+        let read = [&self.request_id, &self.not_run, &self.stamp, &self.load, &self.leaving];
+        own && !read.into_iter().chain(&self.passed_on).any(|known| known == name)
+    }
 }
 
 /// A call at the door of a member.
@@ -125,6 +139,17 @@
     pub strain_percent: Option<u32>,
 }
 
+/// What an answer says of the target that gives it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetWord {
+    /// Its load, where it tells.
+    pub load: Option<TargetLoad>,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// For how long it wants nothing more, where it turned the request away.
+    pub rest: Option<RetryAfter>,
+}
+
 /// Paths of calls.
 #[derive(Clone, Copy, Debug)]
 pub struct Paths {
@@ -256,6 +281,19 @@
         let waiting = numbers.next()?.ok()?;
         Some(TargetLoad { running, waiting, strain_percent: None })
     }
+
+    /// What the head of an answer says of its target.
+    fn word(&self, status: StatusCode, headers: &HeaderMap) -> TargetWord {
+        let names = self.headers();
+        let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let turned_away =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        TargetWord {
+            load: text(&names.load).and_then(|value| self.load(value)),
+            leaving: text(&names.leaving).is_some_and(|value| value.trim() == "1"),
+            rest: RetryAfter::of(headers).filter(|_| turned_away),
+        }
+    }
 }
 
 /// What an operator wants of a roll-out.
@@ -330,6 +368,9 @@
                 not_run: name("latchmount-not-run"),
                 stamp: name("latchmount-stamp"),
                 load: name("latchmount-load"),
+                leaving: name("latchmount-leaving"),
+                own_prefixes: &["latchmount-"],
+                passed_on: Vec::new(),
                 prompt: name("latchmount-prompt"),
                 fetch_from: name("latchmount-fetch-from"),
                 priority: name("latchmount-priority"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use http::header::HeaderMap;
-use http::{Response, StatusCode};
+use http::response::Parts;
 use hyper::body::Incoming;
 
 use super::connection::{ConnectError, Connection, ConnectionLimits, connect};
@@ -43,13 +44,16 @@
     Wrong,
 }
 
-/// How long an attempt waits for its answer while another target could be asked.
-pub(super) struct Patience<'a> {
-    pub(super) longest: Duration,
-    /// Whether another target could be asked.
-    pub(super) may_turn: &'a (dyn Fn() -> bool + Send + Sync),
-    /// Called when the target is waited for beyond that.
-    pub(super) is_over: &'a (dyn Fn() + Send + Sync),
+/// Decides on an attempt while it is under way, and is told of it.
+pub(super) trait Supervisor {
+    /// Whether another target could be asked instead of one that says nothing.
+    fn may_turn(&self) -> bool;
+
+    /// The target is waited for longer than it should take, since no other could be asked.
+    fn waits_on(&self);
+
+    /// The head of an answer that is the target's own, whatever becomes of the request.
+    fn hear(&self, status: StatusCode, headers: &HeaderMap);
 }
 
 /// Sends the request and waits for the head of the answer.
@@ -59,7 +63,8 @@
     outgoing: &Outgoing,
     names: &Headers,
     limits: ConnectionLimits<'_>,
-    patience: Patience<'_>,
+    patience: Duration,
+    supervisor: &impl Supervisor,
 ) -> Result<Answer, AttemptError> {
     let in_flight = target.begin(outgoing.body_bytes());
     let mut reuse = outgoing.reuse;
@@ -79,18 +84,25 @@
         }
         let request = outgoing.to_target(target, fetch_from, names);
         let mut sending = pin!(connection.sender.try_send_request(request));
-        let until = deadline.min(tokio::time::Instant::now() + patience.longest);
+        let until = deadline.min(tokio::time::Instant::now() + patience);
         let answered = match tokio::time::timeout_at(until, &mut sending).await {
-            Err(_) if (patience.may_turn)() => return Err(AttemptError::Late),
+            Err(_) if supervisor.may_turn() => return Err(AttemptError::Late),
             Err(_) => {
-                (patience.is_over)();
+                supervisor.waits_on();
                 tokio::time::timeout_at(deadline, sending).await
             }
             answered => answered,
         };
         match answered {
             Ok(Ok(response)) => {
-                return judge(target, response, connection, in_flight, outgoing, names);
+                let (head, body) = response.into_parts();
+                let judged = judge(&head, outgoing, names);
+                if matches!(judged, Ok(()) | Err(AttemptError::NotRun)) {
+                    supervisor.hear(head.status, &head.headers);
+                }
+                judged?;
+                let (target, status, headers) = (target.clone(), head.status, head.headers);
+                return Ok(Answer { target, status, headers, body, connection, in_flight });
             }
             Ok(Err(mut error)) => {
                 // The connection closed before any byte was written: a new one is needed.
@@ -105,15 +117,7 @@
 }
 
 /// Tells whether the answer is one to this request.
-fn judge(
-    target: &Arc<Target>,
-    response: Response<Incoming>,
-    connection: Connection,
-    in_flight: InFlight,
-    outgoing: &Outgoing,
-    names: &Headers,
-) -> Result<Answer, AttemptError> {
-    let (head, body) = response.into_parts();
+fn judge(head: &Parts, outgoing: &Outgoing, names: &Headers) -> Result<(), AttemptError> {
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some_and(|id| *id != outgoing.id) {
         return Err(AttemptError::Wrong);
@@ -128,6 +132,5 @@
     if head.status.is_success() && !signed {
         return Err(AttemptError::Wrong);
     }
-    let target = target.clone();
-    Ok(Answer { target, status: head.status, headers: head.headers, body, connection, in_flight })
+    Ok(())
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{HOST, HeaderValue};
+use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, refuse};
-use super::attempt::{self, Answer, AttemptError, Patience};
+use super::attempt::{self, Answer, AttemptError, Supervisor};
 use super::balance::Affinity;
 use super::choice::Choice;
 use super::connection::{ConnectError, Found};
@@ -21,6 +21,7 @@
 use super::patience::{self, SilenceWatch};
 use super::reason::Refusal;
 use super::relay;
+use super::target::Target;
 use super::trace::{self, Departure, text};
 use super::{Gateway, Stage};
 use crate::clock::Instant;
@@ -313,6 +314,28 @@
     error: AttemptError,
 }
 
+/// An attempt under way.
+struct Supervised<'a> {
+    gateway: &'a Gateway,
+    plan: &'a Plan,
+    target: &'a Target,
+    watch: &'a SilenceWatch,
+}
+
+impl Supervisor for Supervised<'_> {
+    fn may_turn(&self) -> bool {
+        self.plan.route.kind.idempotent() && self.gateway.could_send_after(self.plan)
+    }
+
+    fn waits_on(&self) {
+        self.watch.blame();
+    }
+
+    fn hear(&self, status: StatusCode, headers: &HeaderMap) {
+        self.gateway.hear(self.target, status, headers);
+    }
+}
+
 async fn attempt_at(
     gateway: &Arc<Gateway>,
     plan: &mut Plan,
@@ -326,12 +349,10 @@
     plan.counted_under = choice.counted_under.map(|subject| (subject, began));
     let longest = patience::for_answer(&plan.route);
     let watch = SilenceWatch::begin(gateway, target, longest);
-    let may_turn = || plan.route.kind.idempotent() && gateway.could_send_after(plan);
-    let is_over = || watch.blame();
-    let patience = Patience { longest, may_turn: &may_turn, is_over: &is_over };
+    let supervised = Supervised { gateway, plan, target, watch: &watch };
+    let (from, names) = (choice.fetch_from, gateway.names());
     let sent =
-        attempt::send(target, choice.fetch_from, &plan.outgoing, gateway.names(), limits, patience)
-            .await;
+        attempt::send(target, from, &plan.outgoing, names, limits, longest, &supervised).await;
     let blamed = watch.blamed();
     watch.end();
     gateway.note_met(target, found(&sent));
@@ -343,7 +364,6 @@
     }
     match sent {
         Ok(answer) => {
-            gateway.note_answer(target, &answer.headers);
             gateway.note_outcome(target, answered(answer.status));
             if answer.status.is_server_error() {
                 gateway.note_version_failed(plan);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,9 @@
     spent: IntCounterVec,
     withheld: IntCounterVec,
     asked_cold: IntCounterVec,
+    said_leaving: IntCounterVec,
+    asked_for_rest: IntCounterVec,
+    unread_headers: IntCounterVec,
     left_together: IntCounterVec,
     parcels_asked: IntCounterVec,
     parcels_fetched: IntCounterVec,
@@ -170,6 +173,21 @@
                 "Attempts at targets that are slow after a start, or may be.",
                 &["service"],
             )?,
+            said_leaving: set.counters(
+                "latchmount_gateway_answers_of_leaving_targets_total",
+                "Answers that say that their target is about to leave.",
+                &["service"],
+            )?,
+            asked_for_rest: set.counters(
+                "latchmount_gateway_rests_asked_total",
+                "Answers of targets that turned a request away and want nothing more for a while.",
+                &["service"],
+            )?,
+            unread_headers: set.counters(
+                "latchmount_gateway_unread_headers_total",
+                "Headers of targets' answers that are the dialect's own and that nothing reads, by name.",
+                &["name"],
+            )?,
             left_together: set.counters(
                 "latchmount_gateway_targets_left_together_total",
                 "Times that a target was left because of what all gateways saw.",
@@ -286,6 +304,21 @@
         self.asked_cold.with_label_values(&[service]).inc();
     }
 
+    /// An answer says that its target is about to leave.
+    pub(super) fn said_leaving(&self, service: &str) {
+        self.said_leaving.with_label_values(&[service]).inc();
+    }
+
+    /// A target that turned a request away wants nothing more for a while.
+    pub(super) fn asked_for_rest(&self, service: &str) {
+        self.asked_for_rest.with_label_values(&[service]).inc();
+    }
+
+    /// A header of an answer that nothing reads.
+    pub(super) fn unread_header(&self, name: &str) {
+        self.unread_headers.with_label_values(&[name]).inc();
+    }
+
     /// A target was left because of what all gateways saw.
     pub(super) fn left_together(&self, service: &str) {
         self.left_together.with_label_values(&[service]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod target;
 mod targets;
 mod trace;
+pub mod unread;
 pub mod versions;
 
 use std::collections::HashMap;
@@ -55,7 +56,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 
@@ -73,6 +74,7 @@
 use self::shelf::Shelf;
 use self::target::Target;
 use self::targets::Targets;
+use self::unread::UnreadNames;
 
 use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
@@ -121,6 +123,8 @@
     attempt_lines: Mutex<Sampler>,
     answer_lines: Mutex<Sampler>,
     inquest_lines: Mutex<Sampler>,
+    rest_lines: Mutex<Sampler>,
+    unread_names: Mutex<UnreadNames>,
     started: Instant,
     metrics: GatewayMetrics,
     log: Logger,
@@ -278,14 +282,19 @@
         self.metrics.render()
     }
 
-    fn note_answer(&self, target: &Target, headers: &HeaderMap) {
-        if !self.uses(Mechanism::TargetLoads) {
-            return;
-        }
-        let value = headers.get(&self.names().load).and_then(|value| value.to_str().ok());
-        if let Some(load) = value.and_then(|value| self.dialect.load(value)) {
+    /// Takes what the head of an answer says of its target.
+    fn hear(&self, target: &Target, status: StatusCode, headers: &HeaderMap) {
+        let word = self.dialect.word(status, headers);
+        if let Some(load) = word.load.filter(|_| self.uses(Mechanism::TargetLoads)) {
             target.note_load(self.now(), load);
         }
+        if word.leaving {
+            trace::says_leaving(self, target);
+        }
+        if let Some(rest) = word.rest {
+            trace::asks_for_rest(self, target, rest);
+        }
+        self.note_unread(target, headers);
     }
 
     fn note_outcome(&self, target: &Target, outcome: AttemptOutcome) {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -95,6 +95,8 @@
             attempt_lines: Mutex::default(),
             answer_lines: Mutex::default(),
             inquest_lines: Mutex::default(),
+            rest_lines: Mutex::default(),
+            unread_names: Mutex::default(),
             started: Instant::now(),
             metrics: GatewayMetrics::new()?,
             log,
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -42,6 +42,8 @@
     /// Hash of the data hall that it stands in.
     pub(super) hall: u64,
     draining: AtomicBool,
+    /// Whether an answer of its own has said that it leaves.
+    says_leaving: AtomicBool,
     /// Whether its data hall is evacuated.
     evacuated: AtomicBool,
     /// Its home, or [`NO_HOME`].
@@ -73,6 +75,7 @@
             key: announcement.key(),
             hall: key(&announcement.data_hall),
             draining: AtomicBool::new(false),
+            says_leaving: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
             home: AtomicU32::new(NO_HOME),
             silent: AtomicBool::new(false),
@@ -138,6 +141,11 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Notes that an answer of its own says that it leaves; tells whether that is the first.
+    pub(super) fn first_says_leaving(&self) -> bool {
+        !self.says_leaving.swap(true, Ordering::Relaxed)
+    }
+
     /// Whether it has not been heard for long by the members.
     pub(super) fn silent(&self) -> bool {
         self.silent.load(Ordering::Relaxed)
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -12,6 +12,7 @@
 use super::reason::Refusal;
 use super::target::Target;
 use crate::clock::Instant;
+use crate::retry_after::RetryAfter;
 use crate::sync::lock;
 
 /// The text of a header's value; empty when there is none.
@@ -105,6 +106,28 @@
     plan.departure.finish();
 }
 
+/// An answer says that its target is about to leave; logged once for each start of a target.
+pub(super) fn says_leaving(gateway: &Gateway, target: &Target) {
+    gateway.metrics.said_leaving(&target.announcement.service);
+    if target.first_says_leaving() {
+        info!(gateway.log, "target says that it leaves"; "event" => "target_leaving",
+            "target" => &target.announcement.id, "addr" => %target.announcement.addr,
+            "service" => &target.announcement.service, "told_by_members" => target.draining(),
+            "in_flight" => target.in_flight(), "news_age_ms" => gateway.news_age_ms());
+    }
+}
+
+/// A target that turned a request away wants nothing more for a while.
+pub(super) fn asks_for_rest(gateway: &Gateway, target: &Target, rest: RetryAfter) {
+    gateway.metrics.asked_for_rest(&target.announcement.service);
+    if let Some(stands_for) = lock(&gateway.rest_lines).keep(gateway.now()) {
+        info!(gateway.log, "target asks for rest"; "event" => "target_rests",
+            "target" => &target.announcement.id, "addr" => %target.announcement.addr,
+            "service" => &target.announcement.service, "rest" => ?rest,
+            "in_flight" => target.in_flight(), "stands_for" => stands_for);
+    }
+}
+
 /// An answer or a stream broke off on its way from the target.
 pub(super) fn broke_off(
     gateway: &Gateway,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod raft;
 pub mod reason;
 pub mod retry;
+pub mod retry_after;
 pub mod rollout;
 pub mod route_table;
 pub mod router;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -24,4 +24,5 @@
 mod stops;
 mod stories;
 mod streams;
+mod words;
 mod writers;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -392,8 +392,8 @@
                 whole(format!("answer to {id}"))
             }
             Behaviour::TurnAway => {
-                let refusal = Response::builder().status(503).header("x-not-run", "1");
-                return Ok(refusal.body(whole(String::new())).expect("sound"));
+                answer = answer.status(503).header("x-not-run", "1");
+                whole(String::new())
             }
             Behaviour::Lose => return Err(Cut),
             Behaviour::Fail => {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,3 +28,4 @@
 mod spread;
 mod strain;
 mod versions;
+mod words;
