--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,11 +9,13 @@
 mod harness;
 mod headers;
 mod kept;
+mod leaving;
 mod mortal;
 mod news;
 mod poison;
 mod refusals;
 mod requests;
+mod rests;
 mod returns;
 mod rollouts;
 #[path = "../seeds/seed.rs"]
--- /dev/null
+++ b/tests/fleet/rests.rs
@@ -0,0 +1,54 @@
+//! Targets that turn requests away and ask for rest.
+//!
+//! What users saw: a target that had turned a request away and asked a gateway for three seconds of rest got ten more from
+//! it in that time, while one in three requests was refused and other targets had room.
+
+use rstest::rstest;
+
+use crate::doors::configuration;
+use crate::harness::{Fleet, eventually};
+use crate::refusals::Ask;
+use crate::standin::{Behaviour, Standin};
+
+/// Requests that are sent once the word was heard: each of two targets would get many of them.
+const LATER: usize = 30;
+
+async fn fleet_with_two() -> (Fleet, Standin, Standin) {
+    let fleet = Fleet::start(1, 1).await;
+    let resting = Standin::start("i-1", "s", fleet.doors()).await;
+    let other = Standin::start("i-2", "s", fleet.doors()).await;
+    fleet.configure(&configuration(1)).await;
+    fleet.knows_targets(0, 2).await;
+    (fleet, resting, other)
+}
+
+/// Asks until a target has got a request, which it turns away.
+async fn ask_until_turned_away(fleet: &Fleet, target: &Standin) {
+    let mut asked = 0;
+    eventually("the target gets a request", async || {
+        asked += 1;
+        let id = format!("first-{asked}");
+        let _ = Ask::new("/retried/x", &id).send(fleet.front(0)).await;
+        (!target.arrivals().is_empty()).then_some(())
+    })
+    .await;
+}
+
+/// A target that asks for a rest that outlasts the test gets none of the requests in it, and no caller notices.
+#[rstest]
+#[case::whole_seconds("600")]
+#[case::fractions("600.5")]
+#[tokio::test]
+async fn a_target_that_asks_for_rest_gets_it(#[case] seconds: &'static str) {
+    let (fleet, resting, _other) = fleet_with_two().await;
+    resting.say("retry-after", seconds);
+    resting.behave(Behaviour::TurnAway);
+    ask_until_turned_away(&fleet, &resting).await;
+    resting.behave(Behaviour::Answer);
+    for number in 0..LATER {
+        let id = format!("later-{number}");
+        let answer = Ask::new("/unsafe/x", &id).send(fleet.front(0)).await.expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    assert_eq!(resting.arrivals().len(), 1, "of {LATER} more");
+}
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -40,6 +40,8 @@
     Lose,
     /// Runs the request and fails.
     Fail,
+    /// Runs the request and answers that it can't be done.
+    Deny,
     /// Answers for another request.
     AnswerAnother,
     /// Answers without a signature.
@@ -400,6 +402,10 @@
                 answer = answer.status(500);
                 whole("failed".into())
             }
+            Behaviour::Deny => {
+                answer = answer.status(409);
+                whole("denied".into())
+            }
             Behaviour::AnswerAnother => {
                 let another = Response::builder()
                     .header("x-request-id", "another")
