A target that says in an answer that it leaves is sent nothing more

Callers saw nothing but requests that ended with their target; the target that leaves got 10 to 22 of 30 later requests, up to 2.1 s and more after a gateway had passed its word on. Cause: gateways went by the members' list alone; a target's word in an answer was dropped with its head, so that a cut, a slow acknowledgement or a deaf member decided what the gateway already knew. Ruled out: that the word is heard late (the same with all members well), or that some ways to a target pass over it (there was nothing to pass over). Mend: whether a target may be sent anything is decided in one place, availability.rs, from its own word, the list and orders about its hall. Each way to a target asks there, at the choice and once connected, so that the word holds for first attempts, retries and resumed streams alike. It is final for that start of the target: answers overtake each other and lists may be old, so neither a later answer without it, nor a list, nor a removal and return undoes it (remembered.rs: 4,096 starts, 10 minutes); another start begins clean. A target that may be sent nothing once the connection is there costs the request none of its connects any more: many may say so at once.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -135,7 +135,7 @@
         let versions = Versions::of(&known, &plan.service);
         let groups = versions.groups(plan.lot, !plan.tried.is_empty());
         let there = |target: &&Arc<Target>| {
-            !target.draining()
+            !target.leaving()
                 && self.region_allows(plan, target)
                 && !plan.tried.contains(&target.key)
                 && groups.iter().any(|group| versions.holds(*group, target))
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -265,8 +265,12 @@
 fn after_failure(plan: &mut Plan, failed: Failed) -> Result<(), Refusal> {
     let Failed { refusal, error } = failed;
     if refusal == Refusal::ConnectFailed {
-        let hung = error == AttemptError::NotSent(ConnectError::Timeout);
-        plan.connect_cost += if hung { HANG_COST } else { 1 };
+        plan.connect_cost += match error {
+            AttemptError::NotSent(ConnectError::Timeout) => HANG_COST,
+            // A word that came while it connected is nobody's fault, and many may come at once.
+            AttemptError::NotSent(ConnectError::NotWanted) => 0,
+            _ => 1,
+        };
         if plan.connect_cost >= MOST_CONNECT_COST {
             return Err(plan.may_have_run.unwrap_or(refusal));
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod probe;
 pub mod reason;
 mod relay;
+pub mod remembered;
 mod retries;
 pub mod reuse;
 mod running;
@@ -289,7 +290,8 @@
             target.note_load(self.now(), load);
         }
         if word.leaving {
-            trace::says_leaving(self, target);
+            let told = target.leaving();
+            trace::says_leaving(self, target, target.says_leaving(), told);
         }
         if let Some(rest) = word.rest {
             trace::asks_for_rest(self, target, rest);
@@ -320,7 +322,7 @@
     fn tallies_of_others(&self, now: Duration, target: &Target) -> Vec<Tally> {
         let targets = read(&self.targets);
         let others = targets.of(&target.announcement.service).iter();
-        let others = others.filter(|other| other.key != target.key && !other.draining());
+        let others = others.filter(|other| other.key != target.key && !other.leaving());
         let tallies = others.filter_map(|other| {
             let health = other.health();
             (!health.paused(now)).then(|| health.tally(now))
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -34,7 +34,7 @@
         let route = plan.route.name.clone();
         let counted_under = plan.counted_under.map(|(subject, _)| subject);
         // Where it leaves as planned, its end is no request's doing.
-        let leaves = target.draining();
+        let leaves = target.leaving();
         let began = Instant::now();
         tokio::spawn(async move {
             let found = look_at(&target, gateway.connection_limits(&service)).await;
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -79,7 +79,7 @@
     /// The prompt's home, if that stands in an evacuated hall.
     fn evacuated_home<'a>(&self, search: &Search<'a>) -> Option<&'a Arc<Target>> {
         let homes = self.uses(Mechanism::Homes);
-        let evacuated = search.of_service.iter().filter(|t| t.evacuated() && !t.draining());
+        let evacuated = search.of_service.iter().filter(|t| t.evacuated());
         let evacuated: Vec<&Arc<Target>> = evacuated.collect();
         let away = evacuated.iter().map(|target| Candidate {
             key: target.key,
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -8,6 +8,7 @@
 use super::connection::Idle;
 use super::health::Health;
 use super::strain::Strain;
+use crate::availability::{Availability, OwnWord, Standing};
 use crate::dialect::TargetLoad;
 use crate::directory::{Announcement, TargetState, key};
 use crate::group::evidence::Outcomes;
@@ -41,11 +42,8 @@
     pub(super) key: u64,
     /// Hash of the data hall that it stands in.
     pub(super) hall: u64,
-    draining: AtomicBool,
-    /// Whether an answer of its own has said that it leaves.
-    says_leaving: AtomicBool,
-    /// Whether its data hall is evacuated.
-    evacuated: AtomicBool,
+    /// Whether it may be sent anything.
+    availability: Mutex<Availability>,
     /// Its home, or [`NO_HOME`].
     home: AtomicU32,
     silent: AtomicBool,
@@ -74,9 +72,7 @@
         let target = Target {
             key: announcement.key(),
             hall: key(&announcement.data_hall),
-            draining: AtomicBool::new(false),
-            says_leaving: AtomicBool::new(false),
-            evacuated: AtomicBool::new(false),
+            availability: Mutex::default(),
             home: AtomicU32::new(NO_HOME),
             silent: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -102,7 +98,7 @@
     }
 
     pub(super) fn set_state(&self, state: TargetState) {
-        self.draining.store(state == TargetState::Draining, Ordering::Relaxed);
+        lock(&self.availability).list(state == TargetState::Draining);
         self.silent.store(state == TargetState::Silent, Ordering::Relaxed);
         if state != TargetState::Ready {
             self.close_idle();
@@ -119,31 +115,51 @@
         self.home.store(home.unwrap_or(NO_HOME), Ordering::Relaxed);
     }
 
-    /// Whether it is to be sent nothing more, because its data hall is evacuated.
-    pub(super) fn evacuated(&self) -> bool {
-        self.evacuated.load(Ordering::Relaxed)
-    }
-
+    /// Notes whether its data hall is evacuated.
     pub(super) fn set_evacuated(&self, evacuated: bool) {
-        self.evacuated.store(evacuated, Ordering::Relaxed);
+        lock(&self.availability).evacuate(evacuated);
         if evacuated {
             self.close_idle();
         }
     }
 
+    /// Notes that an answer of its own says that it leaves; tells whether that is the first.
+    pub(super) fn says_leaving(&self) -> bool {
+        let first = lock(&self.availability).says_leaving();
+        if first {
+            self.close_idle();
+        }
+        first
+    }
+
+    /// What it may be sent now.
+    pub(super) fn standing(&self) -> Standing {
+        lock(&self.availability).standing()
+    }
+
     /// Whether it is to be sent new work.
     pub(super) fn open_to_work(&self) -> bool {
-        !self.draining() && !self.evacuated()
+        self.standing() == Standing::Open
     }
 
-    /// Whether it takes no new work.
-    pub(super) fn draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+    /// Whether it is to be sent nothing more, because its data hall is evacuated.
+    pub(super) fn evacuated(&self) -> bool {
+        self.standing() == Standing::Evacuated
     }
 
-    /// Notes that an answer of its own says that it leaves; tells whether that is the first.
-    pub(super) fn first_says_leaving(&self) -> bool {
-        !self.says_leaving.swap(true, Ordering::Relaxed)
+    /// Whether it takes no new work, as the members or its own answers say.
+    pub(super) fn leaving(&self) -> bool {
+        self.standing() == Standing::Leaving
+    }
+
+    /// What it has said of itself in its answers, if anything.
+    pub(super) fn own_word(&self) -> Option<OwnWord> {
+        lock(&self.availability).own_word()
+    }
+
+    /// Takes what the same start has said of itself under an earlier listing.
+    pub(super) fn recall(&self, said: OwnWord) {
+        lock(&self.availability).recall(said);
     }
 
     /// Whether it has not been heard for long by the members.
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::remembered::RememberedWords;
 use super::target::Target;
 use crate::clock::Instant;
 use crate::directory::{DirectoryDelta, Listed, Moved, TargetState};
@@ -38,6 +39,8 @@
     by_id: HashMap<String, Arc<Target>>,
     by_key: HashMap<u64, Arc<Target>>,
     by_service: HashMap<String, Vec<Arc<Target>>>,
+    /// What those that are listed no more have said of themselves.
+    remembered: RememberedWords,
 }
 
 impl Targets {
@@ -145,12 +148,12 @@
             let known = self.by_id.keys();
             let gone: Vec<String> =
                 known.filter(|id| !kept.contains(id.as_str())).cloned().collect();
-            gone.iter().for_each(|id| self.remove(id));
+            gone.iter().for_each(|id| self.remove(now, id));
         }
-        delta.removed.iter().for_each(|id| self.remove(id));
+        delta.removed.iter().for_each(|id| self.remove(now, id));
         for listed in delta.changed {
             let cold_left = listed.announcement.cold_left;
-            let target = self.change(listed);
+            let target = self.change(now, listed);
             target.warmth().told(now, cold_left);
             self.note_home(&target, first);
         }
@@ -183,10 +186,13 @@
         }
     }
 
-    fn remove(&mut self, id: &str) {
+    fn remove(&mut self, now: Duration, id: &str) {
         let Some(target) = self.by_id.remove(id) else {
             return;
         };
+        if let Some(said) = target.own_word() {
+            self.remembered.keep(now, target.key, said);
+        }
         self.by_key.remove(&target.key);
         // Requests that hold the target must not keep its connections.
         target.set_state(TargetState::Draining);
@@ -213,7 +219,7 @@
     }
 
     /// Takes what is now known of a target, and returns the target.
-    fn change(&mut self, listed: Listed) -> Arc<Target> {
+    fn change(&mut self, now: Duration, listed: Listed) -> Arc<Target> {
         let Listed { announcement, home } = listed;
         if let Some(known) = self.by_id.get(&announcement.id)
             && known.announcement.born == announcement.born
@@ -225,8 +231,11 @@
             known.set_home(home);
             return known.clone();
         }
-        self.remove(&announcement.id);
+        self.remove(now, &announcement.id);
         let target = Arc::new(Target::new(announcement));
+        if let Some(said) = self.remembered.take(now, target.key) {
+            target.recall(said);
+        }
         target.set_home(home);
         self.insert(target.clone());
         target
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -106,13 +106,13 @@
     plan.departure.finish();
 }
 
-/// An answer says that its target is about to leave; logged once for each start of a target.
-pub(super) fn says_leaving(gateway: &Gateway, target: &Target) {
+/// An answer says that its target is about to leave, the `first` of that start of it to do so.
+pub(super) fn says_leaving(gateway: &Gateway, target: &Target, first: bool, told: bool) {
     gateway.metrics.said_leaving(&target.announcement.service);
-    if target.first_says_leaving() {
+    if first {
         info!(gateway.log, "target says that it leaves"; "event" => "target_leaving",
             "target" => &target.announcement.id, "addr" => %target.announcement.addr,
-            "service" => &target.announcement.service, "told_by_members" => target.draining(),
+            "service" => &target.announcement.service, "told_by_members" => told,
             "in_flight" => target.in_flight(), "news_age_ms" => gateway.news_age_ms());
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 pub mod account;
+pub mod availability;
 pub mod checks;
 pub mod choice;
 pub mod claims;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -184,6 +184,11 @@
         self.odd_headers.lock().expect("no panic").push((name, value));
     }
 
+    /// Has its answers bear none of those headers any more.
+    pub fn say_no_more(&self) {
+        self.odd_headers.lock().expect("no panic").clear();
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("no panic").clone()
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod news;
 mod order;
 mod propagation;
+mod remembered;
 mod requests;
 mod routes;
 #[path = "../seeds/seed.rs"]
--- /dev/null
+++ b/tests/gateway/remembered.rs
@@ -0,0 +1,39 @@
+//! What targets that are listed no more have said of themselves.
+
+use std::time::Duration;
+
+use latchmount::availability::{Availability, Standing};
+use latchmount::gateway::remembered::RememberedWords;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn leaving() -> Availability {
+    let mut availability = Availability::default();
+    availability.says_leaving();
+    availability
+}
+
+#[test]
+fn a_start_that_is_listed_again_is_known_to_leave() {
+    let mut words = RememberedWords::default();
+    let said = leaving().own_word().expect("a word");
+    words.keep(SECOND, 7, said);
+    assert_eq!(words.take(SECOND, 8), None, "another start says nothing yet");
+    let mut again = Availability::default();
+    again.list(false);
+    again.recall(words.take(SECOND, 7).expect("remembered"));
+    assert_eq!(again.standing(), Standing::Leaving);
+    assert_eq!(Availability::default().own_word(), None);
+}
+
+#[test]
+fn words_are_bounded_and_the_oldest_gives_way() {
+    let mut words = RememberedWords::default();
+    let said = leaving().own_word().expect("a word");
+    for start in 0..5_000_u32 {
+        words.keep(SECOND + Duration::from_millis(start.into()), start.into(), said);
+    }
+    assert_eq!(words.take(SECOND, 0), None);
+    assert!(words.take(SECOND, 4_999).is_some());
+    assert_eq!(words.take(SECOND * 1_000, 4_998), None, "it has ended long ago");
+}
