A target that asks for rest is sent nothing until it ends

Cause: an answer that did not run its request was dropped with its head, neither heard nor counted. A target that turns away at once has nothing in flight and looked idle, so that it got more than others. Mend: a rest is one more thing that availability.rs knows of a target, so that every way there asks for it. Each word holds by itself, since answers overtake each other: the latest end counts. A week is an hour, a date or what can't be read is a second, 0 is none. After it each gateway comes back at a time of its own (100 ms for each gateway, 4 s at most), with one request and twice as many with each answer; until then the target is taken if no other will do.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -146,6 +146,8 @@
     pub load: Option<TargetLoad>,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Whether it did not run the request.
+    pub turned_away: bool,
     /// For how long it wants nothing more, where it turned the request away.
     pub rest: Option<RetryAfter>,
 }
@@ -286,12 +288,13 @@
     fn word(&self, status: StatusCode, headers: &HeaderMap) -> TargetWord {
         let names = self.headers();
         let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-        let turned_away =
+        let may_ask_for_rest =
             matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
         TargetWord {
             load: text(&names.load).and_then(|value| self.load(value)),
             leaving: text(&names.leaving).is_some_and(|value| value.trim() == "1"),
-            rest: RetryAfter::of(headers).filter(|_| turned_away),
+            turned_away: headers.contains_key(&names.not_run),
+            rest: RetryAfter::of(headers).filter(|_| may_ask_for_rest),
         }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -46,6 +46,9 @@
 
 /// Decides on an attempt while it is under way, and is told of it.
 pub(super) trait Supervisor {
+    /// Whether the target may still be sent the request, now that a connection is there.
+    fn may_send(&self) -> bool;
+
     /// Whether another target could be asked instead of one that says nothing.
     fn may_turn(&self) -> bool;
 
@@ -75,7 +78,7 @@
             Ok(connected) => connected.map_err(AttemptError::NotSent)?,
             Err(_) => return Err(AttemptError::NotSent(ConnectError::Timeout)),
         };
-        if !target.open_to_work() {
+        if !supervisor.may_send() {
             return Err(AttemptError::NotSent(ConnectError::NotWanted));
         }
         if Instant::now() >= outgoing.deadline {
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -67,7 +67,7 @@
         let cold = self.cold_limit(&plan.service);
         let (body, room) = (plan.outgoing.body_bytes(), self.bodies_at_target());
         let usable = |target: &&Arc<Target>| {
-            target.open_to_work()
+            target.standing(now).takes_work()
                 && self.region_allows(plan, target)
                 && !plan.tried.contains(&target.key)
                 && target.has_room(body, room)
@@ -230,7 +230,8 @@
         let answered_lately = health.last_answer().is_some_and(|at| now < at + ANSWERED_LATELY);
         let on_trial_and_busy = health.on_trial(now) && target.in_flight() > 0;
         let paused = self.uses(Mechanism::Pauses) && (health.paused(now) || on_trial_and_busy);
-        paused || (target.silent() && !answered_lately)
+        let comes_back = target.standing(now).hesitates(target.in_flight());
+        paused || comes_back || (target.silent() && !answered_lately)
     }
 }
 
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -184,7 +184,7 @@
 impl Connection {
     /// Keeps the connection for a later request, if the answer's head allows it.
     pub(super) fn keep(self, answer: &HeaderMap) {
-        if self.sender.is_closed() || closes(answer) || !self.target.open_to_work() {
+        if self.sender.is_closed() || closes(answer) || !self.target.in_service() {
             return;
         }
         let stated = stated_keep(answer).unwrap_or(KEPT_BY_DEFAULT);
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -90,7 +90,7 @@
                 continue;
             };
             let of_service = targets.of(&target.announcement.service).iter();
-            let others = of_service.filter(|other| other.key != target.key && other.open_to_work());
+            let others = of_service.filter(|other| other.key != target.key && other.in_service());
             let others: Vec<Tally> = others
                 .map(|other| tally(now, told.get(&LoadKey::of(other.key)).copied()))
                 .collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -327,6 +327,10 @@
 }
 
 impl Supervisor for Supervised<'_> {
+    fn may_send(&self) -> bool {
+        self.target.standing(self.gateway.now()).takes_work()
+    }
+
     fn may_turn(&self) -> bool {
         self.plan.route.kind.idempotent() && self.gateway.could_send_after(self.plan)
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -64,6 +64,7 @@
 use self::budget::ServiceBudget;
 use self::cold::ColdRule;
 use self::connection::ConnectionLimits;
+use self::evidence::spread;
 use self::fleet_size::FleetSize;
 use self::health::{AttemptOutcome, Tally};
 use self::held::Holdings;
@@ -293,8 +294,13 @@
             let told = target.leaving();
             trace::says_leaving(self, target, target.says_leaving(), told);
         }
-        if let Some(rest) = word.rest {
-            trace::asks_for_rest(self, target, rest);
+        match word.rest {
+            Some(rest) => {
+                target.rests(self.now(), rest, spread(self.gateways()));
+                trace::asks_for_rest(self, target, rest);
+            }
+            None if !word.turned_away => target.answered(self.now()),
+            None => {}
         }
         self.note_unread(target, headers);
     }
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -13,6 +13,7 @@
 use crate::directory::{Announcement, TargetState, key};
 use crate::group::evidence::Outcomes;
 use crate::group::loads::LoadKey;
+use crate::retry_after::RetryAfter;
 use crate::sync::lock;
 
 /// Age from which a target's own word about its load is not used any more.
@@ -132,24 +133,34 @@
         first
     }
 
+    /// Notes that it wants nothing for a while; its return begins a part of `spread` later.
+    pub(super) fn rests(&self, now: Duration, rest: RetryAfter, spread: Duration) {
+        lock(&self.availability).rests(now, rest, spread, rand::random());
+    }
+
+    /// Notes that it has answered a request that it did not turn away.
+    pub(super) fn answered(&self, now: Duration) {
+        lock(&self.availability).answered(now);
+    }
+
     /// What it may be sent now.
-    pub(super) fn standing(&self) -> Standing {
-        lock(&self.availability).standing()
+    pub(super) fn standing(&self, now: Duration) -> Standing {
+        lock(&self.availability).standing(now)
     }
 
-    /// Whether it is to be sent new work.
-    pub(super) fn open_to_work(&self) -> bool {
-        self.standing() == Standing::Open
+    /// Whether it serves, be it that it rests now.
+    pub(super) fn in_service(&self) -> bool {
+        lock(&self.availability).in_service()
     }
 
-    /// Whether it is to be sent nothing more, because its data hall is evacuated.
+    /// Whether it is to be sent nothing more only because its data hall is evacuated.
     pub(super) fn evacuated(&self) -> bool {
-        self.standing() == Standing::Evacuated
+        !self.in_service() && !self.leaving()
     }
 
-    /// Whether it takes no new work, as the members or its own answers say.
+    /// Whether it takes no new work any more, as the members or its own answers say.
     pub(super) fn leaving(&self) -> bool {
-        self.standing() == Standing::Leaving
+        lock(&self.availability).leaving()
     }
 
     /// What it has said of itself in its answers, if anything.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -68,7 +68,7 @@
     }
 
     fn trial_end(&self, told: &RolloutTold) -> u64 {
-        let alive = self.of_service.iter().filter(|target| target.open_to_work());
+        let alive = self.of_service.iter().filter(|target| target.in_service());
         let (new, old): (Vec<_>, Vec<_>) = alive.partition(|target| self.is_new(target));
         let count = on_trial(told.stage.share(), old.len(), new.len());
         let mut places: Vec<u64> = new.iter().map(|target| place(told, target)).collect();
--- a/tests/fleet/rests.rs
+++ b/tests/fleet/rests.rs
@@ -1,7 +1,14 @@
 //! Targets that turn requests away and ask for rest.
 //!
 //! What users saw: a target that had turned a request away and asked a gateway for three seconds of rest got ten more from
-//! it in that time, while one in three requests was refused and other targets had room.
+//! it in that time, while up to one in four callers was refused and other targets had room.
+//!
+//! Order of events: five of 18 targets turned all requests away for nine seconds, each with its wish for rest; they had
+//! nothing in flight, looked idle, and went on being chosen, as first targets and for retries.
+//!
+//! Cause: an answer that did not run its request was dropped with its head, and counted neither for what it said nor as an
+//! outcome. Evidence: the gateway's own log of the same time has each of these attempts, `error=NotRun` at `load=0.0` and
+//! `doubtful=0`; the tests below got 13 and 16 more requests.
 
 use rstest::rstest;
 
@@ -52,3 +59,28 @@
     }
     assert_eq!(resting.arrivals().len(), 1, "of {LATER} more");
 }
+
+/// However the target says how long, it is used again afterwards.
+#[rstest]
+#[case::a_fraction("0.3")]
+#[case::a_date("Wed, 21 Oct 2015 07:28:00 GMT")]
+#[case::negative("-5")]
+#[case::nothing_to_read("later")]
+#[tokio::test]
+async fn a_target_is_used_again_after_its_rest(#[case] value: &'static str) {
+    let (fleet, resting, _other) = fleet_with_two().await;
+    resting.say("retry-after", value);
+    resting.behave(Behaviour::TurnAway);
+    ask_until_turned_away(&fleet, &resting).await;
+    resting.behave(Behaviour::Answer);
+    resting.say_no_more();
+    let mut asked = 0;
+    eventually("the target is used again", async || {
+        asked += 1;
+        let id = format!("later-{asked}");
+        let answer = Ask::new("/unsafe/x", &id).send(fleet.front(0)).await.ok()?;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        (resting.arrivals().len() > 1).then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/gateway/availability.rs
@@ -0,0 +1,155 @@
+//! Whether a target may be sent anything, against a naive version that remembers every word.
+
+use std::time::Duration;
+
+use latchmount::availability::{Availability, Standing};
+use latchmount::retry_after::RetryAfter;
+use proptest::prelude::*;
+
+/// A rest that nobody is told the length of, and the longest.
+const UNCLEAR: Duration = Duration::from_secs(1);
+const LONGEST: Duration = Duration::from_secs(3_600);
+/// Time over which gateways come back.
+const SPREAD: Duration = Duration::from_millis(800);
+
+/// What may happen around one start of a target.
+#[derive(Clone, Debug)]
+enum Event {
+    /// Time goes by, be it that the host is suspended meanwhile.
+    Wait(u64),
+    Leaving,
+    Rest(Option<u64>),
+    Answered,
+    List(bool),
+    Evacuate(bool),
+    /// A list loses it and brings it back.
+    Relist(bool),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0_u64..3_000).prop_map(Event::Wait),
+        1 => (0_u64..8_000_000).prop_map(Event::Wait),
+        1 => Just(Event::Leaving),
+        4 => prop::option::of(0_u64..5_000).prop_map(Event::Rest),
+        1 => (0_u64..700_000_000).prop_map(|ms| Event::Rest(Some(ms))),
+        4 => Just(Event::Answered),
+        2 => any::<bool>().prop_map(Event::List),
+        2 => any::<bool>().prop_map(Event::Evacuate),
+        2 => any::<bool>().prop_map(Event::Relist),
+    ]
+}
+
+/// Remembers all that was said.
+#[derive(Default)]
+struct Naive {
+    said_leaving: bool,
+    listed_leaving: bool,
+    evacuated: bool,
+    rests: Vec<(Duration, Duration)>,
+}
+
+impl Naive {
+    fn note(&mut self, now: Duration, event: &Event) {
+        match event {
+            Event::Leaving => self.said_leaving = true,
+            Event::Rest(Some(ms)) => {
+                self.rests.push((now, Duration::from_millis(*ms).min(LONGEST)));
+            }
+            Event::Rest(None) => self.rests.push((now, UNCLEAR)),
+            Event::List(leaving) | Event::Relist(leaving) => self.listed_leaving = *leaving,
+            Event::Evacuate(evacuated) => self.evacuated = *evacuated,
+            Event::Wait(_) | Event::Answered => {}
+        }
+    }
+
+    fn rests(&self, now: Duration) -> bool {
+        self.rests.iter().any(|(at, length)| now < *at + *length)
+    }
+}
+
+fn note(known: &mut Availability, now: Duration, event: &Event, chance: f64, evacuated: bool) {
+    match event {
+        Event::Wait(_) => {}
+        Event::Leaving => {
+            known.says_leaving();
+        }
+        Event::Rest(ms) => {
+            let rest =
+                ms.map_or(RetryAfter::Unclear, |ms| RetryAfter::In(Duration::from_millis(ms)));
+            known.rests(now, rest, SPREAD, chance);
+        }
+        Event::Answered => known.answered(now),
+        Event::List(leaving) => known.list(*leaving),
+        Event::Evacuate(evacuated) => known.evacuate(*evacuated),
+        Event::Relist(leaving) => {
+            let said = known.own_word();
+            *known = Availability::default();
+            known.list(*leaving);
+            known.evacuate(evacuated);
+            said.into_iter().for_each(|said| known.recall(said));
+        }
+    }
+}
+
+proptest! {
+    /// Nothing is sent to a target that has said that it leaves, nor within a rest that it has asked for; and it is
+    /// sent something as soon as no word is in the way.
+    #[test]
+    fn no_word_of_a_target_is_forgotten_and_none_outlives_its_time(
+        events in prop::collection::vec((event(), 0.0..1.0_f64), 1..60),
+    ) {
+        let (mut known, mut naive) = (Availability::default(), Naive::default());
+        let mut now = Duration::from_secs(5);
+        for (event, chance) in events {
+            if let Event::Wait(ms) = event {
+                now += Duration::from_millis(ms);
+            }
+            note(&mut known, now, &event, chance, naive.evacuated);
+            naive.note(now, &event);
+            let standing = known.standing(now);
+            let leaving = naive.said_leaving || naive.listed_leaving;
+            prop_assert_eq!(standing == Standing::Leaving, leaving);
+            let free = !leaving && !naive.evacuated && !naive.rests(now);
+            prop_assert_eq!(standing.takes_work(), free, "{:?} at {:?}", standing, now);
+        }
+    }
+}
+
+fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn rest(seconds: f64) -> RetryAfter {
+    RetryAfter::In(secs(seconds))
+}
+
+#[test]
+fn a_target_comes_back_with_one_request_and_twice_as_many_with_each_answer() {
+    let mut known = Availability::default();
+    known.rests(secs(10.0), rest(3.0), secs(2.0), 0.5);
+    assert_eq!(known.standing(secs(12.9)), Standing::Resting { until: secs(13.0) });
+    // An answer of before the rest proves nothing.
+    known.answered(secs(12.9));
+    let early = known.standing(secs(13.5));
+    assert_eq!(early, Standing::Returning { allowed: 0 }, "only if no other will do");
+    assert!(early.takes_work() && early.hesitates(0));
+    for allowed in [1, 2, 4, 8] {
+        let standing = known.standing(secs(14.0));
+        assert_eq!(standing, Standing::Returning { allowed });
+        assert!(!standing.hesitates(allowed - 1) && standing.hesitates(allowed));
+        known.answered(secs(14.0));
+    }
+    assert_eq!(known.standing(secs(14.0)), Standing::Open);
+}
+
+#[test]
+fn a_shorter_word_does_not_shorten_a_rest_and_no_time_is_no_rest() {
+    let mut known = Availability::default();
+    known.rests(secs(1.0), rest(0.0), secs(1.0), 0.5);
+    assert_eq!(known.standing(secs(1.0)), Standing::Open);
+    known.rests(secs(1.0), rest(5.0), Duration::ZERO, 0.5);
+    known.rests(secs(1.5), rest(1.0), Duration::ZERO, 0.5);
+    known.rests(secs(2.0), rest(0.0), Duration::ZERO, 0.5);
+    assert_eq!(known.standing(secs(5.9)), Standing::Resting { until: secs(6.0) });
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `LATCHMOUNT_SEED` sets the seed of the random cases.
 
+mod availability;
 mod balance;
 mod budget;
 mod cold;
@@ -23,6 +24,7 @@
 mod propagation;
 mod remembered;
 mod requests;
+mod rests;
 mod routes;
 #[path = "../seeds/seed.rs"]
 mod seeds;
--- a/tests/gateway/remembered.rs
+++ b/tests/gateway/remembered.rs
@@ -22,7 +22,7 @@
     let mut again = Availability::default();
     again.list(false);
     again.recall(words.take(SECOND, 7).expect("remembered"));
-    assert_eq!(again.standing(), Standing::Leaving);
+    assert_eq!(again.standing(SECOND), Standing::Leaving);
     assert_eq!(Availability::default().own_word(), None);
 }
 
