Where all targets rest, callers learn so at once and when to come back

Such requests were refused as no_target, cold or connect_failed with 60 to 250 ms to wait, which brings callers back into the rest. The reason is resting now; Retry-After is the earliest end among the targets that could take the request, tried ones too, and up to 300 ms more, so that those who were refused do not come back together.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -8,7 +8,7 @@
 use crate::logline::LogLine;
 
 /// Events by which a process tells what it believes, and what each belief is about.
-const BELIEFS: [(&str, &str); 11] = [
+const BELIEFS: [(&str, &str); 13] = [
     ("configuration", "configuration"),
     ("targets", "targets"),
     ("gateways", "gateways"),
@@ -17,6 +17,8 @@
     ("members_lost", "members"),
     ("members_found", "members"),
     ("target_paused", "paused target"),
+    ("target_leaving", "leaving target"),
+    ("target_rests", "resting target"),
     ("settings_in_force", "settings"),
     ("stop", "stop"),
     ("gateway_started", "start"),
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -2,7 +2,6 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
@@ -10,7 +9,7 @@
 use http::{HeaderValue, Response};
 use http_body::{Body, Frame, SizeHint};
 
-use super::reason::Refusal;
+use super::reason::{Outlook, Refusal};
 
 /// The answer broke off; the client's connection is cut, so that it never looks complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -58,8 +57,8 @@
     }
 }
 
-/// The answer to a request that is refused or given up on by a gateway that has run for `up_for`.
-pub(super) fn refuse(refusal: Refusal, up_for: Duration) -> Response<AnswerBody> {
+/// The answer to a request that is refused or given up on.
+pub(super) fn refuse(refusal: Refusal, outlook: Outlook) -> Response<AnswerBody> {
     let text = format!(
         "{{\"error\":{{\"code\":\"{}\",\"not_run\":{}}}}}\n",
         refusal.code(),
@@ -69,7 +68,7 @@
     *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(wait) = refusal.come_back_in(up_for)
+    if let Some(wait) = refusal.come_back_in(outlook)
         && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", wait.as_secs_f64()))
     {
         headers.insert(RETRY_AFTER, value);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -15,7 +15,9 @@
 use super::reason::Refusal;
 use super::source::Search;
 use super::target::Target;
+use super::targets::Targets;
 use super::versions::{Group, Versions};
+use crate::availability::Standing;
 use crate::configuration::Route;
 use crate::group::loads::{LoadKey, Loads, TargetLoad, loads_count_for};
 use crate::rollout::tally::Subject;
@@ -25,6 +27,9 @@
 /// How long ago a target that the members do not hear must have answered to be trusted.
 const ANSWERED_LATELY: Duration = Duration::from_secs(3);
 
+/// Time over which callers come back that were refused because targets rest.
+const BACK_FROM_REST_OVER: Duration = Duration::from_millis(300);
+
 /// A target chosen for an attempt, and what the choice was made of.
 pub(super) struct Choice {
     pub(super) target: Arc<Target>,
@@ -131,28 +136,47 @@
 
     /// Why no target can be chosen for the request.
     pub(super) fn why_no_choice(&self, plan: &Plan) -> Refusal {
+        let now = self.now();
         let known = read(&self.targets);
-        let versions = Versions::of(&known, &plan.service);
-        let groups = versions.groups(plan.lot, !plan.tried.is_empty());
-        let there = |target: &&Arc<Target>| {
-            !target.leaving()
-                && self.region_allows(plan, target)
-                && !plan.tried.contains(&target.key)
-                && groups.iter().any(|group| versions.holds(*group, target))
-        };
-        let there: Vec<_> = known.of(&plan.service).iter().filter(there).collect();
+        let there = self.suitable(&known, plan);
+        let untried = there.iter().filter(|target| !plan.tried.contains(&target.key));
+        let open = untried.clone().filter(|target| target.standing(now).takes_work());
         let (body, room) = (plan.outgoing.body_bytes(), self.bodies_at_target());
-        if there.iter().any(|target| !target.evacuated() && target.has_room(body, room)) {
+        if open.clone().any(|target| target.has_room(body, room)) {
             return Refusal::Cold;
         }
-        if there.iter().any(|target| !target.evacuated()) {
+        if open.count() > 0 {
             return Refusal::NoRoom;
         }
-        match there.is_empty() {
-            false if plan.tried.is_empty() => Refusal::Evacuated,
-            _ if plan.connect_cost > 0 => Refusal::ConnectFailed,
-            _ => Refusal::NoTarget,
+        if there.iter().any(|target| rest_left(now, target).is_some()) {
+            return Refusal::Resting;
         }
+        if untried.count() > 0 && plan.tried.is_empty() {
+            return Refusal::Evacuated;
+        }
+        if plan.connect_cost > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget }
+    }
+
+    /// Time until a target that rests can be asked, and some more, so that those who were refused do not come back
+    /// all at once; `None` where none rests.
+    pub(super) fn rest_left(&self, plan: &Plan) -> Option<Duration> {
+        let now = self.now();
+        let known = read(&self.targets);
+        let there = self.suitable(&known, plan);
+        let first = there.iter().filter_map(|target| rest_left(now, target)).min()?;
+        Some(first + BACK_FROM_REST_OVER.mul_f64(rand::random()))
+    }
+
+    /// Targets that may take the request by their version and region, and that do not leave.
+    fn suitable<'a>(&self, known: &'a Targets, plan: &Plan) -> Vec<&'a Arc<Target>> {
+        let versions = Versions::of(known, &plan.service);
+        let groups = versions.groups(plan.lot, !plan.tried.is_empty());
+        let suits = |target: &&Arc<Target>| {
+            !target.leaving()
+                && self.region_allows(plan, target)
+                && groups.iter().any(|group| versions.holds(*group, target))
+        };
+        known.of(&plan.service).iter().filter(suits).collect()
     }
 
     /// Whether the regions of the request's route and team allow a target; one whose region is not known
@@ -244,6 +268,14 @@
     targets.iter().copied().filter(|target| versions.holds(group, target)).collect()
 }
 
+/// Time until the rest of a target ends, if it rests.
+fn rest_left(now: Duration, target: &Target) -> Option<Duration> {
+    match target.standing(now) {
+        Standing::Resting { until } => Some(until.saturating_sub(now)),
+        _ => None,
+    }
+}
+
 /// Mean load that other gateways bring to the targets that told of it lately.
 fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
     let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,7 @@
 use super::held::Holder;
 use super::outgoing::Outgoing;
 use super::patience::{self, SilenceWatch};
-use super::reason::Refusal;
+use super::reason::{Outlook, Refusal};
 use super::relay;
 use super::target::Target;
 use super::trace::{self, Departure, text};
@@ -89,7 +89,7 @@
             let id = text(head.headers.get(&gateway.names().request_id));
             let host = text(head.headers.get(HOST));
             trace::refused(gateway, id, host, head.uri.path(), refusal);
-            refuse(refusal, gateway.now())
+            refuse(refusal, Outlook { up_for: gateway.now(), rest_left: None })
         }
     };
     if gateway.stage() != Stage::Serving {
@@ -229,9 +229,10 @@
 }
 
 pub(super) fn give_up(gateway: &Gateway, mut plan: Plan, refusal: Refusal) -> Response<AnswerBody> {
-    trace::given_up(gateway, &plan, refusal);
+    let rest_left = gateway.rest_left(&plan).filter(|_| refusal == Refusal::Resting);
+    trace::given_up(gateway, &plan, refusal, rest_left);
     plan.departure.finish();
-    refuse(refusal, gateway.now())
+    refuse(refusal, Outlook { up_for: gateway.now(), rest_left })
 }
 
 /// Sends the request until a target answers.
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -22,6 +22,15 @@
 /// a turn at one of them meanwhile.
 const COLD: Duration = Duration::from_millis(250);
 
+/// What a gateway knows of when a request that it refuses could be served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outlook {
+    /// Time since the gateway started.
+    pub up_for: Duration,
+    /// Time until the first target that has asked for rest can be asked again.
+    pub rest_left: Option<Duration>,
+}
+
 /// Why a request was refused or given up on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -51,6 +60,8 @@
     Evacuated,
     /// All targets that could take the request are slow after a start, and have had what they bear.
     Cold,
+    /// The targets that could take the request have asked this gateway for rest.
+    Resting,
     /// No target could be connected to, and nothing was sent.
     ConnectFailed,
     /// A target said that it did not run the request.
@@ -71,7 +82,7 @@
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 21] = [
+    pub const ALL: [Refusal; 22] = [
         Refusal::NoConfiguration,
         Refusal::Stopping,
         Refusal::Stale,
@@ -85,6 +96,7 @@
         Refusal::NoTarget,
         Refusal::Evacuated,
         Refusal::Cold,
+        Refusal::Resting,
         Refusal::ConnectFailed,
         Refusal::NotRun,
         Refusal::TooLate,
@@ -111,6 +123,7 @@
             Refusal::NoTarget => "no_target",
             Refusal::Evacuated => "evacuated",
             Refusal::Cold => "cold",
+            Refusal::Resting => "resting",
             Refusal::ConnectFailed => "connect_failed",
             Refusal::NotRun => "not_run",
             Refusal::TooLate => "too_late",
@@ -142,6 +155,7 @@
             | Refusal::NoTarget
             | Refusal::Evacuated
             | Refusal::Cold
+            | Refusal::Resting
             | Refusal::ConnectFailed
             | Refusal::NotRun
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -159,13 +173,13 @@
         )
     }
 
-    /// When the caller should come back, for requests that did not run, to a gateway that has run
-    /// for `up_for`.
-    pub fn come_back_in(self, up_for: Duration) -> Option<Duration> {
+    /// When the caller should come back, for requests that did not run.
+    pub fn come_back_in(self, outlook: Outlook) -> Option<Duration> {
         match self {
             Refusal::NoConfiguration => {
-                Some(up_for.clamp(FIRST_NEWS_WITHIN.0, FIRST_NEWS_WITHIN.1))
+                Some(outlook.up_for.clamp(FIRST_NEWS_WITHIN.0, FIRST_NEWS_WITHIN.1))
             }
+            Refusal::Resting => Some(outlook.rest_left.unwrap_or(ELSEWHERE)),
             Refusal::Stale => Some(NEWS_WITHIN),
             Refusal::Evacuated => Some(EVACUATED),
             Refusal::Cold => Some(COLD),
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -1,6 +1,7 @@
 //! The log lines of a request: one for each decision, with what decided it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
@@ -38,7 +39,12 @@
 }
 
 /// A request was given up on.
-pub(super) fn given_up(gateway: &Gateway, plan: &Plan, refusal: Refusal) {
+pub(super) fn given_up(
+    gateway: &Gateway,
+    plan: &Plan,
+    refusal: Refusal,
+    rest_left: Option<Duration>,
+) {
     gateway.metrics.refused(refusal);
     info!(gateway.log, "given up"; "event" => "given_up", "id" => text(Some(&plan.outgoing.id)),
         "reason" => refusal.code(), "status" => refusal.status().as_u16(),
@@ -48,6 +54,7 @@
         "version" => plan.version, "targets" => gateway.targets_of(&plan.service),
         "news_age_ms" => gateway.news_age_ms(), "elapsed_ms" => millis_since(plan.arrived),
         "fingerprint" => plan.known_fingerprint().map(|one| one.to_string()),
+        "rest_left_ms" => rest_left.map(|left| left.as_millis() as u64),
         "left_ms" => millis_left(plan));
 }
 
--- a/tests/fleet/rests.rs
+++ b/tests/fleet/rests.rs
@@ -14,7 +14,7 @@
 
 use crate::doors::configuration;
 use crate::harness::{Fleet, eventually};
-use crate::refusals::Ask;
+use crate::refusals::{Ask, code};
 use crate::standin::{Behaviour, Standin};
 
 /// Requests that are sent once the word was heard: each of two targets would get many of them.
@@ -84,3 +84,22 @@
     })
     .await;
 }
+
+/// Where all rest, callers learn at once that nothing ran, and when the first of them can be asked again.
+#[tokio::test]
+async fn a_service_whose_targets_all_rest_refuses_at_once_with_the_earliest_end() {
+    let (fleet, one, other) = fleet_with_two().await;
+    for (target, seconds) in [(&one, "900"), (&other, "600")] {
+        target.say("retry-after", seconds);
+        target.behave(Behaviour::TurnAway);
+    }
+    for target in [&one, &other] {
+        ask_until_turned_away(&fleet, target).await;
+    }
+    let answer = Ask::new("/safe/x", "later").send(fleet.front(0)).await.expect("an answer");
+    assert_eq!((answer.status, code(&answer).as_str()), (503, "resting"));
+    let wait: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!((500.0..601.0).contains(&wait), "{wait}");
+    assert_eq!(one.arrivals().len() + other.arrivals().len(), 2);
+    assert!(fleet.gateways[0].log().contains("reason=resting"));
+}
