--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -62,6 +62,8 @@
 pub enum Fault {
     /// Refuse, saying that it did not run.
     Refuse,
+    /// The same, and ask for so many seconds of rest.
+    Rest(u64),
     /// Run, then cut the connection before the answer begins.
     LoseAnswer,
     /// Run, and answer under another attempt's id.
@@ -244,7 +246,10 @@
         if leaving {
             header(res, "x-leaving", "1");
         }
-        if leaving || fault == Some(Fault::Refuse) {
+        if let Some(Fault::Rest(seconds)) = fault {
+            header(res, "retry-after", &seconds.to_string());
+        }
+        if leaving || matches!(fault, Some(Fault::Refuse | Fault::Rest(_))) {
             header(res, "x-not-run", "true");
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
--- a/tests/promises/leaving_target.rs
+++ b/tests/promises/leaving_target.rs
@@ -3,6 +3,7 @@
 
 use serde_json::json;
 
+use crate::support::engine::Fault;
 use crate::support::{Fleet, Shape, eventually};
 
 async fn ask(fleet: &Fleet, count: usize, label: &str) -> usize {
@@ -61,6 +62,51 @@
     assert!(retries <= 1.0, "asked {retries} times though it said that it leaves");
 }
 
+/// What users saw at gateways, at routers too: a target that had asked for rest got requests all the while. Routers dropped
+/// the word with the head of an answer that did not run its request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_asks_for_rest_gets_it() {
+    let fleet = Fleet::ready(Shape::default()).await;
+    fleet.engines[0].fail_next(Fault::Rest(600));
+    let runs = fleet.engines[0].all_runs();
+    let rested = async || fleet.metric(0, "latchmount_retries_total", "target_refused").await;
+    let mut asked = 0;
+    eventually("it turns a request of the first router away", async || {
+        asked += 1;
+        let text = format!("first-{asked}");
+        let answer = fleet.chat(0, &text, &[&text], false).send().await.ok()?;
+        assert_eq!(answer.status(), 200);
+        (rested().await > 0.0).then_some(())
+    })
+    .await;
+    let before = fleet.engines[0].all_runs();
+    assert_eq!(before, runs, "it had run nothing before it asked");
+    for chat in 0..40 {
+        let text = format!("later-{chat}");
+        let answer = fleet.chat(0, &text, &[&text], false).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+    assert_eq!(fleet.engines[0].all_runs(), before, "it got work in its rest");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_whose_targets_all_rest_refuses_with_the_earliest_end() {
+    let fleet = Fleet::ready(Shape { engines: 1, ..Shape::default() }).await;
+    fleet.engines[0].fail_next(Fault::Rest(600));
+    for text in ["first", "later"] {
+        let answer = fleet.chat(0, text, &[text], false).send().await.unwrap();
+        assert_eq!(answer.status(), 503);
+        let wait = answer.headers()["retry-after"].to_str().unwrap().parse::<u64>().unwrap();
+        assert!((500..=600).contains(&wait), "{text}: {wait}");
+        let body: serde_json::Value = answer.json().await.unwrap();
+        assert_eq!(
+            (&body["error"]["code"], &body["error"]["not_run"]),
+            (&json!("resting"), &json!(true))
+        );
+    }
+    assert_eq!(fleet.engines[0].all_runs(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_list_that_stops_coming_is_suspect_and_own_evidence_decides() {
     let router = json!({ "list_max_age_ms": 1_500 });
