Routers give a target the rest that it asks for

Callers saw refusals that other engines could have served; an engine that had asked a router for 600 s of rest got 14 of 40 later requests. Cause: routers decide on targets by themselves (targets.rs); they heard x-leaving on every answer and Retry-After on none. Mend: both paths now ask the same decision, availability.rs; a rest holds until its end, the return begins with one request. An engine that leaves stays left for its incarnation as before. Where all rest, the refusal is resting, at once and with the earliest end: trying again before that changes nothing, so no retry is spent on it.

--- a/src/reason.rs
+++ b/src/reason.rs
@@ -35,6 +35,8 @@
     Stopping,
     /// No live target serves the model or service.
     NoTarget,
+    /// The live targets that serve it have asked this router for rest.
+    Resting,
     /// Every target that could serve it is at its load bound.
     Overloaded,
     /// The request key could not be claimed in time.
@@ -63,7 +65,7 @@
 
 impl Reason {
     /// Every reason, in the order of the operators' page.
-    pub const ALL: [Reason; 19] = [
+    pub const ALL: [Reason; 20] = [
         Reason::BadRequest,
         Reason::BodyTooLarge,
         Reason::SlowCaller,
@@ -71,6 +73,7 @@
         Reason::StaleConfig,
         Reason::Stopping,
         Reason::NoTarget,
+        Reason::Resting,
         Reason::Overloaded,
         Reason::ClaimFailed,
         Reason::KeyTooOld,
@@ -95,6 +98,7 @@
             Reason::StaleConfig => "stale_config",
             Reason::Stopping => "stopping",
             Reason::NoTarget => "no_target",
+            Reason::Resting => "resting",
             Reason::Overloaded => "overloaded",
             Reason::ClaimFailed => "claim_failed",
             Reason::KeyTooOld => "key_too_old",
@@ -120,6 +124,7 @@
             Reason::StaleConfig => "this router can't prove its configuration fresh; ask another",
             Reason::Stopping => "this router is stopping; ask another",
             Reason::NoTarget => "no live target serves this",
+            Reason::Resting => "every target that serves this has asked for rest",
             Reason::Overloaded => "every target that serves this is at its bound",
             Reason::ClaimFailed => "the request key could not be claimed in time",
             Reason::KeyTooOld => "the request key is older than the window, or of the future",
@@ -165,11 +170,12 @@
         }
     }
 
-    /// When trying again makes sense; `None` where it does not.
+    /// When trying again makes sense, where nothing better is known; `None` where it does not.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Reason::StaleConfig | Reason::NoTarget => Some(Duration::from_secs(5)),
             Reason::Stopping
+            | Reason::Resting
             | Reason::ClaimFailed
             | Reason::Overloaded
             | Reason::ConnectFailed
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -82,7 +82,8 @@
             self.may_have_run = self.may_have_run.or(Some(reason));
         }
         let wait = backoff(self.made, rng);
-        let allowed = self.may_have_run.is_none() || self.repeatable;
+        // Nothing changes before the rest ends.
+        let allowed = (self.may_have_run.is_none() || self.repeatable) && reason != Reason::Resting;
         let in_time = now + wait < self.deadline;
         if allowed && in_time && self.made < MAX_ATTEMPTS && budget.spend() {
             return Next::Retry(wait);
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -1,5 +1,7 @@
 //! Final answers of the router itself: refusals and requests given up on.
 
+use std::time::Duration;
+
 use salvo::Response;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use salvo::http::{ResBody, StatusCode};
@@ -31,11 +33,13 @@
 pub(super) struct Refusal {
     pub(super) reason: Reason,
     message: String,
+    /// When trying again makes sense.
+    retry_after: Option<Duration>,
 }
 
 impl Refusal {
     pub(super) fn new(reason: Reason, message: impl Into<String>) -> Self {
-        Refusal { reason, message: message.into() }
+        Refusal { reason, message: message.into(), retry_after: reason.retry_after() }
     }
 
     /// A refusal whose reason says it all.
@@ -43,6 +47,16 @@
         Refusal::new(reason, reason.explain())
     }
 
+    /// The same where it is known when trying again makes sense.
+    pub(super) fn coming_back_in(self, wait: Option<Duration>) -> Self {
+        Refusal { retry_after: wait.or(self.retry_after), ..self }
+    }
+
+    /// Whole seconds until trying again makes sense, if it does.
+    fn retry_after_s(&self) -> Option<u64> {
+        self.retry_after.map(|after| after.as_secs_f64().ceil() as u64)
+    }
+
     /// Body for an answer or an error event.
     pub(super) fn body(&self) -> ErrorBody {
         let outcome = self.reason.outcome();
@@ -52,7 +66,7 @@
                 outcome,
                 not_run: outcome == Outcome::NotRun,
                 message: self.message.clone(),
-                retry_after_s: self.reason.retry_after().map(|after| after.as_secs()),
+                retry_after_s: self.retry_after_s(),
             },
         }
     }
@@ -61,8 +75,8 @@
     pub(super) fn write(&self, res: &mut Response) {
         let status = StatusCode::from_u16(self.reason.status());
         res.status_code(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
-        if let Some(after) = self.reason.retry_after() {
-            res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(after.as_secs()));
+        if let Some(after) = self.retry_after_s() {
+            res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(after));
         }
         let json = HeaderValue::from_static("application/json");
         res.headers_mut().insert(CONTENT_TYPE, json);
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -7,6 +7,7 @@
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use salvo::Response;
 use salvo::http::StatusCode;
+use slog::info;
 use tokio::sync::oneshot;
 
 use super::admission::{CHAT, DEADLINE, Kind, REQUEST_KEY, TEAM, Work};
@@ -19,6 +20,7 @@
 use crate::claims::RequestKey;
 use crate::reason::{Outcome, Reason};
 use crate::retry::{Attempts, Next};
+use crate::retry_after::RetryAfter;
 use crate::slots::{Ask, Place, TeamId, Wish};
 use crate::targets::{Choice, Need};
 
@@ -107,7 +109,8 @@
         match work.request_key.filter(|_| !work.repeatable) {
             Some(key) => self.run_once(work, key, in_flight, res).await,
             None => {
-                let begun = self.attempts(&work).await.map_err(Refusal::plain)?;
+                let begun = self.attempts(&work).await;
+                let begun = begun.map_err(|reason| self.refusal(&work, reason))?;
                 self.answer(Relay::new(self.clone(), begun, &work, None, in_flight), res).await
             }
         }
@@ -156,11 +159,22 @@
                 if reason.outcome() == Outcome::NotRun {
                     self.give_back(granted);
                 }
-                Err(Refusal::plain(reason))
+                Err(self.refusal(work, reason))
             }
         }
     }
 
+    /// The refusal of a request that was given up on; where targets rest it tells when the first can be asked.
+    fn refusal(&self, work: &Work, reason: Reason) -> Refusal {
+        let wait = (reason == Reason::Resting).then(|| self.rest_left(work)).flatten();
+        Refusal::plain(reason).coming_back_in(wait)
+    }
+
+    fn rest_left(&self, work: &Work) -> Option<Duration> {
+        let config = self.config();
+        lock(&self.targets).rest_left(self.now(), need(work), |name| config.closed(name))
+    }
+
     /// Tries until an answer begins or the request is given up on.
     async fn attempts(self: &Arc<Self>, work: &Work) -> Result<Begun, Reason> {
         let mut attempts = Attempts::new(work.repeatable, work.deadline);
@@ -271,16 +285,14 @@
 
     /// Takes a slot at the first target in the request's order that is below its bound.
     async fn choose(self: &Arc<Self>, work: &Work, tried: &[String]) -> Result<Slot, Reason> {
-        let need = match &work.kind {
-            Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.spec),
-            Kind::Service { name, .. } => Need::Service(name),
-        };
+        let need = need(work);
         let config = self.config();
         let closed = |name: &str| config.closed(name);
         let mut choices = lock(&self.targets).candidates(self.now(), need, closed);
         let usable = choices.len();
         if usable == 0 {
-            return Err(Reason::NoTarget);
+            let rests = self.rest_left(work).is_some();
+            return Err(if rests { Reason::Resting } else { Reason::NoTarget });
         }
         if choices.iter().any(|choice| !tried.contains(&choice.name)) {
             choices.retain(|choice| !tried.contains(&choice.name));
@@ -367,6 +379,12 @@
         if let Some(incarnation) = number(headers, LEAVING) {
             lock(&self.targets).leave(&target.name, incarnation);
         }
+        if let Some(rest) = RetryAfter::of(headers).filter(|_| asks_for_rest(answer.status())) {
+            lock(&self.targets).rest(self.now(), &target.name, rest);
+            self.metrics.rests.inc();
+            info!(self.log, "target asks for rest"; "event" => "target_rests",
+                "target" => &target.name, "rest" => ?rest);
+        }
         if headers.contains_key(NOT_RUN) {
             return Err(Reason::TargetRefused);
         }
@@ -379,6 +397,19 @@
     if error.is_connect() { Reason::ConnectFailed } else { Reason::AnswerLost }
 }
 
+/// What a request needs of a target.
+fn need(work: &Work) -> Need<'_> {
+    match &work.kind {
+        Kind::Chat | Kind::ChatStream => Need::Model(&work.policy.spec),
+        Kind::Service { name, .. } => Need::Service(name),
+    }
+}
+
+/// Whether an answer with this status may ask for rest.
+fn asks_for_rest(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/src/router/metrics.rs
+++ b/src/router/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a router.
 
-use prometheus::{Gauge, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::metrics::MetricSet;
 use crate::reason::Reason;
@@ -19,6 +19,8 @@
     pub refused: IntCounterVec,
     /// Further attempts, by the reason that the one before failed for.
     pub retries: IntCounterVec,
+    /// Answers by which targets that turned a request away asked for rest.
+    pub rests: IntCounter,
     /// Streams taken up again after a break, by how that went.
     pub resumes: IntCounterVec,
     /// Requests in flight, by target.
@@ -52,6 +54,10 @@
                 "Further attempts, by the reason that the one before failed for.",
                 &["reason"],
             )?,
+            rests: set.counter(
+                "latchmount_rests_asked_total",
+                "Answers of targets that turned a request away and want nothing more for a while.",
+            )?,
             resumes: set.counters(
                 "latchmount_resumes_total",
                 "Streams taken up again after a break.",
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -6,7 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::availability::{Availability, Standing};
 use crate::choice::{Candidate, NameHash};
+use crate::retry_after::RetryAfter;
 use crate::template::Spec;
 
 /// Failures in a row that open a target's circuit.
@@ -16,6 +18,9 @@
 /// How long a target that left the list is remembered, so that a stale list can't revive it.
 const TOMBSTONE_KEPT: Duration = Duration::from_secs(600);
 
+/// Time over which the routers come back to a target after a rest.
+const RETURN_OVER: Duration = Duration::from_secs(1);
+
 /// The platform's list of targets, as it publishes it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
@@ -95,8 +100,8 @@
 struct Target {
     listed: Listed,
     hash: NameHash,
-    /// Stays set for this incarnation, whatever a list says later.
-    leaving: bool,
+    /// Whether it may be sent anything; begins anew with each incarnation.
+    availability: Availability,
     /// When it was missing from the list first; `None` while it is listed.
     missing_since: Option<Duration>,
     answered_at: Option<Duration>,
@@ -104,6 +109,39 @@
     circuit: Circuit,
 }
 
+impl Target {
+    fn new(listed: Listed) -> Self {
+        let mut target = Target {
+            hash: NameHash::new(&listed.name),
+            availability: Availability::default(),
+            missing_since: None,
+            answered_at: None,
+            in_flight: 0,
+            circuit: Circuit::default(),
+            listed: listed.clone(),
+        };
+        target.take(listed);
+        target
+    }
+
+    /// Takes what the list says of this incarnation. Once it leaves, no later list revives it.
+    fn take(&mut self, listed: Listed) {
+        if listed.leaving {
+            self.availability.says_leaving();
+        }
+        self.listed = listed;
+    }
+
+    fn choice(&self) -> Choice {
+        Choice {
+            name: self.listed.name.clone(),
+            url: self.listed.url.clone(),
+            incarnation: self.listed.incarnation,
+            candidate: Candidate { name: self.hash, load: self.in_flight },
+        }
+    }
+}
+
 /// Keeps work away from a target that fails again and again.
 #[derive(Clone, Copy, Debug, Default)]
 struct Circuit {
@@ -162,29 +200,19 @@
 
     fn take(&mut self, listed: Listed) {
         let Some(target) = self.known.get_mut(&listed.name) else {
-            let target = Target {
-                hash: NameHash::new(&listed.name),
-                leaving: listed.leaving,
-                missing_since: None,
-                answered_at: None,
-                in_flight: 0,
-                circuit: Circuit::default(),
-                listed,
-            };
-            self.known.insert(target.listed.name.clone(), target);
+            self.known.insert(listed.name.clone(), Target::new(listed));
             return;
         };
         if listed.incarnation < target.listed.incarnation {
             return;
         }
         if listed.incarnation > target.listed.incarnation {
-            target.leaving = false;
+            target.availability = Availability::default();
             target.answered_at = None;
             target.circuit = Circuit::default();
         }
-        target.leaving |= listed.leaving;
         target.missing_since = None;
-        target.listed = listed;
+        target.take(listed);
     }
 
     /// Marks a target as leaving, on its own word.
@@ -192,10 +220,33 @@
         if let Some(target) = self.known.get_mut(name)
             && target.listed.incarnation <= incarnation
         {
-            target.leaving = true;
+            target.availability.says_leaving();
+        }
+    }
+
+    /// The target has turned a request away and wants nothing for a while.
+    pub fn rest(&mut self, now: Duration, name: &str, rest: RetryAfter) {
+        if let Some(target) = self.known.get_mut(name) {
+            let chance = rand::random();
+            target.availability.rests(now, rest, RETURN_OVER, chance);
         }
     }
 
+    /// Time until the first target that could meet the need ends its rest; `None` where none rests.
+    pub fn rest_left(
+        &self,
+        now: Duration,
+        need: Need<'_>,
+        closed: impl Fn(&str) -> bool,
+    ) -> Option<Duration> {
+        let suitable = self.suitable(now, need, &closed);
+        let left = suitable.filter_map(|target| match target.availability.standing(now) {
+            Standing::Resting { until } => Some(until.saturating_sub(now)),
+            _ => None,
+        });
+        left.min()
+    }
+
     /// Whether the platform's list is too old to prove that a target lives.
     pub fn list_suspect(&self, now: Duration) -> bool {
         self.list_made_at.is_none_or(|made_at| now > made_at + self.list_max_age)
@@ -208,27 +259,34 @@
         need: Need<'_>,
         closed: impl Fn(&str) -> bool,
     ) -> Vec<Choice> {
+        let usable = self.suitable(now, need, &closed);
+        let usable = usable.filter(|target| target.availability.standing(now).takes_work());
+        let (hesitant, sound): (Vec<_>, Vec<_>) = usable.partition(|target| {
+            let in_flight = u32::try_from(target.in_flight).unwrap_or(u32::MAX);
+            target.availability.standing(now).hesitates(in_flight)
+        });
+        let usable = if sound.is_empty() { hesitant } else { sound };
+        usable.into_iter().map(Target::choice).collect()
+    }
+
+    /// Targets that meet the need and live, whether or not they take work now.
+    fn suitable<'a>(
+        &'a self,
+        now: Duration,
+        need: Need<'a>,
+        closed: &'a impl Fn(&str) -> bool,
+    ) -> impl Iterator<Item = &'a Target> {
         let suspect = self.list_suspect(now);
-        let usable = |target: &&Target| {
+        self.known.values().filter(move |target| {
             let answered = target.answered_at;
             let lives = !suspect || answered.is_some_and(|at| now < at + self.list_max_age);
             need.met_by(&target.listed.serves)
                 && lives
-                && !target.leaving
                 && target.missing_since.is_none()
                 && target.circuit.closed(now)
                 && !closed(&target.listed.name)
                 && !closed(&target.listed.host)
-        };
-        let usable = self.known.values().filter(usable);
-        usable
-            .map(|target| Choice {
-                name: target.listed.name.clone(),
-                url: target.listed.url.clone(),
-                incarnation: target.listed.incarnation,
-                candidate: Candidate { name: target.hash, load: target.in_flight },
-            })
-            .collect()
+        })
     }
 
     /// Notes that a request goes to `name`.
@@ -249,6 +307,7 @@
     pub fn succeeded(&mut self, now: Duration, name: &str) {
         if let Some(target) = self.known.get_mut(name) {
             target.answered_at = Some(now);
+            target.availability.answered(now);
             target.circuit = Circuit::default();
         }
     }
--- a/tests/promises/leaving_target.rs
+++ b/tests/promises/leaving_target.rs
@@ -62,8 +62,9 @@
     assert!(retries <= 1.0, "asked {retries} times though it said that it leaves");
 }
 
-/// What users saw at gateways, at routers too: a target that had asked for rest got requests all the while. Routers dropped
-/// the word with the head of an answer that did not run its request.
+/// What users saw at gateways, at routers too: a target that had asked for rest got requests all the while, 14 of 40 here.
+/// Cause: a second path to targets decided by itself whether they may be sent anything; it heard that they leave, on each
+/// answer, and that they want rest on none.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_asks_for_rest_gets_it() {
     let fleet = Fleet::ready(Shape::default()).await;
