A rest that the next start of a target asked for before it was listed holds for it

A target that starts again under its identity answers there before any list tells of the start; gateways took its wish for rest for the old start's, and the new one began clean. A rest asked for within 5 s before another start is listed is kept for that; word of leaving is not, which would be final for a start that never said so.

--- a/src/availability.rs
+++ b/src/availability.rs
@@ -10,6 +10,8 @@
 
 /// Rest of a target that wants some and does not say how much in a way that can be read.
 const UNCLEAR_REST: Duration = Duration::from_secs(1);
+/// How long a start of a target may answer under its identity before the list tells of it.
+const UNLISTED_FOR: Duration = Duration::from_secs(5);
 /// Longest rest: a target that asks for more is asked again after that.
 const LONGEST_REST: Duration = Duration::from_secs(3_600);
 /// Requests that a target has had at once from here since its rest from which it is back for good.
@@ -51,6 +53,7 @@
 /// A rest that a target has asked for, and its return from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Rest {
+    said_at: Duration,
     until: Duration,
     /// When its return begins from here; at each gateway at another time.
     returns_at: Duration,
@@ -101,7 +104,7 @@
         let before = self.said.rest.map_or(Duration::ZERO, |rest| rest.until);
         if !length.is_zero() && until > before {
             let returns_at = until + spread.mul_f64(chance);
-            self.said.rest = Some(Rest { until, returns_at, allowed: 1 });
+            self.said.rest = Some(Rest { said_at: now, until, returns_at, allowed: 1 });
         }
     }
 
@@ -146,6 +149,13 @@
         (self.said != OwnWord::default()).then_some(self.said)
     }
 
+    /// What may be the word of the next start under the same identity, which may have answered before the list told of it:
+    /// a rest that was asked for a short time ago.
+    pub fn word_of_next_start(&self, now: Duration) -> Option<OwnWord> {
+        let rest = self.said.rest.filter(|rest| now < rest.said_at + UNLISTED_FOR);
+        rest.map(|rest| OwnWord { leaving: false, rest: Some(rest) })
+    }
+
     /// The same start has said this before, under another listing.
     pub fn recall(&mut self, said: OwnWord) {
         self.said.leaving |= said.leaving;
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -168,6 +168,11 @@
         lock(&self.availability).own_word()
     }
 
+    /// What may be the word of the next start under its identity.
+    pub(super) fn word_of_next_start(&self, now: Duration) -> Option<OwnWord> {
+        lock(&self.availability).word_of_next_start(now)
+    }
+
     /// Takes what the same start has said of itself under an earlier listing.
     pub(super) fn recall(&self, said: OwnWord) {
         lock(&self.availability).recall(said);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -231,11 +231,12 @@
             known.set_home(home);
             return known.clone();
         }
+        let known = self.by_id.get(&announcement.id);
+        let already_said = known.and_then(|known| known.word_of_next_start(now));
         self.remove(now, &announcement.id);
         let target = Arc::new(Target::new(announcement));
-        if let Some(said) = self.remembered.take(now, target.key) {
-            target.recall(said);
-        }
+        let said = self.remembered.take(now, target.key);
+        said.into_iter().chain(already_said).for_each(|said| target.recall(said));
         target.set_home(home);
         self.insert(target.clone());
         target
--- a/tests/gateway/availability.rs
+++ b/tests/gateway/availability.rs
@@ -143,6 +143,18 @@
     assert_eq!(known.standing(secs(14.0)), Standing::Open);
 }
 
+/// The next start under an identity may have answered before any list told of it.
+#[test]
+fn a_rest_asked_for_just_before_another_start_is_listed_holds_for_that_and_a_leave_does_not() {
+    let mut old = Availability::default();
+    old.says_leaving();
+    old.rests(secs(10.0), rest(30.0), Duration::ZERO, 0.5);
+    let mut next = Availability::default();
+    next.recall(old.word_of_next_start(secs(12.0)).expect("it may be its word"));
+    assert_eq!(next.standing(secs(12.0)), Standing::Resting { until: secs(40.0) });
+    assert_eq!(old.word_of_next_start(secs(20.0)), None, "it was the old one's");
+}
+
 #[test]
 fn a_shorter_word_does_not_shorten_a_rest_and_no_time_is_no_rest() {
     let mut known = Availability::default();
