Soak: all targets say in their answers that they leave, and ask for rest when they turn away

Checked from what targets and callers saw: DRAIN by what a gateway had passed on, members or none; BUDGET by what a target that had asked a gateway for rest got from it. Proxies connect from the address of whoever connected to them, so that a target knows which gateway calls. Faults of the gateway, and of the target's network about the time of the word, excuse; everything else counts.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -13,8 +13,8 @@
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpStream;
 
-use crate::ledger::{Ended, Kind, Ledger, Seen};
-use crate::target::{EVENTS, event};
+use crate::ledger::{Ended, Kind, LeavingTold, Ledger, Seen};
+use crate::target::{EVENTS, LEAVING, RAN_AT, event};
 
 /// Longest time that a caller waits.
 pub const PATIENCE: Duration = Duration::from_secs(4);
@@ -94,7 +94,7 @@
             .expect("a sound request");
         self.ledger.book().sent_ids.insert(id.clone());
         let sent = self.ledger.now();
-        let asking = self.exchange(connection, request, &id, kind);
+        let asking = self.exchange(connection, request, gateway, &id, kind);
         let asked = tokio::time::timeout(PATIENCE + BEYOND, asking).await;
         let (ended, goes_on) = match asked {
             Ok(Ok((status, goes_on))) => (Ended::Status(status), goes_on),
@@ -110,6 +110,7 @@
         &self,
         connection: &mut SendRequest<Full<Bytes>>,
         request: Request<Full<Bytes>>,
+        gateway: usize,
         id: &str,
         kind: Kind,
     ) -> Result<(u16, bool), hyper::Error> {
@@ -117,6 +118,10 @@
         let status = response.status().as_u16();
         let closes = response.headers().get("connection").is_some_and(|value| value == "close");
         let head = Head::of(&response);
+        if let Some(target) = head.leaves.clone() {
+            let at = self.ledger.now();
+            self.ledger.book().leaving_told.push(LeavingTold { target, gateway, at });
+        }
         let body = response.into_body().collect().await?.to_bytes();
         self.check(id, kind, status, &head, &body);
         Ok((status, !closes))
@@ -175,6 +180,8 @@
 struct Head {
     stamp: Option<String>,
     id: Option<String>,
+    /// The target that gave it, where it says that it leaves.
+    leaves: Option<String>,
 }
 
 impl Head {
@@ -183,7 +190,11 @@
             let value = response.headers().get(name)?.to_str().ok()?;
             Some(value.to_owned())
         };
-        Head { stamp: text("x-server-stamp"), id: text("x-request-id") }
+        Head {
+            stamp: text("x-server-stamp"),
+            id: text("x-request-id"),
+            leaves: text(LEAVING).and_then(|_| text(RAN_AT)),
+        }
     }
 }
 
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,10 +1,11 @@
 //! Holds what was seen against the promises of the pages, once every fault has ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
 use std::time::Duration;
 
 use crate::harness::{call, eventually};
-use crate::ledger::{Bite, Book, Ended, Order};
+use crate::ledger::{Bite, Book, Ended, Order, Party};
 use crate::seeds;
 use crate::target::COLD_FOR;
 use crate::world::{COLD, World};
@@ -27,6 +28,9 @@
 const MOST_LATE: usize = 3;
 /// Part of the innocent requests that may be taken for one that ends targets.
 const MOST_ACCUSED: f64 = 0.01;
+/// Time after which a gateway must have heard that a target wants rest, and requests that may come in it all the same.
+const REST_FROM: Duration = Duration::from_millis(500);
+const MOST_IN_REST: usize = 2;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Waits until the fleet is whole again, then checks everything.
@@ -41,6 +45,8 @@
     check_budget(&book, &mut broken);
     check_evacuations(&book, &mut broken);
     check_cold(&book, &mut broken);
+    check_leaving(&book, &mut broken);
+    check_rests(&book, &mut broken);
     check_poison(&book, &mut broken);
     drop(book);
     for process in world.fleet.members.iter_mut().chain(&mut world.fleet.gateways) {
@@ -230,6 +236,53 @@
     }
 }
 
+/// DRAIN: a request that a caller sent later than the bound after its gateway had passed on an answer by which a target says
+/// that it leaves does not reach that target, members or no members. A restart or a freeze of the gateway since excuses it.
+fn check_leaving(book: &Book, broken: &mut Vec<String>) {
+    let sent: HashMap<&str, Duration> =
+        book.seen.iter().map(|seen| (seen.id.as_str(), seen.sent)).collect();
+    let mut first: BTreeMap<(IpAddr, &str), Duration> = BTreeMap::new();
+    for told in &book.leaving_told {
+        let place = (book.gateways[told.gateway], told.target.as_str());
+        let at = first.entry(place).or_insert(told.at);
+        *at = told.at.min(*at);
+    }
+    for (id, run) in book.runs.iter().flat_map(|(id, runs)| runs.iter().map(move |run| (id, run))) {
+        let told = first.get(&(run.gateway, run.target.as_str()));
+        let late =
+            |told: &Duration| sent.get(id.as_str()).is_some_and(|sent| *sent > *told + DRAIN_BOUND);
+        if let Some(told) = told.filter(|told| late(told))
+            && !struck(book, &Party::Gateway(run.gateway), *told, run.at)
+        {
+            broken.push(format!("DRAIN: {id} reached {run:?}, told since {told:?}"));
+        }
+    }
+}
+
+/// BUDGET: a gateway that a target has asked for rest sends it hardly anything from half a second later until the rest ends.
+/// A fault of the gateway or at the target's network, which may have lost the word, excuses it.
+fn check_rests(book: &Book, broken: &mut Vec<String>) {
+    for rest in &book.rests {
+        let from = rest.at + REST_FROM;
+        let within = book.arrivals.iter().filter(|arrival| {
+            let same = arrival.target == rest.target && arrival.gateway == rest.gateway;
+            same && arrival.at > from && arrival.at < rest.until
+        });
+        let within: Vec<Duration> = within.map(|arrival| arrival.at).collect();
+        let lately = rest.at.saturating_sub(CALM);
+        let lost = struck(book, &Party::Target(rest.target.clone()), lately, from)
+            || struck(book, &Party::Gateway(rest.gateway), lately, rest.until);
+        if within.len() > MOST_IN_REST && !lost {
+            broken.push(format!("BUDGET: {rest:?} and yet got requests at {within:?}"));
+        }
+    }
+}
+
+/// Whether a fault or a repair struck somebody between two times.
+fn struck(book: &Book, party: &Party, from: Duration, to: Duration) -> bool {
+    book.struck.iter().any(|(struck, at)| struck == party && *at >= from && *at <= to)
+}
+
 /// Whether there was no fault near that time.
 fn calm(book: &Book, at: Duration) -> bool {
     !book.disturbed.iter().any(|other| *other + CALM > at && *other < at)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::harness::call;
-use crate::ledger::{Ledger, Order};
+use crate::ledger::{Ledger, Order, Party};
 use crate::world::{HALLS, World, order, put};
 
 /// What may happen.
@@ -205,6 +205,7 @@
         };
         self.note(format!("{fault:?} {at}"));
         let process = &mut self.world.fleet.gateways[at];
+        self.world.ledger.strike(Party::Gateway(process.ip));
         let repair = match fault {
             Fault::KillGateway => {
                 process.kill();
@@ -332,6 +333,7 @@
             return;
         };
         self.note(format!("{fault:?} {}", self.world.targets[at].0.id()));
+        self.strike_party_of_target(at);
         let (target, network) = &self.world.targets[at];
         match fault {
             Fault::ResetTarget => return network.reset(),
@@ -350,6 +352,11 @@
         self.later(Repair::HealTarget(at));
     }
 
+    fn strike_party_of_target(&self, at: usize) {
+        let name = self.world.targets[at].0.name();
+        self.world.ledger.strike(Party::Target(name));
+    }
+
     /// Every target of a hall is out of reach at once, and back at once.
     fn lose_hall(&mut self) {
         let lost = HALLS[1 + 2 * self.world.rng.random_range(0..2)];
@@ -359,6 +366,7 @@
         let lost_ones: Vec<usize> = (0..self.world.targets.len()).filter(of_hall).collect();
         self.note(format!("LoseHall {lost}"));
         for at in &lost_ones {
+            self.strike_party_of_target(*at);
             let network = &self.world.targets[*at].1;
             network.reset();
             network.change(|faults| faults.deaf = true);
@@ -468,6 +476,17 @@
     }
 
     async fn carry_out(&mut self, repair: Repair) {
+        match repair {
+            Repair::StartGateway(at)
+            | Repair::AwaitGateway(at)
+            | Repair::ResumeGateway(at)
+            | Repair::HealGateway(at) => {
+                let ip = self.world.fleet.gateways[at].ip;
+                self.world.ledger.strike(Party::Gateway(ip));
+            }
+            Repair::HealTarget(at) => self.strike_party_of_target(at),
+            _ => {}
+        }
         match repair {
             Repair::StartGateway(at) => {
                 self.world.fleet.gateways[at].start();
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -1,6 +1,7 @@
 //! What callers, targets and operators have seen.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -49,10 +50,44 @@
     pub ended: Ended,
 }
 
+/// A request that reached a target, whether or not it ran there.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub target: String,
+    pub gateway: IpAddr,
+    pub at: Duration,
+}
+
+/// A target turned a gateway's request away and asked it for rest.
+#[derive(Clone, Debug)]
+pub struct Rest {
+    pub target: String,
+    pub gateway: IpAddr,
+    pub at: Duration,
+    pub until: Duration,
+}
+
+/// A gateway passed on an answer that says that its target leaves.
+#[derive(Clone, Debug)]
+pub struct LeavingTold {
+    pub target: String,
+    /// Number of the gateway.
+    pub gateway: usize,
+    pub at: Duration,
+}
+
+/// Who had a fault of its own, or a repair.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Party {
+    Gateway(IpAddr),
+    Target(String),
+}
+
 /// A run at a target.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub target: String,
+    pub gateway: IpAddr,
     pub at: Duration,
     pub team: String,
 }
@@ -104,6 +139,13 @@
 pub struct Book {
     pub seen: Vec<Seen>,
     pub runs: HashMap<String, Vec<Run>>,
+    /// Addresses that gateways connect from, by number.
+    pub gateways: Vec<IpAddr>,
+    /// Who was struck by a fault or a repair, and when.
+    pub struck: Vec<(Party, Duration)>,
+    pub arrivals: Vec<Arrival>,
+    pub rests: Vec<Rest>,
+    pub leaving_told: Vec<LeavingTold>,
     /// Arrivals that were turned away as not run.
     pub turned_away: HashMap<String, u32>,
     pub sent_ids: HashSet<String>,
@@ -157,6 +199,12 @@
         self.book().broken.push(what);
     }
 
+    /// A fault or a repair strikes somebody.
+    pub fn strike(&self, party: Party) {
+        let now = self.now();
+        self.book().struck.push((party, now));
+    }
+
     pub fn disturb(&self) {
         let now = self.now();
         self.book().disturbed.push(now);
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -77,7 +77,7 @@
         let mut resets = self.resets.subscribe();
         resets.mark_unchanged();
         self.wait(source, Way::In).await;
-        let Ok(server) = TcpStream::connect(private).await else {
+        let Ok(server) = connect_as(source, private).await else {
             abort(&client);
             return;
         };
@@ -134,6 +134,13 @@
     }
 }
 
+/// Connects from the address of whoever connected here, so that the process behind sees who calls.
+async fn connect_as(source: IpAddr, private: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(private).await
+}
+
 async fn read(stream: &TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
     loop {
         stream.readable().await?;
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -1,7 +1,7 @@
 //! Targets that announce themselves, run requests, and misbehave at times.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -25,7 +25,7 @@
 
 use crate::caller::{FORGED, SYSTEM_HEADERS};
 use crate::harness::call;
-use crate::ledger::{Bite, Ledger, Place, Run};
+use crate::ledger::{Arrival, Bite, Ledger, Place, Rest, Run};
 use crate::proxy::Network;
 
 const HEARTBEAT: Duration = Duration::from_millis(300);
@@ -34,6 +34,12 @@
 /// Events of a stream.
 pub const EVENTS: u32 = 8;
 
+/// Headers by which an answer names the start of the target that gave it, and says that it leaves.
+pub const RAN_AT: &str = "x-ran-at";
+pub const LEAVING: &str = "server-leaving";
+/// Rest that a target asks for when it turns a request away, in milliseconds.
+const RESTS_MS: std::ops::Range<u64> = 200..3_000;
+
 /// Makes the library cut the connection.
 #[derive(Debug, thiserror::Error)]
 #[error("cut")]
@@ -126,6 +132,11 @@
         self.serving().id.clone()
     }
 
+    /// Its id of now and its start, as the ledger has them.
+    pub fn name(&self) -> String {
+        self.serving().name.clone()
+    }
+
     fn serving(&self) -> Arc<Serving> {
         self.serving.lock().expect("no panic").clone()
     }
@@ -257,14 +268,14 @@
 async fn listen(listener: TcpListener, serving: Arc<Serving>) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             continue;
         };
         let serving = serving.clone();
         connections.spawn(async move {
             let service = service_fn(|request| {
                 let serving = serving.clone();
-                async move { serving.answer(request).await }
+                async move { serving.answer(peer.ip(), request).await }
             });
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
@@ -316,16 +327,47 @@
             serving.ledger.book().poisoned.entry(poison).or_default().push(ended);
             serving.ends.notify_one();
         });
-        Response::builder()
+        self.head(id)
+            .header("content-type", "text/event-stream")
+            .body(stream(0, EVENTS, false))
+            .expect("sound")
+    }
+
+    /// The head of an answer, with all that it says of this target.
+    fn head(&self, id: &str) -> http::response::Builder {
+        let head = Response::builder()
             .header("x-request-id", id)
             .header("x-server-load", "1,0,16")
             .header("x-server-stamp", format!("stamp-{id}"))
-            .header("content-type", "text/event-stream")
-            .body(stream(0, EVENTS, false))
+            .header(RAN_AT, &self.name);
+        match *self.state.lock().expect("no panic") {
+            "draining" => head.header(LEAVING, "1"),
+            _ => head,
+        }
+    }
+
+    /// Turns a request away and asks for rest.
+    fn turn_away(&self, gateway: IpAddr, id: &str) -> Response<Body> {
+        let rest = self.rng.lock().expect("no panic").random_range(RESTS_MS);
+        let (at, target) = (self.ledger.now(), self.name.clone());
+        let until = at + Duration::from_millis(rest);
+        let mut book = self.ledger.book();
+        *book.turned_away.entry(id.to_owned()).or_default() += 1;
+        book.rests.push(Rest { target, gateway, at, until });
+        let seconds = format!("{:.3}", Duration::from_millis(rest).as_secs_f64());
+        self.head(id)
+            .status(503)
+            .header("x-not-run", "1")
+            .header("retry-after", seconds)
+            .body(whole(String::new()))
             .expect("sound")
     }
 
-    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    async fn answer(
+        self: &Arc<Self>,
+        gateway: IpAddr,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Cut> {
         let (head, body) = request.into_parts();
         let text = |name: &str| {
             head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
@@ -340,22 +382,20 @@
         if text("x-expect-instance") != self.id {
             return Ok(Response::builder().status(421).body(whole(String::new())).expect("sound"));
         }
+        let arrival = Arrival { target: self.name.clone(), gateway, at: self.ledger.now() };
+        self.ledger.book().arrivals.push(arrival);
         if body.starts_with(POISON) {
             return Ok(self.run_poison(&id, &body));
         }
         let wrong = self.draw();
         if wrong == Wrong::TurnedAway {
-            *self.ledger.book().turned_away.entry(id).or_default() += 1;
-            let refusal = Response::builder().status(503).header("x-not-run", "1");
-            return Ok(refusal.body(whole(String::new())).expect("sound"));
+            return Ok(self.turn_away(gateway, &id));
         }
-        let run = Run { target: self.name.clone(), at: self.ledger.now(), team: text("x-tenant") };
+        let (target, at, team) = (self.name.clone(), self.ledger.now(), text("x-tenant"));
+        let run = Run { target, gateway, at, team };
         self.ledger.book().runs.entry(id.clone()).or_default().push(run);
         tokio::time::sleep(Duration::from_millis(5)).await;
-        let answer = Response::builder()
-            .header("x-request-id", &id)
-            .header("x-server-load", "1,0,16")
-            .header("x-server-stamp", format!("stamp-{id}"));
+        let answer = self.head(&id);
         let streams =
             head.uri.path().starts_with("/stream/") || head.uri.path().starts_with("/resumable/");
         let last: u32 = text("last-event-id").parse().unwrap_or(0);
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -138,6 +138,7 @@
         let reading = keep_reading(world.ledger.clone(), world.doors.clone(), seed);
         world.callers.push(tokio::spawn(reading));
         world.ledger.book().gateway_starts = size.gateways;
+        world.ledger.book().gateways = world.fleet.gateways.iter().map(|one| one.ip).collect();
         for number in 0..size.poison {
             let seed = world.rng.random();
             let repeating = repeat_poison(number, world.fronts.clone(), seed);
