The operators' client asks a member again no sooner than it has said

The client read the status of such an answer and nothing else. Now each member has its turn once its time has come, and the call ends at once where none comes before the deadline.

--- a/src/operator/doors.rs
+++ b/src/operator/doors.rs
@@ -9,6 +9,7 @@
 use crate::clock::Instant;
 use crate::dialect::{Dialect, RolloutCall};
 use crate::jsonc::{Fault, Validate};
+use crate::retry_after::RetryAfter;
 
 /// Longest time for one call at a member's door, which answers within 0.9 s.
 const DOOR_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -91,7 +92,7 @@
     percent_encoding::utf8_percent_encode(name, percent_encoding::NON_ALPHANUMERIC).to_string()
 }
 
-/// Calls one member after the other until one gives a clear answer; returns its body.
+/// Calls members, each no sooner than it has said, until one gives a clear answer; returns its body.
 async fn call_doors(doors: &Doors, method: Method, path: &str) -> Result<String, OperatorError> {
     send_to_doors(doors, method, path, String::new()).await
 }
@@ -105,10 +106,15 @@
 ) -> Result<String, OperatorError> {
     let client = reqwest::Client::builder().timeout(DOOR_TIMEOUT).build()?;
     let deadline = Instant::now() + Duration::from_secs(doors.timeout_s);
-    for member in doors.member.iter().cycle() {
+    let mut turns = Turns::new(doors.member.len());
+    while let Some(at) = turns.next(deadline).await {
+        let member = doors.member[at];
         let call = client.request(method.clone(), format!("http://{member}{path}"));
-        let sent = call.body(body.clone()).send().await;
-        if let Ok(answer) = sent {
+        let mut pause = TRY_PAUSE;
+        if let Ok(answer) = call.body(body.clone()).send().await {
+            if let Some(RetryAfter::In(rest)) = RetryAfter::of(answer.headers()) {
+                pause = pause.max(rest);
+            }
             let (status, text) = (answer.status(), answer.text().await?);
             if status.is_success() {
                 return Ok(text);
@@ -117,14 +123,35 @@
                 return Err(OperatorError::Faulty(faults_in(&text)));
             }
         }
-        if Instant::now() >= deadline {
-            break;
-        }
-        tokio::time::sleep(TRY_PAUSE).await;
+        turns.pause(at, pause);
     }
     Err(OperatorError::NoAnswer { seconds: doors.timeout_s })
 }
 
+/// Whose turn it is among members, each of which may say when to come back.
+struct Turns(Vec<Instant>);
+
+impl Turns {
+    fn new(members: usize) -> Self {
+        Turns(vec![Instant::now(); members])
+    }
+
+    /// Waits until the first member may be asked; `None` where that is after the deadline.
+    async fn next(&self, deadline: Instant) -> Option<usize> {
+        let (at, from) = self.0.iter().enumerate().min_by_key(|(_, from)| **from)?;
+        if *from >= deadline {
+            return None;
+        }
+        tokio::time::sleep_until((*from).into()).await;
+        Some(at)
+    }
+
+    /// Leaves a member alone for a while.
+    fn pause(&mut self, at: usize, pause: Duration) {
+        self.0[at] = Instant::now() + pause;
+    }
+}
+
 /// The faults that a member names in its answer.
 fn faults_in(text: &str) -> Vec<Fault> {
     #[derive(serde::Deserialize)]
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod mortal;
 mod news;
+mod operators;
 mod poison;
 mod refusals;
 mod requests;
