A target that turns requests away counts as one that fails them

Callers were refused, one in nine of half-turn-away, while half of the engines had room: a target that turns away at once has nothing in flight, looks idle, and gets more. With Retry-After it is left since the rests are obeyed; without it nothing held it against the target. Now such an answer is a failure like any other for the target's health and for what gateways tell each other: held against the other targets, so that where all turn away alike none is left; it says nothing against a version that is rolled out.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -409,7 +409,7 @@
         }
         AttemptError::NotSent(_) => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
         AttemptError::Gone => (Refusal::ConnectFailed, Some(AttemptOutcome::Unreachable)),
-        AttemptError::NotRun => (Refusal::NotRun, None),
+        AttemptError::NotRun => (Refusal::NotRun, Some(AttemptOutcome::TurnedAway)),
         AttemptError::Lost => (Refusal::AnswerLost, Some(AttemptOutcome::Failed)),
         AttemptError::Late => (Refusal::AnswerLate, Some(AttemptOutcome::Failed)),
         AttemptError::Wrong => (Refusal::WrongAnswer, Some(AttemptOutcome::Failed)),
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -30,6 +30,8 @@
     Answered,
     /// It answered with a failure of its own, broke off, or said nothing.
     Failed,
+    /// It did not run the request, and said so.
+    TurnedAway,
     /// It could not be connected to.
     Unreachable,
 }
@@ -120,7 +122,10 @@
                 false
             }
             AttemptOutcome::Unreachable => self.pause(now),
-            AttemptOutcome::Failed => self.tally.worse_than(others) && self.pause(now),
+            // A target that turns away at once has nothing in flight, and would look idle for all it refuses.
+            AttemptOutcome::Failed | AttemptOutcome::TurnedAway => {
+                self.tally.worse_than(others) && self.pause(now)
+            }
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -309,12 +309,10 @@
         let now = self.now();
         target.count_outcome(outcome != AttemptOutcome::Answered);
         let others = match outcome {
-            AttemptOutcome::Failed if self.uses(Mechanism::Peers) => {
-                self.tallies_of_others(now, target)
-            }
+            AttemptOutcome::Answered | AttemptOutcome::Unreachable => Vec::new(),
+            _ if self.uses(Mechanism::Peers) => self.tallies_of_others(now, target),
             // As if there were one that never fails.
-            AttemptOutcome::Failed => vec![Tally::default()],
-            _ => Vec::new(),
+            _ => vec![Tally::default()],
         };
         let mut health = target.health();
         if health.note(now, outcome, &others) {
--- a/tests/gateway/health.rs
+++ b/tests/gateway/health.rs
@@ -3,13 +3,14 @@
 use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 use std::time::Duration;
 
 use crate::seeds;
 
 /// Plays attempts at targets that fail with the given chances, each attempt at a target that is not
 /// left alone, and counts how often each was left alone.
-fn pauses_under(chances: &[f64], attempts: u32, rng: &mut StdRng) -> Vec<u32> {
+fn pauses_under(bad: AttemptOutcome, chances: &[f64], attempts: u32, rng: &mut StdRng) -> Vec<u32> {
     let mut targets = vec![Health::default(); chances.len()];
     let mut pauses = vec![0; chances.len()];
     for attempt in 0..attempts {
@@ -20,7 +21,7 @@
             continue;
         };
         let failed = rng.random_bool(chances[at]);
-        let outcome = if failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        let outcome = if failed { bad } else { AttemptOutcome::Answered };
         let others = usable.iter().filter(|other| **other != at);
         let others: Vec<Tally> = others.map(|other| targets[*other].tally(now)).collect();
         pauses[at] += u32::from(targets[at].note(now, outcome, &others));
@@ -28,15 +29,17 @@
     pauses
 }
 
-#[test]
-fn targets_are_left_alone_for_failures_only_while_others_do_better() {
+#[rstest]
+fn targets_are_left_alone_for_failures_only_while_others_do_better(
+    #[values(AttemptOutcome::Failed, AttemptOutcome::TurnedAway)] bad: AttemptOutcome,
+) {
     let mut rng = StdRng::seed_from_u64(seeds::seed());
-    let alike = pauses_under(&[0.45; 18], 1_000, &mut rng);
+    let alike = pauses_under(bad, &[0.45; 18], 1_000, &mut rng);
     assert!(alike.iter().sum::<u32>() <= 18, "all fail alike: {alike:?}");
     for failing in [1, 4, 9, 13] {
         let mut chances = [0.0; 18];
         chances[..failing].fill(0.9);
-        let pauses = pauses_under(&chances, 1_000, &mut rng);
+        let pauses = pauses_under(bad, &chances, 1_000, &mut rng);
         assert!(pauses[..failing].iter().all(|times| *times > 0), "{failing}: {pauses:?}");
         assert!(pauses[failing..].iter().all(|times| *times == 0), "{failing}: {pauses:?}");
     }
--- a/tests/gateway/rests.rs
+++ b/tests/gateway/rests.rs
@@ -7,6 +7,7 @@
 use latchmount::availability::{Availability, Standing};
 use latchmount::gateway::balance::{Candidate, Wish, choose};
 use latchmount::gateway::evidence::spread;
+use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
 use latchmount::retry_after::RetryAfter;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -44,6 +45,8 @@
     OneFirst,
     /// The same, each gateway at a time of its own.
     Spread,
+    /// Nobody asks for rest, but a target that turns more away than others is left alone for a while.
+    LeftAlone,
 }
 
 /// What callers and targets got.
@@ -69,6 +72,7 @@
     in_flight: Vec<usize>,
     own: Vec<Vec<u32>>,
     known: Vec<Vec<Availability>>,
+    health: Vec<Vec<Health>>,
     /// Ends of requests in nanoseconds, with gateway and target.
     ends: BinaryHeap<Reverse<(u64, usize, usize)>>,
     /// Callers that come back, in nanoseconds.
@@ -91,6 +95,7 @@
             in_flight: vec![0; targets],
             own: vec![vec![0; targets]; gateways],
             known: vec![vec![Availability::default(); targets]; gateways],
+            health: vec![vec![Health::default(); targets]; gateways],
             ends: BinaryHeap::new(),
             returns: BinaryHeap::new(),
             after: vec![0; (LASTS * 10.0) as usize + 1],
@@ -161,7 +166,7 @@
         let standing = |target: &usize| self.known[gateway][*target].standing(at);
         let usable: Vec<usize> = (0..self.in_flight.len())
             .filter(|target| !tried.contains(target))
-            .filter(|target| self.way == Way::Deaf || standing(target).takes_work())
+            .filter(|target| standing(target).takes_work())
             .collect();
         let candidate = |target: &usize| Candidate {
             key: *target as u64,
@@ -170,8 +175,17 @@
             slots: SLOTS as u32,
             strain: 1.0,
             near: false,
-            doubtful: matches!(self.way, Way::OneFirst | Way::Spread)
-                && standing(target).hesitates(self.own[gateway][*target]),
+            doubtful: match self.way {
+                Way::Deaf | Way::AtOnce => false,
+                Way::OneFirst | Way::Spread => {
+                    standing(target).hesitates(self.own[gateway][*target])
+                }
+                Way::LeftAlone => {
+                    let health = &self.health[gateway][*target];
+                    let on_trial = health.on_trial(at) && self.own[gateway][*target] > 0;
+                    health.paused(at) || on_trial
+                }
+            },
         };
         let candidates: Vec<Candidate> = usable.iter().map(candidate).collect();
         let wish = Wish { affinity: None, load_bound: 2.0, targets: self.in_flight.len() };
@@ -184,17 +198,20 @@
         let full = self.in_flight[target] >= SLOTS + QUEUE;
         let turned_away = full || (trouble && self.rng.random_bool(TURNED_AWAY));
         if !turned_away {
+            self.note(now, gateway, target, AttemptOutcome::Answered);
             self.in_flight[target] += 1;
             self.own[gateway][target] += 1;
             let end = now - self.rng.random::<f64>().max(1e-12).ln() * TAKES;
             self.ends.push(Reverse((nanos(end), gateway, target)));
             return true;
         }
+        self.note(now, gateway, target, AttemptOutcome::TurnedAway);
         self.got.turned_away += 1;
         if target < self.troubled && now >= TROUBLE.1 {
             self.after[(now * 10.0) as usize] += 1;
         }
         let over = match self.way {
+            Way::Deaf | Way::LeftAlone => return false,
             Way::Spread => spread(self.gateways as u32),
             _ => Duration::ZERO,
         };
@@ -203,6 +220,15 @@
         false
     }
 
+    /// Notes how an attempt went, held against the other targets that are not left alone.
+    fn note(&mut self, now: f64, gateway: usize, target: usize, outcome: AttemptOutcome) {
+        let now = Duration::from_secs_f64(now);
+        let health = &mut self.health[gateway];
+        let others = (0..health.len()).filter(|at| *at != target && !health[*at].paused(now));
+        let others: Vec<Tally> = others.map(|at| health[at].tally(now)).collect();
+        health[target].note(now, outcome, &others);
+    }
+
     /// Time until the first rest of a gateway's targets ends, in seconds.
     fn earliest(&self, now: f64, gateway: usize) -> f64 {
         let at = Duration::from_secs_f64(now);
@@ -240,13 +266,22 @@
     assert!(got.served as f64 >= 0.97 * got.asked as f64, "seed {seed}: {got:?}");
 }
 
+/// The same where they do not ask for rest.
+#[test]
+fn callers_hardly_notice_that_half_of_the_targets_turn_requests_away() {
+    let seed = seeds::seed();
+    let got = Fleet::new(Way::LeftAlone, 8, TARGETS, TARGETS / 2, seed).play();
+    println!("seed {seed}: {got:?}");
+    assert!(got.served as f64 >= 0.97 * got.asked as f64, "seed {seed}: {got:?}");
+}
+
 /// `-- --nocapture` prints what each way gives.
 #[test]
 fn the_ways_back_side_by_side() {
     let seed = seeds::seed();
     for gateways in [8, 68, 986] {
         for (what, troubled) in [("half", TARGETS / 2), ("all", TARGETS)] {
-            for way in [Way::Deaf, Way::AtOnce, Way::OneFirst, Way::Spread] {
+            for way in [Way::Deaf, Way::AtOnce, Way::OneFirst, Way::Spread, Way::LeftAlone] {
                 let got = Fleet::new(way, gateways, TARGETS, troubled, seed).play();
                 let served = got.served as f64 / got.asked as f64;
                 println!("{gateways} gateways, {what}: {way:?} served {served:.3} {got:?}");
