The bound on loads goes by the mean of targets that are not left alone

While half of the engines were left alone the bound still took the mean over all of them: every other was over it, so that requests went to the least loaded instead of to the homes of their prompts. Targets that rest or are left alone no longer count for the mean, as silent ones did not before: the others bear their work.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -100,11 +100,14 @@
         };
         let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
         let in_group = of_service.iter().filter(|target| versions.holds(group, target));
-        let alive = in_group.filter(|target| !target.silent());
+        // The others bear the work of those that are left alone: by a mean over all, all of them would be full.
+        let left_alone = |target: &Arc<Target>| {
+            target.silent() || rest_left(now, target).is_some() || self.doubtful(now, target)
+        };
         let wish = Wish {
             affinity: plan.affinity.map(|affinity| self.weighed(affinity)),
             load_bound: self.load_bound(),
-            targets: alive.count(),
+            targets: in_group.filter(|target| !left_alone(target)).count(),
         };
         let at = choose(&candidates, wish, &mut rand::rng())?;
         let table = self.table();
