What a chosen target lacks of a prompt is fetched from its home while that rests or turns requests away

The search for a home that is away, of evacuated halls so far, now takes homes that rest or that are left for turning away, too. A fetch is no request of ours to it; one that is left for failing or silence is still not named.

--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -101,6 +101,8 @@
     /// Pauses in a row.
     pauses: u32,
     paused_until: Option<Duration>,
+    /// Whether the last pause came of requests that it turned away.
+    turned_away: bool,
     last_answer: Option<Duration>,
     /// When it was last left because of what all gateways saw, and what that was.
     left_together: Option<(Duration, Evidence)>,
@@ -112,6 +114,15 @@
     /// `others` are the targets that could take its work.
     pub fn note(&mut self, now: Duration, outcome: AttemptOutcome, others: &[Tally]) -> bool {
         self.tally.note(now, outcome);
+        let paused_before = self.paused(now);
+        let paused = self.judge(now, outcome, others);
+        if paused && !paused_before {
+            self.turned_away = outcome == AttemptOutcome::TurnedAway;
+        }
+        paused
+    }
+
+    fn judge(&mut self, now: Duration, outcome: AttemptOutcome, others: &[Tally]) -> bool {
         match outcome {
             AttemptOutcome::Answered => {
                 self.last_answer = Some(now);
@@ -186,6 +197,11 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the target is left alone because it turns requests away: it lives, and keeps what it has read.
+    pub fn turns_away(&self, now: Duration) -> bool {
+        self.turned_away && (self.paused(now) || self.on_trial(now))
+    }
+
     /// Whether the target comes back from a pause and has not answered since.
     pub fn on_trial(&self, now: Duration) -> bool {
         self.paused_until.is_some_and(|until| now >= until)
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -1,5 +1,5 @@
 //! Where a chosen target may fetch what it lacks of a prompt: from whoever gateways told of, from its home in an
-//! evacuated hall, or from whoever most likely keeps it.
+//! evacuated hall or at rest, or from whoever most likely keeps it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use super::mechanism::Mechanism;
 use super::target::Target;
 use super::targets::Targets;
+use crate::availability::Standing;
 use crate::group::keepers::PromptKey;
 use crate::group::loads::LoadKey;
 use crate::sync::lock;
@@ -49,7 +50,7 @@
             Told::Chosen => None,
             Told::Other(keeper) => Some(keeper),
             Told::Nothing if self.uses(Mechanism::FetchOut) => {
-                self.evacuated_home(search).or_else(|| search.likely(search.returned_lately()))
+                self.home_away(search).or_else(|| search.likely(search.returned_lately()))
             }
             Told::Nothing => search.likely(false),
         }
@@ -76,12 +77,17 @@
         near.or(keepers.first()).map_or(Told::Nothing, |keeper| Told::Other(keeper))
     }
 
-    /// The prompt's home, if that stands in an evacuated hall.
-    fn evacuated_home<'a>(&self, search: &Search<'a>) -> Option<&'a Arc<Target>> {
+    /// The prompt's home, if that keeps it and is sent nothing: it stands in an evacuated hall, rests, or turns requests away.
+    fn home_away<'a>(&self, search: &Search<'a>) -> Option<&'a Arc<Target>> {
         let homes = self.uses(Mechanism::Homes);
-        let evacuated = search.of_service.iter().filter(|t| t.evacuated());
-        let evacuated: Vec<&Arc<Target>> = evacuated.collect();
-        let away = evacuated.iter().map(|target| Candidate {
+        let keeps = |target: &&Arc<Target>| match target.standing(search.now) {
+            Standing::Evacuated | Standing::Resting { .. } => true,
+            Standing::Leaving => false,
+            Standing::Open | Standing::Returning { .. } => target.health().turns_away(search.now),
+        };
+        let others = search.of_service.iter().filter(|target| target.key != search.chosen().key);
+        let keepers: Vec<&Arc<Target>> = others.filter(keeps).collect();
+        let away = keepers.iter().map(|target| Candidate {
             key: target.key,
             home: target.home().filter(|_| homes),
             load: 0.0,
@@ -91,7 +97,9 @@
             doubtful: false,
         });
         let away: Vec<Candidate> = away.collect();
-        earlier_home(search.candidates, &away, search.affinity).map(|at| evacuated[at])
+        let sound = search.candidates.iter().filter(|candidate| !candidate.doubtful);
+        let sound: Vec<Candidate> = sound.copied().collect();
+        earlier_home(&sound, &away, search.affinity).map(|at| keepers[at])
     }
 }
 
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -153,11 +153,6 @@
         lock(&self.availability).in_service()
     }
 
-    /// Whether it is to be sent nothing more only because its data hall is evacuated.
-    pub(super) fn evacuated(&self) -> bool {
-        !self.in_service() && !self.leaving()
-    }
-
     /// Whether it takes no new work any more, as the members or its own answers say.
     pub(super) fn leaving(&self) -> bool {
         lock(&self.availability).leaving()
