Soak: of each second target that leaves only its answers tell

Until it is gone its heartbeats say that it is ready, as those of one whose calls come to members that nobody hears. Seeds that failed once are played as they were then; rests are drawn apart, so that what goes wrong at targets is drawn as before.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -408,7 +408,12 @@
         self.note(format!("ReplaceTarget {id}"));
         self.world.add_target().await;
         let doors = self.world.doors.clone();
-        if !self.world.targets[at].0.drain(&doors, DRAIN_WITHIN).await {
+        let unheard = self.world.next_leaves_unheard();
+        let target = &self.world.targets[at].0;
+        if unheard {
+            target.leave_unheard();
+            self.log.push(format!("            {id} leaves unheard"));
+        } else if !target.drain(&doors, DRAIN_WITHIN).await {
             self.log.push(format!("            the drain of {id} was not acknowledged"));
         }
         self.busy_targets.push(at);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -32,6 +32,7 @@
     targets: 4,
     callers: 8,
     poison: 1,
+    unheard: true,
     length: Duration::from_secs(8),
 };
 const LARGE: Size = Size {
@@ -40,6 +41,7 @@
     targets: 24,
     callers: 64,
     poison: 3,
+    unheard: true,
     length: Duration::from_secs(25),
 };
 
@@ -80,6 +82,7 @@
 #[tokio::test]
 async fn seeds_that_failed_once_hold() {
     for seed in FAILED_ONCE {
-        soak(SMALL, seed).await;
+        // As they were played when they failed.
+        soak(Size { unheard: false, ..SMALL }, seed).await;
     }
 }
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -94,9 +94,13 @@
     cold_until: Duration,
     ledger: Ledger,
     rng: Mutex<StdRng>,
+    /// Draws rests, apart from what goes wrong.
+    rest_rng: Mutex<StdRng>,
     /// Part of the requests that go wrong.
     faulty: Mutex<f64>,
     state: Mutex<&'static str>,
+    /// Whether its answers say that it leaves, though its heartbeats do not.
+    leaves_unheard: AtomicBool,
     sequence: AtomicU64,
     /// Woken when a request ends it.
     ends: Notify,
@@ -168,6 +172,11 @@
         false
     }
 
+    /// Says in its answers that it leaves, as one does whose heartbeats come to members that nobody hears.
+    pub fn leave_unheard(&self) {
+        self.serving().leaves_unheard.store(true, Ordering::Relaxed);
+    }
+
     /// Says that it leaves for good.
     pub async fn leave(&self, doors: &[SocketAddr]) {
         for door in doors {
@@ -197,8 +206,10 @@
             cold_until: started + COLD_FOR,
             ledger: self.ledger.clone(),
             rng: Mutex::new(StdRng::seed_from_u64(seed.wrapping_add(start))),
+            rest_rng: Mutex::new(StdRng::seed_from_u64(!seed.wrapping_add(start))),
             faulty: Mutex::new(0.02),
             state: Mutex::new("ready"),
+            leaves_unheard: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             ends: Notify::new(),
         })
@@ -225,7 +236,8 @@
             self.network.stop();
             drop(running);
             self.ledger.disturb();
-            if *serving.state.lock().expect("no panic") == "draining" {
+            let draining = *serving.state.lock().expect("no panic") == "draining";
+            if draining || serving.leaves_unheard.load(Ordering::Relaxed) {
                 return;
             }
             let away = serving.rng.lock().expect("no panic").random_range(STARTS_AFTER_MS);
@@ -340,15 +352,16 @@
             .header("x-server-load", "1,0,16")
             .header("x-server-stamp", format!("stamp-{id}"))
             .header(RAN_AT, &self.name);
-        match *self.state.lock().expect("no panic") {
-            "draining" => head.header(LEAVING, "1"),
-            _ => head,
+        let draining = *self.state.lock().expect("no panic") == "draining";
+        match draining || self.leaves_unheard.load(Ordering::Relaxed) {
+            true => head.header(LEAVING, "1"),
+            false => head,
         }
     }
 
     /// Turns a request away and asks for rest.
     fn turn_away(&self, gateway: IpAddr, id: &str) -> Response<Body> {
-        let rest = self.rng.lock().expect("no panic").random_range(RESTS_MS);
+        let rest = self.rest_rng.lock().expect("no panic").random_range(RESTS_MS);
         let (at, target) = (self.ledger.now(), self.name.clone());
         let until = at + Duration::from_millis(rest);
         let mut book = self.ledger.book();
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -23,6 +23,8 @@
     pub callers: usize,
     /// Requests that end each target that runs them, repeated all the while.
     pub poison: usize,
+    /// Whether of each second target that leaves only its answers tell, until it is gone.
+    pub unheard: bool,
     /// Length of the time with faults.
     pub length: Duration,
 }
@@ -48,6 +50,9 @@
     pub version: u64,
     fronts: Vec<SocketAddr>,
     next_target: usize,
+    /// Targets that have left, or are about to.
+    leaving: usize,
+    unheard: bool,
     callers: Vec<JoinHandle<()>>,
 }
 
@@ -115,6 +120,8 @@
             version: 0,
             fronts,
             next_target: 0,
+            leaving: 0,
+            unheard: size.unheard,
             callers: Vec::new(),
         };
         for _ in 0..size.targets {
@@ -160,6 +167,12 @@
         }
     }
 
+    /// Whether only its answers tell of the next target that leaves.
+    pub fn next_leaves_unheard(&mut self) -> bool {
+        self.leaving += 1;
+        self.unheard && self.leaving.is_multiple_of(2)
+    }
+
     /// Lets callers ask no more.
     pub fn stop_callers(&mut self) {
         self.callers.drain(..).for_each(|caller| caller.abort());
