The choice of a target is made in named steps

Gateway::choose was one function of 80 lines: who may be taken, what each is weighed by, what the choice wishes, whence to fetch. Each is a step of its own now, in the order of before. Where no roll-out is under way the list of usable targets is no longer copied once more for each choice.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -69,6 +69,46 @@
     pub(super) fn choose(&self, plan: &Plan) -> Option<Choice> {
         let now = self.now();
         let known = read(&self.targets);
+        let versions = Versions::of(&known, &plan.service);
+        let (group, targets) = self.usable(now, &known, &versions, plan)?;
+        let candidates = self.weigh(now, &targets);
+        let in_group = known.of(&plan.service).iter().filter(|one| versions.holds(group, one));
+        let wish = self.wish(now, plan, in_group);
+        let at = choose(&candidates, wish, &mut rand::rng())?;
+        let of_service = known.of(&plan.service);
+        let affinity = plan.affinity.filter(|_| self.fetches(&plan.service));
+        let fetch_from = affinity.and_then(|affinity| {
+            let known = &known;
+            let (targets, candidates) = (&targets, &candidates);
+            let search =
+                Search { now, known, of_service, targets, candidates, chosen: at, affinity };
+            Some(self.source(&search)?.announcement.addr)
+        });
+        let all_homes = of_service.iter().map(|target| target.home());
+        let expected = affinity
+            .is_none_or(|affinity| expected_keeper(targets[at].home(), all_homes, affinity));
+        let cold = self.cold_limit(&plan.service);
+        Some(Choice {
+            fetch_from,
+            expected,
+            counted_under: self.subject(&known, plan, targets[at]),
+            target: targets[at].clone(),
+            load: candidates[at].load,
+            candidates: candidates.len(),
+            cold: cold.is_some_and(|limit| limit.cold(now, targets[at])),
+            doubtful: candidates.iter().filter(|candidate| candidate.doubtful).count(),
+            list_revision: known.revision(),
+        })
+    }
+
+    /// Targets that the request may go to now, of the first group that has any.
+    fn usable<'a>(
+        &self,
+        now: Duration,
+        known: &'a Targets,
+        versions: &Versions<'_>,
+        plan: &Plan,
+    ) -> Option<(Group, Vec<&'a Arc<Target>>)> {
         let cold = self.cold_limit(&plan.service);
         let (body, room) = (plan.outgoing.body_bytes(), self.bodies_at_target());
         let usable = |target: &&Arc<Target>| {
@@ -78,13 +118,18 @@
                 && target.has_room(body, room)
                 && cold.is_none_or(|limit| limit.may_ask(now, target))
         };
-        let of_service = known.of(&plan.service);
-        let versions = Versions::of(&known, &plan.service);
-        let usable: Vec<&Arc<Target>> = of_service.iter().filter(usable).collect();
-        let groups = versions.groups(plan.lot, !plan.tried.is_empty()).iter();
-        let mut groups = groups.map(|group| (*group, in_group(&versions, *group, &usable)));
-        let (group, targets) = groups.find(|(_, targets)| !targets.is_empty())?;
-        let usual = usual_others(&targets, now);
+        let usable: Vec<&Arc<Target>> = known.of(&plan.service).iter().filter(usable).collect();
+        let groups = versions.groups(plan.lot, !plan.tried.is_empty());
+        if groups == [Group::Any] {
+            return (!usable.is_empty()).then_some((Group::Any, usable));
+        }
+        let mut groups = groups.iter().map(|group| (*group, in_group(versions, *group, &usable)));
+        groups.find(|(_, targets)| !targets.is_empty())
+    }
+
+    /// The targets as a choice weighs them.
+    fn weigh(&self, now: Duration, targets: &[&Arc<Target>]) -> Vec<Candidate> {
+        let usual = usual_others(targets, now);
         let gateways = self.gateways();
         let homes = self.uses(Mechanism::Homes);
         let near = self.uses(Mechanism::Near);
@@ -98,43 +143,32 @@
             near: near && target.announcement.data_hall == self.settings.data_hall,
             doubtful: self.doubtful(now, target),
         };
-        let candidates: Vec<Candidate> = targets.iter().map(candidate).collect();
-        let in_group = of_service.iter().filter(|target| versions.holds(group, target));
+        targets.iter().map(candidate).collect()
+    }
+
+    /// What the choice depends on besides the candidates, which are of these targets.
+    fn wish<'a>(
+        &self,
+        now: Duration,
+        plan: &Plan,
+        targets: impl Iterator<Item = &'a Arc<Target>>,
+    ) -> Wish {
         // The others bear the work of those that are left alone: by a mean over all, all of them would be full.
         let left_alone = |target: &Arc<Target>| {
             target.silent() || rest_left(now, target).is_some() || self.doubtful(now, target)
         };
-        let wish = Wish {
+        Wish {
             affinity: plan.affinity.map(|affinity| self.weighed(affinity)),
             load_bound: self.load_bound(),
-            targets: in_group.filter(|target| !left_alone(target)).count(),
-        };
-        let at = choose(&candidates, wish, &mut rand::rng())?;
+            targets: targets.filter(|target| !left_alone(target)).count(),
+        }
+    }
+
+    /// Whether targets of a service fetch what they lack of a prompt.
+    fn fetches(&self, service: &str) -> bool {
         let table = self.table();
-        let service = table.as_ref().and_then(|table| table.service(&plan.service));
-        let fetches = self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches);
-        let affinity = plan.affinity.filter(|_| fetches);
-        let fetch_from = affinity.and_then(|affinity| {
-            let known = &known;
-            let (targets, candidates) = (&targets, &candidates);
-            let search =
-                Search { now, known, of_service, targets, candidates, chosen: at, affinity };
-            Some(self.source(&search)?.announcement.addr)
-        });
-        let all_homes = of_service.iter().map(|target| target.home());
-        let expected = affinity
-            .is_none_or(|affinity| expected_keeper(targets[at].home(), all_homes, affinity));
-        Some(Choice {
-            fetch_from,
-            expected,
-            counted_under: self.subject(&known, plan, targets[at]),
-            target: targets[at].clone(),
-            load: candidates[at].load,
-            candidates: candidates.len(),
-            cold: cold.is_some_and(|limit| limit.cold(now, targets[at])),
-            doubtful: candidates.iter().filter(|candidate| candidate.doubtful).count(),
-            list_revision: known.revision(),
-        })
+        let service = table.as_ref().and_then(|table| table.service(service));
+        self.uses(Mechanism::Fetch) && service.is_some_and(|service| service.fetches)
     }
 
     /// Why no target can be chosen for the request.
