--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -31,8 +31,8 @@
 use crate::route_table::Caller;
 
 /// What connections that could not be made may cost a request before it is given up on: four that hang, or sixteen that
-/// are refused, which takes some milliseconds each. When 28 of 112 engines crash at once the next homes of a prompt
-/// are often down too: with four refused ones 62 requests were given up on with seconds left and 84 engines well.
+/// are refused, which takes some milliseconds each. Where many targets crash at once the next homes of a prompt are often
+/// down too, while others are well.
 const MOST_CONNECT_COST: u32 = 16;
 /// What a connection costs that hangs until it times out.
 const HANG_COST: u32 = 4;
--- a/src/gateway/reason.rs
+++ b/src/gateway/reason.rs
@@ -4,9 +4,8 @@
 
 use http::StatusCode;
 
-/// When a gateway that starts may have its first news: the sooner the shorter it has waited. After a
-/// loss of all power small fleets have them 0.1 to 0.4 s after they listen, large ones up to 0.9 s
-/// (docs/BREKKE.md), and a gateway that has waited for long will likely wait as long again.
+/// When a gateway that starts may have its first news: the sooner the shorter it has waited, since one that has waited
+/// for long will likely wait as long again.
 const FIRST_NEWS_WITHIN: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(1));
 /// When a gateway that lost touch may have news again: it turns to another member after about a second.
--- a/src/gateway/reuse.rs
+++ b/src/gateway/reuse.rs
@@ -4,7 +4,7 @@
 
 /// Idle time beyond which a request that may run only once gets a new connection: one that a target
 /// without power has forgotten would leave its outcome unknown. Targets keep connections for
-/// seconds; at 0.4 s a third of all connections were new without need (docs/BREKKE.md).
+/// seconds, so that a much shorter time would have connections made anew without need.
 const SURE_FOR: Duration = Duration::from_millis(1_600);
 
 /// Whether an attempt may leave the outcome unknown without harm.
