--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -288,13 +288,11 @@
     fn word(&self, status: StatusCode, headers: &HeaderMap) -> TargetWord {
         let names = self.headers();
         let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-        let may_ask_for_rest =
-            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
         TargetWord {
             load: text(&names.load).and_then(|value| self.load(value)),
             leaving: text(&names.leaving).is_some_and(|value| value.trim() == "1"),
             turned_away: headers.contains_key(&names.not_run),
-            rest: RetryAfter::of(headers).filter(|_| may_ask_for_rest),
+            rest: RetryAfter::of_refusal(status, headers),
         }
     }
 }
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -168,6 +168,8 @@
         let until = now + longer.min(LONGEST_PAUSE) + spread.mul_f64(chance);
         self.paused_until = self.paused_until.max(Some(until));
         self.pauses += 1;
+        // What others met there may be worse than being turned away.
+        self.turned_away = false;
         true
     }
 
--- a/src/retry_after.rs
+++ b/src/retry_after.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use http::HeaderMap;
 use http::header::RETRY_AFTER;
+use http::{HeaderMap, StatusCode};
 
 /// What an answer says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,13 @@
 }
 
 impl RetryAfter {
+    /// The rest that whoever turned a request away asks for; `None` where the answer is no such refusal.
+    pub fn of_refusal(status: StatusCode, headers: &HeaderMap) -> Option<Self> {
+        let refusal =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        RetryAfter::of(headers).filter(|_| refusal)
+    }
+
     /// What the headers of an answer say; `None` where they say nothing. Of several times the longest counts: each of them
     /// was asked for.
     pub fn of(headers: &HeaderMap) -> Option<Self> {
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -379,8 +379,8 @@
         if let Some(incarnation) = number(headers, LEAVING) {
             lock(&self.targets).leave(&target.name, incarnation);
         }
-        if let Some(rest) = RetryAfter::of(headers).filter(|_| asks_for_rest(answer.status())) {
-            lock(&self.targets).rest(self.now(), &target.name, rest);
+        if let Some(rest) = RetryAfter::of_refusal(answer.status(), headers) {
+            lock(&self.targets).rest(self.now(), target, rest);
             self.metrics.rests.inc();
             info!(self.log, "target asks for rest"; "event" => "target_rests",
                 "target" => &target.name, "rest" => ?rest);
@@ -405,11 +405,6 @@
     }
 }
 
-/// Whether an answer with this status may ask for rest.
-fn asks_for_rest(status: StatusCode) -> bool {
-    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
-}
-
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -224,9 +224,11 @@
         }
     }
 
-    /// The target has turned a request away and wants nothing for a while.
-    pub fn rest(&mut self, now: Duration, name: &str, rest: RetryAfter) {
-        if let Some(target) = self.known.get_mut(name) {
+    /// The target has turned a request away and wants nothing for a while; another incarnation begins clean.
+    pub fn rest(&mut self, now: Duration, choice: &Choice, rest: RetryAfter) {
+        if let Some(target) = self.known.get_mut(&choice.name)
+            && target.listed.incarnation == choice.incarnation
+        {
             let chance = rand::random();
             target.availability.rests(now, rest, RETURN_OVER, chance);
         }
--- a/tests/gateway/health.rs
+++ b/tests/gateway/health.rs
@@ -1,6 +1,8 @@
 //! Which targets are left alone.
 
 use latchmount::gateway::health::{AttemptOutcome, Health, Tally};
+use latchmount::group::evidence::Evidence;
+use latchmount::group::loads::LoadKey;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -45,6 +47,24 @@
     }
 }
 
+#[test]
+fn a_target_that_is_left_for_turning_away_lives_and_one_left_for_failures_may_not() {
+    let now = Duration::from_secs(1);
+    let others = [Tally::of(now, 0.0, 8.0)];
+    let left_for = |outcome: AttemptOutcome| {
+        let mut health = Health::default();
+        while !health.note(now, outcome, &others) {}
+        health
+    };
+    assert!(left_for(AttemptOutcome::TurnedAway).turns_away(now));
+    assert!(!left_for(AttemptOutcome::Failed).turns_away(now));
+    assert!(!left_for(AttemptOutcome::Unreachable).turns_away(now));
+    let mut together = left_for(AttemptOutcome::TurnedAway);
+    let evidence = Evidence { target: LoadKey::of(7), failed: 9.0, answered: 0.0, reporters: 3 };
+    together.leave_together(now, &evidence, Duration::ZERO, 0.5);
+    assert!(!together.turns_away(now));
+}
+
 #[test]
 fn a_target_out_of_reach_is_left_alone_longer_each_time_and_comes_back() {
     let mut health = Health::default();
