--- a/tests/fleet/leaving.rs
+++ b/tests/fleet/leaving.rs
@@ -15,6 +15,7 @@
 use crate::doors::configuration;
 use crate::harness::{Fleet, eventually};
 use crate::refusals::{Ask, code};
+use crate::requests::fleet_with_two;
 use crate::standin::{Behaviour, Standin};
 
 /// The header by which an answer says that its target leaves.
@@ -22,15 +23,6 @@
 /// Requests that are sent once the word was heard: each of two targets would get many of them.
 const LATER: usize = 30;
 
-async fn fleet_with_two() -> (Fleet, Standin, Standin) {
-    let fleet = Fleet::start(1, 1).await;
-    let leaving = Standin::start("i-1", "s", fleet.doors()).await;
-    let other = Standin::start("i-2", "s", fleet.doors()).await;
-    fleet.configure(&configuration(1)).await;
-    fleet.knows_targets(0, 2).await;
-    (fleet, leaving, other)
-}
-
 /// Asks until a target has got a request.
 async fn ask_until_reached(fleet: &Fleet, target: &Standin, path: &str, mark: &str) {
     let before = target.arrivals().len();
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -20,6 +20,14 @@
     (fleet, standins)
 }
 
+/// A fleet with one gateway and two targets.
+pub async fn fleet_with_two() -> (Fleet, Standin, Standin) {
+    let (fleet, mut standins) = fleet_with(2).await;
+    let other = standins.pop().expect("two targets");
+    let one = standins.pop().expect("two targets");
+    (fleet, one, other)
+}
+
 fn arrivals(standins: &[Standin], id: &str) -> usize {
     standins.iter().map(|standin| standin.counts().get(id).copied().unwrap_or(0)).sum()
 }
--- a/tests/fleet/rests.rs
+++ b/tests/fleet/rests.rs
@@ -12,23 +12,14 @@
 
 use rstest::rstest;
 
-use crate::doors::configuration;
 use crate::harness::{Fleet, eventually};
 use crate::refusals::{Ask, code};
+use crate::requests::fleet_with_two;
 use crate::standin::{Behaviour, Standin};
 
 /// Requests that are sent once the word was heard: each of two targets would get many of them.
 const LATER: usize = 30;
 
-async fn fleet_with_two() -> (Fleet, Standin, Standin) {
-    let fleet = Fleet::start(1, 1).await;
-    let resting = Standin::start("i-1", "s", fleet.doors()).await;
-    let other = Standin::start("i-2", "s", fleet.doors()).await;
-    fleet.configure(&configuration(1)).await;
-    fleet.knows_targets(0, 2).await;
-    (fleet, resting, other)
-}
-
 /// Asks until a target has got a request, which it turns away.
 async fn ask_until_turned_away(fleet: &Fleet, target: &Standin) {
     let mut asked = 0;
