Review: what a choice looks up once, and one reading of how long a rest lasts

Callers see no difference. Read in the whole change as a newcomer: - the split of the choice into steps looked the cold limit up twice for each choice (a table and two locks): it is looked up once again; - each refusal walked all targets of the service for the end of a rest, which only the reason resting tells: only that one does now; - how long a rest lasts yet was matched out of a standing at gateways and at routers: Standing::rest_left serves both; - a search for a home that is away copied the candidates also where none is away. Cause: written one after the other while the mends came. Conclusion: no decision changes; nothing was measured, the costs are read off the code.

--- a/src/availability.rs
+++ b/src/availability.rs
@@ -44,6 +44,14 @@
         matches!(self, Standing::Open | Standing::Returning { .. })
     }
 
+    /// Time until its rest ends, if it rests.
+    pub fn rest_left(self, now: Duration) -> Option<Duration> {
+        match self {
+            Standing::Resting { until } => Some(until.saturating_sub(now)),
+            _ => None,
+        }
+    }
+
     /// Whether it should be left alone if another will do, while it has so many requests from here.
     pub fn hesitates(self, in_flight: u32) -> bool {
         matches!(self, Standing::Returning { allowed } if in_flight >= allowed)
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -8,7 +8,6 @@
 use http::HeaderMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Gateway;
 use super::balance::{Affinity, Candidate, Wish, choose, expected_keeper};
 use super::exchange::Plan;
 use super::mechanism::Mechanism;
@@ -17,7 +16,7 @@
 use super::target::Target;
 use super::targets::Targets;
 use super::versions::{Group, Versions};
-use crate::availability::Standing;
+use super::{ColdLimit, Gateway};
 use crate::configuration::Route;
 use crate::group::loads::{LoadKey, Loads, TargetLoad, loads_count_for};
 use crate::rollout::tally::Subject;
@@ -70,7 +69,8 @@
         let now = self.now();
         let known = read(&self.targets);
         let versions = Versions::of(&known, &plan.service);
-        let (group, targets) = self.usable(now, &known, &versions, plan)?;
+        let cold = self.cold_limit(&plan.service);
+        let (group, targets) = self.usable(now, &known, &versions, plan, cold)?;
         let candidates = self.weigh(now, &targets);
         let in_group = known.of(&plan.service).iter().filter(|one| versions.holds(group, one));
         let wish = self.wish(now, plan, in_group);
@@ -87,7 +87,6 @@
         let all_homes = of_service.iter().map(|target| target.home());
         let expected = affinity
             .is_none_or(|affinity| expected_keeper(targets[at].home(), all_homes, affinity));
-        let cold = self.cold_limit(&plan.service);
         Some(Choice {
             fetch_from,
             expected,
@@ -108,8 +107,8 @@
         known: &'a Targets,
         versions: &Versions<'_>,
         plan: &Plan,
+        cold: Option<ColdLimit>,
     ) -> Option<(Group, Vec<&'a Arc<Target>>)> {
-        let cold = self.cold_limit(&plan.service);
         let (body, room) = (plan.outgoing.body_bytes(), self.bodies_at_target());
         let usable = |target: &&Arc<Target>| {
             target.standing(now).takes_work()
@@ -155,7 +154,8 @@
     ) -> Wish {
         // The others bear the work of those that are left alone: by a mean over all, all of them would be full.
         let left_alone = |target: &Arc<Target>| {
-            target.silent() || rest_left(now, target).is_some() || self.doubtful(now, target)
+            let rests = target.standing(now).rest_left(now).is_some();
+            rests || target.silent() || self.doubtful(now, target)
         };
         Wish {
             affinity: plan.affinity.map(|affinity| self.weighed(affinity)),
@@ -185,7 +185,7 @@
         if open.count() > 0 {
             return Refusal::NoRoom;
         }
-        if there.iter().any(|target| rest_left(now, target).is_some()) {
+        if there.iter().any(|target| target.standing(now).rest_left(now).is_some()) {
             return Refusal::Resting;
         }
         if untried.count() > 0 && plan.tried.is_empty() {
@@ -200,7 +200,8 @@
         let now = self.now();
         let known = read(&self.targets);
         let there = self.suitable(&known, plan);
-        let first = there.iter().filter_map(|target| rest_left(now, target)).min()?;
+        let lefts = there.iter().filter_map(|target| target.standing(now).rest_left(now));
+        let first = lefts.min()?;
         Some(first + BACK_FROM_REST_OVER.mul_f64(rand::random()))
     }
 
@@ -305,14 +306,6 @@
     targets.iter().copied().filter(|target| versions.holds(group, target)).collect()
 }
 
-/// Time until the rest of a target ends, if it rests.
-fn rest_left(now: Duration, target: &Target) -> Option<Duration> {
-    match target.standing(now) {
-        Standing::Resting { until } => Some(until.saturating_sub(now)),
-        _ => None,
-    }
-}
-
 /// Mean load that other gateways bring to the targets that told of it lately.
 fn usual_others(targets: &[&Arc<Target>], now: Duration) -> f64 {
     let told: Vec<f64> = targets.iter().filter_map(|target| target.others(now)).collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -229,7 +229,7 @@
 }
 
 pub(super) fn give_up(gateway: &Gateway, mut plan: Plan, refusal: Refusal) -> Response<AnswerBody> {
-    let rest_left = gateway.rest_left(&plan).filter(|_| refusal == Refusal::Resting);
+    let rest_left = (refusal == Refusal::Resting).then(|| gateway.rest_left(&plan)).flatten();
     trace::given_up(gateway, &plan, refusal, rest_left);
     plan.departure.finish();
     refuse(refusal, Outlook { up_for: gateway.now(), rest_left })
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -87,6 +87,9 @@
         };
         let others = search.of_service.iter().filter(|target| target.key != search.chosen().key);
         let keepers: Vec<&Arc<Target>> = others.filter(keeps).collect();
+        if keepers.is_empty() {
+            return None;
+        }
         let away = keepers.iter().map(|target| Candidate {
             key: target.key,
             home: target.home().filter(|_| homes),
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::availability::{Availability, Standing};
+use crate::availability::Availability;
 use crate::choice::{Candidate, NameHash};
 use crate::retry_after::RetryAfter;
 use crate::template::Spec;
@@ -242,11 +242,7 @@
         closed: impl Fn(&str) -> bool,
     ) -> Option<Duration> {
         let suitable = self.suitable(now, need, &closed);
-        let left = suitable.filter_map(|target| match target.availability.standing(now) {
-            Standing::Resting { until } => Some(until.saturating_sub(now)),
-            _ => None,
-        });
-        left.min()
+        suitable.filter_map(|target| target.availability.standing(now).rest_left(now)).min()
     }
 
     /// Whether the platform's list is too old to prove that a target lives.
