Roll-outs: the new version's part is divided among routes, and rare ones must have shown enough

What callers saw: a version that failed on the rarest route of its service was completed, the old targets were stopped, and all callers of that route met the fault.

Cause: each route gave the same part of its requests, so the rarest gave least evidence, and eight outcomes there, or none on a route under 3 in 100, were taken for enough.

Mend: half of the part is the same number of requests from each route, by shares that members tell with the loads; beyond the first part a route needs so many outcomes that a version failing a quarter more would be hinted at; what has not shown enough is rolled back and the log names the routes.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -68,7 +68,7 @@
     pub(super) fn choose(&self, plan: &Plan) -> Option<Choice> {
         let now = self.now();
         let known = read(&self.targets);
-        let versions = Versions::of(&known, &plan.service);
+        let versions = Versions::of(now, &known, plan);
         let cold = self.cold_limit(&plan.service);
         let (group, targets) = self.usable(now, &known, &versions, plan, cold)?;
         let candidates = self.weigh(now, &targets);
@@ -207,7 +207,7 @@
 
     /// Targets that may take the request by their version and region, and that do not leave.
     fn suitable<'a>(&self, known: &'a Targets, plan: &Plan) -> Vec<&'a Arc<Target>> {
-        let versions = Versions::of(known, &plan.service);
+        let versions = Versions::of(self.now(), known, plan);
         let groups = versions.groups(plan.lot, !plan.tried.is_empty());
         let suits = |target: &&Arc<Target>| {
             !target.leaving()
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -211,6 +211,10 @@
         if let Some(loads) = &update.loads {
             self.gateway.take_loads(loads);
         }
+        if !update.mixes.is_empty() {
+            let mut targets = write(&self.gateway.targets);
+            targets.take_mixes(self.gateway.now(), update.mixes.clone());
+        }
         lock(&self.gateway.keepers).hear(self.gateway.now(), &update.keepers);
         self.gateway.take_poison_news(&update.poison);
         if let Some(evidence) = &update.evidence {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,9 +9,13 @@
 use crate::clock::Instant;
 use crate::directory::{DirectoryDelta, Listed, Moved, TargetState};
 use crate::group::message::{Evacuation, HallNews};
-use crate::rollout::{RolloutNews, RolloutTold};
+use crate::rollout::division::RolloutMix;
+use crate::rollout::tally::RouteKey;
+use crate::rollout::{RolloutNews, RolloutTold, Stage};
 use crate::store::Revision;
 
+/// How long a service's mix of routes is gone by; without one the new version gets the same part of each route.
+const MIX_COUNTS_FOR: Duration = Duration::from_secs(5);
 /// How long after it got a home a target is thought to lack what its predecessor kept.
 const MOVED_IN_FOR: Duration = Duration::from_secs(20);
 
@@ -30,6 +34,8 @@
     halls: Option<HallNews>,
     /// Roll-outs of services; `None` before any word of them.
     rollouts: Option<RolloutNews>,
+    /// What part of a service's requests each route has, for roll-outs under way, and when that was told.
+    mixes: (Duration, Vec<RolloutMix>),
     /// When data halls were taken back into use, by the revision that did so and the time since the start
     /// of the gateway.
     returned: HashMap<String, (Revision, Duration)>,
@@ -70,6 +76,21 @@
         rollouts.find(|told| told.service == service)
     }
 
+    /// Takes word of what part of a service's requests each route has.
+    pub(super) fn take_mixes(&mut self, now: Duration, mixes: Vec<RolloutMix>) {
+        self.mixes = (now, mixes);
+    }
+
+    /// A roll-out's stage on one route.
+    pub(super) fn stage_on_route(&self, now: Duration, told: &RolloutTold, route: &str) -> Stage {
+        let (told_at, mixes) = &self.mixes;
+        let mix = mixes.iter().find(|mix| mix.rollout == told.at);
+        match mix.filter(|_| now < *told_at + MIX_COUNTS_FOR) {
+            Some(mix) => mix.mix.stage(RouteKey::of(route), told.stage),
+            None => told.stage,
+        }
+    }
+
     /// Takes word of roll-outs, unless it is older than what is known; tells whether it was taken.
     pub(super) fn follow_rollouts(&mut self, news: RolloutNews) -> bool {
         let newer = self.rollouts_revision().is_none_or(|known| known < news.revision);
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -1,6 +1,7 @@
 //! Which version of a service a request goes to while one takes the place of another, and what this gateway saw of both.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -52,15 +53,18 @@
 pub(super) struct Versions<'a> {
     of_service: &'a [Arc<Target>],
     told: Option<&'a RolloutTold>,
+    /// Stage on the route of the request.
+    stage: Option<Stage>,
     /// Place in the order of all gateways up to which new targets are on trial.
     trial_below: u64,
 }
 
 impl<'a> Versions<'a> {
-    /// Of a service.
-    pub(super) fn of(known: &'a Targets, service: &str) -> Self {
-        let (of_service, told) = (known.of(service), known.rollout(service));
-        let mut versions = Versions { of_service, told, trial_below: 0 };
+    /// Of the service and route that a request is for.
+    pub(super) fn of(now: Duration, known: &'a Targets, plan: &Plan) -> Self {
+        let (of_service, told) = (known.of(&plan.service), known.rollout(&plan.service));
+        let stage = told.map(|told| known.stage_on_route(now, told, &plan.route.name));
+        let mut versions = Versions { of_service, told, stage, trial_below: 0 };
         if let Some(told) = told.filter(|told| matches!(told.stage, Stage::Part(_))) {
             versions.trial_below = versions.trial_end(told);
         }
@@ -78,7 +82,7 @@
 
     /// Groups that a request goes to.
     pub(super) fn groups(&self, lot: f64, again: bool) -> &'static [Group] {
-        groups(self.told.map(|told| told.stage), lot, again)
+        groups(self.stage, lot, again)
     }
 
     /// Whether a target is in a group.
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -14,6 +14,7 @@
 use crate::poison::Report;
 use crate::raft::{Envelope, Index, StoreId};
 use crate::rollout::RolloutNews;
+use crate::rollout::division::RolloutMix;
 use crate::rollout::tally::Tallies;
 use crate::store::{Answer, Command, Revision};
 
@@ -199,6 +200,8 @@
     pub evidence: Option<Vec<Evidence>>,
     /// Targets that keep prompts, since the last word, when it is time for that.
     pub keepers: Vec<Keeper>,
+    /// What part of a service's requests each route has, for roll-outs under way, when it is time for that.
+    pub mixes: Vec<RolloutMix>,
     /// Requests under which targets ended and that gateways are to know, since the last word.
     pub poison: Vec<Report>,
 }
@@ -216,6 +219,7 @@
             parcels,
             keepers,
             poison,
+            mixes: if self.mixes.is_empty() { earlier.mixes } else { self.mixes },
             elsewhere: self.elsewhere.or(earlier.elsewhere),
             members: self.members.or(earlier.members),
             halls: self.halls.or(earlier.halls),
--- a/src/group/push.rs
+++ b/src/group/push.rs
@@ -311,8 +311,10 @@
             Some(_) => lock(&self.shared.keepers).next_for_gateway(now, &mut self.cursor.keepers),
             None => Vec::new(),
         };
+        let mixes = loads.as_ref().map(|_| lock(&self.shared.rollouts).mixes());
+        let mixes = mixes.unwrap_or_default();
         let fresh = self.fresh();
-        let rest = Update { keepers, ..Update::default() };
+        let rest = Update { keepers, mixes, ..Update::default() };
         Update { fresh, version, halls, rollouts, gateways, loads, evidence, ..rest }
     }
 
--- a/src/group/rollout.rs
+++ b/src/group/rollout.rs
@@ -12,7 +12,8 @@
 use crate::control::member::Published;
 use crate::dialect::RolloutCall;
 use crate::jsonc::Fault;
-use crate::rollout::steps::{Progress, Step, next};
+use crate::rollout::division::RolloutMix;
+use crate::rollout::steps::{Progress, Step, Why, next};
 use crate::rollout::tally::{Compared, History, RouteKey, Tallies};
 use crate::rollout::{
     Rollout, RolloutNews, RolloutOrder, RolloutStep, RolloutVerdict, Rollouts, Stage,
@@ -142,6 +143,20 @@
         self.histories.get(&at).map(History::routes).unwrap_or_default()
     }
 
+    /// What part of a service's requests each route has, for each roll-out under way.
+    pub(super) fn mixes(&self) -> Vec<RolloutMix> {
+        let mix =
+            |(at, history): (&Revision, &History)| RolloutMix { rollout: *at, mix: history.mix() };
+        self.histories.iter().map(mix).collect()
+    }
+
+    /// The routes at these places of those of a roll-out.
+    fn keys(&self, at: Revision, places: impl Iterator<Item = usize>) -> Vec<RouteKey> {
+        let history = self.histories.get(&at);
+        let keys: Vec<RouteKey> = history.into_iter().flat_map(History::keys).collect();
+        places.filter_map(|place| keys.get(place).copied()).collect()
+    }
+
     fn answers(&self, at: Revision) -> u32 {
         self.total(at).values().map(|route| route.new.times.count()).sum()
     }
@@ -259,17 +274,32 @@
             if step.is_none() && elapsed < known.noted.0 + NOTE_INTERVAL {
                 return None;
             }
+            let why = step.map(|step| step.why);
+            let unproven = match why {
+                Some(Why::Unproven) => watch.keys(rollout.at, progress.unproven()),
+                _ => Vec::new(),
+            };
             let command = RolloutStep {
                 service: rollout.order.service.clone(),
                 at: rollout.at,
                 stage: step.map_or(rollout.stage, |step| step.stage),
                 elapsed_ms: elapsed.as_millis() as u64,
             };
-            Some(Due { command, step, rollout: rollout.clone() })
+            Some(Due { command, step, unproven, rollout: rollout.clone() })
         });
         due.collect()
     }
 
+    /// Names of routes, by the configuration in force.
+    fn route_names(&self, keys: &[RouteKey]) -> Vec<String> {
+        let published = self.published();
+        let document = published.document.as_ref().filter(|_| !keys.is_empty());
+        let read = document.and_then(|held| self.dialect.configuration(&held.bytes).ok());
+        let routes = read.into_iter().flat_map(|configuration| configuration.routes);
+        let named = routes.map(|route| route.name);
+        named.filter(|name| keys.contains(&RouteKey::of(name))).collect()
+    }
+
     /// Requests in flight at the old version of a service, as far as gateways told.
     fn in_flight_at_old(&self, published: &Published, rollout: &Rollout) -> u32 {
         if rollout.stage != Stage::Shifted {
@@ -291,6 +321,8 @@
     command: RolloutStep,
     /// The next stage, unless just the time is to be noted.
     step: Option<Step>,
+    /// Routes for want of which it is rolled back.
+    unproven: Vec<RouteKey>,
     rollout: Rollout,
 }
 
@@ -315,14 +347,16 @@
         }
         for due in due {
             if let Some(step) = &due.step {
-                tell_step(&shared, step, &due.rollout);
+                tell_step(&shared, step, &due);
             }
             shared.propose_here(Command::RolloutStep(due.command)).await;
         }
     }
 }
 
-fn tell_step(shared: &Shared, step: &Step, rollout: &Rollout) {
+fn tell_step(shared: &Shared, step: &Step, due: &Due) {
+    let rollout = &due.rollout;
+    let unproven = shared.route_names(&due.unproven).join(",");
     let watch = lock(&shared.rollouts);
     let routes = watch.total(rollout.at);
     let sum = |of: fn(&Compared) -> u32| -> u32 { routes.values().map(of).sum() };
@@ -330,7 +364,7 @@
     info!(shared.log, "roll-out takes its next stage"; "event" => "rollout_step",
         "service" => &rollout.order.service, "version" => &rollout.order.version,
         "from" => ?rollout.stage, "to" => ?step.stage, "why" => ?step.why,
-        "routes" => routes.len(), "new" => sum(|route| route.new.count()),
+        "unproven" => unproven, "routes" => routes.len(), "new" => sum(|route| route.new.count()),
         "new_failed" => sum(|route| route.new.failed), "old" => sum(|route| route.old.count()),
         "old_failed" => sum(|route| route.old.failed));
 }
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -9,10 +9,17 @@
 
 /// Rate of failures or slow answers that is taken as usual at least: the old version may have had none by luck.
 const LEAST_USUAL: f64 = 0.02;
-/// Outcomes beyond the usual from which a version is worse, besides the deviations: single failures prove nothing.
-const BEYOND: f64 = 2.5;
-/// Standard deviations beyond the usual: the test is made several times a second, on some five routes.
-const DEVIATIONS: f64 = 4.5;
+/// What proves that a version is worse: single failures prove nothing, and the test is made several times a second on
+/// every route.
+const PROOF: Margin = Margin { beyond: 2.5, deviations: 4.5 };
+/// What hints at it.
+const HINT: Margin = Margin { beyond: 0.5, deviations: 3.5 };
+/// Part of its answers that the mildest fault to be found fails beyond the usual.
+const MILDEST_FAULT: f64 = 0.25;
+/// Standard deviations less than is to be expected that such a fault may show.
+const SHOWS_LESS: f64 = 0.5;
+/// Largest rate of failures that such a fault is thought to lead to.
+const WORST_RATE: f64 = 0.9;
 /// Part of the old version's answers within which a time is usual.
 const USUAL_PART: f64 = 0.75;
 /// Buckets of times beyond that from which an answer is slow: twice as long.
@@ -27,6 +34,15 @@
 /// Slices that are judged by themselves as well, so that a fault that begins late shows soon.
 const RECENT: usize = 3;
 
+/// How far beyond the usual something must lie.
+#[derive(Clone, Copy, Debug)]
+struct Margin {
+    /// Outcomes.
+    beyond: f64,
+    /// Standard deviations, besides.
+    deviations: f64,
+}
+
 /// What shows that a version is bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fault {
@@ -68,6 +84,27 @@
     fails(&all)
 }
 
+/// Whether one route alone hints at a fault that is not proved yet: more is to be seen before the version gets more.
+pub fn suspected(slices: &[Compared]) -> bool {
+    let hints = |shares: &[Shares]| {
+        beyond_chance(FaultKind::Fails, HINT, shares, &usual_rates(shares)).is_some()
+    };
+    hints(&failures(slices)) || hints(&slow(slices))
+}
+
+/// Whether a route has enough outcomes of the new version that the mildest fault to be found would be hinted at, even if
+/// it showed a little less than is to be expected.
+pub fn would_show(slices: &[Compared]) -> bool {
+    let shares = failures(slices);
+    let expected = Expected::of(&shares, &usual_rates(&shares));
+    if expected.of == 0.0 {
+        return false;
+    }
+    let rate = (expected.usual / expected.of + MILDEST_FAULT).min(WORST_RATE);
+    let spread = (expected.of * rate * (1.0 - rate)).sqrt();
+    expected.of * rate - SHOWS_LESS * spread >= expected.most(HINT)
+}
+
 /// How many outcomes of a kind there are among how many.
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
@@ -89,12 +126,16 @@
 }
 
 fn fails(slices: &[Compared]) -> Option<Fault> {
+    worse(FaultKind::Fails, &failures(slices))
+}
+
+fn failures(slices: &[Compared]) -> Vec<Shares> {
     let share = |failed, of| Share { seen: failed, of };
     let shares = slices.iter().map(|slice| Shares {
         old: share(slice.old.failed, slice.old.count()),
         new: share(slice.new.failed, slice.new.count()),
     });
-    worse(FaultKind::Fails, &shares.collect::<Vec<Shares>>())
+    shares.collect()
 }
 
 fn slow(slices: &[Compared]) -> Vec<Shares> {
@@ -113,8 +154,8 @@
 fn worse(kind: FaultKind, slices: &[Shares]) -> Option<Fault> {
     let rates = usual_rates(slices);
     let recent = slices.len().saturating_sub(RECENT);
-    beyond_chance(kind, slices, &rates)
-        .or_else(|| beyond_chance(kind, &slices[recent..], &rates[recent..]))
+    beyond_chance(kind, PROOF, slices, &rates)
+        .or_else(|| beyond_chance(kind, PROOF, &slices[recent..], &rates[recent..]))
 }
 
 /// The rate that is usual in each slice.
@@ -141,20 +182,48 @@
     slices.iter().fold(Share::default(), sum).rate()
 }
 
-/// Whether the new version has more outcomes of a kind than chance makes of the rates that are usual in each slice.
-fn beyond_chance(kind: FaultKind, slices: &[Shares], rates: &[f64]) -> Option<Fault> {
-    let (mut usual, mut variance) = (0.0, 0.0);
-    let mut sum = Share::default();
-    for (slice, rate) in slices.iter().zip(rates) {
-        let rate = rate.clamp(LEAST_USUAL, 1.0);
-        let of = f64::from(slice.new.of);
-        usual += rate * of;
-        // The rate of the old version is itself known from some outcomes only.
-        let unsure = of * of / (f64::from(slice.old.of) + PRIOR);
-        variance += rate * (1.0 - rate) * (of + unsure);
-        sum.seen = sum.seen.saturating_add(slice.new.seen);
-        sum.of = sum.of.saturating_add(slice.new.of);
+/// Outcomes of a kind that are to be expected of the new version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Expected {
+    /// All its outcomes.
+    of: f64,
+    /// Those of the kind at the usual rates.
+    usual: f64,
+    variance: f64,
+}
+
+impl Expected {
+    /// Of these slices, with the rate that is usual in each.
+    fn of(slices: &[Shares], rates: &[f64]) -> Self {
+        let mut expected = Expected::default();
+        for (slice, rate) in slices.iter().zip(rates) {
+            let rate = rate.clamp(LEAST_USUAL, 1.0);
+            let of = f64::from(slice.new.of);
+            expected.of += of;
+            expected.usual += rate * of;
+            // The rate of the old version is itself known from some outcomes only.
+            let unsure = of * of / (f64::from(slice.old.of) + PRIOR);
+            expected.variance += rate * (1.0 - rate) * (of + unsure);
+        }
+        expected
     }
-    let most = usual + BEYOND + DEVIATIONS * variance.sqrt();
-    (f64::from(sum.seen) >= most).then_some(Fault { kind, seen: sum.seen, of: sum.of, usual })
+
+    /// Most that are within a margin.
+    fn most(self, margin: Margin) -> f64 {
+        self.usual + margin.beyond + margin.deviations * self.variance.sqrt()
+    }
+}
+
+/// Whether the new version has more outcomes of a kind than chance makes of the rates that are usual in each slice.
+fn beyond_chance(
+    kind: FaultKind,
+    margin: Margin,
+    slices: &[Shares],
+    rates: &[f64],
+) -> Option<Fault> {
+    let expected = Expected::of(slices, rates);
+    let seen = slices.iter().fold(0, |sum: u32, slice| sum.saturating_add(slice.new.seen));
+    let of = slices.iter().fold(0, |sum: u32, slice| sum.saturating_add(slice.new.of));
+    let beyond = f64::from(seen) >= expected.most(margin);
+    beyond.then_some(Fault { kind, seen, of, usual: expected.usual })
 }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -6,6 +6,7 @@
 //! whether or not members are out of reach. A gateway that has not heard of a stage is at an earlier one, which allows
 //! less. Before an order nothing is told apart by versions.
 
+pub mod division;
 pub mod judge;
 pub mod steps;
 pub mod tally;
--- a/src/rollout/steps.rs
+++ b/src/rollout/steps.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::Stage;
-use super::judge::{Fault, judge_all};
+use super::judge::{Fault, judge_all, suspected, would_show};
 use super::tally::Compared;
 
 /// Part of a roll-out's time for which the new version is on trial: what it gets counts from the order on when it turns
@@ -25,11 +25,10 @@
 const WHOLE: u16 = 1_000;
 /// Answers of the new version in a stage without which the next is not taken.
 const ANSWERS_OF_STEP: u32 = 30;
-/// Outcomes of the new version on each route without which it gets no more: some faults show on one route only. Of
-/// 300 such versions four got more than they may before the rarest route had enough.
+/// Outcomes of the new version on each route without which it gets no more: some faults show on one route only.
 const OUTCOMES_OF_ROUTE: u32 = 8;
-/// Part of the outcomes that a route must have for that.
-const LEAST_ROUTE: f64 = 0.03;
+/// Part of all outcomes from which a route counts for that; a version that is bad on a rarer one harms few.
+const LEAST_ROUTE: f64 = 0.005;
 
 /// What is known of a roll-out.
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +67,8 @@
     Worse(Fault),
     /// It is no worse, and enough answers show so.
     NoWorse,
+    /// The time is nearly over, and some routes have not shown enough.
+    Unproven,
     /// The old version has nothing in flight any more.
     OldIdle,
     /// The time is nearly over.
@@ -87,7 +88,7 @@
         return shifted(progress, part);
     }
     if part >= LATEST_SHIFT_PART {
-        return Some(Step { stage: Stage::RolledBack, why: Why::TimeUp });
+        return Some(Step { stage: Stage::RolledBack, why: Why::Unproven });
     }
     let Stage::Part(permille) = progress.stage else {
         return None;
@@ -98,8 +99,8 @@
         false => part >= TRIAL_PART,
     };
     let enough = progress.answers() >= progress.answers_before + ANSWERS_OF_STEP;
-    let everywhere = progress.seen_on_each_route();
-    (long && enough && everywhere).then_some(Step { stage, why: Why::NoWorse })
+    let proven = || progress.unproven().next().is_none();
+    (long && enough && proven()).then_some(Step { stage, why: Why::NoWorse })
 }
 
 fn shifted(progress: &Progress<'_>, part: f64) -> Option<Step> {
@@ -124,15 +125,21 @@
         self.elapsed.as_secs_f64() / self.lasts.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
-    /// Whether the new version has outcomes on each route that is not very rare.
-    fn seen_on_each_route(&self) -> bool {
-        let count =
-            |slices: &[Compared], of: fn(&Compared) -> u32| -> u32 { slices.iter().map(of).sum() };
-        let old = |slices: &[Compared]| count(slices, |slice| slice.old.count());
-        let new = |slices: &[Compared]| count(slices, |slice| slice.new.count());
-        let all: u32 = self.routes.iter().map(|slices| old(slices)).sum();
-        let rare = |slices: &[Compared]| f64::from(old(slices)) < LEAST_ROUTE * f64::from(all);
-        self.routes.iter().all(|slices| rare(slices) || new(slices) >= OUTCOMES_OF_ROUTE)
+    /// Routes, by their place, on which the new version has not shown enough to get more, or hints at a fault.
+    pub fn unproven(&self) -> impl Iterator<Item = usize> {
+        let all: u32 = self.routes.iter().map(|slices| outcomes(slices)).sum();
+        let least = LEAST_ROUTE * f64::from(all);
+        let routes = self.routes.iter().enumerate();
+        let counts = routes.filter(move |(_, slices)| f64::from(outcomes(slices)) >= least);
+        counts.filter(|(_, slices)| !self.proven(slices)).map(|(at, _)| at)
+    }
+
+    /// Whether a route has shown enough for the next stage. At first a few outcomes do, since little more is risked by
+    /// the next part, which tells more.
+    fn proven(&self, slices: &[Compared]) -> bool {
+        let new: u32 = slices.iter().map(|slice| slice.new.count()).sum();
+        let at_first = self.stage == Stage::Part(self.trial_permille);
+        new >= OUTCOMES_OF_ROUTE && (at_first || would_show(slices)) && !suspected(slices)
     }
 
     /// Answers of the new version.
@@ -140,3 +147,8 @@
         self.routes.iter().flatten().map(|slice| slice.new.times.count()).sum()
     }
 }
+
+/// Outcomes of both versions.
+fn outcomes(slices: &[Compared]) -> u32 {
+    slices.iter().map(|slice| slice.old.count().saturating_add(slice.new.count())).sum()
+}
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::division::{Mix, RouteShare};
 use crate::store::Revision;
 
 /// Buckets of times; each holds times up to half an octave longer than the one before, the last from 46 s on.
@@ -212,6 +213,10 @@
 
 /// Length of a slice at first.
 const SLICE: Duration = Duration::from_secs(1);
+/// Slices that tell of a route that has more requests than before.
+const LATEST: usize = 3;
+/// Standard deviations that the latest requests of a route must be above the others to count.
+const LATEST_DEVIATIONS: f64 = 2.0;
 /// Most slices of a route; where there are more, two become one.
 const MOST_SLICES: usize = 128;
 
@@ -229,6 +234,16 @@
     over: usize,
 }
 
+/// Attempts in these slices.
+fn attempts(slices: &[Compared]) -> f64 {
+    let attempts = |slice: &Compared| f64::from(slice.old.count()) + f64::from(slice.new.count());
+    slices.iter().map(attempts).sum()
+}
+
+fn attempts_from(slices: &[Compared], from: usize) -> f64 {
+    slices.get(from..).map_or(0.0, attempts)
+}
+
 impl Default for History {
     fn default() -> Self {
         let (before, slices) = (BTreeMap::new(), BTreeMap::new());
@@ -269,6 +284,25 @@
         }
     }
 
+    /// What part of all requests each route has: of all since the order, or of the latest where that is clearly more.
+    pub fn mix(&self) -> Mix {
+        let from = self.over.saturating_sub(LATEST);
+        let all: f64 = self.slices.values().map(|slices| attempts(slices)).sum();
+        let latest: f64 = self.slices.values().map(|slices| attempts_from(slices, from)).sum();
+        let share = |(route, slices): (&RouteKey, &Vec<Compared>)| {
+            let late = attempts_from(slices, from);
+            let since_order = (attempts(slices) + 1.0) / (all + 1.0);
+            let lately = (late - LATEST_DEVIATIONS * late.sqrt()) / latest.max(1.0);
+            RouteShare { route: *route, share: since_order.max(lately) as f32 }
+        };
+        Mix(self.slices.iter().map(share).collect())
+    }
+
+    /// The routes, in the order of [`routes`](History::routes).
+    pub fn keys(&self) -> impl Iterator<Item = RouteKey> {
+        self.slices.keys().copied()
+    }
+
     /// Slices of each route.
     pub fn routes(&self) -> Vec<Vec<Compared>> {
         self.slices.values().cloned().collect()
--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use latchmount::rollout::Stage;
+use latchmount::rollout::division::{Mix, RouteShare};
 use latchmount::rollout::judge::judge;
 use latchmount::rollout::tally::{Compared, RouteKey, Side, Subject, Tallies};
 use rand::rngs::StdRng;
@@ -10,12 +11,15 @@
 use rstest::rstest;
 
 use crate::seeds;
-use crate::stage::{Illness, Outcome, Scene, Shows, Trouble};
+use crate::stage::{Illness, Outcome, Scene, Shows, Surge, Trouble};
 use crate::ways::Way;
 
 /// Roll-outs of each kind and fleet in CI.
 const ROLLOUTS: u64 = 40;
 
+/// Roll-outs with a rare route of each kind and fleet in CI.
+const RARE_ROLLOUTS: u64 = 12;
+
 /// Kinds of roll-outs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -66,6 +70,7 @@
         shows,
         trouble,
         ready: Duration::from_millis(rng.random_range(0..3_000)),
+        surge: None,
     }
 }
 
@@ -154,6 +159,127 @@
     }
 }
 
+/// A service of so many routes, of which the last has a hundredth of all requests, each less than the one before.
+fn with_a_rare_route(mut scene: Scene, routes: usize, rng: &mut StdRng) -> Scene {
+    const RAREST: f64 = 0.01;
+    let per_s: f64 = scene.routes.iter().sum();
+    let mut weights: Vec<f64> = (1..routes).map(|_| rng.random_range(1.0..6.0)).collect();
+    weights.sort_by(|a, b| b.total_cmp(a));
+    let sum: f64 = weights.iter().sum();
+    scene.routes = weights.iter().map(|weight| per_s * (1.0 - RAREST) * weight / sum).collect();
+    scene.routes.push(per_s * RAREST);
+    if let Shows::OnRoute(_) = scene.shows {
+        let rarest = rng.random_bool(0.5);
+        scene.shows = Shows::OnRoute(if rarest { routes - 1 } else { rng.random_range(0..routes) });
+    }
+    scene
+}
+
+/// What happens on a route besides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Besides {
+    Nothing,
+    /// Both versions fail often there.
+    Fails,
+    /// It gets many more requests.
+    Surges,
+}
+
+fn happens(mut scene: Scene, besides: Besides, rng: &mut StdRng) -> Scene {
+    let routes = scene.routes.len();
+    let route = match scene.shows {
+        Shows::OnRoute(route) => route,
+        _ => rng.random_range(0..routes),
+    };
+    match besides {
+        Besides::Nothing => {}
+        Besides::Fails => {
+            scene.trouble = Trouble::RouteFails(route, rng.random_range(0.05..0.3));
+        }
+        Besides::Surges => {
+            let times = rng.random_range(5.0..30.0);
+            scene.surge =
+                Some(Surge { route: routes - 1, from: rng.random_range(0.1..0.7), times });
+        }
+    }
+    scene
+}
+
+/// Roll-outs of services with a rare route, each way and fleet.
+fn play_with_a_rare_route(way: Way, kind: Kind, routes: usize, besides: Besides) -> Summary {
+    let seed = seeds::seed();
+    let rollouts = seeds::number("LATCHMOUNT_ROLLOUTS").unwrap_or(RARE_ROLLOUTS);
+    let longer = seeds::number("LATCHMOUNT_LONGER").unwrap_or(1) as u32;
+    let mut summary = Summary::default();
+    for gateways in [8, 1_000] {
+        for number in 0..rollouts {
+            let mut rng = StdRng::seed_from_u64(seed.wrapping_add(number));
+            let scene = draw(kind, gateways, &mut rng);
+            let scene = Scene { lasts: scene.lasts * longer, ..scene };
+            let scene = with_a_rare_route(scene, routes, &mut rng);
+            let scene = happens(scene, besides, &mut rng);
+            summary.add(&scene.play(way, &mut rng), !kind.good());
+        }
+    }
+    println!(
+        "{way:?} {kind:?} routes={routes} {besides:?}: completed {} of {}, over {}, fullest {:.2}",
+        summary.completed, summary.played, summary.over, summary.fullest
+    );
+    summary
+}
+
+/// A version that is bad on a rare route only was completed for want of evidence there: every second one, where the
+/// route has a hundredth of all requests.
+#[rstest]
+fn a_version_that_is_bad_on_a_rare_route_is_not_completed(
+    #[values(3, 8)] routes: usize,
+    #[values(Besides::Nothing, Besides::Fails)] besides: Besides,
+) {
+    let summary = play_with_a_rare_route(Way::Deviations, Kind::OnRoute, routes, besides);
+    assert_eq!(summary.completed, 0);
+}
+
+/// Where rare routes have to show enough, more good versions are completed if those get a larger part.
+#[test]
+fn dividing_by_route_completes_more_good_versions_than_the_same_part_of_each() {
+    let same = play_with_a_rare_route(Way::SamePart, Kind::Good, 3, Besides::Nothing);
+    let divided = play_with_a_rare_route(Way::Deviations, Kind::Good, 3, Besides::Nothing);
+    assert!(divided.completed > same.completed, "{} and {}", divided.completed, same.completed);
+}
+
+/// The bound holds while a rare route gets many times as many requests.
+#[rstest]
+fn a_route_that_surges_gives_the_new_version_no_more_than_it_may(
+    #[values(3, 8, 30)] routes: usize,
+) {
+    for kind in [Kind::OnRoute, Kind::Later] {
+        let summary = play_with_a_rare_route(Way::Deviations, kind, routes, Besides::Surges);
+        assert_eq!((summary.completed, summary.over), (0, 0), "{kind:?}");
+    }
+}
+
+/// What the new version gets of all requests, divided among routes, is its part at most, whatever the routes have.
+#[test]
+fn the_parts_of_all_routes_sum_up_to_the_part_of_all() {
+    let mut rng = StdRng::seed_from_u64(seeds::seed());
+    for _ in 0..1_000 {
+        let routes = rng.random_range(1..40);
+        let weights: Vec<f64> = (0..routes).map(|_| rng.random_range(0.001_f64..1.0)).collect();
+        let all: f64 = weights.iter().sum();
+        let key = |at: usize| RouteKey::of(&at.to_string());
+        let share = |(at, weight): (usize, &f64)| RouteShare {
+            route: key(at),
+            share: (weight / all) as f32,
+        };
+        let mix = Mix(weights.iter().enumerate().map(share).collect());
+        let part = rng.random_range(0.005..0.6);
+        let given = |(at, weight): (usize, &f64)| mix.part(key(at), part) * weight / all;
+        let sum: f64 = weights.iter().enumerate().map(given).sum();
+        assert!(sum <= part + 1e-6, "{sum} of {part}, {weights:?}");
+        assert_eq!(mix.part(RouteKey::of("unseen"), part), part);
+    }
+}
+
 /// The other ways, for comparison: each fails at something that the kept one must not.
 #[rstest]
 #[case(Way::Thresholds)]
--- a/tests/rollout/stage.rs
+++ b/tests/rollout/stage.rs
@@ -5,6 +5,7 @@
 
 use latchmount::gateway::versions::on_trial;
 use latchmount::rollout::Stage;
+use latchmount::rollout::division::Mix;
 use latchmount::rollout::steps::Progress;
 use latchmount::rollout::tally::{Compared, History, RouteKey};
 use rand::RngExt;
@@ -52,6 +53,18 @@
     BothFail(f64),
     /// A third of the targets, of both versions, is several times slower for a while.
     SlowHall(f64),
+    /// Both fail this part of their answers on one route.
+    RouteFails(usize, f64),
+}
+
+/// Requests of a route become more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Surge {
+    pub route: usize,
+    /// From this part of the time on.
+    pub from: f64,
+    /// How many times more.
+    pub times: f64,
 }
 
 /// A roll-out to play.
@@ -68,6 +81,7 @@
     pub trouble: Trouble,
     /// When the new targets are there and warm.
     pub ready: Duration,
+    pub surge: Option<Surge>,
 }
 
 /// How it went.
@@ -85,6 +99,27 @@
 /// Outcomes on their way to the leader, and when they are there.
 type OnTheirWay = VecDeque<(Duration, Vec<Compared>)>;
 
+/// What gateways go by.
+#[derive(Clone, Debug)]
+struct Obeyed {
+    stage: Stage,
+    mix: Mix,
+}
+
+impl Obeyed {
+    /// Part of a route's requests that the new version gets.
+    fn part(&self, way: Way, route: usize) -> f64 {
+        match way.divides() {
+            true => self.mix.part(route_key(route), self.stage.share()),
+            false => self.stage.share(),
+        }
+    }
+}
+
+fn route_key(route: usize) -> RouteKey {
+    RouteKey::of(&route.to_string())
+}
+
 impl Scene {
     /// Time until what a gateway saw is known to the leader: two words, each the later the more gateways there are.
     fn word_takes(&self) -> Duration {
@@ -98,30 +133,35 @@
 
     /// Plays it.
     pub fn play(&self, way: Way, rng: &mut StdRng) -> Outcome {
-        let key = |at: usize| RouteKey::of(&at.to_string());
         let mut known: BTreeMap<RouteKey, Compared> =
-            (0..self.routes.len()).map(|at| (key(at), Compared::default())).collect();
+            (0..self.routes.len()).map(|at| (route_key(at), Compared::default())).collect();
         let mut history = History::default();
         let mut on_their_way = OnTheirWay::new();
-        let (mut stage, mut obeyed) = (Stage::Part(TRIAL_PERMILLE), Stage::Part(TRIAL_PERMILLE));
+        let mut mixes = VecDeque::new();
+        let mut stage = Stage::Part(TRIAL_PERMILLE);
+        let mut obeyed = Obeyed { stage, mix: Mix::default() };
         let (mut stage_since, mut answers_before) = (Duration::ZERO, 0);
         let (mut exposed, mut total) = (0.0, 0.0);
         let mut over_at = None;
         let mut now = Duration::ZERO;
         while now < self.lasts {
             if now >= stage_since + self.stage_takes() {
-                obeyed = stage;
+                obeyed.stage = stage;
+            }
+            while let Some((_, mix)) = mixes.pop_front_if(|(at, _)| *at <= now) {
+                obeyed.mix = mix;
             }
-            let (seen, to_new) = self.step(now, obeyed, rng);
+            let (seen, to_new) = self.step(now, way, &obeyed, rng);
             exposed += to_new;
-            total += self.routes.iter().sum::<f64>() * STEP.as_secs_f64();
+            total += self.rates(now).sum::<f64>() * STEP.as_secs_f64();
             on_their_way.push_back((now + self.word_takes(), seen));
             while let Some((_, seen)) = on_their_way.pop_front_if(|(at, _)| *at <= now) {
                 for (at, seen) in seen.iter().enumerate() {
-                    known.entry(key(at)).or_default().add(seen);
+                    known.entry(route_key(at)).or_default().add(seen);
                 }
             }
             history.note(now, &known);
+            mixes.push_back((now + self.stage_takes(), history.mix()));
             let routes = history.routes();
             let progress = Progress {
                 stage,
@@ -151,19 +191,36 @@
         }
     }
 
+    /// Requests a second on each route.
+    fn rates(&self, now: Duration) -> impl Iterator<Item = f64> {
+        self.routes.iter().enumerate().map(move |(route, per_s)| match self.surge {
+            Some(surge) if surge.route == route && now >= self.lasts.mul_f64(surge.from) => {
+                per_s * surge.times
+            }
+            _ => *per_s,
+        })
+    }
+
     /// What is seen in one step, by route, and the requests that the new version got.
-    fn step(&self, now: Duration, obeyed: Stage, rng: &mut StdRng) -> (Vec<Compared>, f64) {
+    fn step(
+        &self,
+        now: Duration,
+        way: Way,
+        obeyed: &Obeyed,
+        rng: &mut StdRng,
+    ) -> (Vec<Compared>, f64) {
         let mut seen = vec![Compared::default(); self.routes.len()];
         let mut to_new = 0.0;
-        let share = if now < self.ready { 0.0 } else { obeyed.share() };
-        for (route, per_s) in self.routes.iter().enumerate() {
+        let share_of_all = if now < self.ready { 0.0 } else { obeyed.stage.share() };
+        for (route, per_s) in self.rates(now).enumerate() {
+            let share = if share_of_all > 0.0 { obeyed.part(way, route) } else { 0.0 };
             let requests = per_s * STEP.as_secs_f64();
             let whole = requests as u32 + u32::from(rng.random_bool(requests.fract()));
             for _ in 0..whole {
                 let new = share > 0.0 && rng.random_bool(share);
                 let outcomes = if new { &mut seen[route].new } else { &mut seen[route].old };
                 to_new += f64::from(u8::from(new));
-                let ill = new && self.shows_now(now, route, share);
+                let ill = new && self.shows_now(now, route, share_of_all);
                 let mut took = 0.05 * 2.0_f64.powf(rng.random_range(-0.7..1.5));
                 let mut fails = rng.random_bool(0.004);
                 if let Trouble::SlowHall(times) = self.trouble
@@ -176,6 +233,11 @@
                 {
                     fails |= rng.random_bool(part);
                 }
+                if let Trouble::RouteFails(failing, part) = self.trouble
+                    && route == failing
+                {
+                    fails |= rng.random_bool(part);
+                }
                 match self.illness {
                     Illness::Fails(part) if ill => fails |= rng.random_bool(part),
                     Illness::Slow(times) if ill => took *= times,
--- a/tests/rollout/ways.rs
+++ b/tests/rollout/ways.rs
@@ -9,6 +9,8 @@
 pub enum Way {
     /// By deviations beyond what is usual for the old version, at every look.
     Deviations,
+    /// The same, but the new version gets the same part of each route's requests.
+    SamePart,
     /// By fixed thresholds: twenty outcomes on a route, and a rate of failures of five in a hundred beyond that of the
     /// old version, or a middle time twice as long. Stages as with the first.
     Thresholds,
@@ -17,12 +19,17 @@
 }
 
 impl Way {
+    /// Whether the part of all requests is divided among routes by how many each has.
+    pub fn divides(self) -> bool {
+        self != Way::SamePart
+    }
+
     /// The next stage, if it is time for that.
     pub fn next(self, progress: &Progress<'_>) -> Option<Stage> {
         let bad =
             || progress.routes.iter().map(|slices| sum(slices)).any(|all| over_threshold(&all));
         match self {
-            Way::Deviations => next(progress).map(|step| step.stage),
+            Way::Deviations | Way::SamePart => next(progress).map(|step| step.stage),
             Way::Thresholds if progress.stage.under_way() && bad() => Some(Stage::RolledBack),
             Way::Thresholds => {
                 // Only when to take a stage, not the verdict.
