Moves of engines tell their revision, and the test of lost disks tells them from changes

What was seen: the revision had grown between two readings while nothing was changed; the test took it for a lost change.

Cause, by a trace that logs each move with its revision: the test's changes ask for other versions of the model, and the leader's placement moves engines for them, two at a time; revisions 49, 51 and 52 of one run were the end of a move and the begins of two, to the version in force; gone=false. Such moves are right: routers must learn of them.

The check was wrong and is replaced by one as strict: where changes move no engine the revision is equal as before and no move may be logged; where they do it never goes back; and in both the whole history (versions, revisions, authors, ids) is the same before and after, which was not compared.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -112,8 +112,8 @@
     }
 
     /// Proposes a command of the leader's own.
-    pub(super) async fn propose_own(&self, command: Command) -> Result<(), ControlError> {
-        self.propose("leader", command).await.map(|_| ())
+    pub(super) async fn propose_own(&self, command: Command) -> Result<Answer, ControlError> {
+        self.propose("leader", command).await
     }
 
     /// Addresses of the other members in the settings.
--- a/src/control/placing.rs
+++ b/src/control/placing.rs
@@ -106,8 +106,10 @@
         if gone || done {
             self.idle_since.remove(engine);
             let ended = Move { engine: engine.to_owned(), to: None };
-            info!(self.calls.log(), "engine moved"; "event" => "moved", "engine" => engine, "gone" => gone);
-            return self.calls.propose_own(Command::Move(ended)).await;
+            let answer = self.calls.propose_own(Command::Move(ended)).await?;
+            info!(self.calls.log(), "engine moved"; "event" => "moved", "engine" => engine,
+                "gone" => gone, "answer" => ?answer);
+            return Ok(());
         }
         let Some(listed) = listed else {
             return Ok(());
@@ -161,9 +163,12 @@
         change: Change,
     ) -> Result<(), ControlError> {
         if change.unloads {
-            info!(self.calls.log(), "engine is to move"; "event" => "moving", "engine" => &change.engine);
-            let step = Move { engine: change.engine, to: Some(change.to) };
-            return self.calls.propose_own(Command::Move(step)).await;
+            let (engine, to) = (change.engine, change.to);
+            let step = Move { engine: engine.clone(), to: Some(to.clone()) };
+            let answer = self.calls.propose_own(Command::Move(step)).await?;
+            info!(self.calls.log(), "engine is to move"; "event" => "moving", "engine" => engine,
+                "to" => ?to, "answer" => ?answer);
+            return Ok(());
         }
         if let Some(listed) = targets.iter().find(|target| target.name == change.engine) {
             self.order(view, listed, change.to).await;
--- a/tests/promises/accepted_config.rs
+++ b/tests/promises/accepted_config.rs
@@ -6,6 +6,7 @@
 use latchmount::rpc::{ControlClient, ControlError, Newcomer, Status, SyncRequest, connect};
 use latchmount::store::{Answer, Drain};
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::support::{Fleet, KEY, Shape, TOKEN, eventually, template, text, word_after};
@@ -262,12 +263,40 @@
     assert_eq!(change_anywhere(&fleet, 0, other).await, Answer::IdReused);
 }
 
+/// The template with something new in it that has no engine move.
+fn priority(text: &str) -> Value {
+    let mut template = template();
+    template["priority"] = json!(text.bytes().map(u64::from).sum::<u64>() % 10);
+    template
+}
+
+/// What the group tells of all versions of the template, the last of them this one.
+async fn history_up_to(fleet: &Fleet, last: u64) -> String {
+    let history = text(&fleet.operator(&["template", "history", "disputes"]).stdout);
+    let versions = history.lines().filter_map(|line| word_after(line, "version").parse().ok());
+    let versions: Vec<u64> = versions.collect();
+    let first = versions.first().copied().unwrap_or(last);
+    assert_eq!(versions, (first..=last).collect::<Vec<u64>>(), "{history}");
+    history
+}
+
+/// A member that lost its disk counted towards a majority before it had caught up. Engines move when a change asks for
+/// another version of their model, and each move has a revision of its own; where none is to move the revision stands
+/// still.
+#[rstest]
+#[case::nothing_moves(priority, false)]
+#[case::engines_move(version, true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_member_with_a_lost_disk_counts_again_only_when_caught_up_and_a_second_loss_is_borne() {
+async fn a_member_with_a_lost_disk_counts_again_only_when_caught_up_and_a_second_loss_is_borne(
+    #[case] changed: fn(&str) -> Value,
+    #[case] moves: bool,
+) {
     let mut fleet = Fleet::ready(group_of(3, LONG_LEASE_MS)).await;
     for base in 1..40 {
-        revise(&fleet, base, &format!("change-{base}")).await;
+        let id = format!("change-{base}");
+        revise_to(&fleet, base, &id, &changed(&id)).await;
     }
+    let history = history_up_to(&fleet, 40).await;
     let before = status(&fleet).await;
     let first = leader(&fleet).await;
     let second = (first + 1) % 3;
@@ -287,12 +316,25 @@
         .await;
     }
     let after = status(&fleet).await;
-    assert_eq!(after.revision, before.revision, "an accepted change is lost");
-    let history = text(&fleet.operator(&["template", "history", "disputes"]).stdout);
+    assert_eq!(history_up_to(&fleet, 40).await, history, "an accepted change is lost");
     assert!(history.contains("change-39"), "{history}");
+    let logged = (0..3).map(|number| moves_logged(&fleet, number)).collect::<String>();
+    assert!(after.revision >= before.revision, "the revision went back");
+    if !moves {
+        assert_eq!(after.revision, before.revision, "something changed; moves:\n{logged}");
+        assert_eq!(logged, "", "an engine moved");
+    }
     assert_eq!(revise(&fleet, 40, "goes-on").await, 41);
 }
 
+/// What a control member logged of engines that it moved.
+fn moves_logged(fleet: &Fleet, number: usize) -> String {
+    let name = format!("control-{number}");
+    let log = fleet.log_of(&name);
+    let moves = log.lines().filter(|line| line.contains("event=mov"));
+    moves.map(|line| format!("{name}: {line}\n")).collect()
+}
+
 /// Identities of the members at the address of member `number`.
 fn member_at(status: &Status, fleet: &Fleet, number: usize) -> BTreeSet<latchmount::raft::StoreId> {
     let addr = fleet.control_addr(number as u16);
