Tests of kept connections and roll-outs tell what came for each lost request

They counted only. Now each lost request is told with its gateway, its time, the status and body or the error that came, and the gateways' log lines of its id. The checks are the same: nothing lost. Not seen to fail here yet.

--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -327,6 +327,20 @@
         .await;
     }
 
+    /// What the gateways logged of a request.
+    pub fn logged_of(&self, id: &str) -> String {
+        let lines = self.gateways.iter().flat_map(|gateway| {
+            let log = gateway.log();
+            let of_id =
+                |line: &&str| line.split_whitespace().any(|word| word.ends_with(&format!("={id}")));
+            log.lines()
+                .filter(of_id)
+                .map(|line| format!("{}: {line}\n", gateway.name))
+                .collect::<Vec<_>>()
+        });
+        lines.collect()
+    }
+
     /// Waits until a gateway has a configuration in force.
     pub async fn in_force(&self, gateway: usize, version: u64) {
         let process = &self.gateways[gateway];
--- a/tests/fleet/kept.rs
+++ b/tests/fleet/kept.rs
@@ -49,7 +49,9 @@
         let answer = connection.send_request(request).await.ok()?;
         let closes = answer.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
         let status = answer.status();
-        let body = answer.into_body().collect().await.expect("a whole answer").to_bytes();
+        let body = answer.into_body().collect().await;
+        let body = body.unwrap_or_else(|error| panic!("{id} at {front}: broke off: {error:?}"));
+        let body = body.to_bytes();
         if closes {
             self.connection = None;
         }
@@ -130,7 +132,11 @@
         fleet.knows_targets(gateway, 1).await;
     }
     while let Some(ended) = clients.join_next().await {
-        ended.expect("every request is answered");
+        if let Err(error) = ended {
+            let message = error.into_panic().downcast::<String>().expect("a message");
+            let id = message.split([' ', ':']).next().expect("an id");
+            panic!("{message}\n{}", fleet.logged_of(id));
+        }
     }
     let twice: HashMap<_, _> =
         target.counts().into_iter().filter(|(_, count)| *count > 1).collect();
--- a/tests/fleet/rollouts.rs
+++ b/tests/fleet/rollouts.rs
@@ -3,9 +3,9 @@
 
 use std::net::SocketAddr;
 use std::process::Command;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -71,17 +71,25 @@
     .await;
 }
 
+/// A request that was not served, though not by the new version's fault.
+struct Lost {
+    id: String,
+    front: SocketAddr,
+    took: Duration,
+    /// Status and body of the refusal, or why there was no answer.
+    came: String,
+}
+
 /// Callers that ask all gateways until they are stopped.
 struct Callers {
     tasks: JoinSet<()>,
     stop: Arc<AtomicBool>,
-    /// Answers that were not the old version's, nor good.
-    lost: Arc<AtomicU32>,
+    lost: Arc<Mutex<Vec<Lost>>>,
 }
 
 impl Callers {
     fn start(fronts: Vec<SocketAddr>, path: &'static str) -> Self {
-        let (stop, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+        let (stop, lost) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<Vec<Lost>>>::default());
         let mut tasks = JoinSet::new();
         for caller in 0..CALLERS {
             let (stop, lost, fronts) = (stop.clone(), lost.clone(), fronts.clone());
@@ -92,36 +100,51 @@
                         return;
                     }
                     let front = fronts[(caller + number) % fronts.len()];
-                    let good = ask(&client, front, path, &format!("r-{caller}-{number}")).await;
-                    lost.fetch_add(u32::from(!good), Ordering::Relaxed);
+                    let (id, asked_at) = (format!("r-{caller}-{number}"), Instant::now());
+                    if let Err(came) = ask(&client, front, path, &id).await {
+                        let took = asked_at.elapsed();
+                        lost.lock().expect("no panic").push(Lost { id, front, took, came });
+                    }
                 }
             });
         }
         Callers { tasks, stop, lost }
     }
 
-    /// Stops them; returns how many requests were lost.
-    async fn stop(mut self) -> u32 {
+    /// Stops them. No request may be lost; of each that was, this tells what came and what gateways logged.
+    async fn stop_without_loss(mut self, fleet: &Fleet) {
         self.stop.store(true, Ordering::Relaxed);
         while self.tasks.join_next().await.is_some() {}
-        self.lost.load(Ordering::Relaxed)
+        let lost = std::mem::take(&mut *self.lost.lock().expect("no panic"));
+        let stories = lost.iter().map(|Lost { id, front, took, came }| {
+            format!("{id} at {front} after {took:?}: {came}\n{}", fleet.logged_of(id))
+        });
+        let stories: Vec<String> = stories.collect();
+        assert!(lost.is_empty(), "{} requests were lost:\n{}", lost.len(), stories.join("\n"));
     }
 }
 
-/// Whether a request was answered well, or else by a target of the new version.
-async fn ask(client: &reqwest::Client, front: SocketAddr, path: &str, id: &str) -> bool {
+/// Asks; an error unless the answer is good or a target of the new version gave it.
+async fn ask(
+    client: &reqwest::Client,
+    front: SocketAddr,
+    path: &str,
+    id: &str,
+) -> Result<(), String> {
     let request = client
         .post(format!("http://{front}{path}"))
         .header("host", "h.example")
         .header("x-request-id", id)
         .header("x-credential", "key-a")
         .header("x-deadline-ms", "4000");
-    let Ok(answer) = request.send().await else {
-        return false;
-    };
+    let answer = request.send().await.map_err(|error| format!("{error:?}"))?;
     let stamp = answer.headers().get("x-server-stamp");
     let by_new = stamp.is_some_and(|stamp| stamp.as_bytes().starts_with(b"stamp-new"));
-    answer.status() == 200 || by_new
+    let status = answer.status();
+    if status == 200 || by_new {
+        return Ok(());
+    }
+    Err(format!("{status}: {}", answer.text().await.unwrap_or_else(|error| format!("{error:?}"))))
 }
 
 fn asked(standins: &[Standin]) -> usize {
@@ -143,7 +166,7 @@
     let at_new = asked(&new);
     eventually("the new version serves", async || (asked(&new) > at_new + 50).then_some(())).await;
     assert_eq!(asked(&old), before);
-    assert_eq!(callers.stop().await, 0);
+    callers.stop_without_loss(&fleet).await;
     let log: String = fleet.members.iter().map(Process::log).collect();
     assert!(log.lines().any(|line| field(line, "event") == Some("rollout_step")));
 }
@@ -184,7 +207,7 @@
     let at_old = asked(&old);
     eventually("the old version serves", async || (asked(&old) > at_old + 200).then_some(())).await;
     assert_eq!(asked(&new), at_new);
-    assert_eq!(callers.stop().await, 0);
+    callers.stop_without_loss(&fleet).await;
     // A gateway that starts now knows of the roll-back before it knows of targets.
     fleet.gateways[3].kill();
     fleet.gateways[3].start();
