Planned stops end only when clients have all of their answers

What callers saw: an answer broke off at a planned stop, 400 KB to 1.7 MB short, where the client reads slowly (some 900 KB/s): stopped took_ms=2507 open=0 with the rest unsent.

Cause: a request counted as open until its last piece was handed to its connection; what the connection had not sent yet ended with the process. Routers gave their server 20 ms to close.

Mend: once a stop is quiet connections are closed, each after what it has to send, and the process ends when all are closed or its time is over.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, StatusCode};
@@ -28,12 +28,11 @@
 
 /// Takes connections of clients for ever.
 pub(super) async fn serve_clients(gateway: Arc<Gateway>, listener: TcpListener) {
-    let open = Arc::new(AtomicUsize::new(0));
     // Half of the descriptors are for clients, the rest for targets.
     let most = gateway.settings.max_descriptors / 2;
     let mut stage = gateway.stage.subscribe();
     loop {
-        if open.load(Ordering::Relaxed) >= most {
+        if gateway.client_connections.load(Ordering::Relaxed) >= most {
             tokio::time::sleep(PAUSE).await;
             continue;
         }
@@ -46,11 +45,11 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let (gateway, open) = (gateway.clone(), open.clone());
-        open.fetch_add(1, Ordering::Relaxed);
+        let gateway = gateway.clone();
+        gateway.client_connections.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
-            serve_client(gateway, stream).await;
-            open.fetch_sub(1, Ordering::Relaxed);
+            serve_client(gateway.clone(), stream).await;
+            gateway.client_connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
@@ -117,6 +117,8 @@
     holdings: Arc<Holdings>,
     stage: watch::Sender<Stage>,
     open: AtomicU32,
+    /// Connections of clients.
+    client_connections: AtomicUsize,
     last_request: Mutex<Instant>,
     /// Requests under which targets ended.
     poison: Mutex<Board>,
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -1,6 +1,6 @@
 //! Starts a gateway, and stops it as planned.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
@@ -89,6 +89,7 @@
             tallies: Mutex::default(),
             stage: watch::Sender::new(Stage::Serving),
             open: AtomicU32::new(0),
+            client_connections: AtomicUsize::new(0),
             last_request: Mutex::new(Instant::now()),
             poison: Mutex::new(Board::new(Rule::default(), Some(reporter))),
             poison_news: Notify::new(),
@@ -139,8 +140,16 @@
             }
             let quiet = open == 0 && lock(&gateway.last_request).elapsed() >= STOP_QUIET;
             let over = elapsed >= longest.mul_f64(STOP_ENDS_PART);
-            if over || (quiet && elapsed >= STOP_NOTICE.min(longest)) {
+            if quiet && elapsed >= STOP_NOTICE.min(longest) {
+                gateway.stage.send_replace(Stage::Closed);
+            }
+            // An answer that has left the gateway may still be on its way to a slow client: its connection closes
+            // once all is sent.
+            let connections = gateway.client_connections.load(Ordering::Relaxed);
+            let closed = gateway.stage() == Stage::Closed && open == 0 && connections == 0;
+            if over || closed {
                 info!(gateway.log, "stopped"; "event" => "stopped", "open" => open,
+                    "connections" => connections,
                     "took_ms" => began.elapsed().as_millis() as u64);
                 return;
             }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,6 +21,7 @@
 use salvo::server::ServerHandle;
 use slog::{Logger, info, o, warn};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use crate::clock::Instant;
 use crate::freshness::Freshness;
@@ -38,7 +39,7 @@
 
 /// Between two looks at the requests in flight during a planned stop.
 const STOP_STEP: Duration = Duration::from_millis(20);
-/// Time for idle connections to close after the last request has ended.
+/// Least time for connections to close after the last request has ended.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A router can't start.
@@ -207,6 +208,7 @@
 pub struct Router {
     shared: Arc<Shared>,
     server: ServerHandle,
+    serving: JoinHandle<()>,
 }
 
 impl Router {
@@ -228,9 +230,9 @@
         slots::start(&shared).map_err(|source| RouterError::Listen { addr, source })?;
         let server = http::server(&shared, acceptor);
         let handle = server.handle();
-        tokio::spawn(server.serve(http::routes(&shared)));
+        let serving = tokio::spawn(server.serve(http::routes(&shared)));
         info!(shared.log, "router listening"; "event" => "router_started", "addr" => local);
-        Ok(Router { shared, server: handle })
+        Ok(Router { shared, server: handle, serving })
     }
 
     /// Stops as planned: health fails, then new work is refused, then what is in flight ends.
@@ -251,8 +253,12 @@
         if cut > 0 {
             warn!(shared.log, "requests cut off"; "event" => "stop_timeout", "in_flight" => cut);
         }
-        self.server.stop_graceful(CLOSE_TIMEOUT);
-        tokio::time::sleep(STOP_STEP).await;
+        // Answers that have left the router may still be on their way to slow callers.
+        let left = deadline.saturating_sub(shared.now()).max(CLOSE_TIMEOUT);
+        self.server.stop_graceful(left);
+        if tokio::time::timeout(left + CLOSE_TIMEOUT, self.serving).await.is_err() {
+            warn!(shared.log, "connections cut off"; "event" => "close_timeout");
+        }
         info!(shared.log, "router stopped"; "event" => "stopped");
         cut
     }
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -46,6 +46,8 @@
     AnswerAnother,
     /// Answers without a signature.
     Unsigned,
+    /// Answers with so many bytes.
+    Large(usize),
     /// Streams so many events.
     Stream(u32),
     /// Streams so many events, a while apart, and breaks off in the middle of the next one.
@@ -421,6 +423,7 @@
                 let unsigned = Response::builder().header("x-request-id", &id);
                 return Ok(unsigned.body(whole("unsigned".into())).expect("sound"));
             }
+            Behaviour::Large(bytes) => whole("x".repeat(bytes)),
             Behaviour::Stream(events) => {
                 answer = answer.header("content-type", "text/event-stream");
                 stream(last, events, false)
--- a/tests/fleet/stops.rs
+++ b/tests/fleet/stops.rs
@@ -1,12 +1,15 @@
 //! Planned stops, and settings that change while a process runs.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 
 use crate::doors::configuration;
-use crate::harness::{Fleet, eventually};
+use crate::harness::{Fleet, Process, eventually};
 use crate::refusals::Ask;
 use crate::standin::{Behaviour, Standin};
 
@@ -45,6 +48,53 @@
     assert!(fleet.gateways[0].ended().await);
 }
 
+/// Reads an answer at some 900 KB/s to its end; gives the length of its body and the length that its head states.
+async fn read_slowly(front: SocketAddr, id: &str) -> (usize, usize) {
+    const READ: usize = 64 * 1024;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(READ as u32).expect("a small buffer");
+    let mut stream = socket.connect(front).await.expect("a connection");
+    let head = format!(
+        "POST /unsafe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nx-credential: key-a\r\n\
+         x-deadline-ms: 30000\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let (mut answer, mut piece) = (Vec::new(), vec![0; READ]);
+    while let Ok(read @ 1..) = stream.read(&mut piece).await {
+        answer.extend(&piece[..read]);
+        tokio::time::sleep(Duration::from_millis(70) * read as u32 / READ as u32).await;
+    }
+    let end = answer.windows(4).position(|four| four == b"\r\n\r\n").expect("a head");
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    let stated = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+    (answer.len() - end - 4, stated.expect("a length"))
+}
+
+/// A gateway ended as soon as the last piece of an answer was on its way to the connection: what the connection had not
+/// taken yet was lost, and the answer broke off.
+#[tokio::test]
+async fn a_planned_stop_waits_until_a_slow_client_has_all_of_its_answer() {
+    const BYTES: usize = 6_300_000;
+    let mut fleet = Fleet::prepare(1, 1);
+    fleet.gateways[0].set("stop_within_ms", json!(40_000));
+    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
+    fleet.settled().await;
+    let target = Standin::start("i-1", "s", fleet.doors()).await;
+    target.behave(Behaviour::Large(BYTES));
+    let mut patient = configuration(1);
+    for route in patient["routes"].as_array_mut().expect("routes") {
+        route["timeout-ms"] = json!(60_000);
+    }
+    fleet.configure(&patient).await;
+    fleet.knows_targets(0, 1).await;
+    let front = fleet.front(0);
+    let reading = tokio::spawn(async move { read_slowly(front, "r-slow").await });
+    eventually("the request is under way", async || target.arrivals().first().map(|_| ())).await;
+    fleet.gateways[0].signal(Signal::SIGTERM);
+    assert!(fleet.gateways[0].ended().await);
+    assert_eq!(reading.await.expect("no panic"), (BYTES, BYTES), "{}", fleet.logged_of("r-slow"));
+}
+
 #[tokio::test]
 async fn changed_settings_are_read_again_on_a_signal_and_faulty_ones_change_nothing() {
     let mut fleet = Fleet::start(1, 1).await;
