Slots: an ask ends with its request's deadline, and a busy owner is given five seconds

Change: the deadline bounds the wait; an owner is silent after 5 s; statements go every 200 ms only to routers that have not stated, else every 2 s; an answered ask is looked up in its round alone.

--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -41,6 +41,9 @@
 
 /// Engines asked for a slot before a request waits, and for the prefix of a chat that returns.
 const MAX_ASKS: usize = 8;
+/// Longest silence of an owner after which a request is refused: one that has ended is found out meanwhile, one that
+/// is busy may still answer, and any other router would have to ask the same.
+const OWNER_PATIENCE: Duration = Duration::from_secs(5);
 /// Longest wait before engines are asked again for a slot.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -285,7 +288,8 @@
                 _ if left.is_zero() => false,
                 Reason::Overloaded => self.wait_in_queue(work, left.min(ASK_AGAIN)).await,
                 _ => {
-                    tokio::time::sleep(left.min(ASK_AGAIN.mul_f64(rand::random()))).await;
+                    let pause = ASK_AGAIN.mul_f64(rand::random_range(0.5..1.0));
+                    tokio::time::sleep(left.min(pause)).await;
                     true
                 }
             };
@@ -372,7 +376,7 @@
             wish: if work.first_turn { Wish::FirstTurn } else { Wish::Returning },
         };
         let now = self.now();
-        match self.slots.ask(now, ask, self.left_to_wait(work, now)).await {
+        match self.slots.ask(now, ask, OWNER_PATIENCE, work.deadline).await {
             Some(Decision::Granted(place)) => {
                 let at = choices.iter().position(|choice| choice.candidate.name == place.target);
                 let at = at.ok_or(Reason::OwnerSilent)?;
--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -156,11 +156,21 @@
         }
     }
 
-    /// Asks for one slot; `None` when its owner has not answered within `longest`.
-    pub(super) async fn ask(&self, now: Duration, ask: Ask, longest: Duration) -> Option<Decision> {
+    /// Asks for one slot; `None` when its owner has answered nothing for `longest`, or not this until `deadline`.
+    pub(super) async fn ask(
+        &self,
+        now: Duration,
+        ask: Ask,
+        longest: Duration,
+        deadline: Duration,
+    ) -> Option<Decision> {
         let answered = match self.begin_ask(now, ask) {
             Ok(decided) => Some(decided),
-            Err(mut pending) => self.await_answer(&mut pending, now, longest).await,
+            Err(mut pending) => {
+                let left = deadline.saturating_sub(now);
+                let answer = self.await_answer(&mut pending, now, longest);
+                tokio::time::timeout(left, answer).await.ok().flatten()
+            }
         };
         let outcome = answered.map_or("silent", label);
         self.counters.asks.with_label_values(&[outcome]).inc();
@@ -439,12 +449,19 @@
 
 /// States what is held to every owner, for ever.
 async fn state(shared: &Shared) {
+    let mut all_at = Duration::ZERO;
     loop {
+        let now = shared.now();
         let (due, settled) = {
             let mut state = lock(&shared.slots.state);
-            let waited = shared.now() > state.changed_at + UNSETTLED;
-            let settled = waited && state.table.knows_all();
-            (state.table.statements(), settled)
+            let changed_lately = now <= state.changed_at + UNSETTLED;
+            let due = if changed_lately || now >= all_at + STATE_EVERY {
+                all_at = now;
+                state.table.statements()
+            } else {
+                state.table.statements_to_unheard()
+            };
+            (due, !changed_lately && state.table.knows_all())
         };
         due.into_iter().for_each(|(to, message)| shared.slots.send(to, vec![message]));
         tokio::time::sleep(if settled { STATE_EVERY } else { STATE_UNSETTLED }).await;
--- a/src/slots/rounds.rs
+++ b/src/slots/rounds.rs
@@ -88,11 +88,14 @@
 
     /// An ask is not sent again.
     pub fn give_up(&mut self, ticket: Ticket) {
-        self.waiting.retain(|ask| ask.ticket != ticket);
-        if let Some(round) = &mut self.under_way {
-            round.asks.retain(|ask| ask.ticket != ticket);
+        if let Some(round) = &mut self.under_way
+            && let Some(at) = round.asks.iter().position(|ask| ask.ticket == ticket)
+        {
+            round.asks.remove(at);
+            self.under_way.take_if(|round| round.asks.is_empty());
+            return;
         }
-        self.under_way.take_if(|round| round.asks.is_empty());
+        self.waiting.retain(|ask| ask.ticket != ticket);
     }
 
     /// What was sent is lost, since the owner started again; it is sent to its new process.
--- a/src/slots/table.rs
+++ b/src/slots/table.rs
@@ -209,6 +209,15 @@
         Opened::Valid { new: met == Met::New, answer }
     }
 
+    /// What this router holds, for those that have not told it what they hold.
+    pub fn statements_to_unheard(&mut self) -> Vec<(RouterId, Message)> {
+        let others = self.routers.iter().filter(|router| **router != self.me.router);
+        let unheard: Vec<RouterId> =
+            others.filter(|router| !self.owner.heard(**router)).copied().collect();
+        let statement = |to| (to, Message::Statement(self.statement(to)));
+        unheard.into_iter().map(statement).collect()
+    }
+
     fn statement(&mut self, to: RouterId) -> Statement {
         let heard = self.owner.heard(to);
         self.holders.entry(to).or_default().statement(heard)
