Slots: asks given up by their callers keep no others waiting

What callers would have seen: when all callers of a round left, the asks behind it waited for the next message of that owner, up to two seconds. Found at review; nobody saw it.

Cause: giving up an ask ended its round and sent nothing. Now the next round is sent at once, and is due at once for the task that sends again.

--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -385,6 +385,9 @@
             if let Some(rounds) = state.rounds.get_mut(&self.to) {
                 rounds.give_up(self.ticket);
             }
+            drop(state);
+            // It may have been the last that kept others waiting for the next round.
+            self.slots.send_due(self.slots.now(), self.to);
             return;
         }
         drop(state);
--- a/src/slots/rounds.rs
+++ b/src/slots/rounds.rs
@@ -143,6 +143,9 @@
     pub fn due_at(&self) -> Option<Duration> {
         let round = self.under_way.as_ref();
         let resend = round.map(|round| round.sent_at + resend_after(self.round_trip, round.sent));
+        if round.is_none() && !self.waiting.is_empty() {
+            return Some(Duration::ZERO);
+        }
         let gives = self.last_sent.filter(|_| !self.given.is_empty());
         resend.into_iter().chain(gives.map(|last| last + GIVES_APART)).min()
     }
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -373,6 +373,18 @@
     assert!(datagrams < 50, "{datagrams}");
 }
 
+/// Callers that leave must not keep the asks of others waiting.
+#[test]
+fn the_next_round_is_due_once_all_asks_of_the_last_are_given_up() {
+    let mut rounds = Rounds::default();
+    (0..100).for_each(|ticket| rounds.ask(ask_with(ticket)));
+    let first = rounds.due(Duration::ZERO).messages.len() as u32;
+    (0..first).for_each(|ticket| rounds.give_up(ticket));
+    assert_eq!(rounds.due_at(), Some(Duration::ZERO));
+    let next = rounds.due(Duration::ZERO);
+    assert_eq!((next.again, next.messages.len()), (false, 100 - first as usize));
+}
+
 /// Each engine was full when its turn came, though never all were; and an ask that is sent again is granted once.
 #[test]
 fn an_owner_decides_on_all_targets_at_one_moment_and_grants_a_repeated_ask_once() {
