Roll-outs: the mix of routes is computed once a look, not for each gateway's word

A member summed all slices of all routes for every word about loads to every gateway, under the lock of the roll-outs: work that grows with gateways though its result is the same for all. It is computed where the slices are taken, ten times a second, and copied. What gateways are told is the same, up to 100 ms older; they go by it for 5 s.

--- a/src/group/rollout.rs
+++ b/src/group/rollout.rs
@@ -66,6 +66,8 @@
     members: HashMap<SocketAddr, Tallies>,
     /// What all saw of each roll-out under way, by its revision and slices of time.
     histories: HashMap<Revision, History>,
+    /// What part of a service's requests each route had at the last look, for each roll-out under way.
+    mixes: Vec<RolloutMix>,
 }
 
 /// What a member knows of one roll-out.
@@ -112,6 +114,9 @@
             let total = self.total(at);
             self.histories.entry(at).or_default().note(now, &total);
         }
+        let mix =
+            |(at, history): (&Revision, &History)| RolloutMix { rollout: *at, mix: history.mix() };
+        self.mixes = self.histories.iter().map(mix).collect();
         for rollout in rollouts.all() {
             let (stage, answers_before) = (rollout.stage, self.answers(rollout.at));
             let noted = (Duration::from_millis(rollout.elapsed_ms), now);
@@ -145,9 +150,7 @@
 
     /// What part of a service's requests each route has, for each roll-out under way.
     pub(super) fn mixes(&self) -> Vec<RolloutMix> {
-        let mix =
-            |(at, history): (&Revision, &History)| RolloutMix { rollout: *at, mix: history.mix() };
-        self.histories.iter().map(mix).collect()
+        self.mixes.clone()
     }
 
     /// The routes at these places of those of a roll-out.
