--- a/src/gateway/outflow.rs
+++ b/src/gateway/outflow.rs
@@ -60,8 +60,8 @@
         Outflow { gateway, holder, deadline: plan.outgoing.deadline.into() }
     }
 
-    /// Passes on the first piece and all that the source has after it; the request counts as open until the client
-    /// has all.
+    /// Passes on the first piece and all that the source has after it; the request counts as open until the last piece
+    /// is handed to the client's connection, which may still have some of it to send.
     pub(super) fn start(
         self,
         first: Bytes,
--- a/src/router/forward.rs
+++ b/src/router/forward.rs
@@ -94,25 +94,6 @@
     }
 }
 
-/// Since when a request has waited for slots, and since when for the word of an owner.
-#[derive(Default)]
-struct Waits {
-    full: Option<Duration>,
-    silent: Option<Duration>,
-}
-
-impl Waits {
-    /// Since when it has waited for this reason without another in between.
-    fn since(&mut self, reason: Reason, now: Duration) -> Duration {
-        let (this, other) = match reason {
-            Reason::Overloaded => (&mut self.full, &mut self.silent),
-            _ => (&mut self.silent, &mut self.full),
-        };
-        *other = None;
-        *this.get_or_insert(now)
-    }
-}
-
 /// An answer that has begun.
 pub(super) struct Begun {
     pub(super) answer: reqwest::Response,
@@ -276,14 +257,20 @@
         work: &Work,
         tried: &[String],
     ) -> Result<Slot, Reason> {
-        let mut waits = Waits::default();
+        let mut waits: Option<(Reason, Duration)> = None;
         loop {
             let began = self.now();
             let reason = match self.choose(work, tried).await {
                 Err(reason @ (Reason::Overloaded | Reason::OwnerSilent)) => reason,
                 chosen => return chosen,
             };
-            let left = self.left_to_wait(work, waits.since(reason, began));
+            // What counts is how long it has waited for this reason without another in between.
+            let since = match waits {
+                Some((before, since)) if before == reason => since,
+                _ => began,
+            };
+            waits = Some((reason, since));
+            let left = self.left_to_wait(work, since);
             let waited = match reason {
                 _ if left.is_zero() => false,
                 Reason::Overloaded => self.wait_in_queue(work, left.min(ASK_AGAIN)).await,
@@ -393,9 +380,10 @@
 
     fn tell_silent(&self, asked_at: Duration, work: &Work) {
         let now = self.now();
-        if self.slots.tells_silent(now) {
+        if let Some(stands_for) = lock(&self.silent_lines).keep(now) {
             warn!(self.log, "no answer to an ask for a slot"; "event" => "owner_silent",
-                "team" => &work.team, "waited" => ?now.saturating_sub(asked_at));
+                "team" => &work.team, "waited" => ?now.saturating_sub(asked_at),
+                "stands_for" => stands_for);
         }
     }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -29,6 +29,7 @@
 use crate::reason::Reason;
 use crate::retry::Budget;
 use crate::rpc::{ControlError, Group, Report};
+use crate::sampler::Sampler;
 use crate::settings::{RouterSettings, Settings};
 use crate::store::Config;
 use crate::targets::Targets;
@@ -78,6 +79,7 @@
     slots: Slots,
     budget: Mutex<Budget>,
     queue: Mutex<Queue<oneshot::Sender<()>>>,
+    silent_lines: Mutex<Sampler>,
     /// Base URL at which other routers reach this one.
     url: String,
     claim_members: Mutex<Group>,
@@ -138,6 +140,7 @@
             slots,
             budget: Mutex::new(Budget::new(router.retry_percent)),
             queue: Mutex::new(Queue::new(router.queue_len)),
+            silent_lines: Mutex::default(),
             url: router
                 .advertise
                 .or(router.listen)
--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -25,8 +25,6 @@
 
 /// Pause after the socket failed.
 const SOCKET_PAUSE: Duration = Duration::from_millis(50);
-/// Between two log lines that tell of silent owners.
-const TELL_SILENT_EVERY: Duration = Duration::from_secs(1);
 /// Between two statements to every owner.
 const STATE_EVERY: Duration = Duration::from_secs(2);
 /// How long after a change of the live routers or targets statements come more often.
@@ -72,7 +70,6 @@
     /// When the task that sends again looks next.
     look_at: Option<Duration>,
     changed_at: Duration,
-    told_silent_at: Option<Duration>,
 }
 
 fn id(host: &str) -> RouterId {
@@ -101,7 +98,6 @@
             heard_at: BTreeMap::new(),
             look_at: None,
             changed_at: Duration::ZERO,
-            told_silent_at: None,
         };
         Ok(Slots {
             me,
@@ -347,17 +343,6 @@
         }
         None
     }
-
-    /// Whether it is time to log again that owners are silent.
-    pub(super) fn tells_silent(&self, now: Duration) -> bool {
-        let mut state = lock(&self.state);
-        let told = state.told_silent_at;
-        let due = told.is_none_or(|told| now >= told + TELL_SILENT_EVERY);
-        if due {
-            state.told_silent_at = Some(now);
-        }
-        due
-    }
 }
 
 fn label(decision: Decision) -> &'static str {
--- a/src/slots/owner.rs
+++ b/src/slots/owner.rs
@@ -214,9 +214,17 @@
 
     /// Grants or refuses a slot for a chat.
     pub fn ask(&mut self, router: RouterId, ask: &Ask, pool: Pool, bounds: &Bounds) -> Verdict {
-        if let Some(known) = self.known(router, ask) {
-            return known;
-        }
+        self.known(router, ask).unwrap_or_else(|| self.decide(router, ask, pool, bounds))
+    }
+
+    /// Decides on an ask that is not [`known`](Owner::known).
+    pub(super) fn decide(
+        &mut self,
+        router: RouterId,
+        ask: &Ask,
+        pool: Pool,
+        bounds: &Bounds,
+    ) -> Verdict {
         let Some(at) = self.find_room(ask, pool, bounds) else {
             let all_known = ask.targets.iter().all(|target| self.knows(*target));
             return if all_known { Verdict::Full } else { Verdict::Undecided };
--- a/src/slots/rounds.rs
+++ b/src/slots/rounds.rs
@@ -1,8 +1,8 @@
 //! Asks on their way to one owner, many in each datagram.
 //!
 //! One round of asks is under way at a time, so that the owner's receive buffer holds one datagram of each router
-//! however many requests come at once. A round that is not answered is sent again after a multiple of the round trips
-//! measured: a lost datagram, or a busy owner, delays its asks and refuses none.
+//! however many requests come at once. A round that is not answered is sent again after a multiple of the smoothed
+//! round trip: a lost datagram, or a busy owner, delays its asks and refuses none.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,14 +13,14 @@
 const ASKS_OF_ROUND: usize = 64;
 /// Most returns that go with a round.
 const GIVES_OF_ROUND: usize = 128;
-/// Round trip that is assumed before one was measured.
+/// Round trip that is assumed before the first sample.
 const FIRST_ROUND_TRIP: Duration = Duration::from_millis(15);
 /// Multiple of the round trip after which a round is sent again.
 const ROUND_TRIPS: u32 = 4;
 /// Shortest and longest time until a round is sent again.
 const RESEND_WITHIN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
-/// Part of a newly measured round trip in the one that is gone by.
-const NEW_PART: f64 = 0.125;
+/// Weight of a new sample in the smoothed round trip.
+const SAMPLE_WEIGHT: f64 = 0.125;
 /// Time between two datagrams that only bring slots back.
 const GIVES_APART: Duration = Duration::from_millis(2);
 
@@ -38,8 +38,8 @@
     sent_at: Duration,
     /// How often it was sent.
     sent: u32,
-    /// Whether its round trip was measured.
-    measured: bool,
+    /// Whether it gave a sample of the round trip.
+    sampled: bool,
 }
 
 /// What is to be sent to an owner now.
@@ -76,12 +76,13 @@
     pub fn answered(&mut self, now: Duration, ticket: Ticket) {
         let asked = |round: &UnderWay| round.asks.iter().any(|ask| ask.ticket == ticket);
         // Of a round that was sent twice it is not known which one was answered.
-        let first = |round: &&mut UnderWay| round.sent == 1 && !round.measured && asked(round);
+        let first = |round: &&mut UnderWay| round.sent == 1 && !round.sampled && asked(round);
         if let Some(round) = self.under_way.as_mut().filter(first) {
-            round.measured = true;
-            let measured = now.saturating_sub(round.sent_at);
-            let known = self.round_trip.unwrap_or(measured);
-            self.round_trip = Some(known.mul_f64(1.0 - NEW_PART) + measured.mul_f64(NEW_PART));
+            round.sampled = true;
+            let sample = now.saturating_sub(round.sent_at);
+            let known = self.round_trip.unwrap_or(sample);
+            self.round_trip =
+                Some(known.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT));
         }
         self.give_up(ticket);
     }
@@ -123,7 +124,7 @@
                 let many = self.waiting.len().min(ASKS_OF_ROUND);
                 let asks: Vec<Ask> = self.waiting.drain(..many).collect();
                 messages.extend(asks.iter().cloned().map(Message::Ask));
-                self.under_way = Some(UnderWay { asks, sent_at: now, sent: 1, measured: false });
+                self.under_way = Some(UnderWay { asks, sent_at: now, sent: 1, sampled: false });
             }
             None => {}
         }
--- a/src/slots/table.rs
+++ b/src/slots/table.rs
@@ -151,7 +151,7 @@
         let capacity = pool.targets * bounds.engine_slots;
         let shares = self.shares.entry(name).or_default();
         let admitted = shares.admit(now, ask.team, ask.share, used, pool.load, capacity);
-        if admitted { self.owner.ask(from, ask, pool, bounds) } else { Verdict::Full }
+        if admitted { self.owner.decide(from, ask, pool, bounds) } else { Verdict::Full }
     }
 
     /// Takes the answer of an owner.
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -331,12 +331,8 @@
     pub fn logged_of(&self, id: &str) -> String {
         let lines = self.gateways.iter().flat_map(|gateway| {
             let log = gateway.log();
-            let of_id =
-                |line: &&str| line.split_whitespace().any(|word| word.ends_with(&format!("={id}")));
-            log.lines()
-                .filter(of_id)
-                .map(|line| format!("{}: {line}\n", gateway.name))
-                .collect::<Vec<_>>()
+            let of_id = log.lines().filter(|line| field(line, "id") == Some(id));
+            of_id.map(|line| format!("{}: {line}\n", gateway.name)).collect::<Vec<String>>()
         });
         lines.collect()
     }
--- a/tests/promises/accepted_config.rs
+++ b/tests/promises/accepted_config.rs
@@ -270,13 +270,12 @@
     template
 }
 
-/// What the group tells of all versions of the template, the last of them this one.
+/// What the group tells of all versions of the template, which are those up to this one.
 async fn history_up_to(fleet: &Fleet, last: u64) -> String {
     let history = text(&fleet.operator(&["template", "history", "disputes"]).stdout);
     let versions = history.lines().filter_map(|line| word_after(line, "version").parse().ok());
     let versions: Vec<u64> = versions.collect();
-    let first = versions.first().copied().unwrap_or(last);
-    assert_eq!(versions, (first..=last).collect::<Vec<u64>>(), "{history}");
+    assert_eq!(versions, (1..=last).collect::<Vec<u64>>(), "{history}");
     history
 }
 
--- a/tests/promises/load_bound.rs
+++ b/tests/promises/load_bound.rs
@@ -28,13 +28,7 @@
 
 /// Waits until every router knows of every other, so that slots are granted.
 async fn slots_ready(fleet: &Fleet) {
-    for router in 0..usize::from(ROUTERS) {
-        eventually("the routers know each other", async || {
-            let count = format!("count={ROUTERS}");
-            fleet.log_of(&format!("router-{router}")).contains(&count).then_some(())
-        })
-        .await;
-    }
+    fleet.routers_know_each_other().await;
     eventually("owners know every slot", async || {
         let answer = fleet.chat(0, "probe", &["probe"], true).send().await.ok()?;
         answer.status().is_success().then_some(())
--- a/tests/promises/own_answer.rs
+++ b/tests/promises/own_answer.rs
@@ -70,15 +70,7 @@
     let shape = Shape { engine, router, routers, control, ..Shape::default() };
     let fleet = Fleet::ready(shape).await;
     if know_each_other {
-        for router in 0..routers {
-            let name = format!("router-{router}");
-            eventually("the router knows all", async || {
-                let log = fleet.log_of(&name);
-                let mut lines = log.lines().filter(|line| line.contains("event=routers"));
-                lines.any(|line| line.contains(&format!("count={routers} "))).then_some(())
-            })
-            .await;
-        }
+        fleet.routers_know_each_other().await;
     }
     for engine in &fleet.engines {
         for round in 0..80 {
--- a/tests/promises/shares.rs
+++ b/tests/promises/shares.rs
@@ -20,12 +20,7 @@
     });
     fleet.submit(&both, "both").await;
     fleet.serving().await;
-    for router in ["router-0", "router-1"] {
-        eventually("the routers know each other", async || {
-            fleet.log_of(router).contains("count=2").then_some(())
-        })
-        .await;
-    }
+    fleet.routers_know_each_other().await;
     let ask = async |team: &str, number: usize| {
         let chat = format!("{team}-{number}");
         let request = fleet.chat(number % 2, &chat, &[&chat], false);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -307,6 +307,19 @@
         }
     }
 
+    /// Waits until every router knows of every other, and asks owners for slots.
+    pub async fn routers_know_each_other(&self) {
+        let count = format!("count={} ", self.shape.routers);
+        for number in 0..self.shape.routers {
+            eventually("the routers know each other", async || {
+                let log = self.log_of(&format!("router-{number}"));
+                let mut lines = log.lines().filter(|line| line.contains("event=routers"));
+                lines.any(|line| line.contains(&count)).then_some(())
+            })
+            .await;
+        }
+    }
+
     pub async fn healthy(&self, number: usize) {
         let url = format!("{}/healthz", self.router_url(number));
         eventually("the router is healthy", async || {
