--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -9,7 +9,9 @@
 mod http;
 pub mod metrics;
 mod relay;
+mod slot;
 mod slots;
+mod slots_thread;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -230,7 +232,7 @@
         let acceptor = listening.map_err(|source| RouterError::Listen { addr, source })?;
         let local = acceptor.holdings().first().map(|holding| holding.local_addr.to_string());
         feed::start(&shared)?;
-        slots::start(&shared).map_err(|source| RouterError::Listen { addr, source })?;
+        slots_thread::start(&shared).map_err(|source| RouterError::Listen { addr, source })?;
         let server = http::server(&shared, acceptor);
         let handle = server.handle();
         let serving = tokio::spawn(server.serve(http::routes(&shared)));
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -14,8 +14,9 @@
 use super::admission::{Kind, Work};
 use super::answer::Refusal;
 use super::answers::{MAX_ANSWER_BYTES, StoredAnswer};
-use super::forward::{ATTEMPT, Begun, Slot};
+use super::forward::{ATTEMPT, Begun};
 use super::http::InFlight;
+use super::slot::Slot;
 use crate::claims::RequestKey;
 use crate::reason::Reason;
 
--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -6,12 +6,11 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus::{IntCounter, IntCounterVec};
 use sha2::{Digest, Sha256};
-use slog::{info, warn};
+use slog::info;
 use tokio::sync::{Notify, oneshot};
 
 use super::{Shared, lock};
@@ -23,16 +22,11 @@
     Table, Ticket,
 };
 
-/// Pause after the socket failed.
-const SOCKET_PAUSE: Duration = Duration::from_millis(50);
 /// Between two statements to every owner.
-const STATE_EVERY: Duration = Duration::from_secs(2);
+pub(super) const STATE_EVERY: Duration = Duration::from_secs(2);
 /// How long after a change of the live routers or targets statements come more often.
 const UNSETTLED: Duration = Duration::from_secs(2);
-/// Between two statements meanwhile.
-const STATE_UNSETTLED: Duration = Duration::from_millis(200);
 const TAG_BYTES: usize = 8;
-const MAX_DATAGRAM: usize = 64 * 1024;
 
 /// A router's part in granting slots, with the socket.
 pub(super) struct Slots {
@@ -40,12 +34,12 @@
     key: String,
     started: Instant,
     /// Shared with the thread that receives.
-    socket: UdpSocket,
+    pub(super) socket: UdpSocket,
     bounds: Bounds,
     counters: SlotCounters,
     state: std::sync::Mutex<State>,
     /// Wakes the task that sends again, when something is due sooner than it knows.
-    due_sooner: Notify,
+    pub(super) due_sooner: Notify,
 }
 
 /// What is counted of asks for slots.
@@ -246,7 +240,7 @@
     }
 
     /// Sends all that is due; tells when something is due next.
-    fn send_all_due(&self, now: Duration) -> Option<Duration> {
+    pub(super) fn send_all_due(&self, now: Duration) -> Option<Duration> {
         let owners: Vec<RouterId> = lock(&self.state).rounds.keys().copied().collect();
         let next = owners.into_iter().filter_map(|to| self.send_due_now(now, to)).min();
         lock(&self.state).look_at = next;
@@ -283,8 +277,26 @@
         tag
     }
 
+    /// States what is held: to every owner when that is due, else to those that have not stated what they hold. Tells
+    /// whether all is settled. `all_at` is when every owner was last told.
+    pub(super) fn state(&self, now: Duration, all_at: &mut Duration) -> bool {
+        let (due, settled) = {
+            let mut state = lock(&self.state);
+            let changed_lately = now <= state.changed_at + UNSETTLED;
+            let due = if changed_lately || now >= *all_at + STATE_EVERY {
+                *all_at = now;
+                state.table.statements()
+            } else {
+                state.table.statements_to_unheard()
+            };
+            (due, !changed_lately && state.table.knows_all())
+        };
+        due.into_iter().for_each(|(to, message)| self.send(to, vec![message]));
+        settled
+    }
+
     /// Handles one datagram; one that this partner's key did not tag is dropped.
-    fn receive(&self, now: Duration, datagram: &[u8]) {
+    pub(super) fn receive(&self, now: Duration, datagram: &[u8]) {
         let Some((tag, payload)) = datagram.split_at_checked(TAG_BYTES) else {
             return;
         };
@@ -382,80 +394,6 @@
     }
 }
 
-/// Receives and sends datagrams for ever, on a thread of its own: an owner that is busy with requests of its own callers
-/// would keep those of all others waiting.
-///
-/// # Errors
-/// When the thread or what it needs can't be had.
-pub(super) fn start(shared: &Arc<Shared>) -> std::io::Result<()> {
-    let socket = shared.slots.socket.try_clone()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let socket = {
-        let _entered = runtime.enter();
-        tokio::net::UdpSocket::from_std(socket)?
-    };
-    let shared = shared.clone();
-    let run = move || {
-        let tasks = async {
-            tokio::join!(receive(&shared, &socket), resend(&shared), state(&shared));
-        };
-        runtime.block_on(tasks);
-    };
-    std::thread::Builder::new().name("slots".into()).spawn(run)?;
-    Ok(())
-}
-
-/// Receives datagrams for ever.
-async fn receive(shared: &Shared, socket: &tokio::net::UdpSocket) {
-    let mut datagram = vec![0; MAX_DATAGRAM];
-    loop {
-        match socket.recv_from(&mut datagram).await {
-            Ok((len, _)) => {
-                shared.metrics.count_control("slots", 0, len);
-                shared.slots.receive(shared.now(), &datagram[..len]);
-            }
-            Err(error) => {
-                warn!(shared.log, "datagram lost"; "event" => "slots_failed", "error" => %error);
-                tokio::time::sleep(SOCKET_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Sends asks that were not answered in time again, for ever.
-async fn resend(shared: &Shared) {
-    loop {
-        let now = shared.now();
-        let next = shared.slots.send_all_due(now);
-        let wait = next.map_or(STATE_EVERY, |next| next.saturating_sub(now));
-        tokio::select! {
-            () = shared.slots.due_sooner.notified() => {}
-            () = tokio::time::sleep(wait) => {}
-        }
-    }
-}
-
-/// States what is held to every owner, for ever.
-async fn state(shared: &Shared) {
-    let mut all_at = Duration::ZERO;
-    loop {
-        let now = shared.now();
-        let (due, settled) = {
-            let mut state = lock(&shared.slots.state);
-            let changed_lately = now <= state.changed_at + UNSETTLED;
-            let due = if changed_lately || now >= all_at + STATE_EVERY {
-                all_at = now;
-                state.table.statements()
-            } else {
-                state.table.statements_to_unheard()
-            };
-            (due, !changed_lately && state.table.knows_all())
-        };
-        due.into_iter().for_each(|(to, message)| shared.slots.send(to, vec![message]));
-        tokio::time::sleep(if settled { STATE_EVERY } else { STATE_UNSETTLED }).await;
-    }
-}
-
 impl Shared {
     /// Takes what control and the platform say of routers and engines.
     pub(super) fn update_slots(&self, routers: Option<LiveRouters>) {
