--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -4,7 +4,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -70,6 +70,11 @@
     }
 }
 
+/// The binary under test.
+pub fn this_build() -> PathBuf {
+    env!("CARGO_BIN_EXE_latchmount").into()
+}
+
 /// One process of the fleet; killed when dropped.
 pub struct Process {
     pub name: String,
@@ -77,6 +82,7 @@
     role: &'static str,
     folder: PathBuf,
     settings: Value,
+    binary: PathBuf,
     child: Option<Child>,
 }
 
@@ -88,7 +94,7 @@
         self.write_settings(&self.settings.to_string());
         let log = File::options().append(true).create(true).open(self.log_path());
         let log = log.expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_latchmount"))
+        let child = Command::new(&self.binary)
             .args([self.role, "--dialect", "platform", "--settings"])
             .arg(self.folder.join("settings.json"))
             .stdout(log.try_clone().expect("the same file"))
@@ -98,6 +104,20 @@
         self.child = Some(child.expect("the binary starts"));
     }
 
+    /// Has another build run from the next start on.
+    pub fn run_build(&mut self, binary: &Path) {
+        self.binary = binary.to_owned();
+    }
+
+    /// Puts a copy of a log and the note beside it in the data folder.
+    pub fn lay_disk(&self, from: &Path) {
+        let data = self.folder.join("data");
+        std::fs::create_dir_all(&data).expect("a folder");
+        for file in ["log", "commit"] {
+            std::fs::copy(from.join(file), data.join(file)).expect("a disk");
+        }
+    }
+
     /// Puts a text in place of the settings file.
     pub fn write_settings(&self, text: &str) {
         std::fs::write(self.folder.join("settings.json"), text).expect("a writable folder");
@@ -257,7 +277,15 @@
             "target_heartbeat_ms": 300,
         });
         let role = "member";
-        self.members.push(Process { name, ip, role, folder, settings, child: None });
+        self.members.push(Process {
+            name,
+            ip,
+            role,
+            folder,
+            settings,
+            binary: this_build(),
+            child: None,
+        });
     }
 
     /// Lays out one more gateway.
@@ -281,7 +309,15 @@
             "stop_within_ms": 8_000,
         });
         let role = "gateway";
-        self.gateways.push(Process { name, ip, role, folder, settings, child: None });
+        self.gateways.push(Process {
+            name,
+            ip,
+            role,
+            folder,
+            settings,
+            binary: this_build(),
+            child: None,
+        });
     }
 
     /// Where clients reach a gateway.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -27,5 +27,6 @@
 mod stops;
 mod stories;
 mod streams;
+mod upgrade;
 mod words;
 mod writers;
