Settings: a running process passes over fields of a later version, with a log line

Cause: gateways and members ended with code 1 on a settings field that they did not know, though a template of a later build may be laid for them during an upgrade; production's build does so on data_halls. Now only 'latchmount check' is strict about unknown fields; a process logs the first one and how many ('unknown settings passed over'). Every other fault still ends it.

--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -57,13 +57,40 @@
         return Err(vec![Fault { line: 1, ..Fault::new("", message) }]);
     }
     let value = parse(text).map_err(|fault| vec![fault])?;
-    from_value(value).map_err(|mut faults| {
-        for fault in &mut faults {
-            fault.line = line_of(text, &fault.path);
-        }
-        faults.sort_by_key(|fault| fault.line);
-        faults
-    })
+    from_value(value).map_err(|faults| with_lines(text, faults))
+}
+
+/// A document that may have fields of a later version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Open<T> {
+    /// The document.
+    pub document: T,
+    /// Fields that are unknown here and were passed over.
+    pub unknown: Vec<Fault>,
+}
+
+/// Decodes `text` and checks it; fields that are unknown here are no faults.
+///
+/// # Errors
+/// All other faults found, ordered by line.
+pub fn from_open_str<T: DeserializeOwned + Validate>(text: &str) -> Result<Open<T>, Vec<Fault>> {
+    if !text.as_bytes().starts_with(BYTE_ORDER_MARK)
+        && let Ok(value) = parse(text)
+        && let Ok((document, unknown)) = decode::<T>(&value)
+        && document.faults().is_empty()
+    {
+        return Ok(Open { document, unknown: with_lines(text, unknown) });
+    }
+    let document = from_str(text)?;
+    Ok(Open { document, unknown: Vec::new() })
+}
+
+fn with_lines(text: &str, mut faults: Vec<Fault>) -> Vec<Fault> {
+    for fault in &mut faults {
+        fault.line = line_of(text, &fault.path);
+    }
+    faults.sort_by_key(|fault| fault.line);
+    faults
 }
 
 /// Decodes the body of a call and checks it.
--- a/src/process.rs
+++ b/src/process.rs
@@ -14,7 +14,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::group::GroupMember;
 use crate::group::settings::MemberSettings;
-use crate::jsonc::{self, Validate};
+use crate::jsonc::{self, Open, Validate};
 use crate::logging;
 use crate::router::Router;
 use crate::settings::{Settings, SettingsError};
@@ -144,8 +144,9 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT can't be handled")?;
     match role {
         Outside::Gateway => {
-            let settings: GatewaySettings = read(&process.settings)?;
-            let log = logging::logger_to(std::io::stdout(), &settings.host, level);
+            let read = read::<GatewaySettings>(&process.settings)?;
+            let log = logging::logger_to(std::io::stdout(), &read.document.host, level);
+            let settings = known(read, &log);
             let gateway = RunningGateway::start(settings, dialect, &log).await?;
             let mut reload = Reload::new(&process, &log)?;
             loop {
@@ -162,8 +163,9 @@
             }
         }
         Outside::Member => {
-            let settings: MemberSettings = read(&process.settings)?;
-            let log = logging::logger_to(std::io::stdout(), &settings.host, level);
+            let read = read::<MemberSettings>(&process.settings)?;
+            let log = logging::logger_to(std::io::stdout(), &read.document.host, level);
+            let settings = known(read, &log);
             let mut member = GroupMember::start(settings, dialect, &log).await?;
             let mut reload = Reload::new(&process, &log)?;
             loop {
@@ -216,12 +218,12 @@
             if text == self.text {
                 continue;
             }
-            let parsed = jsonc::from_str(&text);
+            let parsed = jsonc::from_open_str(&text);
             self.text = text;
             match parsed {
                 Ok(settings) => {
                     info!(self.log, "settings changed"; "event" => "settings_changed");
-                    return settings;
+                    return known(settings, &self.log);
                 }
                 Err(faults) => {
                     warn!(self.log, "settings refused"; "event" => "settings_refused",
@@ -233,9 +235,18 @@
 }
 
 /// Reads and checks a settings file.
-fn read<T: serde::de::DeserializeOwned + Validate>(path: &Path) -> Result<T, SettingsError> {
+fn read<T: serde::de::DeserializeOwned + Validate>(path: &Path) -> Result<Open<T>, SettingsError> {
     let unreadable = |source| SettingsError::Unreadable { path: path.to_owned(), source };
     let text = std::fs::read_to_string(path).map_err(unreadable)?;
     let faulty = |faults| SettingsError::Faulty { path: path.to_owned(), faults };
-    jsonc::from_str(&text).map_err(faulty)
+    jsonc::from_open_str(&text).map_err(faulty)
+}
+
+/// The settings that this version knows; a later one may have been told more.
+fn known<T>(read: Open<T>, log: &Logger) -> T {
+    if let Some(first) = read.unknown.first() {
+        warn!(log, "unknown settings passed over"; "event" => "settings_unknown",
+            "first" => %first, "fields" => read.unknown.len());
+    }
+    read.document
 }
