--- /dev/null
+++ b/src/compat/command.rs
@@ -0,0 +1,127 @@
+//! A command as it is encoded: in the words of the first build where they say it all, else by a variant behind them.
+
+use serde::{Deserialize, Serialize};
+
+use super::base;
+use crate::claims::{Claim, Release};
+use crate::directory::Incarnation;
+use crate::document::Packed;
+use crate::evacuations::{EvacuationOrder, WarmAgain};
+use crate::level::Level;
+use crate::rollout::{RolloutOrder, RolloutStep};
+use crate::store::{Change, Command, Drain, Move, Sight};
+
+/// A command as it is encoded. Variants are never changed, removed or put in between.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Encoded {
+    /// See [`Command::Change`], and so on for the next five.
+    Change(Box<Change>),
+    /// As named.
+    Drain(Drain),
+    /// As named.
+    Move(Move),
+    /// As named.
+    Claim(Claim),
+    /// As named.
+    Release(Release),
+    /// As named.
+    Configure(Packed),
+    /// One target, known by its identity, announces something new.
+    Announce {
+        /// What it says.
+        announcement: base::Announcement,
+        /// Whether it gets a home now.
+        at_once: bool,
+    },
+    /// A target leaves, in whichever start it is.
+    Remove(String),
+    /// Targets, known by their identity, have not been heard for long.
+    Silence(Vec<String>),
+    /// Targets, known by their identity, have been there for a while.
+    Settle(Vec<String>),
+    /// From here on of [`Level::STARTS`].
+    Evacuate(EvacuationOrder),
+    /// As named.
+    Rollout(RolloutOrder),
+    /// As named.
+    RolloutStep(RolloutStep),
+    /// As named.
+    WarmAgain(Vec<WarmAgain>),
+    /// See [`Command::Announce`].
+    AnnounceStarts(Vec<Sight>),
+    /// See [`Command::Remove`].
+    RemoveStart(Incarnation),
+    /// See [`Command::Silence`].
+    SilenceStarts(Vec<Incarnation>),
+    /// See [`Command::Settle`].
+    SettleStarts(Vec<Incarnation>),
+    /// As named.
+    Raise(Level),
+}
+
+impl From<Command> for Encoded {
+    fn from(command: Command) -> Self {
+        match command {
+            Command::Change(change) => Encoded::Change(change),
+            Command::Drain(drain) => Encoded::Drain(drain),
+            Command::Move(step) => Encoded::Move(step),
+            Command::Claim(claim) => Encoded::Claim(claim),
+            Command::Release(release) => Encoded::Release(release),
+            Command::Configure(packed) => Encoded::Configure(packed),
+            Command::Announce(sights) => announce(sights),
+            Command::Remove(target) if base::can_name(&target) => Encoded::Remove(target.id),
+            Command::Remove(target) => Encoded::RemoveStart(target),
+            Command::Silence(targets) => match base::identities(&targets) {
+                Some(ids) => Encoded::Silence(ids),
+                None => Encoded::SilenceStarts(targets),
+            },
+            Command::Settle(targets) => match base::identities(&targets) {
+                Some(ids) => Encoded::Settle(ids),
+                None => Encoded::SettleStarts(targets),
+            },
+            Command::Evacuate(order) => Encoded::Evacuate(order),
+            Command::Rollout(order) => Encoded::Rollout(order),
+            Command::RolloutStep(step) => Encoded::RolloutStep(step),
+            Command::WarmAgain(halls) => Encoded::WarmAgain(halls),
+            Command::Raise(level) => Encoded::Raise(level),
+        }
+    }
+}
+
+fn announce(sights: Vec<Sight>) -> Encoded {
+    match sights.as_slice() {
+        [Sight { announcement, at_once }] if base::can_say(announcement) => {
+            Encoded::Announce { announcement: announcement.clone().into(), at_once: *at_once }
+        }
+        _ => Encoded::AnnounceStarts(sights),
+    }
+}
+
+impl From<Encoded> for Command {
+    fn from(encoded: Encoded) -> Self {
+        let all = |ids: Vec<String>| ids.into_iter().map(base::incarnation).collect();
+        match encoded {
+            Encoded::Change(change) => Command::Change(change),
+            Encoded::Drain(drain) => Command::Drain(drain),
+            Encoded::Move(step) => Command::Move(step),
+            Encoded::Claim(claim) => Command::Claim(claim),
+            Encoded::Release(release) => Command::Release(release),
+            Encoded::Configure(packed) => Command::Configure(packed),
+            Encoded::Announce { announcement, at_once } => {
+                Command::Announce(vec![Sight { announcement: announcement.into(), at_once }])
+            }
+            Encoded::Remove(id) => Command::Remove(base::incarnation(id)),
+            Encoded::Silence(ids) => Command::Silence(all(ids)),
+            Encoded::Settle(ids) => Command::Settle(all(ids)),
+            Encoded::Evacuate(order) => Command::Evacuate(order),
+            Encoded::Rollout(order) => Command::Rollout(order),
+            Encoded::RolloutStep(step) => Command::RolloutStep(step),
+            Encoded::WarmAgain(halls) => Command::WarmAgain(halls),
+            Encoded::AnnounceStarts(sights) => Command::Announce(sights),
+            Encoded::RemoveStart(target) => Command::Remove(target),
+            Encoded::SilenceStarts(targets) => Command::Silence(targets),
+            Encoded::SettleStarts(targets) => Command::Settle(targets),
+            Encoded::Raise(level) => Command::Raise(level),
+        }
+    }
+}
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -13,6 +13,7 @@
 use crate::directory::Directory;
 use crate::document::Document;
 use crate::evacuations::Evacuations;
+use crate::level::Level;
 use crate::raft::{
     BoxedDisk, Disk, Envelope, GroupId, Index, Members, Position, Replica, Role, Time, WalError,
 };
@@ -46,6 +47,8 @@
 /// What the store holds, for readers that must not wait for the disk.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Published {
+    /// What the group may use.
+    pub(crate) level: Level,
     /// Last entry applied.
     pub(crate) applied: Index,
     /// Revision in force.
@@ -321,6 +324,7 @@
                 shown.rollouts = Arc::new(store.rollouts().clone());
             }
             shown.applied = applied;
+            shown.level = store.level();
             shown.revision = store.revision();
             shown.document = store.document().cloned();
             true
--- a/src/directory/entry.rs
+++ b/src/directory/entry.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::level::Level;
 use crate::store::Revision;
 
 /// Whether a target takes new work.
@@ -51,6 +52,19 @@
         incarnation_key(&self.id, self.born)
     }
 
+    /// What of it a group of this level may hold.
+    pub fn at(self, level: Level) -> Self {
+        if level >= Level::STARTS {
+            return self;
+        }
+        Announcement {
+            born: Born::default(),
+            version: String::new(),
+            cold_left: Duration::ZERO,
+            ..self
+        }
+    }
+
     /// This start of the target.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation { id: self.id.clone(), born: self.born }
@@ -100,6 +114,8 @@
 pub struct Moved {
     /// Short form of its start.
     pub target: u64,
+    /// Short form of its identity.
+    pub identity: u64,
     /// Whether it takes new work.
     pub state: TargetState,
     /// How long it stayed slow yet when it last brought something new; zero once it is warm.
@@ -154,7 +170,8 @@
 
     pub(super) fn moved(&self) -> Moved {
         let Announcement { state, cold_left, .. } = self.announcement;
-        Moved { target: self.announcement.key(), state, cold_left, home: self.home }
+        let (target, identity) = (self.announcement.key(), key(&self.announcement.id));
+        Moved { target, identity, state, cold_left, home: self.home }
     }
 
     /// Whether a heartbeat says what is known: the time that is left of a start goes down by itself.
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -47,6 +47,8 @@
     homes: OrdMap<Id, OrdSet<u32>>,
     /// Targets that take new work and have no home, by service.
     homeless: OrdMap<Id, OrdSet<(Revision, Id)>>,
+    /// Targets known by their identity alone, whose next word may tell when they started.
+    undated: OrdSet<Id>,
 }
 
 /// An identity or a name that many places hold.
@@ -54,11 +56,11 @@
 
 /// What a directory is saved as; the rest follows from it.
 #[derive(Serialize, Deserialize)]
-struct Saved {
-    revision: Revision,
-    entries: Vec<DirectoryEntry>,
-    over: Vec<(String, Born, Revision)>,
-    forgotten: Revision,
+pub(crate) struct Saved {
+    pub(crate) revision: Revision,
+    pub(crate) entries: Vec<DirectoryEntry>,
+    pub(crate) over: Vec<(String, Born, Revision)>,
+    pub(crate) forgotten: Revision,
 }
 
 impl From<Directory> for Saved {
@@ -144,7 +146,10 @@
             return if says_less { Heartbeat::Late } else { Heartbeat::News };
         };
         if heartbeat.born != known.born {
-            return follows(known, heartbeat);
+            return match self.dates(known, heartbeat) {
+                true => Heartbeat::News,
+                false => follows(known, heartbeat),
+            };
         }
         if heartbeat.sequence < known.sequence {
             return Heartbeat::Late;
@@ -162,9 +167,14 @@
             return;
         }
         let (id, service) = (heartbeat.id.clone(), heartbeat.service.clone());
-        if self.get(&id).is_some_and(|known| known.born != heartbeat.born) {
+        let restarted =
+            |known: &Announcement| known.born != heartbeat.born && !self.dates(known, &heartbeat);
+        if self.get(&id).is_some_and(restarted) {
             self.end(index, &id);
         }
+        if heartbeat.born.0.is_some() {
+            self.undated.remove(id.as_str());
+        }
         let known = self.targets.get(id.as_str());
         let home = known.and_then(|entry| entry.home);
         let known = known.filter(|entry| entry.same_place(&heartbeat));
@@ -194,6 +204,31 @@
         }
     }
 
+    /// From now on the targets that are there may tell when they started, and are the same targets.
+    pub fn expect_starts(&mut self) {
+        let undated = self.targets.iter().filter(|(_, entry)| entry.announcement.born.0.is_none());
+        self.undated = undated.map(|(id, _)| id.clone()).collect();
+    }
+
+    /// Targets whose next word may tell when they started.
+    pub(crate) fn undated(&self) -> Vec<String> {
+        self.undated.iter().map(|id| id.to_string()).collect()
+    }
+
+    pub(crate) fn with_undated(self, undated: Vec<String>) -> Self {
+        Directory { undated: undated.into_iter().map(Id::from).collect(), ..self }
+    }
+
+    /// Whether a heartbeat is of the known start, which could not be told before. One whose count begins anew is of the
+    /// next start.
+    fn dates(&self, known: &Announcement, heartbeat: &Announcement) -> bool {
+        self.undated.contains(known.id.as_str())
+            && heartbeat.born.0.is_some()
+            && heartbeat.sequence >= known.sequence
+            && heartbeat.addr == known.addr
+            && heartbeat.service == known.service
+    }
+
     /// A target that is there, if it is in this start.
     fn start_of(&self, target: &Incarnation) -> Option<&Arc<DirectoryEntry>> {
         let entry = self.targets.get(target.id.as_str())?;
@@ -313,6 +348,7 @@
         let Some(gone) = self.take(id) else {
             return;
         };
+        self.undated.remove(id);
         if let Some(home) = gone.home {
             self.give_away(index, &gone.announcement.service, home);
         }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,6 +16,7 @@
 use crate::clock::{Instant, Suspensions};
 use crate::group::loads::own_loads_interval;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
+use crate::level::Level;
 use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTiming};
 use crate::sync::{lock, read};
 
@@ -166,6 +167,7 @@
     fn subscription(&self) -> Subscription {
         Subscription {
             gateway: self.gateway.settings.host.clone(),
+            knows: Level::NEWEST,
             version: self.news.version(),
             directory: self.news.directory(),
             evacuations: read(&self.gateway.targets).halls_revision(),
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -65,7 +65,7 @@
         update: Update,
         sender: &mut FrameSender,
     ) -> Result<(), LinkError> {
-        if let Some(halls) = update.halls.clone() {
+        if let Some(halls) = update.halls.clone().filter(|halls| self.lacks_halls(halls)) {
             self.take_halls(halls, member, sender).await?;
         }
         if let Some(rollouts) = update.rollouts.clone() {
@@ -160,6 +160,11 @@
         Ok(())
     }
 
+    /// Whether word of orders about data halls may be new. Members of the first build always tell that there are none.
+    fn lacks_halls(&self, halls: &HallNews) -> bool {
+        halls.revision > 0 || read(&self.gateway.targets).halls_revision().is_none()
+    }
+
     /// Takes orders about data halls, and tells the member up to which one they are obeyed.
     async fn take_halls(
         &self,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -178,7 +178,7 @@
             target.warmth().told(now, cold_left);
             self.note_home(&target, first);
         }
-        for Moved { target, state, cold_left, home } in delta.moved {
+        for Moved { target, state, cold_left, home, .. } in delta.moved {
             if let Some(target) = self.by_key.get(&target).cloned() {
                 target.warmth().told(now, cold_left);
                 if target.silent() && state == TargetState::Ready {
--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -13,6 +13,7 @@
 use super::message::{Call, Reply, ToMember};
 use crate::clock::Instant;
 use crate::control::member::Outbox;
+use crate::level::Level;
 use crate::raft::{Envelope, Members, StoreId};
 use crate::store::Command;
 use crate::sync::lock;
@@ -45,7 +46,8 @@
             }
         }
         for (addr, messages) in batches {
-            shared.peers.send(addr, ToMember::Agreement { from: shared.own, messages });
+            let (from, knows) = (shared.own, shared.knows());
+            shared.peers.send(addr, ToMember::Agreement { from, messages, knows });
         }
     }
 }
@@ -81,7 +83,8 @@
             continue;
         }
         asked.push(addr);
-        let call = Call::Join { store: shared.store, addr: shared.own };
+        let (store, own) = (shared.store, shared.own);
+        let call = Call::Join { store, addr: own, knows: Level::NEWEST };
         match shared.peers.call(addr, call, JOIN_TIMEOUT).await {
             Ok(Reply::Done) => return,
             Ok(Reply::NotLeader(Some(leader))) => waiting.push(leader),
--- a/src/group/batches.rs
+++ b/src/group/batches.rs
@@ -86,24 +86,39 @@
     }
 
     async fn carry_batch(&self, batch: Vec<Waiting>) {
-        let (announcements, waiters): (Vec<Announcement>, Vec<Waiter>) =
-            batch.into_iter().map(|one| (one.announcement, one.waiter)).unzip();
-        let reply = self.call_leader(Call::Announce(announcements)).await;
-        let Ok(Reply::Taken(taken)) = reply else {
-            for waiter in waiters {
-                // A target that has gone waits for nothing.
-                let _ = waiter.send(Err(Unavailable));
+        let mut left = VecDeque::from(batch);
+        while !left.is_empty() {
+            let announcements = left.iter().map(|one| one.announcement.clone()).collect();
+            let reply = self.call_leader(Call::Announce(announcements)).await;
+            let taken = reply.ok().and_then(taken);
+            if taken.is_some() {
+                lock(&self.heard).confirm(self.now());
+            }
+            let Some(taken) = taken.filter(|taken| !taken.is_empty()) else {
+                for one in left {
+                    // A target that has gone waits for nothing.
+                    let _ = one.waiter.send(Err(Unavailable));
+                }
+                return;
+            };
+            for (one, taken) in left.drain(..taken.len().min(left.len())).zip(taken) {
+                // As above.
+                let _ = one.waiter.send(Ok(taken));
             }
-            return;
-        };
-        lock(&self.heard).confirm(self.now());
-        for (waiter, taken) in waiters.into_iter().zip(taken) {
-            // As above.
-            let _ = waiter.send(Ok(taken));
         }
     }
 }
 
+/// What a leader took of a batch, from its beginning: one of the first build takes a single announcement.
+fn taken(reply: Reply) -> Option<Vec<Taken>> {
+    match reply {
+        Reply::Taken(taken) => Some(taken),
+        Reply::Answer(_) => Some(vec![Taken::News]),
+        Reply::Done => Some(vec![Taken::Known]),
+        _ => None,
+    }
+}
+
 /// Carries batches to the leader, a few at a time.
 pub(super) fn carry(shared: &Arc<Shared>) {
     for _ in 0..UNDER_WAY {
--- a/src/group/endpoints.rs
+++ b/src/group/endpoints.rs
@@ -20,9 +20,10 @@
 use super::rollout::RolloutError;
 use super::{Shared, Unavailable};
 use crate::dialect::Door;
-use crate::directory::{Announcement, Incarnation};
+use crate::directory::{Announcement, Born, Incarnation};
 use crate::document::{Document, MAX_DOCUMENT_BYTES};
 use crate::jsonc::{Fault, Validate};
+use crate::level::Level;
 use crate::poison::NotAFingerprint;
 use crate::rollout::Stage;
 use crate::store::{Answer, Command};
@@ -38,6 +39,8 @@
 const CONFIGURE_TRIES: usize = 6;
 /// What callers are told when the group can't answer, in seconds.
 const COME_BACK_S: &str = "0.3";
+/// What callers are told whose call must wait for the end of an upgrade, in seconds.
+const AFTER_UPGRADE_S: &str = "5";
 
 /// Largest body of any other call: an announcement has some hundred bytes.
 const MAX_WORD_BYTES: usize = 64 * 1024;
@@ -244,6 +247,7 @@
         }
     };
     let published = shared.published();
+    let born = if published.level < Level::STARTS { Born::default() } else { born };
     if published.directory.was_removed(id) || published.directory.is_over(id, born) {
         return empty(StatusCode::OK);
     }
@@ -261,6 +265,7 @@
     let (status, fault) = match shared.order_evacuation(data_hall, evacuate, body).await {
         Ok(()) => return empty(StatusCode::OK),
         Err(OrderError::Unavailable) => return unavailable(shared, "order"),
+        Err(OrderError::Upgrading) => return upgrading(shared, "order"),
         // To come again would undo the newer order.
         Err(error @ OrderError::Overtaken) => {
             (StatusCode::CONFLICT, Fault::new("data_hall", error.to_string()))
@@ -331,6 +336,7 @@
 fn refuse_rollout(shared: &Shared, error: &RolloutError) -> Answered {
     let (status, faults) = match error {
         RolloutError::Unavailable => return unavailable(shared, "rollout"),
+        RolloutError::Upgrading => return upgrading(shared, "rollout"),
         RolloutError::Faulty(faults) => (StatusCode::BAD_REQUEST, faults.clone()),
         RolloutError::Unknown(fault) => (StatusCode::NOT_FOUND, vec![fault.clone()]),
         RolloutError::UnderWay(fault) => (StatusCode::CONFLICT, vec![fault.clone()]),
@@ -373,6 +379,19 @@
     response
 }
 
+/// The group can't do this before every process knows how.
+fn upgrading(shared: &Shared, call: &'static str) -> Answered {
+    let (published, knows) = (shared.published(), shared.knows());
+    let behind = lock(&shared.readiness).holding_back(&published.members, published.level);
+    warn!(shared.log, "call refused during an upgrade"; "event" => "upgrading", "call" => call,
+        "level" => %published.level, "knows" => %knows, "gateways_behind" => shared.gateways_behind(),
+        "members_behind" => ?behind);
+    let why = "an upgrade is under way: not all members and gateways know this call yet";
+    let mut response = faulty(StatusCode::SERVICE_UNAVAILABLE, &[Fault::new("", why)]);
+    response.headers_mut().insert(RETRY_AFTER, http::HeaderValue::from_static(AFTER_UPGRADE_S));
+    response
+}
+
 fn faulty(status: StatusCode, faults: &[Fault]) -> Answered {
     let text = serde_json::to_vec(&serde_json::json!({ "faults": faults })).unwrap_or_default();
     json(status, text.into())
--- a/src/group/evacuation.rs
+++ b/src/group/evacuation.rs
@@ -11,6 +11,7 @@
 use crate::control::member::Published;
 use crate::evacuations::{EvacuationOrder, Evacuations, HallOrder, OrderVerdict, WarmAgain};
 use crate::jsonc::Fault;
+use crate::level::Level;
 use crate::store::{Answer, Command, Revision};
 use crate::sync::lock;
 
@@ -32,6 +33,9 @@
     /// The outcome is not known; the caller may ask again.
     #[error("the group has no leader within reach")]
     Unavailable,
+    /// Processes of an earlier build take part, which would not obey it.
+    #[error("an upgrade is under way")]
+    Upgrading,
 }
 
 impl From<Unavailable> for OrderError {
@@ -91,6 +95,9 @@
     async fn carry_order(&self, data_hall: String, evacuate: bool) -> Result<(), OrderError> {
         let published = self.read().await?;
         self.check_hall(&published, &data_hall)?;
+        if published.level < Level::STARTS {
+            return Err(OrderError::Upgrading);
+        }
         let after = published.evacuations.last(&data_hall);
         let order = EvacuationOrder { data_hall: data_hall.clone(), evacuate, after };
         match self.propose(Command::Evacuate(order)).await? {
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -24,6 +24,7 @@
 ) -> Result<(), LinkError> {
     let gateway = subscription.gateway.clone();
     lock(&shared.presence).connect(&gateway);
+    lock(&shared.behind).connect(&gateway, subscription.knows);
     let connection =
         lock(&shared.propagation).connect(shared.now(), &gateway, subscription.version);
     let obeys = propagation_number(subscription.evacuations);
@@ -56,6 +57,7 @@
     push.close();
     let now = shared.now();
     lock(&shared.presence).disconnect(now, &gateway);
+    lock(&shared.behind).disconnect(now, &gateway);
     lock(&shared.load_totals).forget_gateway(&gateway);
     lock(&shared.propagation).disconnect(connection);
     lock(&shared.orders_propagation).disconnect(obeying);
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -14,7 +14,9 @@
 use super::message::{Call, Reply};
 use super::{Shared, Unavailable};
 use crate::clock::Instant;
+use crate::control::member::Published;
 use crate::directory::{Announcement, Heartbeat};
+use crate::level::Level;
 use crate::store::{Answer, Command, Sight};
 use crate::sync::lock;
 
@@ -71,8 +73,10 @@
         &self,
         announcement: Announcement,
     ) -> Result<Taken, Unavailable> {
-        if self.answers_alone(&announcement) {
-            lock(&self.heard).note(announcement.key());
+        // The leader decides what of it the log may hold.
+        let held = announcement.clone().at(self.level());
+        if self.answers_alone(&held) {
+            lock(&self.heard).note(held.key());
             return Ok(Taken::Known);
         }
         self.announce(announcement).await
@@ -114,12 +118,13 @@
     /// Takes heartbeats as the leader: all that bring news go into the log together.
     pub(super) async fn announce_here(&self, announcements: Vec<Announcement>) -> Reply {
         let now = self.now();
-        let directory = self.published().directory;
+        let Published { directory, level, .. } = self.published();
         let mut taken = Vec::with_capacity(announcements.len());
         let mut sights = Vec::new();
         {
             let mut liveness = lock(&self.liveness);
             for announcement in announcements {
+                let announcement = announcement.at(level);
                 liveness.hear(now, announcement.key());
                 let news = directory.judge(&announcement) == Heartbeat::News;
                 taken.push(if news { Taken::News } else { Taken::Known });
@@ -132,12 +137,24 @@
         if sights.is_empty() {
             return if self.leads() { Reply::Taken(taken) } else { Reply::Unknown };
         }
-        match self.propose_here(Command::Announce(sights)).await {
-            Reply::Answer(Answer::Listed) => Reply::Taken(taken),
-            _ => Reply::Unknown,
+        match self.propose_sights(level, sights).await {
+            Some(()) => Reply::Taken(taken),
+            None => Reply::Unknown,
         }
     }
 
+    /// Puts what targets announce in the log: together where the group may, else each by itself.
+    async fn propose_sights(&self, level: Level, sights: Vec<Sight>) -> Option<()> {
+        let commands: Vec<Command> = match level {
+            Level::BASE => sights.into_iter().map(|sight| Command::Announce(vec![sight])).collect(),
+            _ => vec![Command::Announce(sights)],
+        };
+        let replies = commands.into_iter().map(|command| self.propose_here(command));
+        let replies = futures_util::future::join_all(replies).await;
+        let listed = |reply: &Reply| matches!(reply, Reply::Answer(Answer::Listed));
+        replies.iter().all(listed).then_some(())
+    }
+
     /// Takes another member's report as the leader.
     pub(super) fn take_report(&self, targets: &[u64]) -> Reply {
         if !self.leads() {
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -36,9 +36,10 @@
     let mut waiting = Some(waiting);
     loop {
         match receiver.receive().await? {
-            ToMember::Agreement { from, messages } => {
+            ToMember::Agreement { from, messages, knows } => {
                 if let Some(first) = messages.first() {
                     lock(&shared.book).insert(first.from, from);
+                    lock(&shared.readiness).hear(shared.now(), first.from, knows);
                 }
                 shared.member.deliver(messages);
             }
@@ -51,8 +52,11 @@
                 lock(&shared.keepers).hear(shared.now(), Teller::Member, &keepers);
                 lock(&shared.rollouts).hear_member(from, tallies);
             }
-            ToMember::Poison(word) => shared.hear_poison(Origin::Elsewhere, word)?,
+            ToMember::MemberPoison { reports, .. } => {
+                shared.hear_poison(Origin::Elsewhere, reports)?;
+            }
             ToMember::Loads { .. }
+            | ToMember::Poison(_)
             | ToMember::InForce(_)
             | ToMember::Obeys(_)
             | ToMember::Has(_)
--- a/src/group/listing.rs
+++ b/src/group/listing.rs
@@ -3,13 +3,14 @@
 //! Targets go by columns: what is alike in all of them then costs next to nothing once compressed,
 //! and a gateway that starts needs all of them.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use zstd::bulk::Compressor;
 
-use crate::directory::{Announcement, Born, DirectoryDelta, Listed, Moved, TargetState};
+use crate::compat::base::Columns;
+use crate::compat::parts;
+use crate::directory::{Announcement, Born, DirectoryDelta, Listed, Moved};
 use crate::link::LinkError;
 use crate::store::Revision;
 
@@ -26,27 +27,19 @@
     bytes: Vec<u8>,
 }
 
-/// A delta by columns.
+/// Tag of [`StartColumns`] behind the columns of the first build.
+const START_COLUMNS: u8 = 1;
+
+/// What the columns of the first build do not say.
 #[derive(Serialize, Deserialize)]
-struct Columns {
-    revision: Revision,
-    whole: bool,
-    removed: Vec<String>,
+struct StartColumns {
+    /// Short forms of the starts of targets that changed their state or home.
     moved_targets: Vec<u64>,
-    moved_states: Vec<TargetState>,
     /// In milliseconds, as below.
     moved_cold_left: Vec<u32>,
-    moved_homes: Vec<Option<u32>>,
-    ids: Vec<String>,
     born: Vec<Born>,
-    services: Vec<String>,
     versions: Vec<String>,
-    addrs: Vec<SocketAddr>,
-    data_halls: Vec<String>,
-    slots: Vec<u32>,
-    states: Vec<TargetState>,
     cold_left: Vec<u32>,
-    homes: Vec<Option<u32>>,
 }
 
 /// Packs deltas, with working memory that is taken once: some megabytes, which the allocator could
@@ -73,27 +66,31 @@
         let column = |of: fn(&Announcement) -> &String| {
             changed.iter().map(|listed| of(&listed.announcement).clone()).collect()
         };
-        let cold_left = changed.iter().map(|listed| millis(listed.announcement.cold_left));
+        let moved = &delta.moved;
+        let starts = StartColumns {
+            moved_targets: moved.iter().map(|moved| moved.target).collect(),
+            moved_cold_left: moved.iter().map(|moved| millis(moved.cold_left)).collect(),
+            born: changed.iter().map(|listed| listed.announcement.born).collect(),
+            versions: column(|announcement| &announcement.version),
+            cold_left: changed.iter().map(|listed| millis(listed.announcement.cold_left)).collect(),
+        };
         let columns = Columns {
             revision: delta.revision,
             whole: delta.whole,
             removed: delta.removed,
-            moved_targets: delta.moved.iter().map(|moved| moved.target).collect(),
-            moved_states: delta.moved.iter().map(|moved| moved.state).collect(),
-            moved_cold_left: delta.moved.iter().map(|moved| millis(moved.cold_left)).collect(),
-            moved_homes: delta.moved.iter().map(|moved| moved.home).collect(),
+            moved_targets: moved.iter().map(|moved| moved.identity).collect(),
+            moved_states: moved.iter().map(|moved| moved.state).collect(),
+            moved_homes: moved.iter().map(|moved| moved.home).collect(),
             ids: column(|announcement| &announcement.id),
-            born: changed.iter().map(|listed| listed.announcement.born).collect(),
             services: column(|announcement| &announcement.service),
-            versions: column(|announcement| &announcement.version),
             data_halls: column(|announcement| &announcement.data_hall),
             addrs: changed.iter().map(|listed| listed.announcement.addr).collect(),
             slots: changed.iter().map(|listed| listed.announcement.slots).collect(),
             states: changed.iter().map(|listed| listed.announcement.state).collect(),
-            cold_left: cold_left.collect(),
             homes: changed.iter().map(|listed| listed.home).collect(),
         };
-        let plain = postcard::to_stdvec(&columns).map_err(|_| LinkError::Garbled)?;
+        let mut plain = parts::encode(&columns)?;
+        parts::add(&mut plain, START_COLUMNS, &starts)?;
         let bytes = self.0.compress(&plain)?;
         Ok(PackedDelta { revision: columns.revision, bytes })
     }
@@ -107,21 +104,26 @@
     pub fn unpack(&self) -> Result<DirectoryDelta, LinkError> {
         let plain = zstd::bulk::Decompressor::upper_bound(&self.bytes).unwrap_or(MAX_BYTES);
         let plain = zstd::bulk::decompress(&self.bytes, plain.min(MAX_BYTES))?;
-        let columns: Columns = postcard::from_bytes(&plain).map_err(|_| LinkError::Garbled)?;
+        let (columns, parts) = parts::decode::<Columns>(&plain)?;
+        let starts = match parts.get(START_COLUMNS)? {
+            Some(starts) => starts,
+            None => StartColumns::unknown(&columns),
+        };
         let Columns { revision, whole, .. } = columns;
-        let moved = columns.moved_targets.into_iter().zip(columns.moved_states);
-        let moved = moved.zip(columns.moved_cold_left).zip(columns.moved_homes);
-        let moved = moved.map(|(((target, state), cold_left), home)| {
+        let moved = starts.moved_targets.into_iter().zip(columns.moved_targets);
+        let moved = moved.zip(columns.moved_states).zip(starts.moved_cold_left);
+        let moved = moved.zip(columns.moved_homes);
+        let moved = moved.map(|((((target, identity), state), cold_left), home)| {
             let cold_left = Duration::from_millis(cold_left.into());
-            Moved { target, state, cold_left, home }
+            Moved { target, identity, state, cold_left, home }
         });
         let moved = moved.collect();
-        let incarnations = columns.ids.into_iter().zip(columns.born);
-        let services = columns.services.into_iter().zip(columns.versions);
+        let incarnations = columns.ids.into_iter().zip(starts.born);
+        let services = columns.services.into_iter().zip(starts.versions);
         let places = incarnations.zip(services).zip(columns.addrs);
         let places = places.zip(columns.data_halls).zip(columns.slots);
-        let starts = columns.states.into_iter().zip(columns.cold_left);
-        let listed = places.zip(starts).zip(columns.homes);
+        let states = columns.states.into_iter().zip(starts.cold_left);
+        let listed = places.zip(states).zip(columns.homes);
         let changed = listed.map(|((place, (state, cold_left)), home)| {
             let (((((id, born), (service, version)), addr), data_hall), slots) = place;
             let cold_left = Duration::from_millis(cold_left.into());
@@ -144,6 +146,20 @@
     }
 }
 
+impl StartColumns {
+    /// What a member of the first build knows: it tells targets apart by their identity.
+    fn unknown(columns: &Columns) -> Self {
+        let (moved, listed) = (columns.moved_targets.len(), columns.ids.len());
+        StartColumns {
+            moved_targets: columns.moved_targets.clone(),
+            moved_cold_left: vec![0; moved],
+            born: vec![Born::default(); listed],
+            versions: vec![String::new(); listed],
+            cold_left: vec![0; listed],
+        }
+    }
+}
+
 /// In whole milliseconds, rounded up: what is cold must not seem warm.
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -1,4 +1,4 @@
-//! Messages between members, and between members and gateways.
+//! Messages between members, and between members and gateways; `frames` holds their encoding.
 
 use std::net::SocketAddr;
 
@@ -10,6 +10,7 @@
 use super::keepers::Keeper;
 use super::loads::Loads;
 use crate::directory::Announcement;
+use crate::level::Level;
 use crate::parcel::ParcelId;
 use crate::poison::Report;
 use crate::raft::{Envelope, Index, StoreId};
@@ -19,7 +20,7 @@
 use crate::store::{Answer, Command, Revision};
 
 /// A frame on a connection that a member or a gateway made to a member.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub enum ToMember {
     /// Messages of the agreement.
     Agreement {
@@ -27,6 +28,8 @@
         from: SocketAddr,
         /// The messages.
         messages: Vec<Envelope>,
+        /// Level that the sender and the gateways connected to it know.
+        knows: Level,
     },
     /// A call that awaits a [`Reply`].
     Call {
@@ -61,9 +64,15 @@
         /// What it saw of roll-outs under way, since its last word.
         tallies: Tallies,
     },
-    /// Requests under which targets ended, or that ended well since: from the gateway on this connection, or from
-    /// another member.
+    /// Requests under which targets ended, or that ended well since, from the gateway on this connection.
     Poison(Vec<Report>),
+    /// The same, from another member.
+    MemberPoison {
+        /// Where the sender is reached.
+        from: SocketAddr,
+        /// The requests.
+        reports: Vec<Report>,
+    },
     /// The gateway on this connection now works by the configuration of this version.
     InForce(u64),
     /// The gateway on this connection now obeys the orders about data halls up to this revision.
@@ -77,7 +86,7 @@
 }
 
 /// A frame on the way back.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub enum FromMember {
     /// The answer to a call.
     Reply {
@@ -91,7 +100,7 @@
 }
 
 /// A call to a member.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub enum Call {
     /// Put a command in the log.
     Propose(Command),
@@ -107,11 +116,13 @@
         store: StoreId,
         /// Where it is reached.
         addr: SocketAddr,
+        /// Level that it knows.
+        knows: Level,
     },
 }
 
 /// The answer to a call.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub enum Reply {
     /// The store's answer to a command.
     Answer(Answer),
@@ -128,10 +139,12 @@
 }
 
 /// What a gateway has when it connects.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Subscription {
     /// Name of the gateway.
     pub gateway: String,
+    /// Level that it knows.
+    pub knows: Level,
     /// Version of the configuration in force there; 0 for none.
     pub version: u64,
     /// Revision of its directory; 0 for none.
@@ -175,7 +188,7 @@
 }
 
 /// News for a gateway.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
 pub struct Update {
     /// Whether the member has heard a leader lately.
     pub fresh: bool,
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -14,7 +14,8 @@
 pub mod evidence;
 pub mod fan_out;
 mod feed;
-mod heartbeats;
+mod frames;
+pub mod heartbeats;
 mod incoming;
 pub mod keepers;
 pub mod listing;
@@ -32,6 +33,7 @@
 mod push;
 mod rollout;
 pub mod settings;
+mod upgrade;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -47,6 +49,7 @@
 use crate::clock::Instant;
 use crate::control::member::{Member, Published, Started};
 use crate::dialect::SharedDialect;
+use crate::level::{Level, Readiness};
 use crate::poison::{Board, Rule};
 use crate::raft::{
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
@@ -75,6 +78,7 @@
 use self::propagation::Propagation;
 use self::rollout::RolloutWatch;
 use self::settings::MemberSettings;
+use self::upgrade::Behind;
 
 /// Longest time to wait for one member before the leader is looked up again.
 const ONE_TRY: Duration = Duration::from_millis(450);
@@ -134,6 +138,12 @@
     orders_propagation: Mutex<Propagation>,
     returns: Mutex<Returns>,
     rollouts: Mutex<RolloutWatch>,
+    /// Whether this process formed the group.
+    formed_here: bool,
+    /// Which level each member knows.
+    readiness: Mutex<Readiness>,
+    /// Gateways here that know less than this build.
+    behind: Mutex<Behind>,
     load_totals: Mutex<LoadTotals>,
     evidence: Mutex<EvidenceBoard>,
     keepers: Mutex<KeeperBoard>,
@@ -181,13 +191,15 @@
         let metrics = MemberMetrics::new().map_err(StartError::from)?;
         let syncs = metrics.sync.clone();
         let Started { member, outbox, failed } = open(&settings, founder, syncs, &log)?;
-        let identity = member.query(|replica, _| (replica.node().id(), replica.blank()));
-        let (store, blank) = identity.await.unwrap_or((StoreId(0), false));
+        let identity =
+            member.query(|replica, _| (replica.node().id(), replica.blank(), replica.log_format()));
+        let (store, blank, log_format) = identity.await.unwrap_or((StoreId(0), false, 0));
         if blank && founder == Some(store) {
             let _ = member.form(group_id(&settings), founders).await;
         }
         info!(log, "member started"; "event" => "member_started",
             "version" => env!("CARGO_PKG_VERSION"), "store" => %store, "blank" => blank,
+            "log_format" => log_format, "knows" => %Level::NEWEST,
             "founder" => founder.is_some(), "listen" => %listen, "peer" => %own);
         let heartbeat = Duration::from_millis(settings.target_heartbeat_ms);
         let shared = Arc::new(Shared {
@@ -206,6 +218,9 @@
             orders_propagation: Mutex::default(),
             returns: Mutex::default(),
             rollouts: Mutex::default(),
+            formed_here: blank && founder == Some(store),
+            readiness: Mutex::default(),
+            behind: Mutex::default(),
             load_totals: Mutex::default(),
             evidence: Mutex::default(),
             keepers: Mutex::default(),
@@ -238,6 +253,7 @@
         tokio::spawn(poison_file::keep(shared.clone()));
         tokio::spawn(background::watch_targets(shared.clone()));
         tokio::spawn(rollout::watch(shared.clone()));
+        tokio::spawn(upgrade::watch(shared.clone()));
         tokio::spawn(heartbeats::report(shared.clone()));
         batches::carry(&shared);
         tokio::spawn(background::log_beliefs(shared.clone()));
@@ -378,7 +394,8 @@
             Call::Announce(announcements) => self.announce_here(announcements).await,
             Call::Heard(targets) => self.take_report(&targets),
             Call::ReadIndex => self.read_index().await,
-            Call::Join { store, addr } => {
+            Call::Join { store, knows, .. } if !self.may_join(store, knows) => Reply::Unknown,
+            Call::Join { store, addr, .. } => {
                 lock(&self.book).insert(store, addr);
                 let joined = self.member.query(move |replica, now| replica.join(now, store, addr));
                 joined.await.map_or(Reply::Unknown, |()| Reply::Done)
@@ -387,6 +404,10 @@
     }
 
     async fn propose_here(&self, command: Command) -> Reply {
+        let raises = matches!(command, Command::Raise(_));
+        if !raises && (command.level() > self.level() || self.awaits_level()) {
+            return Reply::Unknown;
+        }
         let _commit = self.metrics.commit.start_timer();
         match self.member.propose(command).await {
             Ok(answer) => Reply::Answer(answer),
--- a/src/group/poison.rs
+++ b/src/group/poison.rs
@@ -118,13 +118,13 @@
                 break;
             }
             told = upto;
-            shared.tell_others(&ToMember::Poison(word));
+            shared.tell_others(&ToMember::MemberPoison { from: shared.own, reports: word });
         }
         if heard.is_err() {
             let (word, upto) = lock(&shared.poison).news_for_gateways(now, told_again);
             told_again = if word.is_empty() { 0 } else { upto };
             if !word.is_empty() {
-                shared.tell_others(&ToMember::Poison(word));
+                shared.tell_others(&ToMember::MemberPoison { from: shared.own, reports: word });
             }
         }
     }
--- a/src/group/rollout.rs
+++ b/src/group/rollout.rs
@@ -12,6 +12,7 @@
 use crate::control::member::Published;
 use crate::dialect::RolloutCall;
 use crate::jsonc::Fault;
+use crate::level::Level;
 use crate::rollout::division::RolloutMix;
 use crate::rollout::steps::{Progress, Step, Why, next};
 use crate::rollout::tally::{Compared, History, RouteKey, Tallies};
@@ -47,6 +48,9 @@
     /// The outcome is not known; the caller may ask again.
     #[error("the group has no leader within reach")]
     Unavailable,
+    /// Processes of an earlier build take part, which would not go by it.
+    #[error("an upgrade is under way")]
+    Upgrading,
 }
 
 impl From<Unavailable> for RolloutError {
@@ -177,6 +181,9 @@
     async fn carry_rollout(&self, call: RolloutCall) -> Result<(), RolloutError> {
         let published = self.read().await?;
         self.check_service(&published, &call.service)?;
+        if published.level < Level::STARTS {
+            return Err(RolloutError::Upgrading);
+        }
         let last = published.rollouts.get(&call.service).map(|rollout| rollout.at);
         let lately = |at| lock(&self.rollouts).ordered_lately(self.now(), at);
         let order = RolloutOrder {
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,6 +1,6 @@
 //! Framed connections between the processes of the project.
 //!
-//! A frame is a length, a byte that tells whether the rest is compressed, and a message in postcard.
+//! A frame is a length, a byte that tells whether the rest is compressed, and a [`Message`].
 //! Connections give up soon when the other side falls silent, since a cut network says nothing.
 
 use std::io;
@@ -11,8 +11,6 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -55,6 +53,21 @@
     socket.connect(addr).await
 }
 
+/// A message that goes over a link.
+pub trait Message: Sized {
+    /// Encodes it.
+    ///
+    /// # Errors
+    /// [`LinkError::Garbled`] when it can't be encoded.
+    fn to_bytes(&self) -> Result<Vec<u8>, LinkError>;
+
+    /// Decodes it.
+    ///
+    /// # Errors
+    /// [`LinkError::Garbled`] when it can't be decoded.
+    fn from_bytes(bytes: &[u8]) -> Result<Self, LinkError>;
+}
+
 /// A link failed.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
@@ -158,7 +171,7 @@
     ///
     /// # Errors
     /// [`LinkError`] when the connection is broken.
-    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+    pub async fn send<T: Message>(&mut self, message: &T) -> Result<(), LinkError> {
         self.send_encoded(encode(message)?).await
     }
 
@@ -175,8 +188,8 @@
 ///
 /// # Errors
 /// [`LinkError::Garbled`] when the message can't be encoded.
-pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, LinkError> {
-    let payload = postcard::to_stdvec(message).map_err(|_| LinkError::Garbled)?;
+pub fn encode<T: Message>(message: &T) -> Result<Bytes, LinkError> {
+    let payload = message.to_bytes()?;
     let mut frame = Vec::with_capacity(payload.len() + 1);
     if payload.len() < COMPRESS_FROM_BYTES {
         frame.push(PLAIN);
@@ -199,21 +212,17 @@
     ///
     /// # Errors
     /// [`LinkError`] when the connection is broken or closed.
-    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
+    pub async fn receive<T: Message>(&mut self) -> Result<T, LinkError> {
         let frame = self.0.next().await.ok_or(LinkError::Closed)??;
         match frame.split_first() {
-            Some((&PLAIN, payload)) => decode(payload),
+            Some((&PLAIN, payload)) => T::from_bytes(payload),
             Some((&COMPRESSED, rest)) => {
                 let (len, packed) = rest.split_at_checked(4).ok_or(LinkError::Garbled)?;
                 let len = u32::from_le_bytes(len.try_into().map_err(|_| LinkError::Garbled)?);
                 let len = (len as usize).min(MAX_FRAME_BYTES);
-                decode(&zstd::bulk::decompress(packed, len)?)
+                T::from_bytes(&zstd::bulk::decompress(packed, len)?)
             }
             _ => Err(LinkError::Garbled),
         }
     }
 }
-
-fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, LinkError> {
-    postcard::from_bytes(payload).map_err(|_| LinkError::Garbled)
-}
--- a/src/parcel.rs
+++ b/src/parcel.rs
@@ -20,6 +20,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ParcelId(u128);
 
+impl ParcelId {
+    /// The name of no parcel.
+    pub const NONE: ParcelId = ParcelId(0);
+}
+
 /// What is in a parcel.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Content {
--- a/src/raft/mod.rs
+++ b/src/raft/mod.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod election;
 mod follower;
+mod format5;
 mod leader;
 mod log;
 mod membership;
--- a/src/raft/replica.rs
+++ b/src/raft/replica.rs
@@ -73,6 +73,11 @@
         Ok(Replica { node, wal, store, applied, compact_after, noted: commit, remembered: commit })
     }
 
+    /// Format of the log's file.
+    pub fn log_format(&self) -> u32 {
+        self.wal.format()
+    }
+
     /// The consensus state.
     pub fn node(&self) -> &Node {
         &self.node
--- a/src/raft/wal.rs
+++ b/src/raft/wal.rs
@@ -2,15 +2,26 @@
 //!
 //! A record is a header of three little-endian `u32` (payload length, CRC-32 of the payload, CRC-32
 //! of the two before) and a payload in postcard. A snapshot replaces the whole file.
+//!
+//! The first record tells the file's format. A file is written in [`FORMAT_BASE`] as long as it holds nothing above the
+//! base level of a group, so that the build that wrote it before can read it again; then it is replaced by one of
+//! [`FORMAT_LEVELS`].
 
 use std::io;
 
 use serde::{Deserialize, Serialize};
 
-use super::{Entry, HardState, Index, Log, Snapshot, StoreId, Write};
+use super::format5::Format5Record;
+use super::{Entry, HardState, Index, Log, Payload, Snapshot, StoreId, Write};
+use crate::level::Level;
 
 const HEADER_BYTES: usize = 12;
-const FORMAT: u32 = 5;
+/// What every build since the first in production reads.
+const FORMAT_BASE: u32 = 3;
+/// Without levels; read, and replaced at once.
+const FORMAT_5: u32 = 5;
+/// Commands and stores of any level.
+const FORMAT_LEVELS: u32 = 6;
 
 /// The log can't be read or written; the member must stop.
 #[derive(Debug, thiserror::Error)]
@@ -33,7 +44,11 @@
         at: usize,
     },
     /// The file was written by another version.
-    #[error("the log has format {found}, this version reads format {FORMAT}")]
+    #[error(
+        "the log has format {found}, this version reads formats {FORMAT_BASE}, {FORMAT_5} and \
+         {FORMAT_LEVELS}; nothing was changed: start the version that wrote it, or, if a majority of \
+         the group is sound, empty the data folder to let this member join again"
+    )]
     Format {
         /// Format found.
         found: u32,
@@ -61,7 +76,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-enum Record {
+pub(super) enum Record {
     /// First record of a file.
     Identity {
         format: u32,
@@ -108,12 +123,16 @@
     pub log: Log,
     /// An index up to which the entries are surely committed.
     pub commit: Index,
+    /// Format of the file.
+    pub format: u32,
 }
 
 /// An open log.
 pub struct Wal<D> {
     disk: D,
     store: StoreId,
+    /// Format of the file.
+    format: u32,
 }
 
 impl<D: Disk> Wal<D> {
@@ -128,20 +147,29 @@
         if bytes.is_empty() {
             return Self::start(disk, fresh);
         }
-        let (records, end) = decode(&bytes, tail)?;
+        let (records, end) = decode(&bytes, tail, format(&bytes)?)?;
         if end < bytes.len() {
             disk.truncate(end).map_err(failed("cut"))?;
         }
         let mut recovered = replay(records)?;
         let hint = disk.read_hint().and_then(|hint| decode_hint(&hint)).unwrap_or(0);
         recovered.commit = recovered.commit.max(hint).min(recovered.log.last().index);
-        let store = recovered.store;
-        Ok((Wal { disk, store }, recovered))
+        let (store, format) = (recovered.store, recovered.format);
+        let mut wal = Wal { disk, store, format };
+        if format == FORMAT_5 {
+            wal.rewrite(recovered.hard, &recovered.log)?;
+        }
+        Ok((wal, recovered))
+    }
+
+    /// Format of the file.
+    pub fn format(&self) -> u32 {
+        self.format
     }
 
     fn start(disk: D, store: StoreId) -> Result<(Self, Recovered), WalError> {
         let recovered = Recovered::blank(store);
-        let mut wal = Wal { disk, store };
+        let mut wal = Wal { disk, store, format: FORMAT_BASE };
         wal.rewrite(recovered.hard, &recovered.log)?;
         Ok((wal, recovered))
     }
@@ -154,7 +182,8 @@
         if writes.is_empty() {
             return Ok(());
         }
-        if writes.iter().any(|write| matches!(write, Write::Snapshot(_))) {
+        let outgrown = self.format == FORMAT_BASE && writes.iter().any(Write::above_base);
+        if outgrown || writes.iter().any(|write| matches!(write, Write::Snapshot(_))) {
             return self.rewrite(hard, log);
         }
         let mut records: Vec<Record> = writes.iter().map(Record::from).collect();
@@ -194,14 +223,38 @@
 
     fn rewrite(&mut self, hard: HardState, log: &Log) -> Result<(), WalError> {
         let mut bytes = Vec::new();
-        let identity = Record::Identity { format: FORMAT, store: self.store };
+        let format = if above_base(log) { FORMAT_LEVELS } else { FORMAT_BASE };
+        let identity = Record::Identity { format, store: self.store };
         encode(&mut bytes, &identity);
         encode(&mut bytes, &Record::Hard(hard));
         encode(&mut bytes, &Record::Snapshot(Box::new(log.snapshot().clone())));
         for entry in log.from(0) {
             encode(&mut bytes, &Record::Append(entry.clone()));
         }
-        self.disk.replace(&bytes).map_err(failed("replaced"))
+        self.disk.replace(&bytes).map_err(failed("replaced"))?;
+        self.format = format;
+        Ok(())
+    }
+}
+
+/// Whether a log holds what a file of the base format can't.
+fn above_base(log: &Log) -> bool {
+    log.snapshot().store.level() > Level::BASE || log.from(0).iter().any(Entry::above_base)
+}
+
+impl Entry {
+    fn above_base(&self) -> bool {
+        matches!(&self.payload, Payload::Command(command) if command.level() > Level::BASE)
+    }
+}
+
+impl Write {
+    fn above_base(&self) -> bool {
+        match self {
+            Write::Append(entry) => entry.above_base(),
+            Write::Snapshot(snapshot) => snapshot.store.level() > Level::BASE,
+            Write::Hard(_) | Write::Truncate(_) => false,
+        }
     }
 }
 
@@ -226,23 +279,36 @@
     sound.then(|| Index::from_le_bytes(commit.try_into().expect("split at its size")))
 }
 
+/// Format of a file, by its first record; of one that was cut short in it, the first.
+fn format(bytes: &[u8]) -> Result<u32, WalError> {
+    let found = match split(bytes).map(postcard::from_bytes::<Record>) {
+        Some(Ok(Record::Identity { format, .. })) => format,
+        Some(_) => return Err(WalError::Damaged { at: 0 }),
+        None => FORMAT_BASE,
+    };
+    match found {
+        FORMAT_BASE | FORMAT_5 | FORMAT_LEVELS => Ok(found),
+        _ => Err(WalError::Format { found }),
+    }
+}
+
+fn decode_record(payload: &[u8], format: u32) -> Result<Record, postcard::Error> {
+    match format {
+        FORMAT_5 => postcard::from_bytes::<Format5Record>(payload).map(Record::from),
+        _ => postcard::from_bytes(payload),
+    }
+}
+
 /// Reads records up to a torn tail; returns them and where they end.
-fn decode(bytes: &[u8], tail: Tail) -> Result<(Vec<Record>, usize), WalError> {
+fn decode(bytes: &[u8], tail: Tail, format: u32) -> Result<(Vec<Record>, usize), WalError> {
     let mut records = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
         let rest = &bytes[at..];
         match split(rest) {
             Some(payload) => {
-                let record: Record =
-                    postcard::from_bytes(payload).map_err(|_| WalError::Damaged { at })?;
-                // Records of another format may not even decode, so it is checked at once.
-                if let Record::Identity { format, .. } = record
-                    && format != FORMAT
-                {
-                    return Err(WalError::Format { found: format });
-                }
-                records.push(record);
+                let record = decode_record(payload, format);
+                records.push(record.map_err(|_| WalError::Damaged { at })?);
                 at += HEADER_BYTES + payload.len();
             }
             None if torn(rest) => break,
@@ -292,11 +358,10 @@
 
 fn replay(records: Vec<Record>) -> Result<Recovered, WalError> {
     let mut records = records.into_iter();
-    let store = match records.next() {
-        Some(Record::Identity { store, .. }) => store,
-        _ => return Err(WalError::Damaged { at: 0 }),
+    let Some(Record::Identity { store, format }) = records.next() else {
+        return Err(WalError::Damaged { at: 0 });
     };
-    let mut recovered = Recovered::blank(store);
+    let mut recovered = Recovered { format, ..Recovered::blank(store) };
     for record in records {
         recovered.take(record)?;
     }
@@ -305,7 +370,8 @@
 
 impl Recovered {
     fn blank(store: StoreId) -> Self {
-        Recovered { store, hard: HardState::default(), log: Log::default(), commit: 0 }
+        let (hard, log) = (HardState::default(), Log::default());
+        Recovered { store, hard, log, commit: 0, format: FORMAT_BASE }
     }
 
     fn take(&mut self, record: Record) -> Result<(), WalError> {
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -6,15 +6,19 @@
 
 use super::Revision;
 use crate::claims::{Claim, Release, Verdict};
+use crate::compat::base;
+use crate::compat::command::Encoded;
 use crate::directory::{Announcement, Incarnation};
 use crate::document::Packed;
 use crate::evacuations::{EvacuationOrder, OrderVerdict, WarmAgain};
 use crate::jsonc::{Fault, Validate};
+use crate::level::Level;
 use crate::rollout::{RolloutOrder, RolloutStep, RolloutVerdict};
 use crate::template::{Spec, Template, check_name};
 
 /// A command in the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Encoded", into = "Encoded")]
 pub enum Command {
     /// Submit or revise a template.
     Change(Box<Change>),
@@ -44,6 +48,35 @@
     RolloutStep(RolloutStep),
     /// Targets of data halls that were taken back into use are surely warm by now.
     WarmAgain(Vec<WarmAgain>),
+    /// Every process of the group knows this level, which it may use from now on.
+    Raise(Level),
+}
+
+impl Command {
+    /// Level that a group must have before the command may stand in its log.
+    pub fn level(&self) -> Level {
+        let base = match self {
+            Command::Change(_)
+            | Command::Drain(_)
+            | Command::Move(_)
+            | Command::Claim(_)
+            | Command::Release(_)
+            | Command::Configure(_) => true,
+            Command::Announce(sights) => {
+                matches!(sights.as_slice(), [sight] if base::can_say(&sight.announcement))
+            }
+            Command::Remove(target) => base::can_name(target),
+            Command::Silence(targets) | Command::Settle(targets) => {
+                targets.iter().all(base::can_name)
+            }
+            Command::Evacuate(_)
+            | Command::Rollout(_)
+            | Command::RolloutStep(_)
+            | Command::WarmAgain(_)
+            | Command::Raise(_) => false,
+        };
+        if base { Level::BASE } else { Level::STARTS }
+    }
 }
 
 /// Something new that a target announces.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 mod command;
 mod config;
+mod saved;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -15,11 +16,13 @@
 use crate::document::{Document, Packed};
 use crate::evacuations::Evacuations;
 use crate::jsonc::Fault;
+use crate::level::Level;
 use crate::rollout::Rollouts;
 use crate::template::Template;
 
 pub use self::command::{Answer, Change, Command, Drain, Move, Moving, Sight};
 pub use self::config::{Config, Delta};
+pub(crate) use self::saved::Format5 as StoreFormat5;
 
 /// Versions kept for each template.
 pub const HISTORY_LEN: usize = 50;
@@ -66,8 +69,9 @@
 }
 
 /// All templates of one partner.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Store {
+    level: Level,
     revision: Revision,
     templates: BTreeMap<String, Stored>,
     drains: BTreeSet<String>,
@@ -84,6 +88,11 @@
 }
 
 impl Store {
+    /// What the group may use.
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
     /// Revision in force.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -129,8 +138,9 @@
         &self.moving
     }
 
-    /// Applies the command at log position `index`.
+    /// Applies the command at log position `index`; one of a higher level shows that the group has that level.
     pub fn apply(&mut self, index: u64, command: Command) -> Answer {
+        self.raise(command.level());
         match command {
             Command::Change(change) => self.apply_change(index, *change),
             Command::Drain(drain) => self.apply_drain(index, drain),
@@ -177,6 +187,10 @@
                 self.revision = self.revision.max(self.rollouts.revision());
                 Answer::Listed
             }
+            Command::Raise(level) => {
+                self.raise(level);
+                self.listed()
+            }
             Command::Evacuate(order) => {
                 let verdict = self.evacuations.apply(index, order);
                 self.revision = self.revision.max(self.evacuations.revision());
@@ -185,6 +199,14 @@
         }
     }
 
+    /// Lets the group use more; what it could not tell of targets so far comes with their next word.
+    fn raise(&mut self, level: Level) {
+        if self.level < Level::STARTS && level >= Level::STARTS {
+            self.directory.expect_starts();
+        }
+        self.level = self.level.max(level);
+    }
+
     fn listed(&mut self) -> Answer {
         self.revision = self.revision.max(self.directory.revision());
         Answer::Listed
--- /dev/null
+++ b/tests/compat/commands.rs
@@ -0,0 +1,90 @@
+//! Commands in the log: in the words of the first build wherever it has them.
+
+use std::time::Duration;
+
+use latchmount::directory::{Announcement, Born, Incarnation, TargetState};
+use latchmount::evacuations::{EvacuationOrder, WarmAgain};
+use latchmount::level::Level;
+use latchmount::rollout::{RolloutOrder, RolloutStep, Stage};
+use latchmount::store::{Command, Sight};
+use proptest::prelude::*;
+
+/// Variants that the first build knows.
+const BASE_VARIANTS: u8 = 10;
+
+fn born() -> impl Strategy<Value = Born> {
+    prop::option::of(0_u64..5).prop_map(Born)
+}
+
+fn announcement() -> impl Strategy<Value = Announcement> {
+    ("t[0-9]", born(), "v?", 0_u64..3, 0_u64..9).prop_map(|(id, born, version, cold, sequence)| {
+        Announcement {
+            id,
+            born,
+            service: "s".into(),
+            version,
+            addr: ([10, 0, 0, 7], 80).into(),
+            data_hall: "hall-a".into(),
+            slots: 8,
+            state: TargetState::Ready,
+            cold_left: Duration::from_millis(cold),
+            sequence,
+        }
+    })
+}
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    ("t[0-9]", born()).prop_map(|(id, born)| Incarnation { id, born })
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let sight = (announcement(), any::<bool>())
+        .prop_map(|(announcement, at_once)| Sight { announcement, at_once });
+    let many = || prop::collection::vec(incarnation(), 0..4);
+    let order = ("h", any::<bool>(), any::<u64>()).prop_map(|(data_hall, evacuate, after)| {
+        Command::Evacuate(EvacuationOrder { data_hall, evacuate, after })
+    });
+    let rollout =
+        ("s", "v", any::<u64>(), any::<bool>()).prop_map(|(service, version, lasts_ms, soon)| {
+            let trial_permille = 70;
+            Command::Rollout(RolloutOrder { service, version, lasts_ms, trial_permille, soon })
+        });
+    let step = ("s", any::<u64>()).prop_map(|(service, at)| {
+        Command::RolloutStep(RolloutStep { service, at, stage: Stage::Part(9), elapsed_ms: 1 })
+    });
+    prop_oneof![
+        prop::collection::vec(sight, 0..4).prop_map(Command::Announce),
+        incarnation().prop_map(Command::Remove),
+        many().prop_map(Command::Silence),
+        many().prop_map(Command::Settle),
+        order,
+        rollout,
+        step,
+        any::<u64>().prop_map(|since| {
+            Command::WarmAgain(vec![WarmAgain { data_hall: "h".into(), since }])
+        }),
+        Just(Command::Raise(Level::STARTS)),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_command_is_read_as_it_was_written(command in command()) {
+        let bytes = postcard::to_stdvec(&command).expect("a command");
+        prop_assert_eq!(postcard::from_bytes::<Command>(&bytes).expect("a command"), command);
+    }
+
+    #[test]
+    fn only_what_the_first_build_can_read_has_the_base_level(command in command()) {
+        let bytes = postcard::to_stdvec(&command).expect("a command");
+        prop_assert_eq!(bytes[0] < BASE_VARIANTS, command.level() == Level::BASE);
+    }
+
+    #[test]
+    fn what_a_group_of_the_base_level_may_hold_of_a_target_the_first_build_can_say(
+        announcement in announcement(),
+    ) {
+        let sight = Sight { announcement: announcement.at(Level::BASE), at_once: false };
+        prop_assert_eq!(Command::Announce(vec![sight]).level(), Level::BASE);
+    }
+}
--- /dev/null
+++ b/tests/compat/samples.rs
@@ -0,0 +1,253 @@
+//! Messages that the first build could say, as this one knows them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use latchmount::directory::{
+    Announcement, Born, DirectoryDelta, Incarnation, Listed, Moved, TargetState, key,
+};
+use latchmount::document::Document;
+use latchmount::evacuations::{EvacuationOrder, WarmAgain};
+use latchmount::group::listing::Packer;
+use latchmount::group::loads::{LoadKey, Loads, TargetLoad};
+use latchmount::group::message::{
+    Call, Elsewhere, FromMember, HallNews, Reply, Subscription, ToMember, Update,
+};
+use latchmount::level::Level;
+use latchmount::parcel::{Content, Parcel};
+use latchmount::raft::{
+    Body, Entry, Envelope, GroupId, Member, Members, Payload, Position, Snapshot, Standing, StoreId,
+};
+use latchmount::rollout::{RolloutNews, RolloutOrder, RolloutStep, Stage};
+use latchmount::store::{Answer, Command, Drain, Sight, Store};
+
+/// A target that does not tell when it started.
+pub fn target(id: &str) -> Announcement {
+    Announcement {
+        id: id.into(),
+        born: Born(None),
+        service: "s".into(),
+        version: String::new(),
+        addr: ([10, 0, 0, 7], 80).into(),
+        data_hall: "hall-a".into(),
+        slots: 8,
+        state: TargetState::Ready,
+        cold_left: Duration::ZERO,
+        sequence: 3,
+    }
+}
+
+/// The same target, which tells all.
+pub fn start(id: &str, born: u64) -> Announcement {
+    let cold_left = Duration::from_millis(200);
+    Announcement { born: Born(Some(born)), version: "v2".into(), cold_left, ..target(id) }
+}
+
+pub fn incarnation(id: &str) -> Incarnation {
+    target(id).incarnation()
+}
+
+fn loads() -> Loads {
+    [TargetLoad { target: LoadKey::of(1 << 50), requests: 3 }].into_iter().collect()
+}
+
+fn member() -> SocketAddr {
+    ([10, 0, 0, 1], 7420).into()
+}
+
+pub fn commands() -> Vec<Command> {
+    let document = Document { version: 4, bytes: "{}".into() };
+    let announce =
+        |id, at_once| Command::Announce(vec![Sight { announcement: target(id), at_once }]);
+    vec![
+        Command::Drain(Drain { name: "host-1".into(), on: true }),
+        Command::Configure(document.pack(None).expect("a document")),
+        announce("t1", true),
+        announce("t2", false),
+        Command::Settle(vec![incarnation("t2")]),
+        Command::Silence(vec![incarnation("t1")]),
+        Command::Remove(incarnation("t2")),
+    ]
+}
+
+/// Commands that the first build does not know.
+pub fn commands_of_starts() -> Vec<Command> {
+    let sight = |id, born| Sight { announcement: start(id, born), at_once: born > 7 };
+    let started = |id, born| start(id, born).incarnation();
+    let (data_hall, service) = ("hall-a".to_owned(), "s".to_owned());
+    let order = RolloutOrder {
+        service: service.clone(),
+        version: "v2".into(),
+        lasts_ms: 60_000,
+        trial_permille: 70,
+        soon: false,
+    };
+    let evacuate = |evacuate, after| {
+        Command::Evacuate(EvacuationOrder { data_hall: data_hall.clone(), evacuate, after })
+    };
+    vec![
+        Command::Raise(Level::STARTS),
+        Command::Announce(vec![sight("t4", 7), sight("t5", 8)]),
+        Command::Settle(vec![started("t4", 7)]),
+        Command::Silence(vec![started("t5", 8)]),
+        Command::Remove(started("t5", 8)),
+        evacuate(true, 0),
+        evacuate(false, 8),
+        Command::WarmAgain(vec![WarmAgain { data_hall: data_hall.clone(), since: 9 }]),
+        Command::Rollout(order),
+        Command::RolloutStep(RolloutStep {
+            service,
+            at: 11,
+            stage: Stage::Part(70),
+            elapsed_ms: 900,
+        }),
+    ]
+}
+
+/// What they make of an empty store.
+pub fn store_of_starts() -> Store {
+    let mut store = Store::default();
+    for (at, command) in commands_of_starts().into_iter().enumerate() {
+        store.apply(3 + at as u64, command);
+    }
+    store
+}
+
+/// A frame with these commands as entries.
+pub fn append(commands: Vec<Command>) -> ToMember {
+    let prev = Position { term: 5, index: 2 };
+    agreement(Body::Append { prev, entries: entries_of(commands), commit: 2, round: 8 })
+}
+
+pub fn entries() -> Vec<Entry> {
+    entries_of(commands())
+}
+
+fn entries_of(commands: Vec<Command>) -> Vec<Entry> {
+    let entry =
+        |(at, command)| Entry { term: 5, index: 3 + at as u64, payload: Payload::Command(command) };
+    commands.into_iter().enumerate().map(entry).collect()
+}
+
+/// What the commands make of an empty store.
+pub fn store() -> Store {
+    let mut store = Store::default();
+    for (command, entry) in commands().into_iter().zip(entries()) {
+        store.apply(entry.index, command);
+    }
+    store
+}
+
+fn agreement(body: Body) -> ToMember {
+    let envelope = Envelope { group: GroupId(9), from: StoreId(1), to: StoreId(2), term: 5, body };
+    ToMember::Agreement { from: member(), messages: vec![envelope], knows: Level::BASE }
+}
+
+/// Frames to a member, by name.
+pub fn to_member() -> Vec<(&'static str, ToMember)> {
+    let members =
+        Members(vec![Member { id: StoreId(1), addr: member(), standing: Standing::Voter }]);
+    let at = Position { term: 5, index: 9 };
+    let snapshot = Box::new(Snapshot { at, members, store: store() });
+    let call = |call| ToMember::Call { id: 6, call };
+    let subscription = Subscription {
+        gateway: "gateway-1".into(),
+        knows: Level::BASE,
+        version: 4,
+        directory: 9,
+        evacuations: None,
+        rollouts: None,
+        data_hall: "hall-a".into(),
+        looks: false,
+        passes_on_at: Some(member()),
+    };
+    let (evidence, outcomes, keepers) = (Vec::new(), Vec::new(), Vec::new());
+    let saw_nothing = || Default::default();
+    vec![
+        ("append", append(commands())),
+        ("install", agreement(Body::Install { snapshot, round: 8 })),
+        ("propose", call(Call::Propose(commands().remove(2)))),
+        ("read_index", call(Call::ReadIndex)),
+        ("announce", call(Call::Announce(vec![target("t1")]))),
+        ("heard", call(Call::Heard(vec![key("t1")]))),
+        ("join", call(Call::Join { store: StoreId(3), addr: member(), knows: Level::BASE })),
+        ("presence", ToMember::Presence(vec!["gateway-1".into()])),
+        (
+            "member_loads",
+            ToMember::MemberLoads {
+                from: member(),
+                loads: loads(),
+                evidence,
+                keepers: keepers.clone(),
+                tallies: saw_nothing(),
+            },
+        ),
+        ("loads", ToMember::Loads { loads: loads(), outcomes, keepers, tallies: saw_nothing() }),
+        ("in_force", ToMember::InForce(4)),
+        ("has", ToMember::Has(base_parcel().id())),
+        ("lacks", ToMember::Lacks(base_parcel().id())),
+        ("subscribe", ToMember::Subscribe(subscription)),
+    ]
+}
+
+/// The parcel that the first build made of [`delta`].
+pub fn base_parcel() -> Parcel {
+    let bytes = crate::frames::base("parcel", "targets");
+    Parcel::of(bytes.into())
+}
+
+pub fn delta() -> DirectoryDelta {
+    let t2 = key("t2");
+    DirectoryDelta {
+        revision: 9,
+        whole: false,
+        changed: vec![Listed {
+            announcement: Announcement { sequence: 0, ..target("t1") },
+            home: Some(1),
+        }],
+        moved: vec![Moved {
+            target: t2,
+            identity: t2,
+            state: TargetState::Silent,
+            cold_left: Duration::ZERO,
+            home: None,
+        }],
+        removed: vec!["t3".into()],
+    }
+}
+
+/// The parcel that this build makes of it.
+pub fn parcel() -> Parcel {
+    let mut packer = Packer::new().expect("memory");
+    Parcel::pack(&Content::Targets(packer.pack(delta()).expect("a delta"))).expect("a parcel")
+}
+
+/// Frames of a member of the first build, by name.
+pub fn from_member() -> Vec<(&'static str, FromMember)> {
+    let reply = |reply| FromMember::Reply { id: 6, reply };
+    let sign = Update {
+        fresh: true,
+        version: 4,
+        gateways: 2,
+        halls: Some(HallNews::default()),
+        rollouts: Some(RolloutNews::default()),
+        ..Update::default()
+    };
+    let update = Update {
+        parcels: vec![base_parcel().bytes().clone()],
+        elsewhere: Some(Elsewhere { parcel: base_parcel().id(), at: member() }),
+        members: Some(vec![member()]),
+        loads: Some(loads()),
+        ..sign.clone()
+    };
+    vec![
+        ("reply_answer", reply(Reply::Answer(Answer::Configured { held: 4 }))),
+        ("reply_listed", reply(Reply::Answer(Answer::Listed))),
+        ("reply_index", reply(Reply::ReadIndex(9))),
+        ("reply_done", reply(Reply::Done)),
+        ("reply_not_leader", reply(Reply::NotLeader(Some(member())))),
+        ("reply_unknown", reply(Reply::Unknown)),
+        ("update", FromMember::Update(Box::new(update))),
+        ("update_sign", FromMember::Update(Box::new(sign))),
+    ]
+}
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -82,11 +82,24 @@
     role: &'static str,
     folder: PathBuf,
     settings: Value,
+    /// Data halls of its settings, which the first build does not know.
+    halls: Value,
     binary: PathBuf,
     child: Option<Child>,
 }
 
 impl Process {
+    fn laid_out(
+        name: String,
+        ip: IpAddr,
+        role: &'static str,
+        folder: PathBuf,
+        settings: Value,
+    ) -> Self {
+        let (halls, binary) = (settings["data_halls"].clone(), this_build());
+        Process { name, ip, role, folder, settings, halls, binary, child: None }
+    }
+
     /// Starts the process, which must not run.
     pub fn start(&mut self) {
         assert!(self.child.is_none(), "{} runs already", self.name);
@@ -104,9 +117,14 @@
         self.child = Some(child.expect("the binary starts"));
     }
 
-    /// Has another build run from the next start on.
-    pub fn run_build(&mut self, binary: &Path) {
+    /// Has another build run from the next start on, with the settings that it knows.
+    pub fn as_set_for(&mut self, binary: &Path) {
         self.binary = binary.to_owned();
+        let known = if self.binary == this_build() { self.halls.clone() } else { Value::Null };
+        match (known, self.settings.as_object_mut()) {
+            (Value::Null, Some(settings)) => drop(settings.remove("data_halls")),
+            (halls, _) => self.settings["data_halls"] = halls,
+        }
     }
 
     /// Puts a copy of a log and the note beside it in the data folder.
@@ -277,15 +295,7 @@
             "target_heartbeat_ms": 300,
         });
         let role = "member";
-        self.members.push(Process {
-            name,
-            ip,
-            role,
-            folder,
-            settings,
-            binary: this_build(),
-            child: None,
-        });
+        self.members.push(Process::laid_out(name, ip, role, folder, settings));
     }
 
     /// Lays out one more gateway.
@@ -309,15 +319,7 @@
             "stop_within_ms": 8_000,
         });
         let role = "gateway";
-        self.gateways.push(Process {
-            name,
-            ip,
-            role,
-            folder,
-            settings,
-            binary: this_build(),
-            child: None,
-        });
+        self.gateways.push(Process::laid_out(name, ip, role, folder, settings));
     }
 
     /// Where clients reach a gateway.
--- a/tests/fleet/upgrade.rs
+++ b/tests/fleet/upgrade.rs
@@ -5,7 +5,8 @@
 use rstest::rstest;
 
 use crate::doors::configuration;
-use crate::harness::{Fleet, call, eventually};
+use crate::harness::{Fleet, call, eventually, this_build};
+use crate::standin::Standin;
 
 /// A disk that a member of another build left, with the configuration that it had acknowledged last.
 fn disk(name: &str) -> PathBuf {
@@ -18,6 +19,8 @@
 #[case::format_3_with_a_snapshot("format-3-snapshot")]
 #[case::format_5("format-5")]
 #[case::format_5_with_a_snapshot("format-5-snapshot")]
+#[case::format_6("format-6")]
+#[case::format_6_with_a_snapshot("format-6-snapshot")]
 #[tokio::test]
 async fn what_an_earlier_build_acknowledged_is_served_by_this_one(#[case] name: &str) {
     let acknowledged = std::fs::read_to_string(disk(name).join("config.json")).expect("a disk");
@@ -34,3 +37,76 @@
     fleet.in_force(0, 3).await;
     fleet.configure(&configuration(4)).await;
 }
+
+/// The binary of an earlier build, by hand: CI has none.
+fn earlier_build() -> PathBuf {
+    let path = std::env::var_os("LATCHMOUNT_EARLIER");
+    path.expect("LATCHMOUNT_EARLIER names the binary of an earlier build").into()
+}
+
+/// In which order processes are replaced.
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    MembersFirst,
+    GatewaysFirst,
+}
+
+/// Sends the next configuration, and waits until every member reads it back and every gateway works by it.
+async fn holds_everywhere(fleet: &Fleet, version: u64, step: &str) {
+    let writer = version as usize % fleet.members.len();
+    fleet.submit(writer, &configuration(version)).await;
+    for reader in 0..fleet.members.len() {
+        let what = format!("{step}: read back");
+        let read = eventually(&what, async || {
+            let answer = call(fleet.door(reader), "GET", "/config", "").await?;
+            (answer.status == 200).then_some(answer.body)
+        });
+        assert_eq!(read.await, configuration(version).to_string(), "{step}, member {reader}");
+    }
+    for gateway in 0..fleet.gateways.len() {
+        fleet.in_force(gateway, version).await;
+        fleet.knows_targets(gateway, 1).await;
+    }
+}
+
+#[rstest]
+#[case::members_first(Order::MembersFirst)]
+#[case::gateways_first(Order::GatewaysFirst)]
+#[tokio::test]
+#[ignore = "needs LATCHMOUNT_EARLIER, the binary of an earlier build"]
+async fn builds_side_by_side_hold_what_was_acknowledged_also_on_the_way_back(#[case] order: Order) {
+    let earlier = earlier_build();
+    let mut fleet = Fleet::prepare(3, 2);
+    for process in fleet.members.iter_mut().chain(&mut fleet.gateways) {
+        process.as_set_for(&earlier);
+        process.start();
+    }
+    fleet.settled().await;
+    let _target = Standin::start("i-1", "s", fleet.doors()).await;
+    let mut version = 1;
+    holds_everywhere(&fleet, version, "before").await;
+    let (members, gateways) = (fleet.members.len(), fleet.gateways.len());
+    let turns: Vec<usize> = match order {
+        Order::MembersFirst => (0..members + gateways).collect(),
+        Order::GatewaysFirst => (members..members + gateways).chain(0..members).collect(),
+    };
+    // All but the last are replaced, put back, and then all are replaced for good.
+    let but_last = &turns[..turns.len() - 1];
+    let forth = but_last.iter().map(|turn| (*turn, this_build()));
+    let back = but_last.iter().map(|turn| (*turn, earlier.clone()));
+    let again = turns.iter().map(|turn| (*turn, this_build()));
+    for (turn, build) in forth.chain(back).chain(again) {
+        let processes = fleet.members.iter_mut().chain(&mut fleet.gateways);
+        let process = processes.into_iter().nth(turn).expect("one of them");
+        process.kill();
+        process.as_set_for(&build);
+        process.start();
+        version += 1;
+        holds_everywhere(&fleet, version, &format!("{turn} runs {}", build.display())).await;
+    }
+    eventually("the level is raised", async || {
+        fleet.members.iter().any(|member| member.log().contains("level_raised")).then_some(())
+    })
+    .await;
+    holds_everywhere(&fleet, version + 1, "after the level was raised").await;
+}
