Soak: two builds, replaced and taken back amid all other faults

By hand, with LATCHMOUNT_EARLIER: all processes begin with the earlier build, each restart draws one of the two, the first member keeps the earlier one, and at the end all are replaced one after the other.

--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -82,8 +82,8 @@
     role: &'static str,
     folder: PathBuf,
     settings: Value,
-    /// Data halls of its settings, which the first build does not know.
-    halls: Value,
+    /// Settings that its build does not know.
+    without: Vec<String>,
     binary: PathBuf,
     child: Option<Child>,
 }
@@ -96,15 +96,15 @@
         folder: PathBuf,
         settings: Value,
     ) -> Self {
-        let (halls, binary) = (settings["data_halls"].clone(), this_build());
-        Process { name, ip, role, folder, settings, halls, binary, child: None }
+        let (without, binary) = (Vec::new(), this_build());
+        Process { name, ip, role, folder, settings, without, binary, child: None }
     }
 
     /// Starts the process, which must not run.
     pub fn start(&mut self) {
         assert!(self.child.is_none(), "{} runs already", self.name);
         std::fs::create_dir_all(&self.folder).expect("a folder");
-        self.write_settings(&self.settings.to_string());
+        self.write_settings(&self.known_settings().to_string());
         let log = File::options().append(true).create(true).open(self.log_path());
         let log = log.expect("a log file");
         let child = Command::new(&self.binary)
@@ -120,11 +120,25 @@
     /// Has another build run from the next start on, with the settings that it knows.
     pub fn as_set_for(&mut self, binary: &Path) {
         self.binary = binary.to_owned();
-        let known = if self.binary == this_build() { self.halls.clone() } else { Value::Null };
-        match (known, self.settings.as_object_mut()) {
-            (Value::Null, Some(settings)) => drop(settings.remove("data_halls")),
-            (halls, _) => self.settings["data_halls"] = halls,
+        self.without.clear();
+        std::fs::create_dir_all(&self.folder).expect("a folder");
+        self.write_settings(&self.settings.to_string());
+        let mut check = Command::new(binary);
+        check.arg("check").arg(self.folder.join("settings.json"));
+        let output = check.output().expect("the binary starts");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        let unknown = said.lines().filter_map(|line| line.strip_suffix(": unknown field"));
+        let field = |line: &str| line.rsplit(": ").next().map(str::to_owned);
+        self.without = unknown.filter_map(field).collect();
+    }
+
+    /// Its settings, but for those that its build does not know.
+    fn known_settings(&self) -> Value {
+        let mut settings = self.settings.clone();
+        if let Some(fields) = settings.as_object_mut() {
+            fields.retain(|field, _| !self.without.contains(field));
         }
+        settings
     }
 
     /// Puts a copy of a log and the note beside it in the data folder.
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -44,10 +44,13 @@
     check_drains(&book, &mut broken);
     check_budget(&book, &mut broken);
     check_evacuations(&book, &mut broken);
-    check_cold(&book, &mut broken);
     check_leaving(&book, &mut broken);
-    check_rests(&book, &mut broken);
-    check_poison(&book, &mut broken);
+    // Builds from before these promises take part.
+    if world.earlier.is_none() {
+        check_cold(&book, &mut broken);
+        check_rests(&book, &mut broken);
+        check_poison(&book, &mut broken);
+    }
     drop(book);
     for process in world.fleet.members.iter_mut().chain(&mut world.fleet.gateways) {
         if process.died() {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -90,6 +90,13 @@
     ];
 }
 
+impl Fault {
+    /// Whether every build has the calls that it needs.
+    fn known_to_all_builds(self) -> bool {
+        !matches!(self, Fault::Evacuate | Fault::Withdraw | Fault::EvacuateAndWithdraw)
+    }
+}
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Repair {
@@ -142,7 +149,9 @@
             let pause = self.world.rng.random_range(20..700);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             let fault = Fault::ALL[self.world.rng.random_range(0..Fault::ALL.len())];
-            self.strike(fault).await;
+            if self.world.earlier.is_none() || fault.known_to_all_builds() {
+                self.strike(fault).await;
+            }
             self.repair(false).await;
         }
         while !self.repairs.is_empty() {
@@ -494,14 +503,19 @@
         }
         match repair {
             Repair::StartGateway(at) => {
-                self.world.fleet.gateways[at].start();
+                let build = self.world.draw_build(None);
+                let process = &mut self.world.fleet.gateways[at];
+                build.iter().for_each(|build| process.as_set_for(build));
+                process.start();
                 self.world.ledger.book().gateway_starts += 1;
             }
             Repair::AwaitGateway(at) => {
+                let build = self.world.draw_build(None);
                 let process = &mut self.world.fleet.gateways[at];
                 if !process.ended().await {
                     self.world.ledger.broken(format!("gateway {at} did not stop well"));
                 }
+                build.iter().for_each(|build| process.as_set_for(build));
                 process.start();
                 self.world.ledger.book().gateway_starts += 1;
             }
@@ -514,7 +528,12 @@
                     });
                 }
             }
-            Repair::StartMember(at) => self.world.fleet.members[at].start(),
+            Repair::StartMember(at) => {
+                let build = self.world.draw_build(Some(at));
+                let process = &mut self.world.fleet.members[at];
+                build.iter().for_each(|build| process.as_set_for(build));
+                process.start();
+            }
             Repair::ResumeMember(at) => self.world.fleet.members[at].signal(Signal::SIGCONT),
             Repair::HealMember(at) => {
                 let gateways: Vec<_> =
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! `LATCHMOUNT_SEED` sets the first seed, `LATCHMOUNT_SOAK_SEEDS` how many are run,
 //! `LATCHMOUNT_SOAK_LENGTH_MS` how long the faults last, and `LATCHMOUNT_SOAK_LARGE=1` plays a fleet of
-//! a few dozen processes; `LATCHMOUNT_SOAK_STRICT=1` also holds to the bound on drains.
+//! a few dozen processes; `LATCHMOUNT_EARLIER` names the binary of an earlier build, which then takes part by hand; `LATCHMOUNT_SOAK_STRICT=1` also holds to the bound on drains.
 //!
 //! Faults of storage are lost disks, torn logs, half-written new logs and garbage in the note of what
 //! is committed; full and stalled disks are tested with the log itself, as are clocks of different
@@ -21,6 +21,7 @@
 mod target;
 mod world;
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 use faults::Storm;
@@ -56,14 +57,15 @@
     (320_116, true),
 ];
 
-async fn soak(size: Size, seed: u64) {
+async fn soak(size: Size, seed: u64, earlier: Option<PathBuf>) {
     eprintln!("soak: LATCHMOUNT_SEED={seed}");
-    let mut world = World::start(size, seed).await;
+    let mut world = World::start(size, seed, earlier).await;
     let log = {
         let mut storm = Storm::new(&mut world);
         storm.rage(size.length).await;
         storm.log
     };
+    world.replace_builds().await;
     // Shown only when the test fails.
     eprintln!("{}", log.join("\n"));
     checks::check(&mut world).await;
@@ -83,13 +85,24 @@
     let size = Size { length: length.unwrap_or(size.length), ..size };
     let first = seeds::seed();
     for seed in first..first + seeds::number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(2) {
-        soak(size, seed).await;
+        soak(size, seed, None).await;
     }
 }
 
 #[tokio::test]
 async fn seeds_that_failed_once_hold() {
     for (seed, unheard) in FAILED_ONCE {
-        soak(Size { unheard, ..SMALL }, seed).await;
+        soak(Size { unheard, ..SMALL }, seed, None).await;
+    }
+}
+
+#[tokio::test]
+#[ignore = "needs LATCHMOUNT_EARLIER, the binary of an earlier build"]
+async fn no_promise_is_broken_while_builds_are_replaced_and_taken_back() {
+    let earlier = std::env::var_os("LATCHMOUNT_EARLIER").map(PathBuf::from);
+    assert!(earlier.is_some(), "LATCHMOUNT_EARLIER names the binary of an earlier build");
+    let first = seeds::seed();
+    for seed in first..first + seeds::number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(2) {
+        soak(Size { poison: 0, unheard: false, ..SMALL }, seed, earlier.clone()).await;
     }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,15 +1,17 @@
 //! The fleet of one run: processes, the networks before them, targets, callers and an operator.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
 use crate::caller::{Caller, repeat_poison};
-use crate::harness::{Fleet, call, eventually};
+use crate::harness::{Fleet, call, eventually, this_build};
 use crate::ledger::Ledger;
 use crate::proxy::Network;
 use crate::target::{COLD_FOR, Target};
@@ -31,6 +33,8 @@
 
 /// Longest time in which an operator sends an order again.
 const ORDER_FOR: Duration = Duration::from_secs(4);
+/// Between two processes that are replaced.
+const BETWEEN_REPLACED: Duration = Duration::from_millis(1_500);
 /// Routes that make a configuration a large one.
 const LARGE_BY: u64 = 200;
 /// Data halls that targets come to in turn. The first is never evacuated nor lost.
@@ -53,6 +57,8 @@
     /// Targets that have left, or are about to.
     leaving: usize,
     unheard: bool,
+    /// The build that all begin with, in runs that replace it.
+    pub earlier: Option<PathBuf>,
     callers: Vec<JoinHandle<()>>,
 }
 
@@ -66,7 +72,7 @@
 
 impl World {
     /// Starts everything and waits until all gateways serve.
-    pub async fn start(size: Size, seed: u64) -> Self {
+    pub async fn start(size: Size, seed: u64, earlier: Option<PathBuf>) -> Self {
         let mut fleet = Fleet::prepare(size.members, size.gateways);
         let ports = fleet.addresses.ports;
         let ledger = Ledger::new();
@@ -108,7 +114,12 @@
             gateway_networks.push(network);
             fronts.push(public);
         }
-        fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(|process| process.start());
+        for process in fleet.members.iter_mut().chain(&mut fleet.gateways) {
+            if let Some(earlier) = &earlier {
+                process.as_set_for(earlier);
+            }
+            process.start();
+        }
         let mut world = World {
             fleet,
             ledger,
@@ -122,6 +133,7 @@
             next_target: 0,
             leaving: 0,
             unheard: size.unheard,
+            earlier,
             callers: Vec::new(),
         };
         for _ in 0..size.targets {
@@ -154,6 +166,29 @@
         world
     }
 
+    /// Draws the build that a process runs from its next start on, where builds are replaced. The first member keeps the
+    /// earlier one, so that there is always a way back.
+    pub fn draw_build(&mut self, member: Option<usize>) -> Option<PathBuf> {
+        let earlier = self.earlier.clone()?;
+        let replaced = member != Some(0) && self.rng.random_bool(0.6);
+        Some(if replaced { this_build() } else { earlier })
+    }
+
+    /// Replaces the build of all processes that still run the earlier one, one after the other.
+    pub async fn replace_builds(&mut self) {
+        if self.earlier.is_none() {
+            return;
+        }
+        for process in self.fleet.members.iter_mut().chain(&mut self.fleet.gateways) {
+            process.signal(Signal::SIGTERM);
+            process.kill_after_signal();
+            process.as_set_for(&this_build());
+            process.start();
+            tokio::time::sleep(BETWEEN_REPLACED).await;
+        }
+        self.ledger.book().gateway_starts += self.fleet.gateways.len();
+    }
+
     /// Starts one more caller for each gateway, that asks there alone.
     pub fn add_caller_at_each_gateway(&mut self) {
         for (gateway, front) in self.fronts.clone().into_iter().enumerate() {
