A client that reads slowly but steadily is not cut

Callers saw: a client that takes 400 KB a second got 4,348,928 of 4,500,000 bytes and an end without the rest; no word but client_cut why=unread at the gateway. Cause: the system took up to megabytes for the client's connection and let the gateway write again only when a third of them were gone, after some 2 s at that rate; for so long the gateway saw no reading, which is client_unread_ms. Change: at most 128 KiB wait unsent in the system for a client (TCP_NOTSENT_LOWAT), so that the gateway learns within the time of such a portion that the client reads. What arrives at the client's own system unread is bounded by its window as before.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::trace::{self, ClientCut};
@@ -23,6 +24,9 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that bytes sent to a client stay unacknowledged.
 const CLIENT_SILENCE: Duration = Duration::from_secs(10);
+/// Bytes that may wait in the system for a client's window to open. Without a bound megabytes do, and the gateway learns
+/// only after seconds that the client reads.
+const MOST_UNSENT_BYTES: u32 = 128 * 1024;
 /// Smallest buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8 * 1024;
 
@@ -56,6 +60,8 @@
 
 async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream) {
     let _ = give_up_after(&stream, CLIENT_SILENCE);
+    // Where the system has no such option, reading shows later.
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MOST_UNSENT_BYTES);
     let limits = gateway.table().map_or_else(ClientLimits::default, |table| table.limits());
     let holder = gateway.holdings.open();
     let service = service_fn(|request: Request<Incoming>| {
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -65,6 +65,9 @@
     targets: IntGauge,
     gateways: IntGauge,
     followers: IntGauge,
+    level: IntGauge,
+    level_known: IntGauge,
+    gateways_behind: IntGauge,
     poison_known: IntGauge,
     poison_blocked: IntGauge,
     /// Requests under which targets ended, forgotten for want of room.
@@ -137,6 +140,15 @@
             voters: gauge("voters", "Members that vote.")?,
             targets: gauge("targets", "Targets in the directory.")?,
             gateways: gauge("gateways", "Gateways alive.")?,
+            level: gauge("level", "What the group may use.")?,
+            level_known: gauge(
+                "level_known",
+                "Level that this member and the gateways connected to it know.",
+            )?,
+            gateways_behind: gauge(
+                "gateways_behind",
+                "Gateways connected here, or lately, of an earlier build.",
+            )?,
             poison_known: gauge("poison_known", "Requests under which targets ended.")?,
             poison_blocked: gauge("poison_blocked", "Requests of these that are sent nowhere.")?,
             poison_dropped: set.counter(
@@ -162,12 +174,12 @@
         self.refused.with_label_values(&[field]).inc();
     }
 
-    /// Counts a large parcel by the way that it went.
     /// A roll-out takes a stage.
     pub(super) fn rollout_step(&self, stage: &str) {
         self.rollout_steps.with_label_values(&[stage]).inc();
     }
 
+    /// Counts a large parcel by the way that it went.
     pub(super) fn large_parcel(&self, way: ParcelWay) {
         self.large_parcels.with_label_values(&[way.label()]).inc();
     }
@@ -190,6 +202,9 @@
         let (known, blocked) = shared.count_poison();
         self.poison_known.set(known as i64);
         self.poison_blocked.set(blocked as i64);
+        self.level.set(published.level.0.into());
+        self.level_known.set(shared.knows().0.into());
+        self.gateways_behind.set(shared.gateways_behind() as i64);
         self.announcements_waiting.set(shared.batches.len() as i64);
         self.followers.set(lock(&shared.propagation).followers() as i64);
         self.set.render()
--- a/tests/fleet/slow.rs
+++ b/tests/fleet/slow.rs
@@ -192,3 +192,23 @@
     assert_eq!(first.await.expect("no panic").status, 200);
     assert_eq!(target.arrivals().len(), 1);
 }
+
+/// It takes 400 KB a second for longer than the system's buffers last.
+#[tokio::test]
+async fn a_client_that_reads_slowly_and_steadily_gets_its_whole_answer() {
+    const BYTES: usize = 4_500_000;
+    const STEP: usize = 20_000;
+    let (fleet, target) = fleet(&[]).await;
+    target.behave(Behaviour::Large(BYTES));
+    let mut steady = send(fleet.front(0), head("/safe/x", "r-steady", 0).as_bytes()).await;
+    let mut read = 0;
+    let mut bytes = vec![0; STEP];
+    while read < BYTES {
+        let more = steady.read(&mut bytes).await.expect("not reset");
+        assert!(more > 0, "{read} of {BYTES} bytes came");
+        read += more;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let log = fleet.gateways[0].log();
+    assert!(!log.contains("event=client_cut"), "{log}");
+}
