Roll-outs: a rare route is compared over as much time as tells what is usual there

Operators saw: of good versions of services with a rare route most were rolled back for want of evidence. Cause: on a route with fewer than ten requests of the old version a second each slice counted as one that does not tell what is usual, which adds a tenth to its rate; 44 outcomes were then needed where some 13 show as much.

--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -4,7 +4,7 @@
 
 use latchmount::rollout::Stage;
 use latchmount::rollout::division::{Mix, RouteShare};
-use latchmount::rollout::judge::judge;
+use latchmount::rollout::judge::{judge, suspected, would_show};
 use latchmount::rollout::tally::{Compared, RouteKey, Side, Subject, Tallies};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -247,6 +247,39 @@
     assert!(divided.completed > same.completed, "{} and {}", divided.completed, same.completed);
 }
 
+/// Versions that are bad on a rare route and were completed once.
+#[rstest]
+#[case(20_261_219, 3, 8)]
+#[case(20_261_255, 3, 1_000)]
+#[case(20_261_225, 8, 8)]
+#[case(20_261_261, 8, 1_000)]
+#[case(555_049, 8, 1_000)]
+fn a_bad_version_on_a_rare_route_that_was_completed_once_is_not(
+    #[case] seed: u64,
+    #[case] routes: usize,
+    #[case] gateways: u32,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let scene = draw(Kind::OnRoute, gateways, &mut rng);
+    let scene = with_a_rare_route(scene, routes, &mut rng);
+    let outcome = scene.play(Way::Deviations, &mut rng);
+    assert_ne!(outcome.stage, Stage::Completed, "{outcome:?}");
+}
+
+// A third of its requests go to the new version, and no second alone tells what is usual.
+#[test]
+fn a_route_of_few_requests_a_second_shows_enough_in_time() {
+    let mut slice = Compared::default();
+    (0..4).for_each(|_| slice.old.times.note(Duration::from_millis(50)));
+    (0..3).for_each(|_| slice.new.times.note(Duration::from_millis(50)));
+    let slices = vec![slice; 12];
+    assert!(would_show(&slices));
+    assert!(!suspected(&slices));
+    let mut bad = slices;
+    bad.iter_mut().step_by(2).for_each(|slice| slice.new.failed = 2);
+    assert!(suspected(&bad));
+}
+
 /// The bound holds while a rare route gets many times as many requests.
 #[rstest]
 fn a_route_that_surges_gives_the_new_version_no_more_than_it_may(
