--- a/src/compat/command.rs
+++ b/src/compat/command.rs
@@ -14,17 +14,17 @@
 /// A command as it is encoded. Variants are never changed, removed or put in between.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Encoded {
-    /// See [`Command::Change`], and so on for the next five.
+    /// See [`Command::Change`].
     Change(Box<Change>),
-    /// As named.
+    /// See [`Command::Drain`].
     Drain(Drain),
-    /// As named.
+    /// See [`Command::Move`].
     Move(Move),
-    /// As named.
+    /// See [`Command::Claim`].
     Claim(Claim),
-    /// As named.
+    /// See [`Command::Release`].
     Release(Release),
-    /// As named.
+    /// See [`Command::Configure`].
     Configure(Packed),
     /// One target, known by its identity, announces something new.
     Announce {
@@ -39,13 +39,13 @@
     Silence(Vec<String>),
     /// Targets, known by their identity, have been there for a while.
     Settle(Vec<String>),
-    /// From here on of [`Level::STARTS`].
+    /// See [`Command::Evacuate`]; from here on of [`Level::STARTS`].
     Evacuate(EvacuationOrder),
-    /// As named.
+    /// See [`Command::Rollout`].
     Rollout(RolloutOrder),
-    /// As named.
+    /// See [`Command::RolloutStep`].
     RolloutStep(RolloutStep),
-    /// As named.
+    /// See [`Command::WarmAgain`].
     WarmAgain(Vec<WarmAgain>),
     /// See [`Command::Announce`].
     AnnounceStarts(Vec<Sight>),
@@ -55,7 +55,7 @@
     SilenceStarts(Vec<Incarnation>),
     /// See [`Command::Settle`].
     SettleStarts(Vec<Incarnation>),
-    /// As named.
+    /// See [`Command::Raise`].
     Raise(Level),
 }
 
--- a/src/group/frames.rs
+++ b/src/group/frames/to_member.rs
@@ -1,33 +1,26 @@
-//! Frames as they travel: a message that every build reads, and behind it what later builds added.
-//!
-//! What the first build has no message for goes behind one that it passes over: a gateway's word of a parcel that does
-//! not exist, a member's word of no messages.
+//! Frames to a member.
 
 use std::borrow::Cow;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use super::evidence::{Evidence, Outcomes};
-use super::heartbeats::Taken;
-use super::keepers::Keeper;
-use super::message::{
-    Call, FromMember, FromNeighbour, HallNews, Reply, Subscription, ToMember, ToNeighbour, Update,
-};
+use super::with;
 use crate::compat::base;
 use crate::compat::parts::{self, Parts};
 use crate::directory::Announcement;
+use crate::group::evidence::{Evidence, Outcomes};
+use crate::group::keepers::Keeper;
+use crate::group::message::{Call, Subscription, ToMember};
 use crate::level::Level;
 use crate::link::{LinkError, Message};
 use crate::parcel::ParcelId;
-use crate::poison::Report;
-use crate::rollout::RolloutNews;
-use crate::rollout::division::RolloutMix;
+use crate::raft::Envelope;
 use crate::rollout::tally::Tallies;
-use crate::store::{Answer, Revision};
+use crate::store::Revision;
 
 /// Parts of frames to a member, each with what it holds.
-mod to_member {
+mod tag {
     /// [`super::Level`] that the sender knows, behind messages of the agreement.
     pub(super) const KNOWS: u8 = 1;
     /// All [`super::Announcement`]s of a batch.
@@ -36,7 +29,7 @@
     pub(super) const MEMBER_SAW: u8 = 3;
     /// [`super::GatewaySaw`].
     pub(super) const GATEWAY_SAW: u8 = 4;
-    /// [`super::Report`]s.
+    /// Reports of requests under which targets ended.
     pub(super) const POISON: u8 = 5;
     /// [`super::Revision`] of the orders about data halls.
     pub(super) const OBEYS: u8 = 6;
@@ -44,14 +37,6 @@
     pub(super) const SUBSCRIBES: u8 = 7;
 }
 
-/// Parts of frames of a member, each with what it holds.
-mod from_member {
-    /// What became of each announcement of a batch: [`super::Taken`].
-    pub(super) const TAKEN: u8 = 1;
-    /// [`super::News`].
-    pub(super) const NEWS: u8 = 2;
-}
-
 /// What the gateways of a member saw.
 #[derive(Serialize, Deserialize)]
 struct MemberSaw<'a> {
@@ -77,23 +62,12 @@
     looks: bool,
 }
 
-/// News for a gateway.
-#[derive(Serialize, Deserialize)]
-struct News<'a> {
-    halls: Option<Cow<'a, HallNews>>,
-    rollouts: Option<Cow<'a, RolloutNews>>,
-    evidence: Option<Cow<'a, [Evidence]>>,
-    keepers: Cow<'a, [Keeper]>,
-    mixes: Cow<'a, [RolloutMix]>,
-    poison: Cow<'a, [Report]>,
-}
-
 impl Message for ToMember {
     fn to_bytes(&self) -> Result<Vec<u8>, LinkError> {
         match self {
             ToMember::Agreement { from, messages, knows } => {
                 let messages = Cow::Borrowed(messages.as_slice());
-                with(&base::ToMember::Agreement { from: *from, messages }, to_member::KNOWS, knows)
+                with(&base::ToMember::Agreement { from: *from, messages }, tag::KNOWS, knows)
             }
             ToMember::Call { id, call } => call_bytes(*id, call),
             ToMember::Presence(gateways) => {
@@ -107,7 +81,7 @@
                     tallies: Cow::Borrowed(tallies),
                 };
                 let message = base::ToMember::MemberLoads { from: *from, loads };
-                with(&message, to_member::MEMBER_SAW, &saw)
+                with(&message, tag::MEMBER_SAW, &saw)
             }
             ToMember::Loads { loads, outcomes, keepers, tallies } => {
                 let saw = GatewaySaw {
@@ -116,16 +90,16 @@
                     tallies: Cow::Borrowed(tallies),
                 };
                 let message = base::ToMember::Loads(Cow::Borrowed(loads));
-                with(&message, to_member::GATEWAY_SAW, &saw)
+                with(&message, tag::GATEWAY_SAW, &saw)
             }
-            ToMember::Poison(reports) => with(&passed_over(), to_member::POISON, reports),
+            ToMember::Poison(reports) => with(&passed_over(), tag::POISON, reports),
             ToMember::MemberPoison { from, reports } => {
                 let messages = Cow::Borrowed([].as_slice());
                 let message = base::ToMember::Agreement { from: *from, messages };
-                with(&message, to_member::POISON, reports)
+                with(&message, tag::POISON, reports)
             }
             ToMember::InForce(version) => parts::encode(&base::ToMember::InForce(*version)),
-            ToMember::Obeys(revision) => with(&passed_over(), to_member::OBEYS, revision),
+            ToMember::Obeys(revision) => with(&passed_over(), tag::OBEYS, revision),
             ToMember::Has(parcel) => parts::encode(&base::ToMember::Has(*parcel)),
             ToMember::Lacks(parcel) => parts::encode(&base::ToMember::Lacks(*parcel)),
             ToMember::Subscribe(subscription) => {
@@ -144,7 +118,7 @@
                     rollouts: subscription.rollouts,
                     looks: subscription.looks,
                 };
-                with(&message, to_member::SUBSCRIBES, &has)
+                with(&message, tag::SUBSCRIBES, &has)
             }
         }
     }
@@ -157,7 +131,7 @@
             base::ToMember::Presence(gateways) => ToMember::Presence(gateways.into_owned()),
             base::ToMember::MemberLoads { from, loads } => {
                 let loads = loads.into_owned();
-                let saw = parts.get::<MemberSaw<'static>>(to_member::MEMBER_SAW)?;
+                let saw = parts.get::<MemberSaw<'static>>(tag::MEMBER_SAW)?;
                 let (evidence, keepers, tallies) =
                     saw.map(|saw| (saw.evidence, saw.keepers, saw.tallies)).unwrap_or_default();
                 let (evidence, keepers) = (evidence.into_owned(), keepers.into_owned());
@@ -166,7 +140,7 @@
             }
             base::ToMember::Loads(loads) => {
                 let loads = loads.into_owned();
-                let saw = parts.get::<GatewaySaw<'static>>(to_member::GATEWAY_SAW)?;
+                let saw = parts.get::<GatewaySaw<'static>>(tag::GATEWAY_SAW)?;
                 let (outcomes, keepers, tallies) =
                     saw.map(|saw| (saw.outcomes, saw.keepers, saw.tallies)).unwrap_or_default();
                 let (outcomes, keepers) = (outcomes.into_owned(), keepers.into_owned());
@@ -187,34 +161,28 @@
     base::ToMember::Lacks(ParcelId::NONE)
 }
 
-fn with(message: &impl Serialize, tag: u8, content: &impl Serialize) -> Result<Vec<u8>, LinkError> {
-    let mut bytes = parts::encode(message)?;
-    parts::add(&mut bytes, tag, content)?;
-    Ok(bytes)
-}
-
 fn agreement(
     from: SocketAddr,
-    messages: Cow<'static, [crate::raft::Envelope]>,
+    messages: Cow<'static, [Envelope]>,
     parts: Parts<'_>,
 ) -> Result<ToMember, LinkError> {
-    if let Some(reports) = parts.get(to_member::POISON)? {
+    if let Some(reports) = parts.get(tag::POISON)? {
         return Ok(ToMember::MemberPoison { from, reports });
     }
-    let knows = parts.get(to_member::KNOWS)?.unwrap_or_default();
+    let knows = parts.get(tag::KNOWS)?.unwrap_or_default();
     Ok(ToMember::Agreement { from, messages: messages.into_owned(), knows })
 }
 
 fn lacks(parcel: ParcelId, parts: Parts<'_>) -> Result<ToMember, LinkError> {
-    if let Some(reports) = parts.get(to_member::POISON)? {
+    if let Some(reports) = parts.get(tag::POISON)? {
         return Ok(ToMember::Poison(reports));
     }
-    let obeys = parts.get(to_member::OBEYS)?.map(ToMember::Obeys);
+    let obeys = parts.get(tag::OBEYS)?.map(ToMember::Obeys);
     Ok(obeys.unwrap_or(ToMember::Lacks(parcel)))
 }
 
 fn subscription_of(base: base::Subscription, parts: Parts<'_>) -> Result<Subscription, LinkError> {
-    let has = parts.get::<GatewayHas>(to_member::SUBSCRIBES)?;
+    let has = parts.get::<GatewayHas>(tag::SUBSCRIBES)?;
     let base::Subscription { gateway, version, directory, data_hall, passes_on_at } = base;
     Ok(Subscription {
         gateway,
@@ -237,12 +205,12 @@
         Call::Announce(all) => {
             // A leader of the first build takes one at a time; its answer tells that it took no more.
             let first = all.first().ok_or(LinkError::Garbled)?.clone();
-            with(&frame(base::Call::Announce(first.into())), to_member::ANNOUNCED, all)
+            with(&frame(base::Call::Announce(first.into())), tag::ANNOUNCED, all)
         }
         Call::Heard(targets) => parts::encode(&frame(base::Call::Heard(targets.clone()))),
         Call::Join { store, addr, knows } => {
             let join = base::Call::Join { store: *store, addr: *addr };
-            with(&frame(join), to_member::KNOWS, knows)
+            with(&frame(join), tag::KNOWS, knows)
         }
     }
 }
@@ -252,134 +220,13 @@
         base::Call::Propose(command) => Call::Propose(command.into()),
         base::Call::ReadIndex => Call::ReadIndex,
         base::Call::Announce(first) => {
-            let all = parts.get::<Vec<Announcement>>(to_member::ANNOUNCED)?;
+            let all = parts.get::<Vec<Announcement>>(tag::ANNOUNCED)?;
             Call::Announce(all.unwrap_or_else(|| vec![first.into()]))
         }
         base::Call::Heard(targets) => Call::Heard(targets),
         base::Call::Join { store, addr } => {
-            let knows = parts.get(to_member::KNOWS)?.unwrap_or_default();
+            let knows = parts.get(tag::KNOWS)?.unwrap_or_default();
             Call::Join { store, addr, knows }
         }
     })
 }
-
-impl Message for ToNeighbour {
-    fn to_bytes(&self) -> Result<Vec<u8>, LinkError> {
-        parts::encode(self)
-    }
-
-    fn from_bytes(bytes: &[u8]) -> Result<Self, LinkError> {
-        parts::decode(bytes).map(|(message, _)| message)
-    }
-}
-
-impl Message for FromNeighbour {
-    fn to_bytes(&self) -> Result<Vec<u8>, LinkError> {
-        parts::encode(self)
-    }
-
-    fn from_bytes(bytes: &[u8]) -> Result<Self, LinkError> {
-        parts::decode(bytes).map(|(message, _)| message)
-    }
-}
-
-impl Message for FromMember {
-    fn to_bytes(&self) -> Result<Vec<u8>, LinkError> {
-        match self {
-            FromMember::Reply { id, reply } => reply_bytes(*id, reply),
-            FromMember::Update(update) => update_bytes(update),
-        }
-    }
-
-    fn from_bytes(bytes: &[u8]) -> Result<Self, LinkError> {
-        let (message, parts) = parts::decode::<base::FromMember<'static>>(bytes)?;
-        Ok(match message {
-            base::FromMember::Reply { id, reply } => {
-                let taken = parts.get(from_member::TAKEN)?;
-                let reply = taken.map_or_else(|| reply_of(reply), Reply::Taken);
-                FromMember::Reply { id, reply }
-            }
-            base::FromMember::Update(update) => {
-                FromMember::Update(Box::new(update_of(*update, parts)?))
-            }
-        })
-    }
-}
-
-fn reply_bytes(id: u64, reply: &Reply) -> Result<Vec<u8>, LinkError> {
-    let frame = |reply| base::FromMember::Reply { id, reply };
-    match reply {
-        Reply::Answer(answer) => parts::encode(&frame(base::Reply::Answer(answer.clone()))),
-        Reply::ReadIndex(index) => parts::encode(&frame(base::Reply::ReadIndex(*index))),
-        Reply::Done => parts::encode(&frame(base::Reply::Done)),
-        Reply::Taken(taken) => {
-            // A caller of the first build announced one.
-            let reply = match taken.first() {
-                Some(Taken::News) => base::Reply::Answer(Answer::Listed),
-                _ => base::Reply::Done,
-            };
-            with(&frame(reply), from_member::TAKEN, taken)
-        }
-        Reply::NotLeader(leader) => parts::encode(&frame(base::Reply::NotLeader(*leader))),
-        Reply::Unknown => parts::encode(&frame(base::Reply::Unknown)),
-    }
-}
-
-fn reply_of(reply: base::Reply) -> Reply {
-    match reply {
-        base::Reply::Answer(answer) => Reply::Answer(answer),
-        base::Reply::ReadIndex(index) => Reply::ReadIndex(index),
-        base::Reply::Done => Reply::Done,
-        base::Reply::NotLeader(leader) => Reply::NotLeader(leader),
-        base::Reply::Unknown => Reply::Unknown,
-    }
-}
-
-fn update_bytes(update: &Update) -> Result<Vec<u8>, LinkError> {
-    let message = base::Update {
-        fresh: update.fresh,
-        version: update.version,
-        parcels: Cow::Borrowed(&update.parcels),
-        elsewhere: update.elsewhere,
-        members: update.members.clone(),
-        gateways: update.gateways,
-        loads: update.loads.as_ref().map(Cow::Borrowed),
-    };
-    let news = News {
-        halls: update.halls.as_ref().map(Cow::Borrowed),
-        rollouts: update.rollouts.as_ref().map(Cow::Borrowed),
-        evidence: update.evidence.as_deref().map(Cow::Borrowed),
-        keepers: Cow::Borrowed(&update.keepers),
-        mixes: Cow::Borrowed(&update.mixes),
-        poison: Cow::Borrowed(&update.poison),
-    };
-    with(&base::FromMember::Update(Box::new(message)), from_member::NEWS, &news)
-}
-
-/// A member of the first build knows of no orders, and there are none while its group is at its level.
-fn update_of(base: base::Update<'static>, parts: Parts<'_>) -> Result<Update, LinkError> {
-    let news = parts.get::<News<'static>>(from_member::NEWS)?;
-    let news = news.unwrap_or_else(|| News {
-        halls: Some(Cow::Owned(HallNews::default())),
-        rollouts: Some(Cow::Owned(RolloutNews::default())),
-        evidence: None,
-        keepers: Cow::default(),
-        mixes: Cow::default(),
-        poison: Cow::default(),
-    });
-    Ok(Update {
-        fresh: base.fresh,
-        version: base.version,
-        halls: news.halls.map(Cow::into_owned),
-        rollouts: news.rollouts.map(Cow::into_owned),
-        parcels: base.parcels.into_owned(),
-        elsewhere: base.elsewhere,
-        members: base.members,
-        gateways: base.gateways,
-        loads: base.loads.map(Cow::into_owned),
-        evidence: news.evidence.map(Cow::into_owned),
-        keepers: news.keepers.into_owned(),
-        mixes: news.mixes.into_owned(),
-        poison: news.poison.into_owned(),
-    })
-}
--- a/src/group/upgrade.rs
+++ b/src/group/upgrade.rs
@@ -127,7 +127,7 @@
     let mut told = None;
     loop {
         if let Some(next) = shared.due_level()
-            && let Reply::Answer(_) = shared.raise(next).await
+            && let Reply::Answer(_) = shared.propose_here(Command::Raise(next)).await
         {
             info!(shared.log, "level raised"; "event" => "level_raised", "level" => %next);
         }
@@ -140,9 +140,3 @@
         tokio::time::sleep(if shared.awaits_level() { LOOK_SOON } else { LOOK_INTERVAL }).await;
     }
 }
-
-impl Shared {
-    async fn raise(&self, level: Level) -> Reply {
-        self.propose_here(Command::Raise(level)).await
-    }
-}
