Commands: whether the first build has words for one is decided in one place

Cause: Command::level and the conversion to the encoded form each looked at starts, versions and cold times of targets, held alike by a test only. Ruled out: one set of types for format 5 and the encoded commands, whose variants stand in another order and must not move.

--- a/src/compat/base.rs
+++ b/src/compat/base.rs
@@ -12,7 +12,7 @@
 use crate::group::message::Elsewhere;
 use crate::parcel::ParcelId;
 use crate::raft::{Envelope, Index, StoreId};
-use crate::store::{Answer, Command, Revision};
+use crate::store::{Answer, Revision};
 
 /// What a target says of itself; see [`directory::Announcement`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,10 +118,9 @@
     target.born.0.is_none()
 }
 
-/// The identities of targets, if no start is named.
-pub fn identities(targets: &[Incarnation]) -> Option<Vec<String>> {
-    let id = |target: &Incarnation| can_name(target).then(|| target.id.clone());
-    targets.iter().map(id).collect()
+/// The identities of targets, by which the first build names them.
+pub fn identities(targets: Vec<Incarnation>) -> Vec<String> {
+    targets.into_iter().map(|target| target.id).collect()
 }
 
 /// A target in whichever start it is.
@@ -187,13 +186,6 @@
     },
 }
 
-impl Call {
-    /// Has a command put in the log.
-    pub fn propose(command: Command) -> Self {
-        Call::Propose(command.into())
-    }
-}
-
 /// The answer to a call.
 #[derive(Serialize, Deserialize)]
 pub enum Reply {
--- a/src/compat/command.rs
+++ b/src/compat/command.rs
@@ -61,6 +61,7 @@
 
 impl From<Command> for Encoded {
     fn from(command: Command) -> Self {
+        let base = command.level() == Level::BASE;
         match command {
             Command::Change(change) => Encoded::Change(change),
             Command::Drain(drain) => Encoded::Drain(drain),
@@ -68,17 +69,19 @@
             Command::Claim(claim) => Encoded::Claim(claim),
             Command::Release(release) => Encoded::Release(release),
             Command::Configure(packed) => Encoded::Configure(packed),
-            Command::Announce(sights) => announce(sights),
-            Command::Remove(target) if base::can_name(&target) => Encoded::Remove(target.id),
-            Command::Remove(target) => Encoded::RemoveStart(target),
-            Command::Silence(targets) => match base::identities(&targets) {
-                Some(ids) => Encoded::Silence(ids),
-                None => Encoded::SilenceStarts(targets),
-            },
-            Command::Settle(targets) => match base::identities(&targets) {
-                Some(ids) => Encoded::Settle(ids),
-                None => Encoded::SettleStarts(targets),
+            Command::Announce(sights) => match <[Sight; 1]>::try_from(sights) {
+                Ok([Sight { announcement, at_once }]) if base => {
+                    Encoded::Announce { announcement: announcement.into(), at_once }
+                }
+                Ok([sight]) => Encoded::AnnounceStarts(vec![sight]),
+                Err(sights) => Encoded::AnnounceStarts(sights),
             },
+            Command::Remove(target) if base => Encoded::Remove(target.id),
+            Command::Remove(target) => Encoded::RemoveStart(target),
+            Command::Silence(targets) if base => Encoded::Silence(base::identities(targets)),
+            Command::Silence(targets) => Encoded::SilenceStarts(targets),
+            Command::Settle(targets) if base => Encoded::Settle(base::identities(targets)),
+            Command::Settle(targets) => Encoded::SettleStarts(targets),
             Command::Evacuate(order) => Encoded::Evacuate(order),
             Command::Rollout(order) => Encoded::Rollout(order),
             Command::RolloutStep(step) => Encoded::RolloutStep(step),
@@ -88,15 +91,6 @@
     }
 }
 
-fn announce(sights: Vec<Sight>) -> Encoded {
-    match sights.as_slice() {
-        [Sight { announcement, at_once }] if base::can_say(announcement) => {
-            Encoded::Announce { announcement: announcement.clone().into(), at_once: *at_once }
-        }
-        _ => Encoded::AnnounceStarts(sights),
-    }
-}
-
 impl From<Encoded> for Command {
     fn from(encoded: Encoded) -> Self {
         let all = |ids: Vec<String>| ids.into_iter().map(base::incarnation).collect();
--- a/src/group/frames/to_member.rs
+++ b/src/group/frames/to_member.rs
@@ -200,7 +200,9 @@
 fn call_bytes(id: u64, call: &Call) -> Result<Vec<u8>, LinkError> {
     let frame = |call| base::ToMember::Call { id, call };
     match call {
-        Call::Propose(command) => parts::encode(&frame(base::Call::propose(command.clone()))),
+        Call::Propose(command) => {
+            parts::encode(&frame(base::Call::Propose(command.clone().into())))
+        }
         Call::ReadIndex => parts::encode(&frame(base::Call::ReadIndex)),
         Call::Announce(all) => {
             // A leader of the first build takes one at a time; its answer tells that it took no more.
