Test: a log stays of production's format until the level is raised

Asked: which test shows that production's build and this one read each other, both ways. Disk: fleet upgrade::what_an_earlier_build_acknowledged (we read it); that it reads ours stood only in tests by hand with LATCHMOUNT_EARLIER.

--- a/tests/agreement/wal.rs
+++ b/tests/agreement/wal.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use latchmount::raft::{GroupId, Member, Members, Replica, Standing, StoreId, Tail, WalError};
+use latchmount::level::Level;
+use latchmount::raft::{
+    Disk, GroupId, Member, Members, Replica, Standing, StoreId, Tail, WalError,
+};
 use latchmount::store::Command;
 use rstest::rstest;
 
@@ -159,6 +162,43 @@
     assert!(matches!(open(&disk), Err(WalError::Format { found: 1 })));
 }
 
+/// A disk that production's build left, with a configuration of version 3.
+fn production_disk() -> FakeDisk {
+    let log = include_bytes!("../data/disks/format-3-snapshot/log");
+    let mut disk = FakeDisk::default();
+    disk.replace(log).expect("a sound disk");
+    disk
+}
+
+/// The first payload byte is the kind of record, the second its format.
+fn format(disk: &FakeDisk) -> u8 {
+    disk.bytes()[13]
+}
+
+#[test]
+fn a_log_stays_readable_to_the_build_that_wrote_it_until_the_level_is_raised() {
+    let disk = production_disk();
+    for compact_after in [COMPACT_AFTER, 1] {
+        let mut replica =
+            Replica::open(disk.clone(), StoreId(7), timing(), compact_after, Duration::ZERO, 1)
+                .expect("a sound disk");
+        lead(&mut replica);
+        accept(&mut replica, u64::from(compact_after == 1)).expect("a sound disk");
+        assert_eq!(format(&disk), 3, "compacted after {compact_after}");
+        let document = replica.store().document().expect("it was acknowledged");
+        assert_eq!(document.version, 3);
+    }
+    let mut replica = open(&disk).expect("a sound disk");
+    lead(&mut replica);
+    replica.propose(Duration::from_secs(2), Command::Raise(Level::STARTS)).expect("a leader");
+    replica.flush().expect("a sound disk");
+    assert_eq!(format(&disk), 6);
+    let mut again = open(&disk).expect("a sound disk");
+    lead(&mut again);
+    assert_eq!(again.store().level(), Level::STARTS);
+    assert_eq!(reopened_version(&disk), 2);
+}
+
 #[test]
 fn a_damaged_record_with_sound_ones_behind_it_always_stops_the_member() {
     let (disk, _) = written(3);
