--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 
 mod caller;
 mod checks;
+mod fault;
 mod faults;
 #[path = "../fleet/harness.rs"]
 mod harness;
