A client that reads is not cut for pauses of its gateway

Callers that read slowly and steadily were cut as reading nothing (`client_cut why=unread`) after the gateway had stood still for longer than `client_unread_ms`: the time since the client last took something was measured by the clock, and the timer was as likely to win as the word that the client had read.

Change: that time counts while the gateway runs, and room in the client's buffer is looked for first.

--- a/src/gateway/outflow.rs
+++ b/src/gateway/outflow.rs
@@ -11,7 +11,6 @@
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant as Timer;
 
 use super::answer::BrokenOff;
 use super::exchange::Plan;
@@ -19,6 +18,7 @@
 use super::reason::Refusal;
 use super::trace::{self, ClientCut};
 use super::{Gateway, OpenRequest};
+use crate::clock::Instant;
 
 /// Between two looks for room that other clients may have left.
 const LOOK_FOR_ROOM: Duration = Duration::from_millis(50);
@@ -50,14 +50,14 @@
 pub(super) struct Outflow {
     gateway: Arc<Gateway>,
     holder: Arc<Holder>,
-    deadline: Timer,
+    deadline: Instant,
 }
 
 impl Outflow {
     /// To the client of a request.
     pub(super) fn new(gateway: &Arc<Gateway>, plan: &Plan) -> Self {
         let (gateway, holder) = (gateway.clone(), plan.holder.clone());
-        Outflow { gateway, holder, deadline: plan.outgoing.deadline.into() }
+        Outflow { gateway, holder, deadline: plan.outgoing.deadline }
     }
 
     /// Passes on the first piece and all that the source has after it; the request counts as open until the last piece
@@ -121,28 +121,29 @@
         sender: &mpsc::UnboundedSender<Handed>,
     ) -> bool {
         let longest = Duration::from_millis(self.gateway.settings.client_unread_ms);
-        let began = Timer::now();
+        let clock = &self.gateway.run_clock;
+        let began = clock.ran();
         let mut read_at = began;
         loop {
             if self.fits(&piece) {
                 match self.holder.unread_piece(piece) {
                     Ok(held) => {
-                        source.note_waited(began.elapsed());
+                        source.note_waited(clock.ran().saturating_sub(began));
                         return sender.send(Handed::Piece(held)).is_ok();
                     }
                     Err(back) => piece = back,
                 }
             }
-            let until = self.deadline.min(read_at + longest);
+            if clock.ran() >= read_at + longest || clock.past(self.deadline) {
+                trace::client_cut(&self.gateway, self.holder.unread(), ClientCut::Unread);
+                source.cut(Refusal::AnswerLate);
+                return false;
+            }
             tokio::select! {
-                () = self.holder.reads() => read_at = Timer::now(),
+                biased;
+                () = self.holder.reads() => read_at = clock.ran(),
                 () = sender.closed() => return false,
                 () = tokio::time::sleep(LOOK_FOR_ROOM) => {}
-                () = tokio::time::sleep_until(until) => {
-                    trace::client_cut(&self.gateway, self.holder.unread(), ClientCut::Unread);
-                    source.cut(Refusal::AnswerLate);
-                    return false;
-                }
             }
         }
     }
--- a/tests/fleet/paused.rs
+++ b/tests/fleet/paused.rs
@@ -4,6 +4,8 @@
 
 use nix::sys::signal::Signal;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::doors::configuration;
 use crate::harness::{Fleet, Process, eventually, field};
@@ -74,3 +76,37 @@
     let log = fleet.gateways[0].log();
     assert_eq!(events_of(&log, "target_silent").count(), 0, "{log}");
 }
+
+/// A gateway counted its own pauses as time in which the client read nothing, and cut it.
+#[tokio::test]
+async fn a_client_that_reads_slowly_is_not_cut_for_pauses_of_its_gateway() {
+    const BYTES: usize = 4_500_000;
+    const STEP: usize = 20_000;
+    let (fleet, target) = fleet(&[]).await;
+    target.behave(Behaviour::Large(BYTES));
+    // Small enough that the gateway's own buffer is full while it stands still.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(200_000).expect("a size");
+    let mut client: TcpStream = socket.connect(fleet.front(0)).await.expect("a connection");
+    let head = "POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: r-1\r\n\
+         x-credential: key-a\r\nx-deadline-ms: 60000\r\ncontent-length: 0\r\n\r\n";
+    client.write_all(head.as_bytes()).await.expect("it takes bytes");
+    let reading = tokio::spawn(async move {
+        let mut bytes = vec![0; STEP];
+        let mut read = 0;
+        while read < BYTES {
+            let more = client.read(&mut bytes).await.expect("not reset");
+            assert!(more > 0, "{read} of {BYTES} bytes came");
+            read += more;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for _ in 0..4 {
+        pause(&fleet.gateways[0], Duration::from_millis(2_300)).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    reading.await.expect("a whole answer");
+    let log = fleet.gateways[0].log();
+    assert_eq!(events_of(&log, "client_cut").count(), 0, "{log}");
+}
