A gateway does not leave its member for its own pauses

A gateway that had stood still for a second left its member for "no answer in time" though updates lay ready, connected anew, and was without news meanwhile. Now it counts while the gateway runs, and what arrived is taken first.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -49,6 +49,7 @@
         lost: false,
         told_none: false,
         suspensions: Suspensions::watch(),
+        heard: Heard { at: Instant::now(), ran: gateway.run_clock.ran() },
         poison_told: 0,
         gateway,
     };
@@ -96,6 +97,13 @@
     Poison,
 }
 
+/// When a member was last heard: by the clock, and by the time that this process had run.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    ran: Duration,
+}
+
 struct Follower {
     gateway: Arc<Gateway>,
     /// Members that have been told of, and those of the settings.
@@ -107,6 +115,8 @@
     /// Whether the member knows that nothing is in flight here.
     told_none: bool,
     suspensions: Suspensions,
+    /// When the member was last heard.
+    heard: Heard,
     /// Up to which change the member knows under which requests targets ended here.
     poison_told: u64,
 }
@@ -206,7 +216,7 @@
         // A member that has just started knows of nothing.
         self.poison_told = 0;
         self.tell_poison(&mut sender).await?;
-        let mut fresh_at = Instant::now();
+        let mut fresh_at = self.gateway.run_clock.ran();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
         if let Some(first) = first {
             self.hear(member, first, &mut sender).await?;
@@ -215,8 +225,8 @@
             match self.next_event(&mut receiver, loads_at).await? {
                 Event::Told(update) => {
                     if self.hear(member, *update, &mut sender).await? {
-                        fresh_at = Instant::now();
-                    } else if fresh_at.elapsed() >= LEADERLESS {
+                        fresh_at = self.gateway.run_clock.ran();
+                    } else if self.gateway.run_clock.ran() >= fresh_at + LEADERLESS {
                         return Ok(Disconnect::Leaderless);
                     }
                 }
@@ -250,29 +260,39 @@
         loads_at: tokio::time::Instant,
     ) -> Result<Event, LinkError> {
         loop {
-            let silent_at = tokio::time::Instant::from(receiver.heard_at() + SILENCE);
+            let left = SILENCE.saturating_sub(self.silent_for(receiver));
             let event = tokio::select! {
+                biased;
                 received = receiver.receive() => match received? {
                     FromMember::Update(update) => Event::Told(update),
                     FromMember::Reply { .. } => return Err(LinkError::Garbled),
                 },
-                () = tokio::time::sleep_until(silent_at) => {
+                () = self.gateway.poison_news.notified() => Event::Poison,
+                look = self.failback.next() => Event::Look(look),
+                fetched = self.news.fetched() => Event::Fetched(fetched),
+                () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
+                () = self.gateway.run_clock.run_for(left) => {
                     // A long frame may be on its way.
-                    if receiver.heard_at().elapsed() >= SILENCE {
+                    if self.silent_for(receiver) >= SILENCE {
                         return Err(LinkError::Timeout);
                     }
                     continue;
                 }
-                () = self.gateway.poison_news.notified() => Event::Poison,
-                look = self.failback.next() => Event::Look(look),
-                fetched = self.news.fetched() => Event::Fetched(fetched),
-                () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
             };
             // Whatever woke this first: what it brings may be from before.
             return Ok(self.suspensions.look().map_or(event, Event::Woken));
         }
     }
 
+    /// For how long the member has said nothing while this process ran.
+    fn silent_for(&mut self, receiver: &FrameReceiver) -> Duration {
+        let (at, ran) = (receiver.heard_at(), self.gateway.run_clock.ran());
+        if at != self.heard.at {
+            self.heard = Heard { at, ran };
+        }
+        ran.saturating_sub(self.heard.ran)
+    }
+
     /// Takes an update, and tells whether the member hears a leader.
     async fn hear(
         &mut self,
--- a/tests/fleet/paused.rs
+++ b/tests/fleet/paused.rs
@@ -110,3 +110,15 @@
     let log = fleet.gateways[0].log();
     assert_eq!(events_of(&log, "client_cut").count(), 0, "{log}");
 }
+
+/// A gateway left its member as silent when it was itself that had stood still.
+#[tokio::test]
+async fn a_gateway_does_not_leave_its_member_for_its_own_pauses() {
+    let (fleet, _target) = fleet(&[]).await;
+    for _ in 0..5 {
+        pause(&fleet.gateways[0], Duration::from_millis(1_300)).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let log = fleet.gateways[0].log();
+    assert_eq!(events_of(&log, "member_left").count(), 0, "{log}");
+}
