A leader does not take targets for silent for its own pauses

A leader that had stood still for longer than four heartbeats marked all targets as silent before it read their heartbeats (`targets_silent`); gateways closed their connections to them and, with one member, took the next word for a possible cold start. Gateways connected to other members were forgotten in the same way, so that each of the rest would have taken a larger part of the fleet's bounds. Both count while the member runs now.

--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -141,7 +141,7 @@
 
     /// Gateways that are connected to any member.
     pub(super) fn gateways_alive(&self) -> u32 {
-        lock(&self.presence).alive(self.now())
+        lock(&self.presence).alive(self.run_clock.ran())
     }
 }
 
@@ -150,7 +150,7 @@
 pub(super) async fn watch_targets(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(TARGETS_INTERVAL).await;
-        let (now, leads) = (shared.now(), shared.leads());
+        let (now, leads) = (shared.run_clock.ran(), shared.leads());
         let directory = shared.published().directory;
         let silent = lock(&shared.liveness).silent(now, leads, &directory);
         let due = lock(&shared.liveness).due_for_home(now, leads, &directory);
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -56,7 +56,7 @@
     };
     push.close();
     let now = shared.now();
-    lock(&shared.presence).disconnect(now, &gateway);
+    lock(&shared.presence).disconnect(shared.run_clock.ran(), &gateway);
     lock(&shared.behind).disconnect(now, &gateway);
     lock(&shared.load_totals).forget_gateway(&gateway);
     lock(&shared.propagation).disconnect(connection);
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -117,7 +117,7 @@
 
     /// Takes heartbeats as the leader: all that bring news go into the log together.
     pub(super) async fn announce_here(&self, announcements: Vec<Announcement>) -> Reply {
-        let now = self.now();
+        let now = self.run_clock.ran();
         let Published { directory, level, .. } = self.published();
         let mut taken = Vec::with_capacity(announcements.len());
         let mut sights = Vec::new();
@@ -160,7 +160,7 @@
         if !self.leads() {
             return Reply::Unknown;
         }
-        let now = self.now();
+        let now = self.run_clock.ran();
         let mut liveness = lock(&self.liveness);
         targets.iter().for_each(|target| liveness.hear(now, *target));
         Reply::Done
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -44,7 +44,7 @@
                 shared.member.deliver(messages);
             }
             ToMember::Presence(gateways) => {
-                lock(&shared.presence).hear(shared.now(), gateways);
+                lock(&shared.presence).hear(shared.run_clock.ran(), gateways);
             }
             ToMember::MemberLoads { from, loads, evidence, keepers, tallies } => {
                 lock(&shared.load_totals).hear_member(shared.now(), from, loads);
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -186,7 +186,6 @@
 
     fn render(&self, shared: &Shared) -> Vec<u8> {
         let (published, standing) = (shared.published(), shared.member.standing());
-        let now = shared.now();
         let votes = published.members.0.iter().filter(|one| one.standing == Standing::Voter);
         let version = published.version();
         let evacuated = published.evacuations.halls().filter(|(_, order)| order.evacuated);
@@ -198,7 +197,7 @@
         self.version.set(version as i64);
         self.voters.set(votes.count() as i64);
         self.targets.set(published.directory.targets().count() as i64);
-        self.gateways.set(i64::from(lock(&shared.presence).alive(now)));
+        self.gateways.set(i64::from(shared.gateways_alive()));
         let (known, blocked) = shared.count_poison();
         self.poison_known.set(known as i64);
         self.poison_blocked.set(blocked as i64);
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -55,6 +55,7 @@
     BoxedDisk, FolderDisk, GroupId, Members, PatientDisk, Replica, Standing, StoreId, Tail,
     TimedDisk, WalError, fresh_store,
 };
+use crate::run_clock::RunClock;
 use crate::sampler::Sampler;
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::store::{Answer, Command};
@@ -166,6 +167,8 @@
     pace_of_poison: Pacer,
     metrics: MemberMetrics,
     started: Instant,
+    /// Time in which this process ran, by which others' silence counts.
+    run_clock: Arc<RunClock>,
     log: Logger,
 }
 
@@ -238,6 +241,7 @@
                 .with_burst(pacer::BURST_FOR_LARGE),
             metrics,
             started: Instant::now(),
+            run_clock: RunClock::start(&log),
             seeds: Mutex::new(settings.seed_peers()),
             settings,
             log,
--- a/tests/fleet/paused.rs
+++ b/tests/fleet/paused.rs
@@ -122,3 +122,15 @@
     let log = fleet.gateways[0].log();
     assert_eq!(events_of(&log, "member_left").count(), 0, "{log}");
 }
+
+/// A leader that had stood still took all targets for silent before it read their heartbeats.
+#[tokio::test]
+async fn a_member_does_not_take_targets_for_silent_for_its_own_pauses() {
+    let (fleet, _target) = fleet(&[]).await;
+    for _ in 0..5 {
+        pause(&fleet.members[0], Duration::from_millis(1_500)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let log = fleet.members[0].log();
+    assert_eq!(events_of(&log, "targets_silent").count(), 0, "{log}");
+}
