Roll-outs: the present stage is checked again right before a request is sent

Callers got answers of a version after every gateway had logged its roll-back; after a completed roll-out a request that may run once could go to an old target that had already stopped.

Cause: a target is chosen by the stage of that moment, and sent to once there is a connection. A gateway that stood still in between, or waited for the connection, sent by the old stage.

Change: `may_send` also asks whether the roll-out allows the target's version now; if not, another is chosen as after any word that came while the gateway connected.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -331,7 +331,8 @@
 
 impl Supervisor for Supervised<'_> {
     fn may_send(&self) -> bool {
-        self.target.standing(self.gateway.now()).takes_work()
+        let takes_work = self.target.standing(self.gateway.now()).takes_work();
+        takes_work && self.gateway.version_serves(self.target)
     }
 
     fn may_turn(&self) -> bool {
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -12,7 +12,7 @@
 use crate::clock::Instant;
 use crate::rollout::tally::{RouteKey, Side, Subject, Tallies};
 use crate::rollout::{RolloutTold, Stage};
-use crate::sync::lock;
+use crate::sync::{lock, read};
 
 /// Least targets of a version on trial that get work, so that one that ends shows nothing of the others.
 const LEAST_ON_TRIAL: usize = 2;
@@ -122,6 +122,13 @@
         Some(Subject { rollout: told.at, route: RouteKey::of(&plan.route.name), side })
     }
 
+    /// Whether a roll-out of its service allows a target to be sent anything.
+    pub(super) fn version_serves(&self, target: &Target) -> bool {
+        let known = read(&self.targets);
+        let told = known.rollout(&target.announcement.service);
+        told.is_none_or(|told| told.stage.may_send(told.version == target.announcement.version))
+    }
+
     /// The request failed by its target's doing.
     pub(super) fn note_version_failed(&self, plan: &Plan) {
         if let Some((subject, _)) = plan.counted_under {
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Whether a target may be sent a request, by whether it runs the new version.
+    pub fn may_send(self, new: bool) -> bool {
+        match self {
+            Stage::Part(_) | Stage::Shifted => true,
+            Stage::Completed => new,
+            Stage::RolledBack => !new,
+        }
+    }
+
     /// One word for logs and answers.
     pub fn label(self) -> &'static str {
         match self {
--- a/tests/fleet/rollouts.rs
+++ b/tests/fleet/rollouts.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 
 use crate::doors::configuration;
+use crate::harness::pauses::{PausePlan, Paused};
 use crate::harness::{Called, Fleet, Process, call, eventually, field};
 use crate::refusals::Ask;
 use crate::standin::{Behaviour, Standin};
@@ -190,7 +191,26 @@
 async fn a_bad_version_is_rolled_back_everywhere_while_members_are_lost(
     #[case] behaviour: Behaviour,
 ) {
+    rolled_back_while_members_are_lost(behaviour, None).await;
+}
+
+/// A request chosen before its gateway stood still reached the new version after that gateway knew of the roll-back.
+#[rstest]
+#[case(11)]
+#[case(14)]
+#[tokio::test]
+async fn a_version_that_was_rolled_back_gets_nothing_from_gateways_that_stood_still(
+    #[case] seed: u64,
+) {
+    let longest = Duration::from_millis(2_500);
+    let plan = PausePlan { seed, paused: Paused::Gateways, longest };
+    let slow = Behaviour::Slow(Duration::from_millis(400));
+    rolled_back_while_members_are_lost(slow, Some(plan)).await;
+}
+
+async fn rolled_back_while_members_are_lost(behaviour: Behaviour, pauses: Option<PausePlan>) {
     let (mut fleet, old) = fleet(3, 8).await;
+    pauses.into_iter().for_each(|plan| fleet.pause(plan));
     assert_eq!(start(&fleet, 2, "v2", 600.0).await.status, 200);
     let fronts = (0..8).map(|gateway| fleet.front(gateway)).collect();
     let callers = Callers::start(fronts, "/unsafe/x");
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -24,6 +24,25 @@
     assert_eq!(groups(stage, 0.04, again), expected);
 }
 
+/// A request is checked again right before it is sent: its stage may have passed since it chose.
+#[rstest]
+#[case(Stage::Part(50), true, true)]
+#[case(Stage::Shifted, true, true)]
+#[case(Stage::Completed, false, true)]
+#[case(Stage::RolledBack, true, false)]
+fn a_stage_that_is_over_forbids_a_version(
+    #[case] stage: Stage,
+    #[case] old: bool,
+    #[case] new: bool,
+) {
+    assert_eq!((stage.may_send(false), stage.may_send(true)), (old, new));
+    for group in [false, true].into_iter().flat_map(|again| groups(Some(stage), 0.04, again)) {
+        let of_new = matches!(group, Group::Trial | Group::New);
+        // The old version is the last resort of a stage that has it at all.
+        assert!(stage.may_send(of_new), "{group:?}");
+    }
+}
+
 /// However many gateways there are, and whatever each of them gets: the new version has its part of all.
 #[rstest]
 #[case(8)]
