Roll-outs: a route proves that a version is healthy, by likelihood ratio

Callers of a rare route got a version that failed a third of its answers there, completed and with the old targets gone.

Cause: a route had shown enough once the mildest fault would be hinted at, and was proven when nothing hinted: the absence of a hint counted as health, at every look anew.

Change: `judge::proven_healthy`, Wald's sequential test: the new version's outcomes must be a thousand times likelier at the usual rate than at a quarter more, failures and slow answers alike. Where the old version tells nothing the usual rate gets no addition here, since that would excuse failures. The first step and the signs of a fault are as before.

New: against likelihoods multiplied one by one, and one in a thousand of versions with the mildest fault at most.

--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -16,10 +16,10 @@
 const HINT: Margin = Margin { beyond: 0.5, deviations: 3.5 };
 /// Part of its answers that the mildest fault to be found fails beyond the usual.
 const MILDEST_FAULT: f64 = 0.25;
-/// Standard deviations less than is to be expected that such a fault may show.
-const SHOWS_LESS: f64 = 1.0;
-/// Largest rate of failures that such a fault is thought to lead to.
-const WORST_RATE: f64 = 0.9;
+/// Largest rate of failures that is taken as usual where health is to be proven, so that such a fault still shows.
+const MOST_USUAL: f64 = 0.65;
+/// Chance that a version with such a fault passes for healthy on a route.
+const MISS: f64 = 0.001;
 /// Part of the old version's answers within which a time is usual.
 const USUAL_PART: f64 = 0.75;
 /// Buckets of times beyond that from which an answer is slow: twice as long.
@@ -87,22 +87,30 @@
 /// Whether one route alone hints at a fault that is not proved yet: more is to be seen before the version gets more.
 pub fn suspected(slices: &[Compared]) -> bool {
     let hints = |shares: &[Shares]| {
-        beyond_chance(FaultKind::Fails, HINT, shares, &usual_rates(shares)).is_some()
+        beyond_chance(FaultKind::Fails, HINT, shares, &usual_rates(shares, ALONE)).is_some()
     };
     hints(&failures(slices)) || hints(&slow(slices))
 }
 
-/// Whether a route has enough outcomes of the new version that the mildest fault to be found would be hinted at, even if
-/// it showed a little less than is to be expected.
-pub fn would_show(slices: &[Compared]) -> bool {
-    let shares = failures(slices);
-    let expected = Expected::of(&shares, &usual_rates(&shares));
-    if expected.of == 0.0 {
-        return false;
-    }
-    let rate = (expected.usual / expected.of + MILDEST_FAULT).min(WORST_RATE);
-    let spread = (expected.of * rate * (1.0 - rate)).sqrt();
-    expected.of * rate - SHOWS_LESS * spread >= expected.most(HINT)
+/// Whether the outcomes of one route prove that the new version is healthy there: under the usual rates they are so much
+/// likelier than under the mildest fault to be found (Wald's sequential probability ratio test).
+pub fn proven_healthy(slices: &[Compared]) -> bool {
+    let enough = -MISS.ln();
+    health_evidence(&failures(slices)) >= enough && health_evidence(&slow(slices)) >= enough
+}
+
+/// Logarithm of how much likelier the new version's outcomes are if it is healthy than with the mildest fault.
+fn health_evidence(slices: &[Shares]) -> f64 {
+    // Where the old version has no outcomes to compare with, a higher rate would excuse failures.
+    let rates = usual_rates(slices, 0.0);
+    let evidence = slices.iter().zip(rates).map(|(slice, rate)| {
+        let usual = rate.clamp(LEAST_USUAL, MOST_USUAL);
+        let faulty = usual + MILDEST_FAULT;
+        let of_kind = f64::from(slice.new.seen);
+        let others = f64::from(slice.new.of.saturating_sub(slice.new.seen));
+        of_kind * (usual / faulty).ln() + others * ((1.0 - usual) / (1.0 - faulty)).ln()
+    });
+    evidence.sum()
 }
 
 /// How many outcomes of a kind there are among how many.
@@ -184,19 +192,19 @@
 }
 
 fn worse(kind: FaultKind, slices: &[Shares]) -> Option<Fault> {
-    let rates = usual_rates(slices);
+    let rates = usual_rates(slices, ALONE);
     let recent = slices.len().saturating_sub(RECENT);
     beyond_chance(kind, PROOF, slices, &rates)
         .or_else(|| beyond_chance(kind, PROOF, &slices[recent..], &rates[recent..]))
 }
 
-/// The rate that is usual in each slice.
-fn usual_rates(slices: &[Shares]) -> Vec<f64> {
+/// The rate that is usual in each slice; `alone` is added where the old version does not tell.
+fn usual_rates(slices: &[Shares], alone: f64) -> Vec<f64> {
     let overall = overall(slices);
     let mut last = overall;
     let rates = slices.iter().map(|slice| {
         if slice.old.of < LEAST_OLD {
-            return last.max(overall) + ALONE;
+            return last.max(overall) + alone;
         }
         let old = slice.old;
         last = (f64::from(old.seen) + PRIOR * overall) / (f64::from(old.of) + PRIOR);
--- a/src/rollout/steps.rs
+++ b/src/rollout/steps.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::Stage;
-use super::judge::{Fault, judge_all, suspected, would_show};
+use super::judge::{Fault, judge_all, proven_healthy, suspected};
 use super::tally::Compared;
 
 /// Part of a roll-out's time for which the new version is on trial: what it gets counts from the order on when it turns
@@ -139,7 +139,7 @@
     fn proven(&self, slices: &[Compared]) -> bool {
         let new: u32 = slices.iter().map(|slice| slice.new.count()).sum();
         let at_first = self.stage == Stage::Part(self.trial_permille);
-        new >= OUTCOMES_OF_ROUTE && (at_first || would_show(slices)) && !suspected(slices)
+        new >= OUTCOMES_OF_ROUTE && (at_first || proven_healthy(slices)) && !suspected(slices)
     }
 
     /// Answers of the new version.
--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -4,8 +4,8 @@
 
 use latchmount::rollout::Stage;
 use latchmount::rollout::division::{Mix, RouteShare};
-use latchmount::rollout::judge::{judge, suspected, would_show};
-use latchmount::rollout::tally::{Compared, RouteKey, Side, Subject, Tallies};
+use latchmount::rollout::judge::{judge, proven_healthy, suspected};
+use latchmount::rollout::tally::{Compared, Outcomes, RouteKey, Side, Subject, Tallies};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -273,7 +273,7 @@
     (0..4).for_each(|_| slice.old.times.note(Duration::from_millis(50)));
     (0..3).for_each(|_| slice.new.times.note(Duration::from_millis(50)));
     let slices = vec![slice; 12];
-    assert!(would_show(&slices));
+    assert!(proven_healthy(&slices));
     assert!(!suspected(&slices));
     let mut bad = slices;
     bad.iter_mut().step_by(2).for_each(|slice| slice.new.failed = 2);
@@ -406,3 +406,61 @@
     all.keep_only(&[8]);
     assert!(all.is_empty());
 }
+
+/// So many outcomes of both versions, of which so many failed.
+fn outcomes(old: (u32, u32), new: (u32, u32)) -> Compared {
+    let mut compared = Compared::default();
+    let fill = |outcomes: &mut Outcomes, (failed, of): (u32, u32)| {
+        outcomes.failed = failed;
+        (failed..of).for_each(|_| outcomes.times.note(Duration::from_millis(50)));
+    };
+    fill(&mut compared.old, old);
+    fill(&mut compared.new, new);
+    compared
+}
+
+/// How much likelier outcomes are at the usual rate than with the mildest fault, multiplied one by one.
+fn likelihood_ratio((failed, of): (u32, u32), usual: f64) -> f64 {
+    let faulty = usual + 0.25;
+    let of_one = |at| if at < failed { usual / faulty } else { (1.0 - usual) / (1.0 - faulty) };
+    (0..of).map(of_one).product()
+}
+
+#[test]
+fn health_is_proven_where_the_likelihood_ratio_is_a_thousand() {
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    for _ in 0..3_000 {
+        let old_of = rng.random_range(100..1_000);
+        let old = (rng.random_range(0..old_of / 2), old_of);
+        let of = rng.random_range(1..80);
+        let new = (rng.random_range(0..=of / 3), of);
+        let rate = f64::from(old.0) / f64::from(old.1);
+        let ratio = likelihood_ratio(new, rate.max(0.02));
+        let of_slow = likelihood_ratio((0, new.1 - new.0), 0.02);
+        let healthy = proven_healthy(&[outcomes(old, new)]);
+        assert_eq!(healthy, ratio.min(of_slow) >= 1_000.0, "seed {seed}: {new:?} at {rate}");
+    }
+}
+
+/// A version was taken for healthy since nothing hinted at a fault: one in six that fails a quarter of its answers.
+#[test]
+fn a_version_with_the_mildest_fault_is_proven_healthy_in_one_of_a_thousand_cases_at_most() {
+    const VERSIONS: u32 = 20_000;
+    const LOOKS: u32 = 60;
+    let seed = seeds::seed();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut missed = 0;
+    for _ in 0..VERSIONS {
+        let mut seen = outcomes((20, 1_000), (0, 0));
+        let passes = (0..LOOKS).any(|_| {
+            match rng.random_bool(0.27) {
+                true => seen.new.failed += 1,
+                false => seen.new.times.note(Duration::from_millis(50)),
+            }
+            proven_healthy(std::slice::from_ref(&seen))
+        });
+        missed += u32::from(passes);
+    }
+    assert!(missed * 1_000 <= VERSIONS, "seed {seed}: {missed} of {VERSIONS}");
+}
