Roll-outs: what is not judged on all routes is not completed

Callers of a service with more than 32 busy routes could get a version that is bad on the 33rd: gateways and members count 64 subjects (a route, a version), dropped the rest without a word, and the roll-out was completed by the others.

Change: tallies say when they are full, a member marks the roll-outs in them, and such a roll-out takes no further stage and is rolled back near its deadline as unproven; the line of that step says `unjudged_routes=true`. No message changes. A service with exactly 32 busy routes is held back too.

Weighed: refusing the order (routes without traffic need no evidence, and the configuration does not tell them apart), and a larger bound (words of gateways would grow with it; the check that they stay within 64 stays).

--- a/src/group/rollout.rs
+++ b/src/group/rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-outs at a member: orders taken, outcomes of all gateways added up, and the next stage taken by the leader.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,6 +72,8 @@
     histories: HashMap<Revision, History>,
     /// What part of a service's requests each route had at the last look, for each roll-out under way.
     mixes: Vec<RolloutMix>,
+    /// Roll-outs of services with more routes than outcomes are counted of.
+    unjudged: HashSet<Revision>,
 }
 
 /// What a member knows of one roll-out.
@@ -91,15 +93,24 @@
     /// Gateways connected here tell what they saw since their last word.
     pub(super) fn hear_gateway(&mut self, tallies: &Tallies) {
         self.here.add(tallies);
+        self.note_full(tallies);
     }
 
     /// Another member tells all that its gateways saw.
     pub(super) fn hear_member(&mut self, member: SocketAddr, tallies: Tallies) {
         if !tallies.is_empty() {
+            self.note_full(&tallies);
             self.members.insert(member, tallies);
         }
     }
 
+    /// Notes roll-outs of which some routes may not be counted: those of one word, or of all words here.
+    fn note_full(&mut self, word: &Tallies) {
+        for tallies in [word, &self.here].into_iter().filter(|tallies| tallies.full()) {
+            self.unjudged.extend(tallies.rollouts());
+        }
+    }
+
     /// All that the gateways connected here saw.
     pub(super) fn here(&self) -> Tallies {
         self.here.clone()
@@ -114,6 +125,7 @@
         self.here.keep_only(&under_way);
         self.members.values_mut().for_each(|tallies| tallies.keep_only(&under_way));
         self.histories.retain(|at, _| under_way.contains(at));
+        self.unjudged.retain(|at| under_way.contains(at));
         for at in under_way {
             let total = self.total(at);
             self.histories.entry(at).or_default().note(now, &total);
@@ -277,6 +289,7 @@
                 lasts: rollout.lasts(),
                 trial_permille: rollout.order.trial_permille,
                 routes: &routes,
+                unjudged: watch.unjudged.contains(&rollout.at),
                 answers_before: known.answers_before,
                 old_in_flight: self.in_flight_at_old(published, rollout),
             };
@@ -295,7 +308,8 @@
                 stage: step.map_or(rollout.stage, |step| step.stage),
                 elapsed_ms: elapsed.as_millis() as u64,
             };
-            Some(Due { command, step, unproven, rollout: rollout.clone() })
+            let unjudged = progress.unjudged;
+            Some(Due { command, step, unproven, unjudged, rollout: rollout.clone() })
         });
         due.collect()
     }
@@ -333,6 +347,8 @@
     step: Option<Step>,
     /// Routes for want of which it is rolled back.
     unproven: Vec<RouteKey>,
+    /// Whether there are more routes than outcomes are counted of.
+    unjudged: bool,
     rollout: Rollout,
 }
 
@@ -374,7 +390,7 @@
     info!(shared.log, "roll-out takes its next stage"; "event" => "rollout_step",
         "service" => &rollout.order.service, "version" => &rollout.order.version,
         "from" => ?rollout.stage, "to" => ?step.stage, "why" => ?step.why,
-        "unproven" => unproven, "routes" => routes.len(), "new" => sum(|route| route.new.count()),
+        "unproven" => unproven, "unjudged_routes" => due.unjudged, "routes" => routes.len(), "new" => sum(|route| route.new.count()),
         "new_failed" => sum(|route| route.new.failed), "old" => sum(|route| route.old.count()),
         "old_failed" => sum(|route| route.old.failed));
 }
--- a/src/rollout/steps.rs
+++ b/src/rollout/steps.rs
@@ -45,6 +45,8 @@
     pub trial_permille: u16,
     /// Outcomes of each route since the order, by slices of time.
     pub routes: &'a [Vec<Compared>],
+    /// Whether there are more routes than outcomes are counted of.
+    pub unjudged: bool,
     /// Answers of the new version when the stage began.
     pub answers_before: u32,
     /// Requests in flight at the old version, as far as gateways told.
@@ -99,7 +101,7 @@
         false => part >= TRIAL_PART,
     };
     let enough = progress.answers() >= progress.answers_before + ANSWERS_OF_STEP;
-    let proven = || progress.unproven().next().is_none();
+    let proven = || !progress.unjudged && progress.unproven().next().is_none();
     (long && enough && proven()).then_some(Step { stage, why: Why::NoWorse })
 }
 
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -134,7 +134,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tallies(BTreeMap<Subject, Outcomes>);
 
-/// Most subjects of one word; a service with more routes is judged by those that come first.
+/// Most subjects of one word; what is seen of more routes is not counted.
 const MOST_SUBJECTS: usize = 64;
 
 impl Tallies {
@@ -143,6 +143,16 @@
         self.0.is_empty()
     }
 
+    /// Whether there may be outcomes for which there was no room.
+    pub fn full(&self) -> bool {
+        self.0.len() >= MOST_SUBJECTS
+    }
+
+    /// The roll-outs that these are of.
+    pub fn rollouts(&self) -> impl Iterator<Item = Revision> {
+        self.0.keys().map(|subject| subject.rollout)
+    }
+
     /// Counts an attempt that failed.
     pub fn note_failed(&mut self, subject: Subject) {
         if let Some(outcomes) = self.of_subject(subject) {
--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -5,6 +5,7 @@
 use latchmount::rollout::Stage;
 use latchmount::rollout::division::{Mix, RouteShare};
 use latchmount::rollout::judge::{judge, proven_healthy, suspected};
+use latchmount::rollout::steps::{Progress, Why, next};
 use latchmount::rollout::tally::{Compared, Outcomes, RouteKey, Side, Subject, Tallies};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -464,3 +465,39 @@
     }
     assert!(missed * 1_000 <= VERSIONS, "seed {seed}: {missed} of {VERSIONS}");
 }
+
+/// A version that was bad on a route for which there was no room was completed.
+#[test]
+fn a_version_is_not_completed_where_routes_are_not_counted() {
+    let routes = vec![vec![outcomes((20, 1_000), (8, 400)); 3]];
+    let next_at = |part: f64, unjudged: bool| {
+        let progress = Progress {
+            stage: Stage::Part(70),
+            elapsed: Duration::from_secs(100).mul_f64(part),
+            in_stage: Duration::from_secs(100).mul_f64(part),
+            lasts: Duration::from_secs(100),
+            trial_permille: 70,
+            routes: &routes,
+            unjudged,
+            answers_before: 0,
+            old_in_flight: 0,
+        };
+        next(&progress).map(|step| (step.stage, step.why))
+    };
+    assert_eq!(next_at(0.6, false), Some((Stage::Part(175), Why::NoWorse)));
+    assert_eq!(next_at(0.6, true), None);
+    assert_eq!(next_at(0.91, true), Some((Stage::RolledBack, Why::Unproven)));
+}
+
+#[test]
+fn tallies_tell_that_there_may_be_more_routes_than_they_count() {
+    let mut tallies = Tallies::default();
+    for route in 0..40 {
+        assert_eq!(tallies.full(), route >= 32, "{route} routes");
+        for side in [Side::Old, Side::New] {
+            let route = RouteKey::of(&route.to_string());
+            tallies.note_failed(Subject { rollout: 7, route, side });
+        }
+    }
+    assert!(tallies.rollouts().all(|rollout| rollout == 7));
+}
--- a/tests/rollout/stage.rs
+++ b/tests/rollout/stage.rs
@@ -170,6 +170,7 @@
                 lasts: self.lasts,
                 trial_permille: TRIAL_PERMILLE,
                 routes: &routes,
+                unjudged: false,
                 answers_before,
                 old_in_flight: 0,
             };
