A gateway that starts takes no connections while its members say nothing

Callers that come back to an address got 503 `no_configuration` from a gateway that had just started again, while another gateway served all the time.

Cause: it listened as soon as its process ran, and a member that stood still (its system takes connections all the same) told no configuration for longer than requests wait.

Change: the address is taken at the start and listened on once a member has said anything, or no member takes a connection (a loss of all power: requests wait for the first configuration as before), or five seconds are over.

`--test fleet paused::a_gateway_that_starts…` failed before (it took connections), passes. Suite `kept:: paused:: starts:: refusals:: stops::` 19 of 19.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -169,7 +169,9 @@
         let (known, subscription) = (self.order.from_current(), self.subscription_to_look());
         let naming = bootstrap::first_to_name(self.gateway.settings.source, &known, &subscription);
         let named = tokio::time::timeout(LONGEST_RACE, naming).await;
-        self.learn(named.map_err(|_| LinkError::Timeout)?);
+        let named = named.map_err(|_| LinkError::Timeout)?;
+        self.gateway.heard_member.send_replace(true);
+        self.learn(named);
         self.order.turn_to_first();
         Ok(())
     }
@@ -301,6 +303,7 @@
         sender: &mut FrameSender,
     ) -> Result<bool, LinkError> {
         let fresh = update.fresh;
+        self.gateway.heard_member.send_replace(true);
         if fresh {
             *lock(&self.gateway.fresh_at) = Some(Instant::now());
             self.note_found(member);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod neighbours;
 mod news;
+mod opening;
 pub mod order;
 mod outflow;
 pub mod outgoing;
@@ -99,6 +100,8 @@
     /// The configuration in force; `None` before the first.
     table: watch::Sender<Option<Arc<RouteTable>>>,
     targets: RwLock<Targets>,
+    /// Whether a member has told anything since the start.
+    heard_member: watch::Sender<bool>,
     /// Which targets keep which prompts.
     keepers: Mutex<Keepers>,
     /// Gateways alive, as the members tell; 0 while not told.
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
-use slog::{Logger, info, o, warn};
+use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
@@ -12,6 +12,7 @@
 use super::held::Holdings;
 use super::mechanism::Mechanism;
 use super::metrics::GatewayMetrics;
+use super::opening::Reserved;
 use super::settings::GatewaySettings;
 use super::{Gateway, Stage, feed, listener, neighbours};
 use crate::clock::Instant;
@@ -46,6 +47,22 @@
     }
 }
 
+/// Takes connections of clients for ever, once that is of use to them.
+async fn open_to_clients(gateway: Arc<Gateway>, reserved: Reserved) {
+    gateway.may_listen().await;
+    match reserved.listen() {
+        Ok(clients) => {
+            info!(gateway.log, "clients are taken"; "event" => "listening",
+                "after_ms" => gateway.now().as_millis() as u64, "version" => gateway.version());
+            listener::serve_clients(gateway, clients).await;
+        }
+        Err(error) => {
+            error!(gateway.log, "clients can't be taken"; "event" => "not_listening",
+                "error" => %error);
+        }
+    }
+}
+
 /// A running gateway.
 pub struct RunningGateway(Arc<Gateway>);
 
@@ -61,7 +78,7 @@
     ) -> Result<Self, StartError> {
         let listen = settings.listen.ok_or(StartError::Missing { field: "listen" })?;
         let log = log.new(o!("role" => "gateway"));
-        let clients = listen_on(listen).await?;
+        let clients = Reserved::take(listen)?;
         let ready = listen_if_set(settings.ready_listen).await?;
         let scrapes = listen_if_set(settings.metrics_listen).await?;
         let neighbours = listen_for_neighbours(&settings, &log).await;
@@ -80,6 +97,7 @@
             dialect,
             table: watch::Sender::new(None),
             targets: RwLock::default(),
+            heard_member: watch::Sender::new(false),
             keepers: Mutex::default(),
             gateways: AtomicU32::new(0),
             fleet_size: Mutex::new(FleetSize::new(window)),
@@ -105,7 +123,7 @@
             log,
         });
         tokio::spawn(feed::follow(gateway.clone()));
-        tokio::spawn(listener::serve_clients(gateway.clone(), clients));
+        tokio::spawn(open_to_clients(gateway.clone(), clients));
         if let Some(neighbours) = neighbours {
             tokio::spawn(neighbours::serve(gateway.clone(), neighbours));
         }
--- a/tests/fleet/kept.rs
+++ b/tests/fleet/kept.rs
@@ -10,9 +10,11 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use tokio::net::TcpStream;
 
 use crate::doors::configuration;
+use crate::harness::pauses::{PausePlan, Paused};
 use crate::harness::{Fleet, PATIENCE, call, eventually};
 use crate::standin::{Behaviour, Standin};
 
@@ -103,7 +105,25 @@
 
 #[tokio::test]
 async fn restarts_in_turn_refuse_and_lose_nothing_of_clients_that_keep_connections() {
+    restarts_in_turn_lose_nothing(None).await;
+}
+
+/// Streams were cut whose rest lay ready, and a gateway that had no configuration yet took connections.
+#[rstest]
+#[case::gateways(Paused::Gateways, 12)]
+#[case::members(Paused::Members, 12)]
+#[tokio::test]
+async fn restarts_in_turn_lose_nothing_while_processes_stand_still(
+    #[case] paused: Paused,
+    #[case] seed: u64,
+) {
+    let longest = Duration::from_millis(2_500);
+    restarts_in_turn_lose_nothing(Some(PausePlan { seed, paused, longest })).await;
+}
+
+async fn restarts_in_turn_lose_nothing(pauses: Option<PausePlan>) {
     let (mut fleet, target) = fleet_with_target(2).await;
+    pauses.into_iter().for_each(|plan| fleet.pause(plan));
     target.behave(Behaviour::Stream(150));
     let fronts = [fleet.front(0), fleet.front(1)];
     let mut clients = tokio::task::JoinSet::new();
--- a/tests/fleet/paused.rs
+++ b/tests/fleet/paused.rs
@@ -134,3 +134,22 @@
     let log = fleet.members[0].log();
     assert_eq!(events_of(&log, "targets_silent").count(), 0, "{log}");
 }
+
+/// A gateway that started while its member stood still refused clients that another gateway would have served.
+#[tokio::test]
+async fn a_gateway_that_starts_takes_no_connections_before_a_member_that_lives_told_it_anything() {
+    let (mut fleet, _target) = fleet(&[]).await;
+    fleet.gateways[0].kill();
+    fleet.members[0].signal(Signal::SIGSTOP);
+    fleet.gateways[0].start();
+    let front = fleet.front(0);
+    for _ in 0..25 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(TcpStream::connect(front).await.is_err(), "it takes connections");
+    }
+    fleet.members[0].signal(Signal::SIGCONT);
+    let answer = eventually("the gateway listens", async || {
+        Ask::new("/safe/x", "r-1").send(front).await.ok()
+    });
+    assert_eq!(answer.await.status, 200);
+}
