--- a/tests/fleet/paused.rs
+++ b/tests/fleet/paused.rs
@@ -3,32 +3,13 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::doors::configuration;
-use crate::harness::{Fleet, Process, eventually, field};
+use crate::harness::{Process, eventually, field};
 use crate::refusals::Ask;
-use crate::standin::{Behaviour, Standin, event};
-
-/// A gateway that serves, one member and a target.
-async fn fleet(settings: &[(&str, serde_json::Value)]) -> (Fleet, Standin) {
-    let mut fleet = Fleet::prepare(1, 1);
-    for (field, value) in settings {
-        fleet.gateways[0].set(field, value.clone());
-    }
-    fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
-    fleet.settled().await;
-    let target = Standin::start("i-1", "s", fleet.doors()).await;
-    let mut large = configuration(1);
-    for route in large["routes"].as_array_mut().expect("routes") {
-        route["timeout-ms"] = json!(60_000);
-    }
-    fleet.configure(&large).await;
-    fleet.knows_targets(0, 1).await;
-    (fleet, target)
-}
+use crate::slow::fleet;
+use crate::standin::{Behaviour, event};
 
 /// Stops a process for so long.
 async fn pause(process: &Process, length: Duration) {
--- a/tests/fleet/slow.rs
+++ b/tests/fleet/slow.rs
@@ -17,8 +17,8 @@
 /// Requests of quick ones.
 const QUICK: usize = 200;
 
-/// A gateway with one target.
-async fn fleet(settings: &[(&str, serde_json::Value)]) -> (Fleet, Standin) {
+/// A gateway with one target, whose routes leave requests a minute.
+pub async fn fleet(settings: &[(&str, serde_json::Value)]) -> (Fleet, Standin) {
     let mut fleet = Fleet::prepare(1, 1);
     for (field, value) in settings {
         fleet.gateways[0].set(field, value.clone());
