Pauses of a process are logged whoever notices them first

Found in reading: the ticker compared the paused time before and after its own look, so a pause that a waiting request noticed first was never logged. It keeps what it has told now.

--- a/src/run_clock.rs
+++ b/src/run_clock.rs
@@ -30,27 +30,27 @@
 pub struct RunTime {
     looked: Instant,
     ran: Duration,
-    resumed: Option<Instant>,
     paused: Duration,
+    /// When the last pause ended.
+    resumed: Option<Instant>,
 }
 
 impl RunTime {
     /// Counts from `now` on.
     pub fn since(now: Instant) -> Self {
-        RunTime { looked: now, ran: Duration::ZERO, resumed: None, paused: Duration::ZERO }
+        RunTime { looked: now, ran: Duration::ZERO, paused: Duration::ZERO, resumed: None }
     }
 
-    /// Looks at the clock; returns the length of the pause that ends now, if one does.
-    pub fn look(&mut self, now: Instant) -> Option<Duration> {
+    /// Looks at the clock; a long time since the last look was a pause that ends now.
+    pub fn look(&mut self, now: Instant) {
         let step = now.saturating_duration_since(self.looked);
         self.looked = now;
         if step <= LONGEST_STEP {
             self.ran += step;
-            return None;
+        } else {
+            self.paused += step;
+            self.resumed = Some(now);
         }
-        self.resumed = Some(now);
-        self.paused += step;
-        Some(step)
     }
 
     /// Time in which the process ran, up to the last look.
@@ -87,14 +87,15 @@
     }
 
     async fn tick(self: Arc<Self>, log: Logger) {
+        let mut told = Duration::ZERO;
         loop {
             tokio::time::sleep(TICK).await;
-            let before = self.paused();
-            let after = self.look().paused();
-            let paused = after.saturating_sub(before);
-            if paused >= LOGGED_FROM {
+            let paused = self.look().paused();
+            let since_told = paused.saturating_sub(told);
+            told = paused;
+            if since_told >= LOGGED_FROM {
                 info!(log, "this process stood still"; "event" => "process_paused",
-                    "paused_ms" => paused.as_millis() as u64);
+                    "paused_ms" => since_told.as_millis() as u64);
             }
         }
     }
