Roll-outs: the history of outcomes in a module of its own

Cause: tally.rs held both what gateways report and how a member keeps it over time, and the second is about to grow.

--- a/src/group/rollout.rs
+++ b/src/group/rollout.rs
@@ -14,9 +14,10 @@
 use crate::dialect::RolloutCall;
 use crate::jsonc::Fault;
 use crate::level::Level;
+use crate::rollout::history::History;
 use crate::rollout::route_mix::RolloutMix;
 use crate::rollout::steps::{Progress, Step, StepReason, next_step};
-use crate::rollout::tally::{Compared, History, RouteKey, Tallies};
+use crate::rollout::tally::{Compared, RouteKey, Tallies};
 use crate::rollout::{
     Rollout, RolloutOrder, RolloutStep, RolloutVerdict, Rollouts, RolloutsUpdate, Stage,
 };
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 //! gateway that has not yet received a stage applies an earlier one, which allows less. Without an order, versions are
 //! not distinguished.
 
+pub mod history;
 pub mod judge;
 pub mod route_mix;
 pub mod steps;
--- a/tests/rollout/simulation.rs
+++ b/tests/rollout/simulation.rs
@@ -5,9 +5,10 @@
 
 use latchmount::gateway::versions::trial_size;
 use latchmount::rollout::Stage;
+use latchmount::rollout::history::History;
 use latchmount::rollout::route_mix::RouteMix;
 use latchmount::rollout::steps::Progress;
-use latchmount::rollout::tally::{Compared, History, RouteKey};
+use latchmount::rollout::tally::{Compared, RouteKey};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
