Gateway: an idle connection is not closed for the gateway's own pauses

Callers saw: a request on a connection that they had kept was answered by the end of the connection (hyper: IncompleteMessage), at many connections of a gateway at once, and the gateway logged nothing of it. Requests that may run once were lost by it.

Cause: the idle time-out of client connections ran by the wall clock. A gateway that was stopped, or got no processor time, took its own pause for idleness of the client; the timer fired before the request that lay in the receive buffer was read, and the connection was closed with it.

Change: the timer that hyper uses for it counts only the time in which the process ran, and lets the runtime poll its sockets once more before it fires (RunClock, as for answers).

Left: the HTTP API of members and the status pages have idle time-outs of the same kind; a client that reuses a connection right at the limit can still meet its end, which no gateway can prevent.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -18,6 +18,7 @@
 use super::{Gateway, Stage, exchange};
 use crate::configuration::ClientLimits;
 use crate::link::set_tcp_timeouts;
+use crate::run_clock::RunTimer;
 use crate::status_server;
 
 /// Pause after `accept` fails, e.g. for lack of file descriptors, or while there are too many clients.
@@ -69,7 +70,7 @@
         async move { Ok::<_, Infallible>(exchange::serve(&gateway, &client_buffer, request).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(RunTimer::new(gateway.run_clock.clone()))
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size((limits.max_header_bytes * 2).max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
--- a/src/run_clock.rs
+++ b/src/run_clock.rs
@@ -4,9 +4,12 @@
 //! timeouts count only the time in which this process ran, and data that arrived during a pause is read before a
 //! wait for it ends. Promises to other processes, such as leases, are measured with [`Instant`].
 
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::rt::{Sleep, Timer};
 use slog::{Logger, info};
 
 use crate::clock::Instant;
@@ -175,3 +178,38 @@
         }
     }
 }
+
+/// Lets hyper's timeouts count only the time in which this process ran.
+#[derive(Clone, Debug)]
+pub struct RunTimer(Arc<RunClock>);
+
+impl RunTimer {
+    /// A timer by this clock.
+    pub fn new(clock: Arc<RunClock>) -> Self {
+        RunTimer(clock)
+    }
+}
+
+impl Timer for RunTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        let clock = self.0.clone();
+        Box::pin(RunSleep(Box::pin(async move { clock.sleep(duration).await })))
+    }
+
+    fn sleep_until(&self, deadline: std::time::Instant) -> Pin<Box<dyn Sleep>> {
+        self.sleep(deadline.saturating_duration_since(self.now()))
+    }
+}
+
+/// A wait until this process has run for some time.
+struct RunSleep(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
+
+impl Future for RunSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        self.0.as_mut().poll(context)
+    }
+}
+
+impl Sleep for RunSleep {}
--- a/tests/fleet/process_pauses.rs
+++ b/tests/fleet/process_pauses.rs
@@ -3,11 +3,14 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::harness::{Process, eventually, field};
+use crate::member_api::configuration;
 use crate::refusals::ClientRequest;
 use crate::slow_clients::fleet;
 use crate::standin::{Behaviour, event};
@@ -145,3 +148,50 @@
     });
     assert_eq!(answer.await.status, 200);
 }
+
+/// Guards against a gateway that counts its own pauses as time in which a connection was idle, and closes it with a
+/// request in its receive buffer.
+#[tokio::test]
+async fn requests_sent_on_idle_connections_during_a_pause_of_their_gateway_are_answered() {
+    const CONNECTIONS: usize = 60;
+    const IDLE_TIMEOUT_MS: u64 = 1_000;
+    let (fleet, _target) = fleet(&[]).await;
+    let mut configuration = configuration(2);
+    configuration["limits"]["idle-timeout-ms"] = json!(IDLE_TIMEOUT_MS);
+    fleet.configure(&configuration).await;
+    fleet.wait_for_configuration(0, 2).await;
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        clients.push(TcpStream::connect(fleet.gateway_addr(0)).await.expect("a connection"));
+    }
+    for (number, client) in clients.iter_mut().enumerate() {
+        assert!(send_and_read(client, &format!("r-{number}-1")).await.starts_with("HTTP/1.1 200"));
+    }
+    fleet.gateways[0].signal(Signal::SIGSTOP);
+    tokio::time::sleep(Duration::from_millis(IDLE_TIMEOUT_MS / 2)).await;
+    let answers = clients.into_iter().enumerate().map(async |(number, mut client)| {
+        send_and_read(&mut client, &format!("r-{number}-2")).await
+    });
+    let answers = join_all(answers);
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(IDLE_TIMEOUT_MS)).await;
+        fleet.gateways[0].signal(Signal::SIGCONT);
+    };
+    let (answers, ()) = tokio::join!(answers, resume);
+    let lost = answers.iter().filter(|answer| !answer.starts_with("HTTP/1.1 200"));
+    assert_eq!(lost.count(), 0, "{answers:?}");
+}
+
+/// Sends a request and reads the head of its answer; empty if the connection is closed instead.
+async fn send_and_read(client: &mut TcpStream, id: &str) -> String {
+    let head = format!(
+        "POST /unsafe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\n\
+         x-credential: key-a\r\nx-deadline-ms: 10000\r\ncontent-length: 0\r\n\r\n"
+    );
+    if client.write_all(head.as_bytes()).await.is_err() {
+        return String::new();
+    }
+    let mut bytes = vec![0; 4_096];
+    let length = client.read(&mut bytes).await.unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..length]).into_owned()
+}
