Roll-outs: the judge in three modules; a slow version is told with the time from which answers are slow

Cause: judge.rs had grown by what follows the shift, and an operator who read Worse(Slow) learned neither from which time on an answer counted as slow nor that this depends on the old version. Change: ratios and their chance in ratio.rs, what follows the shift in shifted.rs, the comparison stays in judge.rs. Fault has slow_from, so the key `why` of `rollout_step` shows it; the test of versions that turn bad after the shift checks it.

--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -9,7 +9,9 @@
 
 pub mod history;
 pub mod judge;
+mod ratio;
 pub mod route_mix;
+pub mod shifted;
 pub mod steps;
 pub mod tally;
 
--- a/src/rollout/steps.rs
+++ b/src/rollout/steps.rs
@@ -9,7 +9,8 @@
 
 use super::Stage;
 use super::history::RouteHistory;
-use super::judge::{Fault, judge_all, proven_healthy, suspected, suspected_after_shift};
+use super::judge::{Fault, judge_all, proven_healthy, suspected};
+use super::shifted::suspected_after_shift;
 use super::tally::Compared;
 
 /// Fraction of a roll-out's time for which the new version stays in the first stage. If it turns bad later, all
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -72,6 +72,12 @@
         self.0.iter().skip(bucket).fold(0, |sum, count| sum.saturating_add(*count))
     }
 
+    /// Smallest latency of a bucket.
+    pub fn bucket_start(bucket: usize) -> Duration {
+        let octaves = bucket as f64 / BUCKETS_PER_OCTAVE;
+        Duration::from_secs_f64((octaves.exp2() - 1.0) / 1_000.0)
+    }
+
     /// Index of the bucket that contains this quantile (from 0 to 1); `None` if nothing was counted.
     pub fn quantile(&self, quantile: f64) -> Option<usize> {
         let wanted = f64::from(self.count()) * quantile;
--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -597,7 +597,10 @@
     #[case] slices: Vec<Outcomes>,
     #[case] kind: FaultKind,
 ) {
-    assert_eq!(judge_all(&[shifted(slices)]).map(|fault| fault.kind), Some(kind));
+    let fault = judge_all(&[shifted(slices)]).expect("a fault");
+    assert_eq!(fault.kind, kind);
+    let told = fault.slow_from.is_some_and(|from| USUAL < from && from <= STALLED);
+    assert_eq!(told, kind == FaultKind::Slow, "{fault:?}");
 }
 
 /// Once the time is nearly over, the old version can still take over from one that is suspected.
