Gateway: the line about a roll-back is written once nothing is on its way to the version

Callers and operators saw: a request at a version that every gateway had reported as rolled back.

Cause: the gateway wrote the line `rollouts` when it applied the stage, with requests of before still on their way. Those had been checked against the stage of before and were written by their connection's task, or read by the target, a moment later.

So whoever reads it knows that nothing more arrives, also before old targets are stopped. Why this and not less: no gateway can call back what it has written; who wants to stop the targets needs to know when the last one is through.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod remembered_reports;
 mod retries;
 pub mod reuse;
+mod rollout_log;
 mod running;
 pub mod settings;
 pub mod slowdown;
@@ -60,7 +61,7 @@
 
 use http::{HeaderMap, StatusCode};
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use self::blob_cache::BlobCache;
 use self::budget::ServiceBudget;
@@ -73,6 +74,7 @@
 use self::mechanism::Mechanism;
 use self::metrics::GatewayMetrics;
 use self::prefix_holders::PrefixHolders;
+use self::rollout_log::AppliedRollouts;
 pub use self::running::RunningGateway;
 use self::settings::{GatewaySettings, OnStale};
 use self::target::Target;
@@ -136,6 +138,8 @@
     /// Time during which this process was running. Timeouts on members and targets use it, so that they do not fire
     /// because this process was paused.
     run_clock: Arc<RunClock>,
+    /// Receives the stages of roll-outs that were applied, to log them.
+    rollout_log: mpsc::UnboundedSender<AppliedRollouts>,
     metrics: GatewayMetrics,
     log: Logger,
 }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -6,7 +6,7 @@
 
 use slog::{Logger, error, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use super::client_buffers::ClientBuffers;
 use super::fleet_size::FleetSize;
@@ -14,7 +14,7 @@
 use super::metrics::GatewayMetrics;
 use super::settings::GatewaySettings;
 use super::startup::BoundAddress;
-use super::{Gateway, Stage, listener, peers, subscriber};
+use super::{Gateway, Stage, listener, peers, rollout_log, subscriber};
 use crate::clock::Instant;
 use crate::dialect::SharedDialect;
 use crate::poison::{PoisonTracker, Reporter, Rule};
@@ -91,6 +91,7 @@
             "without" => ?settings.without);
         let window = Duration::from_secs_f64(settings.retry_window_s);
         let reporter = Reporter::of(&settings.host);
+        let (rollout_log, applied_rollouts) = mpsc::unbounded_channel();
         let gateway = Arc::new(Gateway {
             seeds: Mutex::new(settings.member_peers()),
             holdings: ClientBuffers::new(settings.max_held_bytes()),
@@ -120,9 +121,11 @@
             unknown_headers: Mutex::default(),
             started: Instant::now(),
             run_clock: RunClock::start(&log),
+            rollout_log,
             metrics: GatewayMetrics::new()?,
             log,
         });
+        tokio::spawn(rollout_log::run(gateway.clone(), applied_rollouts));
         tokio::spawn(subscriber::run(gateway.clone()));
         tokio::spawn(serve_clients(gateway.clone(), clients));
         if let Some(peers) = peers {
--- a/src/gateway/update_receiver.rs
+++ b/src/gateway/update_receiver.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::config_delay::ConfigDelay;
+use super::rollout_log::AppliedRollouts;
 use super::{Gateway, peers};
 use crate::blob::{Blob, BlobId, Content};
 use crate::document::{Document, Packed};
@@ -211,8 +212,9 @@
         });
         let (revision, summary) = (update.revision, summaries.collect::<Vec<_>>().join(","));
         if write(&self.gateway.targets).apply_rollouts(update) {
-            info!(self.gateway.log, "roll-out states applied"; "event" => "rollouts", "revision" => revision,
-                "rollouts" => summary, "from" => %from);
+            let applied = AppliedRollouts { revision, summary, from };
+            // Fails only when the gateway ends.
+            let _ = self.gateway.rollout_log.send(applied);
         }
     }
 
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -113,6 +113,22 @@
     xxh3_64_with_seed(&target.key.to_le_bytes(), rollout.at) >> 1
 }
 
+impl Targets {
+    fn version_may_receive(&self, target: &Target) -> bool {
+        let rollout = self.rollout(&target.announcement.service);
+        rollout.is_none_or(|rollout| {
+            rollout.stage.may_send(rollout.version == target.announcement.version)
+        })
+    }
+
+    /// Requests of this gateway that are in flight at targets to which it may send none any more, because of their
+    /// version.
+    pub(super) fn in_flight_at_forbidden_versions(&self) -> u32 {
+        let forbidden = self.all().filter(|target| !self.version_may_receive(target));
+        forbidden.map(|target| target.in_flight()).sum()
+    }
+}
+
 impl Gateway {
     /// What outcomes of a request at a target are counted under. `None` if no roll-out is under
     /// way, or if the target is cold and therefore slow.
@@ -134,11 +150,7 @@
 
     /// Whether the roll-out of its service allows sending requests to a target.
     pub(super) fn version_may_receive(&self, target: &Target) -> bool {
-        let known = read(&self.targets);
-        let rollout = known.rollout(&target.announcement.service);
-        rollout.is_none_or(|rollout| {
-            rollout.stage.may_send(rollout.version == target.announcement.version)
-        })
+        read(&self.targets).version_may_receive(target)
     }
 
     /// Counts a request that failed because of its target.
--- a/tests/fleet/rollouts.rs
+++ b/tests/fleet/rollouts.rs
@@ -264,6 +264,25 @@
     assert_eq!(count_arrivals(&new), new_before);
 }
 
+/// Guards against a gateway that says that it goes by a roll-back while requests that it sent before are still on their
+/// way to the version.
+#[tokio::test]
+async fn a_gateway_reports_a_roll_back_once_nothing_is_on_its_way_to_the_version() {
+    let (fleet, _old) = fleet(1, 1).await;
+    assert_eq!(start_rollout(&fleet, 0, "v2", 600.0).await.status, 200);
+    let slow = Behaviour::Slow(Duration::from_millis(1_500));
+    let new = start_new_targets(&fleet, "v2", slow).await;
+    let clients = Clients::start(vec![fleet.gateway_addr(0)], "/unsafe/x");
+    eventually("the new version gets requests", async || (count_arrivals(&new) > 0).then_some(()))
+        .await;
+    let answer = call(fleet.api_addr(0), "DELETE", "/rollouts/s", "").await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    wait_for_rollouts(&fleet.gateways[0], "s:v2:rolled_back:0").await;
+    let answered = new.iter().map(Standin::answers).sum::<usize>();
+    assert_eq!(answered, count_arrivals(&new));
+    clients.stop_without_loss(&fleet).await;
+}
+
 #[tokio::test]
 async fn an_order_survives_a_crash_of_all_members_and_may_be_repeated() {
     let (mut fleet, _old) = fleet(3, 1).await;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -80,6 +80,7 @@
     /// Headers added to all answers.
     extra_headers: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    answers: Arc<AtomicUsize>,
     open_connections: Arc<AtomicUsize>,
     replaced: Arc<AtomicBool>,
     /// The server task, then the heartbeat task.
@@ -130,6 +131,7 @@
         let addr = listener.local_addr().expect("bound");
         let behaviour = Arc::new(Mutex::new(Behaviour::Answer));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let answers = Arc::new(AtomicUsize::new(0));
         let state = Arc::new(Mutex::new(("ready", 0)));
         let open_connections = Arc::new(AtomicUsize::new(0));
         let replaced = Arc::new(AtomicBool::new(false));
@@ -139,6 +141,7 @@
             replaced: replaced.clone(),
             behaviour: behaviour.clone(),
             arrivals: arrivals.clone(),
+            answers: answers.clone(),
             extra_headers: extra_headers.clone(),
             crash,
         };
@@ -150,6 +153,7 @@
             behaviour,
             extra_headers,
             arrivals,
+            answers,
             open_connections: open_connections.clone(),
             replaced,
             tasks: vec![tokio::spawn(listen(listener, Arc::new(server), open_connections))],
@@ -199,6 +203,11 @@
         self.arrivals.lock().expect("not poisoned").clone()
     }
 
+    /// Number of requests whose answers have begun.
+    pub fn answers(&self) -> usize {
+        self.answers.load(Ordering::Relaxed)
+    }
+
     /// Answers all later requests with 421, as another target at the same address does.
     pub fn set_replaced(&self) {
         self.replaced.store(true, Ordering::Relaxed);
@@ -321,6 +330,7 @@
     id: String,
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    answers: Arc<AtomicUsize>,
     extra_headers: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     crash: Option<Arc<Notify>>,
 }
@@ -348,7 +358,11 @@
         connections.spawn(async move {
             let service = service_fn(|request| {
                 let server = server.clone();
-                async move { server.answer(request).await }
+                async move {
+                    let answer = server.answer(request).await;
+                    server.answers.fetch_add(1, Ordering::Relaxed);
+                    answer
+                }
             });
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
             open_connections.fetch_sub(1, Ordering::Relaxed);
