Clock: the type of hyper's timers has its name where clocks are converted

It only subtracts two of them, as hyper's interface asks, and goes by RunClock. Change: the name comes from clock.rs, the one place for such conversions; the check is as it was. Nothing else changes.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,6 +10,9 @@
 
 use nix::time::{ClockId, clock_gettime};
 
+/// A point in time of hyper's timers, which are built on another clock. Only the time left until it has a meaning.
+pub type HyperInstant = std::time::Instant;
+
 /// A point in time, as the time since the host booted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Instant(Duration);
--- a/src/run_clock.rs
+++ b/src/run_clock.rs
@@ -12,7 +12,7 @@
 use hyper::rt::{Sleep, Timer};
 use slog::{Logger, info};
 
-use crate::clock::Instant;
+use crate::clock::{HyperInstant, Instant};
 use crate::sync::lock;
 
 /// Interval between readings of the clock.
@@ -196,7 +196,7 @@
         Box::pin(RunSleep(Box::pin(async move { clock.sleep(duration).await })))
     }
 
-    fn sleep_until(&self, deadline: std::time::Instant) -> Pin<Box<dyn Sleep>> {
+    fn sleep_until(&self, deadline: HyperInstant) -> Pin<Box<dyn Sleep>> {
         self.sleep(deadline.saturating_duration_since(self.now()))
     }
 }
