Roll-outs: no copy of all outcomes at each check, nothing judged after the shift before there is one

Found when reading the change again: History copied the totals ten times a second only to know them at the shift, where they follow from what it has; what follows the shift was computed for each route also before it; the wait before the line `rollouts` looked at all targets of the gateway, though only services with roll-outs matter; versions were compared in three places; Expected kept a total that nobody read. Change: total_before_shift, an early return, Targets::rollouts, is_new, add_slices.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -73,10 +73,14 @@
         self.rollouts.as_ref().map(|update| update.revision)
     }
 
+    /// The last roll-out of each service that ever had one.
+    pub(super) fn rollouts(&self) -> impl Iterator<Item = &RolloutState> {
+        self.rollouts.iter().flat_map(|update| &update.rollouts)
+    }
+
     /// The last roll-out of a service, if it ever had one.
     pub(super) fn rollout(&self, service: &str) -> Option<&RolloutState> {
-        let mut rollouts = self.rollouts.iter().flat_map(|update| &update.rollouts);
-        rollouts.find(|rollout| rollout.service == service)
+        self.rollouts().find(|rollout| rollout.service == service)
     }
 
     /// Stores the shares of the routes in the requests of services.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -103,7 +103,7 @@
     }
 
     fn is_new(&self, target: &Target) -> bool {
-        self.rollout.is_some_and(|rollout| rollout.version == target.announcement.version)
+        self.rollout.is_some_and(|rollout| is_new(rollout, target))
     }
 }
 
@@ -113,19 +113,22 @@
     xxh3_64_with_seed(&target.key.to_le_bytes(), rollout.at) >> 1
 }
 
-impl Targets {
-    fn version_may_receive(&self, target: &Target) -> bool {
-        let rollout = self.rollout(&target.announcement.service);
-        rollout.is_none_or(|rollout| {
-            rollout.stage.may_send(rollout.version == target.announcement.version)
-        })
-    }
+/// Whether the target runs the new version of the roll-out.
+fn is_new(rollout: &RolloutState, target: &Target) -> bool {
+    rollout.version == target.announcement.version
+}
 
+impl Targets {
     /// Requests of this gateway that are in flight at targets to which it may send none any more, because of their
     /// version.
     pub(super) fn in_flight_at_forbidden_versions(&self) -> u32 {
-        let forbidden = self.all().filter(|target| !self.version_may_receive(target));
-        forbidden.map(|target| target.in_flight()).sum()
+        let of_rollout = |rollout: &RolloutState| -> u32 {
+            let targets = self.of(&rollout.service).iter();
+            let forbidden =
+                targets.filter(|target| !rollout.stage.may_send(is_new(rollout, target)));
+            forbidden.map(|target| target.in_flight()).sum()
+        };
+        self.rollouts().map(of_rollout).sum()
     }
 }
 
@@ -143,14 +146,15 @@
         if cold.is_some_and(|limit| limit.cold(self.now(), target)) {
             return None;
         }
-        let new = rollout.version == target.announcement.version;
-        let side = if new { Side::New } else { Side::Old };
+        let side = if is_new(rollout, target) { Side::New } else { Side::Old };
         Some(Subject { rollout: rollout.at, route: RouteKey::of(&state.route.name), side })
     }
 
     /// Whether the roll-out of its service allows sending requests to a target.
     pub(super) fn version_may_receive(&self, target: &Target) -> bool {
-        read(&self.targets).version_may_receive(target)
+        let known = read(&self.targets);
+        let rollout = known.rollout(&target.announcement.service);
+        rollout.is_none_or(|rollout| rollout.stage.may_send(is_new(rollout, target)))
     }
 
     /// Counts a request that failed because of its target.
--- a/src/rollout/history.rs
+++ b/src/rollout/history.rs
@@ -35,12 +35,8 @@
 impl RouteHistory {
     /// Adds the outcomes on another route, slice by slice.
     pub fn add(&mut self, other: &RouteHistory) {
-        let compared = self.compared.len().max(other.compared.len());
-        self.compared.resize(compared, Compared::default());
-        self.compared.iter_mut().zip(&other.compared).for_each(|(sum, slice)| sum.add(slice));
-        let shifted = self.shifted.len().max(other.shifted.len());
-        self.shifted.resize(shifted, Outcomes::default());
-        self.shifted.iter_mut().zip(&other.shifted).for_each(|(sum, slice)| sum.add(slice));
+        add_slices(&mut self.compared, &other.compared, Compared::add);
+        add_slices(&mut self.shifted, &other.shifted, Outcomes::add);
     }
 
     /// A history that ends before the shift.
@@ -49,6 +45,12 @@
     }
 }
 
+/// Adds each slice to the one at the same place of `sums`, which grows as needed.
+fn add_slices<T: Clone + Default>(sums: &mut Vec<T>, slices: &[T], add: fn(&mut T, &T)) {
+    sums.resize(sums.len().max(slices.len()), T::default());
+    sums.iter_mut().zip(slices).for_each(|(sum, slice)| add(sum, slice));
+}
+
 /// Outcomes on each route, divided into slices of time, so that versions are compared only within the same time.
 #[derive(Debug)]
 pub struct History {
@@ -61,8 +63,6 @@
     slices: BTreeMap<RouteKey, Vec<Compared>>,
     /// Number of finished slices.
     finished: usize,
-    /// Total outcomes at the last record before the shift.
-    latest: BTreeMap<RouteKey, Compared>,
     /// Outcomes since the shift; `None` before it.
     shifted: Option<ShiftedHistory>,
 }
@@ -85,7 +85,6 @@
             before: BTreeMap::new(),
             slices: BTreeMap::new(),
             finished: 0,
-            latest: BTreeMap::new(),
             shifted: None,
         }
     }
@@ -96,18 +95,30 @@
     pub fn record(&mut self, now: Duration, stage: Stage, total: &BTreeMap<RouteKey, Compared>) {
         if stage != Stage::Shifted {
             self.record_compared(now, total);
-            self.latest.clone_from(total);
             return;
         }
-        let latest = &mut self.latest;
-        let start = || ShiftedHistory::start(now, std::mem::take(latest));
-        self.shifted.get_or_insert_with(start).record(now, total);
+        let shifted = self.shifted.take();
+        let start = || ShiftedHistory::start(now, self.total_before_shift());
+        let mut shifted = shifted.unwrap_or_else(start);
+        shifted.record(now, total);
+        self.shifted = Some(shifted);
         // A route may get its first requests after the shift.
         for route in total.keys() {
             self.slices.entry(*route).or_default();
         }
     }
 
+    /// Total outcomes at the last record before the shift.
+    fn total_before_shift(&self) -> BTreeMap<RouteKey, Compared> {
+        let mut total = self.before.clone();
+        for (route, slices) in &self.slices {
+            if let Some(current) = slices.get(self.finished) {
+                total.entry(*route).or_default().add(current);
+            }
+        }
+        total
+    }
+
     fn record_compared(&mut self, now: Duration, total: &BTreeMap<RouteKey, Compared>) {
         for (route, outcomes) in total {
             let slices = self.slices.entry(*route).or_default();
--- a/src/rollout/ratio.rs
+++ b/src/rollout/ratio.rs
@@ -72,8 +72,6 @@
 /// Expected outcomes of one kind of the new version if it is as good as the old one.
 #[derive(Clone, Copy, Debug, Default)]
 struct Expected {
-    /// Number of all its outcomes.
-    total: f64,
     /// Expected number of the kind at the baseline rates.
     mean: f64,
     variance: f64,
@@ -86,7 +84,6 @@
         for (slice, rate) in slices.iter().zip(rates) {
             let rate = rate.clamp(MIN_BASELINE_RATE, 1.0);
             let total = f64::from(slice.new.total);
-            expected.total += total;
             expected.mean += rate * total;
             // The baseline rate is itself estimated from a limited number of outcomes.
             let uncertainty = total * total / (f64::from(slice.old.total) + PRIOR_OUTCOMES);
--- a/src/rollout/shifted.rs
+++ b/src/rollout/shifted.rs
@@ -36,6 +36,9 @@
 
 /// Returns a fault if the new version fails more often after the shift than the old one did before.
 pub(super) fn failing_after_shift(route: &RouteHistory, margin: Margin) -> Option<Fault> {
+    if route.shifted.is_empty() {
+        return None;
+    }
     let baselines = baselines(failures(&route.compared).iter().map(|pair| pair.old));
     let beyond = |slices: &[Outcomes]| {
         let new = slices.iter().map(|slice| Ratio { of_kind: slice.failed, total: slice.count() });
@@ -76,8 +79,11 @@
 impl Slowness {
     /// Sums up the likelihood ratios of the slices, from the latest moment at which they spoke for health on the whole
     /// (CUSUM). One slice counts as one at most, however many answers it has: in a stall all are slow. `None` if the old
-    /// version had too few answers to tell what is slow.
+    /// version had too few answers to tell what is slow, or there was no shift.
     fn after_shift(route: &RouteHistory) -> Option<Self> {
+        if route.shifted.is_empty() {
+            return None;
+        }
         let from = slow_bucket(&old_latencies(&route.compared))?;
         let old = route.compared.iter().map(|slice| slow_ratio(&slice.old.latencies, from));
         let baselines = baselines(old);
