Tests: what follows the shift of a roll-out in a file of its own; one head of a raw request

Change: the cases after the shift move to tests/rollout/shifted.rs unchanged; process_pauses.rs calls slow_clients::head (the second deadline there is 60 s now instead of 10; nothing in the test reaches either). No assertion changes here.

--- a/tests/fleet/process_pauses.rs
+++ b/tests/fleet/process_pauses.rs
@@ -12,7 +12,7 @@
 use crate::harness::{Process, eventually, field};
 use crate::member_api::configuration;
 use crate::refusals::ClientRequest;
-use crate::slow_clients::fleet;
+use crate::slow_clients::{fleet, head};
 use crate::standin::{Behaviour, event};
 
 /// Stops a process for `length`.
@@ -78,9 +78,7 @@
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(200_000).expect("a size");
     let mut client: TcpStream = socket.connect(fleet.gateway_addr(0)).await.expect("a connection");
-    let head = "POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: r-1\r\n\
-         x-credential: key-a\r\nx-deadline-ms: 60000\r\ncontent-length: 0\r\n\r\n";
-    client.write_all(head.as_bytes()).await.expect("sent");
+    client.write_all(head("/safe/x", "r-1", 0).as_bytes()).await.expect("sent");
     let reading = tokio::spawn(async move {
         let mut bytes = vec![0; STEP];
         let mut read = 0;
@@ -184,11 +182,7 @@
 
 /// Sends a request and reads the head of its answer; empty if the connection is closed instead.
 async fn send_and_read(client: &mut TcpStream, id: &str) -> String {
-    let head = format!(
-        "POST /unsafe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\n\
-         x-credential: key-a\r\nx-deadline-ms: 10000\r\ncontent-length: 0\r\n\r\n"
-    );
-    if client.write_all(head.as_bytes()).await.is_err() {
+    if client.write_all(head("/unsafe/x", id, 0).as_bytes()).await.is_err() {
         return String::new();
     }
     let mut bytes = vec![0; 4_096];
--- a/tests/fleet/slow_clients.rs
+++ b/tests/fleet/slow_clients.rs
@@ -38,7 +38,7 @@
 }
 
 /// The head of a request with a body of `length` bytes.
-fn head(path: &str, id: &str, length: usize) -> String {
+pub fn head(path: &str, id: &str, length: usize) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nx-credential: key-a\r\n\
          x-deadline-ms: 60000\r\ncontent-length: {length}\r\n\r\n"
--- a/tests/rollout/judging.rs
+++ b/tests/rollout/judging.rs
@@ -1,10 +1,11 @@
-//! Simulates random roll-outs with each strategy, and tests judgement, route mix and tallies on their own.
+//! Simulates random roll-outs with each strategy, and tests judgement, route mix and tallies on their own; what follows the
+//! shift is in `shifted`.
 
 use std::time::Duration;
 
 use latchmount::rollout::Stage;
 use latchmount::rollout::history::RouteHistory;
-use latchmount::rollout::judge::{FaultKind, judge, judge_all, proven_healthy, suspected};
+use latchmount::rollout::judge::{judge, proven_healthy, suspected};
 use latchmount::rollout::route_mix::{RouteMix, RouteShare};
 use latchmount::rollout::steps::{Progress, StepReason, next_step};
 use latchmount::rollout::tally::{Compared, Outcomes, RouteKey, Side, Subject, Tallies};
@@ -13,18 +14,18 @@
 use rstest::rstest;
 
 use crate::seeds;
-use crate::simulation::{Defect, Outcome, Scenario, SharedFault, Stall, Surge, Trigger};
+use crate::simulation::{Defect, Outcome, Scenario, SharedFault, Surge, Trigger};
 use crate::strategy::Strategy;
 
 /// Number of roll-outs of each kind and fleet size in CI.
-const ROLLOUTS: u64 = 40;
+pub const ROLLOUTS: u64 = 40;
 
 /// Number of roll-outs with a rare route of each kind and fleet size in CI.
 const RARE_ROLLOUTS: u64 = 12;
 
 /// Kinds of roll-outs: `Good` versions have no defect; the others are bad, and named for when their defect shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
     Good,
     GoodInTrouble,
     AtOnce,
@@ -42,7 +43,7 @@
     }
 }
 
-fn random_scenario(kind: Kind, gateways: u32, rng: &mut StdRng) -> Scenario {
+pub fn random_scenario(kind: Kind, gateways: u32, rng: &mut StdRng) -> Scenario {
     let per_s = rng.random_range(300.0..600.0);
     let routes = vec![0.55 * per_s, 0.3 * per_s, 0.15 * per_s];
     let defect = match (kind.good(), rng.random_bool(0.5)) {
@@ -77,33 +78,22 @@
     }
 }
 
-/// A few stalls of up to 1.5 s, of all gateways or of a single one; the first one is near the shift.
-fn random_stalls(gateways: u32, rng: &mut StdRng) -> Vec<Stall> {
-    let count = rng.random_range(1..=3);
-    let stalls = (0..count).map(|number| Stall {
-        from: if number == 0 { rng.random_range(0.7..0.85) } else { rng.random_range(0.0..0.95) },
-        length: Duration::from_millis(rng.random_range(200..1_500)),
-        gateway: rng.random_bool(0.3).then(|| rng.random_range(0..gateways)),
-    });
-    stalls.collect()
-}
-
 /// Results of the roll-outs of one kind.
 #[derive(Debug, Default)]
-struct Summary {
-    simulated: u32,
-    completed: u32,
-    rolled_back: u32,
+pub struct Summary {
+    pub simulated: u32,
+    pub completed: u32,
+    pub rolled_back: u32,
     /// Bad versions that got more requests than allowed.
-    over_limit: u32,
-    exposed: f64,
+    pub over_limit: u32,
+    pub exposed: f64,
     /// Largest ratio of requests that a version got to those allowed.
-    max_exposure: f64,
-    took: f64,
+    pub max_exposure: f64,
+    pub took: f64,
 }
 
 impl Summary {
-    fn add(&mut self, outcome: &Outcome, bad: bool) {
+    pub fn add(&mut self, outcome: &Outcome, bad: bool) {
         self.simulated += 1;
         self.completed += u32::from(outcome.stage == Stage::Completed);
         self.rolled_back += u32::from(outcome.stage == Stage::RolledBack);
@@ -168,65 +158,6 @@
     assert!(false_alarms * 100 <= good, "seed {seed}: {false_alarms} of {good}");
 }
 
-/// Guards against a good version that is rolled back because all answers are slow for a moment, when the old version
-/// gets no requests with which to compare them.
-#[rstest]
-fn a_good_version_is_completed_although_all_gateways_stall_for_a_moment(
-    #[values(8, 100, 1_000)] gateways: u32,
-) {
-    let seed = seeds::seed();
-    let rollouts = seeds::env_number("LATCHMOUNT_ROLLOUTS").unwrap_or(ROLLOUTS);
-    let mut summary = Summary::default();
-    for number in 0..rollouts {
-        let mut rng = StdRng::seed_from_u64(seed.wrapping_add(number));
-        let mut scenario = random_scenario(Kind::Good, gateways, &mut rng);
-        scenario.stalls = random_stalls(gateways, &mut rng);
-        summary.add(&scenario.simulate(Strategy::Deviations, &mut rng), false);
-    }
-    println!(
-        "stalls gateways={gateways}: completed {} of {}",
-        summary.completed, summary.simulated
-    );
-    let not_completed = summary.simulated - summary.completed;
-    assert!(not_completed * 100 <= summary.simulated, "seed {seed}: {summary:?}");
-}
-
-/// A version that turns bad only once it gets all requests is rolled back, soon enough that no request reaches it 5 s
-/// after its 50th bad answer, and one that turns bad in the second minute as well.
-#[rstest]
-#[case::slow(Defect::Slow(8.0))]
-#[case::fails(Defect::Fails(0.27))]
-fn a_version_that_turns_bad_late_is_rolled_back(
-    #[case] defect: Defect,
-    #[values(8, 100, 1_000)] gateways: u32,
-    #[values(Trigger::AfterShift, Trigger::Later(0.45))] trigger: Trigger,
-    #[values(15, 150)] lasts_s: u64,
-) {
-    let seed = seeds::seed();
-    let rollouts = seeds::env_number("LATCHMOUNT_ROLLOUTS").unwrap_or(ROLLOUTS / 4);
-    let mut summary = Summary::default();
-    let (mut bad_for, mut bad) = (Duration::ZERO, 0.0);
-    for number in 0..rollouts {
-        let mut rng = StdRng::seed_from_u64(seed.wrapping_add(number));
-        let mut scenario = random_scenario(Kind::Good, gateways, &mut rng);
-        scenario.lasts = Duration::from_secs(lasts_s);
-        scenario.defect = defect;
-        scenario.trigger = trigger;
-        let outcome = scenario.simulate(Strategy::Deviations, &mut rng);
-        bad_for = bad_for.max(outcome.bad_for);
-        bad += outcome.bad;
-        summary.add(&outcome, true);
-    }
-    println!(
-        "{defect:?} {trigger:?} lasts={lasts_s} gateways={gateways}: completed {} of {}, bad for {bad_for:?} at most, {:.0} bad",
-        summary.completed,
-        summary.simulated,
-        bad / f64::from(summary.simulated)
-    );
-    assert_eq!(summary.completed, 0, "seed {seed}: {summary:?}");
-    assert!(bad_for <= Duration::from_secs(5), "seed {seed}: bad for {bad_for:?}");
-}
-
 /// A seed that failed: of versions that are bad on the rarest route only, one was completed and one got more requests
 /// than allowed.
 #[test]
@@ -500,7 +431,7 @@
 }
 
 /// Outcomes of both versions, as (failed, total).
-fn outcomes(old: (u32, u32), new: (u32, u32)) -> Compared {
+pub fn outcomes(old: (u32, u32), new: (u32, u32)) -> Compared {
     let mut compared = Compared::default();
     let fill = |outcomes: &mut Outcomes, (failed, total): (u32, u32)| {
         outcomes.failed = failed;
@@ -512,7 +443,7 @@
 }
 
 /// Likelihood ratio of the outcomes between the usual failure rate and the mildest fault, multiplied one by one.
-fn likelihood_ratio((failed, total): (u32, u32), usual: f64) -> f64 {
+pub fn likelihood_ratio((failed, total): (u32, u32), usual: f64) -> f64 {
     let faulty = usual + 0.25;
     let ratio_of_one =
         |at| if at < failed { usual / faulty } else { (1.0 - usual) / (1.0 - faulty) };
@@ -559,113 +490,6 @@
     assert!(missed * 1_000 <= VERSIONS, "seed {seed}: {missed} of {VERSIONS}");
 }
 
-/// Latency of usual answers, and of answers in a stall.
-const USUAL: Duration = Duration::from_millis(1);
-const STALLED: Duration = Duration::from_millis(40);
-
-/// Answers of which the first `slow` take [`STALLED`].
-fn answers(slow: u32, total: u32) -> Outcomes {
-    let mut outcomes = Outcomes::default();
-    (0..slow).for_each(|_| outcomes.latencies.record(STALLED));
-    (slow..total).for_each(|_| outcomes.latencies.record(USUAL));
-    outcomes
-}
-
-/// Ten seconds in which both versions answered as usual, and then the new version alone.
-fn shifted(slices: Vec<Outcomes>) -> RouteHistory {
-    let compared = Compared { old: answers(20, 1_000), new: answers(14, 700) };
-    RouteHistory { compared: vec![compared; 10], shifted: slices }
-}
-
-/// Guards against rolling back a good version for a moment of overload: once, 102 slow answers of 2,514 did, after
-/// 20,000 usual ones.
-#[rstest]
-#[case::a_third_slow_for_half_a_second(vec![answers(102, 300)])]
-#[case::all_answers_slow_for_three_and_a_half_seconds(vec![answers(300, 300); 7])]
-#[case::slow_for_a_second_now_and_then([[300, 300, 3]; 8].concat().into_iter().map(|slow| answers(slow, 300)).collect())]
-#[case::a_few_slow_all_the_time(vec![answers(40, 1_000); 40])]
-fn a_moment_of_slow_answers_after_the_shift_is_no_fault(#[case] slices: Vec<Outcomes>) {
-    assert_eq!(judge_all(&[shifted(slices)]), None);
-}
-
-#[rstest]
-#[case::slow_for_four_seconds(vec![answers(300, 300); 8], FaultKind::Slow)]
-#[case::every_third_answer_slow_for_four_seconds(vec![answers(100, 300); 8], FaultKind::Slow)]
-#[case::every_answer_of_a_rare_route_slow(vec![answers(1, 1); 8], FaultKind::Slow)]
-#[case::every_fourth_failed_in_half_a_second(vec![outcomes((0, 0), (60, 240)).new], FaultKind::Fails)]
-fn a_version_that_turns_bad_after_the_shift_is_at_fault(
-    #[case] slices: Vec<Outcomes>,
-    #[case] kind: FaultKind,
-) {
-    let fault = judge_all(&[shifted(slices)]).expect("a fault");
-    assert_eq!(fault.kind, kind);
-    let told = fault.slow_from.is_some_and(|from| USUAL < from && from <= STALLED);
-    assert_eq!(told, kind == FaultKind::Slow, "{fault:?}");
-}
-
-/// Once the time is nearly over, the old version can still take over from one that is suspected.
-#[test]
-fn a_version_that_is_suspected_after_the_shift_is_not_completed() {
-    let next_at = |fraction: f64, slices: Vec<Outcomes>| {
-        let routes = [shifted(slices)];
-        let progress = Progress {
-            stage: Stage::Shifted,
-            elapsed: Duration::from_secs(20).mul_f64(fraction),
-            in_stage: Duration::from_secs(4),
-            lasts: Duration::from_secs(20),
-            trial_permille: 70,
-            routes: &routes,
-            unjudged: false,
-            answers_before: 0,
-            old_in_flight: 0,
-        };
-        next_step(&progress).map(|step| (step.stage, step.why))
-    };
-    let (usual, slow) = (vec![answers(2, 900); 4], vec![answers(300, 300); 4]);
-    assert_eq!(next_at(0.9, usual.clone()), Some((Stage::Completed, StepReason::OldIdle)));
-    assert_eq!(next_at(0.9, slow.clone()), None);
-    assert_eq!(next_at(0.97, slow.clone()), Some((Stage::RolledBack, StepReason::Unproven)));
-    assert_eq!(next_at(0.97, [slow, usual].concat()), Some((Stage::Completed, StepReason::TimeUp)));
-}
-
-/// Largest sum of capped log-likelihood ratios of the slices from any one to the last, as a fraction of the evidence that
-/// proves a fault.
-fn naive_slowness(slices: &[(u32, u32)], usual: f64) -> f64 {
-    let sums = (0..slices.len()).map(|from| {
-        let ratios = slices[from..].iter().map(|(slow, total)| {
-            let ratio = likelihood_ratio((*slow, *total), usual);
-            (-ratio.ln() / 1_000.0_f64.ln()).min(1.0 / 8.0)
-        });
-        ratios.sum::<f64>()
-    });
-    sums.fold(0.0, f64::max)
-}
-
-#[test]
-fn slow_answers_after_the_shift_are_a_fault_where_the_naive_sum_reaches_the_evidence() {
-    let seed = seeds::seed();
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut faults = 0;
-    for _ in 0..3_000 {
-        let rate = rng.random_range(0.05..0.6);
-        let slices: Vec<(u32, u32)> = (0..rng.random_range(1..20))
-            .map(|_| {
-                let total = rng.random_range(0..12);
-                ((0..total).filter(|_| rng.random_bool(rate)).count() as u32, total)
-            })
-            .collect();
-        let naive = naive_slowness(&slices, 0.02);
-        if (naive - 1.0).abs() < 1e-6 {
-            continue;
-        }
-        let outcomes = slices.iter().map(|(slow, total)| answers(*slow, *total)).collect();
-        let fault = judge_all(&[shifted(outcomes)]).is_some();
-        faults += u32::from(fault);
-        assert_eq!(fault, naive > 1.0, "seed {seed}: {slices:?} {naive}");
-    }
-    assert!(faults > 100, "seed {seed}: {faults}");
-}
-
 /// Guards against completing a version that is bad on a route that tallies have no room for.
 #[test]
 fn a_version_is_not_completed_where_routes_are_not_counted() {
--- a/tests/rollout/main.rs
+++ b/tests/rollout/main.rs
@@ -7,5 +7,6 @@
 mod judging;
 #[path = "../seeds/seed.rs"]
 mod seeds;
+mod shifted;
 mod simulation;
 mod strategy;
