Gateways log and count the streams that clients resume

Cause: neither logs nor metrics could tell a stream that its client takes up by a new request from one that goes on inside its answer, nor the version at which the latter does.

Change: a line 'client resumes a stream' with the id of the request that began it and the last event, a counter beside it; the line of a stream resumed inside its answer names the version of the target's software.

Conclusion: observability only; no decision is changed.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -52,6 +52,8 @@
     pub priority: HeaderName,
     /// Id of the last event of a stream that the sender has received.
     pub last_event_id: HeaderName,
+    /// Id of the request that began the stream which a client resumes.
+    pub resumes: HeaderName,
     /// Further headers that only gateways may set on requests to targets.
     pub reserved: Vec<HeaderName>,
 }
@@ -386,6 +388,7 @@
                 fetch_from: name("latchmount-fetch-from"),
                 priority: name("latchmount-priority"),
                 last_event_id: name("last-event-id"),
+                resumes: name("latchmount-resumes"),
                 reserved: Vec::new(),
             },
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -154,6 +154,11 @@
     }
     let deadline = arrived + timeout.min(route.timeout);
     let body = read_body(gateway, client_buffer, body, limits.max_body_bytes, deadline).await?;
+    let (began_as, last_event) =
+        (head.headers.get(&names.resumes), head.headers.get(&names.last_event_id));
+    if route.kind.streams() && (began_as.is_some() || last_event.is_some()) {
+        trace::taken_up(gateway, &id, &route, began_as, last_event);
+    }
     let service = draw_service(&route);
     gateway.count_request(&service);
     let outgoing = Outgoing::new(names, head, body, &caller, &route, id, deadline);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     /// Poison requests that are sent to no target.
     pub(super) poison_blocked: IntGauge,
     streams_resumed: IntCounter,
+    streams_taken_up: IntCounter,
     clients_disconnected: IntCounter,
     clients_cut: IntCounterVec,
     /// Bytes of requests and answers buffered for clients.
@@ -130,6 +131,10 @@
                 "latchmount_gateway_streams_resumed_total",
                 "Streams that went on at another target.",
             )?,
+            streams_taken_up: set.counter(
+                "latchmount_gateway_streams_taken_up_total",
+                "Streams that clients resumed by a new request.",
+            )?,
             clients_disconnected: set.counter(
                 "latchmount_gateway_clients_left_total",
                 "Clients that left before their final answer.",
@@ -321,6 +326,10 @@
         self.streams_resumed.inc();
     }
 
+    pub(super) fn stream_taken_up(&self) {
+        self.streams_taken_up.inc();
+    }
+
     pub(super) fn client_disconnected(&self) {
         self.clients_disconnected.inc();
     }
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -13,6 +13,7 @@
 use super::refusal::Refusal;
 use super::target::Target;
 use crate::clock::Instant;
+use crate::configuration::Route;
 use crate::retry_after::RetryAfter;
 use crate::sync::lock;
 
@@ -170,11 +171,25 @@
         "elapsed_ms" => millis_since(state.arrived), "left_ms" => millis_left(state));
 }
 
+/// A client resumes a stream by a new request: `began_as` is the id of the request that began it.
+pub(super) fn taken_up(
+    gateway: &Gateway,
+    id: &HeaderValue,
+    route: &Route,
+    began_as: Option<&HeaderValue>,
+    last_event: Option<&HeaderValue>,
+) {
+    gateway.metrics.stream_taken_up();
+    info!(gateway.log, "client resumes a stream"; "event" => "taken_up", "id" => text(Some(id)),
+        "began_as" => text(began_as), "last_event" => text(last_event), "route" => &route.name);
+}
+
 /// A stream was resumed at another target.
 pub(super) fn resumed(gateway: &Gateway, state: &RequestState, source: &Source, last_event: &str) {
     gateway.metrics.stream_resumed();
     info!(gateway.log, "stream resumed at another target"; "event" => "resumed",
         "id" => text(Some(&state.outgoing.id)), "target" => %source,
+        "software" => source.target().map(|target| target.announcement.version.as_str()),
         "last_event" => last_event, "sends" => state.sends,
         "elapsed_ms" => millis_since(state.arrived), "left_ms" => millis_left(state));
 }
