--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -27,6 +27,7 @@
 mod standin;
 mod starts;
 mod stops;
+mod stream_versions;
 mod streams;
 mod target_headers;
 mod target_restarts;
