--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,6 +1,6 @@
 //! Reconstructs the timeline of one request from the logs of several processes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::Serialize;
@@ -27,6 +27,9 @@
 /// Events that a process logs at its start.
 const START_EVENTS: [&str; 2] = ["gateway_started", "member_started"];
 
+/// Event that says which request began the stream that a request resumes.
+const RESUMPTION_EVENT: &str = "taken_up";
+
 /// State of one topic that the process had last logged at the time of a decision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct KnownState {
@@ -66,14 +69,16 @@
 }
 
 impl Timeline {
-    /// Builds the timeline of request `id` from log lines of any processes, in any order.
+    /// Builds the timeline of request `id` from log lines of any processes, in any order. If the request resumes a
+    /// stream, the timeline begins with the requests that came before it.
     pub fn of<'a>(id: &str, lines: impl Iterator<Item = &'a str>) -> Timeline {
         let mut parsed: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
         parsed.sort_by_key(LogLine::at_ms);
+        let ids = with_earlier(id, &parsed);
         let mut known: BTreeMap<(String, String), &LogLine> = BTreeMap::new();
         let mut steps = Vec::new();
         for line in &parsed {
-            if line.get("id") == Some(id) {
+            if line.get("id").is_some_and(|id| ids.contains(id)) {
                 steps.push(step(line, &known));
             }
             if START_EVENTS.contains(&line.event()) {
@@ -89,6 +94,19 @@
     }
 }
 
+/// The request `id`, and the requests that began the stream that it resumes.
+fn with_earlier<'a>(id: &'a str, lines: &'a [LogLine]) -> BTreeSet<&'a str> {
+    let mut ids = BTreeSet::new();
+    let mut next = Some(id);
+    while let Some(id) = next.filter(|id| !id.is_empty() && ids.insert(*id)) {
+        let taken_up = lines
+            .iter()
+            .find(|line| line.event() == RESUMPTION_EVENT && line.get("id") == Some(id));
+        next = taken_up.and_then(|line| line.get("began_as"));
+    }
+    ids
+}
+
 fn topic(line: &LogLine) -> Option<&'static str> {
     STATE_EVENTS.iter().find(|(event, _)| *event == line.event()).map(|(_, topic)| *topic)
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use super::via_peer::client::PeerConnection;
 use crate::clock::Instant;
 use crate::dialect::Headers;
+use crate::group::stream_origins::VersionKey;
 use crate::run_clock::RunClock;
 
 /// The head of an answer, with everything that must stay alive until the body has been read.
@@ -33,7 +34,11 @@
     /// A target that this gateway is connected to.
     Target { target: Arc<Target>, connection: Connection, _in_flight: InFlight },
     /// A target that a peer gateway is connected to.
-    Peer(PeerConnection),
+    Peer {
+        connection: PeerConnection,
+        /// Version of the target's software, if the peer names it; gateways of earlier builds don't.
+        version: Option<VersionKey>,
+    },
 }
 
 impl Source {
@@ -41,7 +46,15 @@
     pub(super) fn target(&self) -> Option<&Arc<Target>> {
         match self {
             Source::Target { target, .. } => Some(target),
-            Source::Peer(_) => None,
+            Source::Peer { .. } => None,
+        }
+    }
+
+    /// Version of the target's software, if it is known.
+    pub(super) fn version(&self) -> Option<VersionKey> {
+        match self {
+            Source::Target { target, .. } => Some(target.version),
+            Source::Peer { version, .. } => *version,
         }
     }
 
@@ -49,7 +62,7 @@
     pub(super) fn keep(self, headers: &HeaderMap) {
         match self {
             Source::Target { connection, .. } => connection.keep(headers),
-            Source::Peer(connection) => connection.keep(),
+            Source::Peer { connection, .. } => connection.keep(),
         }
     }
 }
@@ -59,7 +72,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Source::Target { target, .. } => f.write_str(&target.announcement.id),
-            Source::Peer(connection) => write!(f, "peer-{}", connection.peer()),
+            Source::Peer { connection, .. } => write!(f, "peer-{}", connection.peer()),
         }
     }
 }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -15,6 +15,7 @@
 use super::refusal::Refusal;
 use super::target::Target;
 use super::targets::Targets;
+use super::version_pin::VersionPin;
 use super::versions::{VersionGroup, Versions};
 use super::{ColdLimit, Gateway};
 use crate::configuration::Route;
@@ -75,7 +76,9 @@
         let cold = self.cold_limit(&state.service);
         let (group, targets) = self.usable(now, &known, &versions, state, cold)?;
         let candidates = self.to_candidates(now, &targets);
-        let in_group = known.of(&state.service).iter().filter(|one| versions.contains(group, one));
+        let in_group =
+            |target: &&Arc<Target>| state.pin.allows(target) && versions.contains(group, target);
+        let in_group = known.of(&state.service).iter().filter(in_group);
         let preference = self.preference(now, state, in_group);
         let at = choose(&candidates, preference, &mut rand::rng())?;
         let of_service = known.of(&state.service);
@@ -116,6 +119,7 @@
         let gateways = self.gateways();
         let usable = |target: &&Arc<Target>| {
             target.eligibility(now).accepts_work()
+                && state.pin.allows(target)
                 && self.region_allows(state, target)
                 && !state.tried.contains(&target.key)
                 && target.has_room(body, max_bytes)
@@ -124,6 +128,11 @@
         };
         let usable: Vec<&Arc<Target>> = known.of(&state.service).iter().filter(usable).collect();
         let groups = versions.groups(state.version_draw, !state.tried.is_empty());
+        if state.pin != VersionPin::Free {
+            let pinned = usable.into_iter().filter(|target| versions.may_receive(target));
+            let pinned: Vec<&Arc<Target>> = pinned.collect();
+            return (!pinned.is_empty()).then_some((VersionGroup::Any, pinned));
+        }
         if groups == [VersionGroup::Any] {
             return (!usable.is_empty()).then_some((VersionGroup::Any, usable));
         }
@@ -207,6 +216,9 @@
         if untried.count() > 0 && state.tried.is_empty() {
             return Refusal::Evacuated;
         }
+        if suitable.is_empty() && state.pin != VersionPin::Free {
+            return Refusal::VersionGone;
+        }
         if state.connect_cost > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget }
     }
 
@@ -229,7 +241,13 @@
         let is_suitable = |target: &&Arc<Target>| {
             !target.draining()
                 && self.region_allows(state, target)
-                && groups.iter().any(|group| versions.contains(*group, target))
+                && state.pin.allows(target)
+                && match state.pin {
+                    VersionPin::Free => {
+                        groups.iter().any(|group| versions.contains(*group, target))
+                    }
+                    _ => versions.may_receive(target),
+                }
         };
         known.of(&state.service).iter().filter(is_suitable).collect()
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,10 +25,12 @@
 use super::stall::{self, StallGuard};
 use super::target::Target;
 use super::trace::{self, DisconnectGuard, text};
+use super::version_pin::VersionPin;
 use super::via_peer::client::Offered;
 use super::{Gateway, Stage, relay, via_peer};
 use crate::clock::Instant;
 use crate::configuration::{Route, Team};
+use crate::group::stream_origins::VersionKey;
 use crate::poison::{Fingerprint, Identity, Suspect};
 use crate::rollout::tally::Subject;
 use crate::route_table::Caller;
@@ -86,6 +88,10 @@
     from_peer: bool,
     /// When the client should retry, as stated by a peer gateway that refused the request.
     pub(super) retry_after: Option<Duration>,
+    /// Versions of the software at which the request may run.
+    pub(super) pin: VersionPin,
+    /// Until when the client waits for its answer, over all its requests.
+    pub(super) client_deadline: Instant,
     /// Fingerprint of the request, computed on first use.
     fingerprint: OnceLock<Fingerprint>,
 }
@@ -154,17 +160,22 @@
     }
     let deadline = arrived + timeout.min(route.timeout);
     let body = read_body(gateway, client_buffer, body, limits.max_body_bytes, deadline).await?;
-    let (began_as, last_event) =
-        (head.headers.get(&names.resumes), head.headers.get(&names.last_event_id));
-    if route.kind.streams() && (began_as.is_some() || last_event.is_some()) {
-        trace::taken_up(gateway, &id, &route, began_as, last_event);
-    }
-    let service = draw_service(&route);
+    let pin = match gateway.resumption(&route, &head.headers) {
+        Some(resumption) => gateway.pin_resumed(&id, &route, caller.team(), resumption).await,
+        None => VersionPin::Free,
+    };
+    let service = match pin {
+        VersionPin::Free => draw_service(&route),
+        VersionPin::Only(_) => gateway.service_of_pin(&route, pin).ok_or(Refusal::VersionGone)?,
+        VersionPin::Unknown => return Err(Refusal::OriginUnknown),
+    };
     gateway.count_request(&service);
     let outgoing = Outgoing::new(names, head, body, &caller, &route, id, deadline);
     let affinity = gateway.affinity(&route, &head.headers);
-    let state =
+    let mut state =
         RequestState::new(gateway, client_buffer, route, service, outgoing, affinity, arrived);
+    state.pin = pin;
+    state.client_deadline = arrived + timeout;
     Ok(state.routed(&caller, table.version(), Origin::Client))
 }
 
@@ -233,11 +244,13 @@
             Err(refusal) => {
                 let tried = state.tried.last().copied().filter(|_| state.arrivals > 0);
                 let mut response = give_up(gateway, state, refusal);
-                tried.map(|key| response.extensions_mut().insert(ServedBy(key)));
+                tried.map(|key| response.extensions_mut().insert(ServedBy { key, version: None }));
                 return response;
             }
         };
-        let served_by = answer.source.target().map(|target| ServedBy(target.key));
+        let served_by = answer.source.target();
+        let served_by =
+            served_by.map(|target| ServedBy { key: target.key, version: Some(target.version) });
         let retried = match relay::relay(gateway, state, answer).await {
             relay::Relayed::Response(mut response) => {
                 served_by.map(|served_by| response.extensions_mut().insert(served_by));
@@ -310,6 +323,7 @@
     fn prefers_peer(&self, state: &RequestState) -> bool {
         let doubtful = state.unreachable_cost >= PEER_CONNECT_COST;
         !state.from_peer
+            && state.pin != VersionPin::Unknown
             && (doubtful || self.cut_off(&state.service).is_some())
             && self.has_relay_peers()
     }
@@ -355,9 +369,14 @@
     },
 }
 
-/// Key of the target that answered a request, or that was the last to receive it.
+/// The target that answered a request, or that was the last to receive it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ServedBy(pub(super) u64);
+pub(super) struct ServedBy {
+    /// Its key.
+    pub(super) key: u64,
+    /// The version of its software, if it answered.
+    pub(super) version: Option<VersionKey>,
+}
 
 impl RequestState {
     /// A request that arrived at `arrived` and has not been sent anywhere.
@@ -384,6 +403,8 @@
             connect_cost: 0,
             unreachable_cost: 0,
             disconnect_guard: DisconnectGuard::new(gateway, &outgoing.id, arrived),
+            pin: VersionPin::Free,
+            client_deadline: outgoing.deadline,
             outgoing,
             version_draw: rand::random(),
             counted_under: None,
@@ -409,6 +430,11 @@
         self
     }
 
+    /// Whether the request came from another gateway.
+    pub(super) fn is_from_peer(&self) -> bool {
+        self.from_peer
+    }
+
     /// Counts an attempt at a target that received the request.
     pub(super) fn count_arrival(&mut self) {
         self.arrivals += 1;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,7 +28,7 @@
     /// Poison requests that are sent to no target.
     pub(super) poison_blocked: IntGauge,
     streams_resumed: IntCounter,
-    streams_taken_up: IntCounter,
+    streams_taken_up: IntCounterVec,
     clients_disconnected: IntCounter,
     clients_cut: IntCounterVec,
     /// Bytes of requests and answers buffered for clients.
@@ -131,9 +131,10 @@
                 "latchmount_gateway_streams_resumed_total",
                 "Streams that went on at another target.",
             )?,
-            streams_taken_up: set.counter(
+            streams_taken_up: set.counters(
                 "latchmount_gateway_streams_taken_up_total",
-                "Streams that clients resumed by a new request.",
+                "Streams that clients resumed by a new request, by how it is known which version began them.",
+                &["origin"],
             )?,
             clients_disconnected: set.counter(
                 "latchmount_gateway_clients_left_total",
@@ -326,8 +327,9 @@
         self.streams_resumed.inc();
     }
 
-    pub(super) fn stream_taken_up(&self) {
-        self.streams_taken_up.inc();
+    /// A client resumed a stream by a new request.
+    pub(super) fn stream_taken_up(&self, origin: &str) {
+        self.streams_taken_up.with_label_values(&[origin]).inc();
     }
 
     pub(super) fn client_disconnected(&self) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,8 @@
 mod trace;
 pub mod unknown_headers;
 mod update_receiver;
+pub mod version_history;
+mod version_pin;
 pub mod versions;
 pub mod via_peer;
 
@@ -90,6 +92,7 @@
 
 use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
+use crate::group::stream_origins::{StreamKey, StreamOrigins};
 use crate::poison::PoisonTracker;
 use crate::rollout::tally::Tallies;
 use crate::route_table::RouteTable;
@@ -143,6 +146,14 @@
     poison: Mutex<PoisonTracker>,
     /// Wakes the task that reports changes of `poison` to a member.
     poison_changed: Notify,
+    /// Versions that began the streams of this gateway's clients, and of others that it asked for.
+    streams: Mutex<StreamOrigins>,
+    /// Streams whose origins a member is to be asked for.
+    streams_asked_for: Mutex<Vec<StreamKey>>,
+    /// Wakes the task that asks a member for them.
+    stream_asked_for: Notify,
+    /// Wakes requests that wait for the origin of a stream.
+    stream_told: Notify,
     attempt_sampler: Mutex<Sampler>,
     answer_sampler: Mutex<Sampler>,
     probe_sampler: Mutex<Sampler>,
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -27,6 +27,12 @@
 /// Retry-After if neither this gateway nor its peers reach the targets: about the time between two probes of them.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Retry-After if no member told which version began a stream: another gateway may follow a member that knows it.
+const ORIGIN_UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Retry-After if no target has the version that began a stream: one that crashed takes seconds to start again.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What the gateway knows about when a refused request could be served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryHints {
@@ -74,6 +80,10 @@
     ConnectFailed,
     /// Neither this gateway nor any peer can reach the targets of the service now.
     CutOff,
+    /// The request resumes a stream, and it is not known here which version of the software began it.
+    OriginUnknown,
+    /// The request resumes a stream, and no target has the version of the software that began it.
+    VersionGone,
     /// A target answered that it did not run the request.
     NotRun,
     /// The deadline passed before the request was sent.
@@ -92,7 +102,7 @@
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 24] = [
+    pub const ALL: [Refusal; 26] = [
         Refusal::NoConfiguration,
         Refusal::Stopping,
         Refusal::Stale,
@@ -110,6 +120,8 @@
         Refusal::BackingOff,
         Refusal::ConnectFailed,
         Refusal::CutOff,
+        Refusal::OriginUnknown,
+        Refusal::VersionGone,
         Refusal::NotRun,
         Refusal::TooLate,
         Refusal::AnswerLost,
@@ -139,6 +151,8 @@
             Refusal::BackingOff => "resting",
             Refusal::ConnectFailed => "connect_failed",
             Refusal::CutOff => "cut_off",
+            Refusal::OriginUnknown => "origin_unknown",
+            Refusal::VersionGone => "version_gone",
             Refusal::NotRun => "not_run",
             Refusal::TooLate => "too_late",
             Refusal::AnswerLost => "answer_lost",
@@ -178,6 +192,8 @@
             | Refusal::BackingOff
             | Refusal::ConnectFailed
             | Refusal::CutOff
+            | Refusal::OriginUnknown
+            | Refusal::VersionGone
             | Refusal::NotRun
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -206,6 +222,8 @@
             Refusal::Cold => Some(COLD_RETRY_AFTER),
             Refusal::Full => Some(FULL_RETRY_AFTER),
             Refusal::CutOff => Some(CUT_OFF_RETRY_AFTER),
+            Refusal::OriginUnknown => Some(ORIGIN_UNKNOWN_RETRY_AFTER),
+            Refusal::VersionGone => Some(VERSION_GONE_RETRY_AFTER),
             Refusal::Stopping
             | Refusal::NoRoom
             | Refusal::NoTarget
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -247,6 +247,9 @@
         Err(refusal) => return Relayed::Response(give_up(gateway, relay.state, refusal)),
     };
     gateway.note_version_answer(&relay.state);
+    if first.is_some() {
+        gateway.note_stream_begun(&mut relay.state, &relay.answer.source);
+    }
     trace::answered(gateway, &relay.state, &relay.answer.source, status);
     let Some(first) = first else {
         relay.finish();
--- a/src/gateway/subscriber.rs
+++ b/src/gateway/subscriber.rs
@@ -17,6 +17,8 @@
 use crate::clock::{Instant, SuspendDetector};
 use crate::group::loads::own_loads_interval;
 use crate::group::message::{FromMember, Subscription, ToMember, Update};
+use crate::group::prefix_holders::ReadPosition;
+use crate::group::stream_origins::MAX_PER_GATEWAY_REPORT;
 use crate::level::Level;
 use crate::link::{FrameReceiver, FrameSender, LinkError, LinkTimeouts};
 use crate::sync::{lock, read};
@@ -53,6 +55,7 @@
         suspensions: SuspendDetector::start(),
         last_data: LastData { at: Instant::now(), ran: gateway.run_clock.ran() },
         poison_reported: 0,
+        streams_reported: ReadPosition::default(),
         gateway,
     };
     loop {
@@ -97,6 +100,8 @@
     LoadsDue,
     /// A target crashed under a request, or a suspected request completed without a crash.
     Poison,
+    /// A client resumes a stream whose origin is not known here.
+    OriginsWanted,
 }
 
 /// When the member last sent data.
@@ -122,6 +127,8 @@
     last_data: LastData,
     /// Change number up to which poison requests seen here have been reported to the member.
     poison_reported: u64,
+    /// How far the streams begun here have been reported to the member.
+    streams_reported: ReadPosition,
 }
 
 impl Subscriber {
@@ -229,6 +236,7 @@
         self.suspensions = SuspendDetector::start();
         // The member may just have started, with no reports at all.
         self.poison_reported = 0;
+        self.streams_reported = ReadPosition::default();
         self.report_poison(&mut sender).await?;
         let mut fresh_at = self.gateway.run_clock.ran();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
@@ -251,6 +259,7 @@
                     self.report_loads(&mut sender).await?;
                 }
                 Event::Poison => self.report_poison(&mut sender).await?,
+                Event::OriginsWanted => self.ask_for_origins(&mut sender).await?,
                 Event::Failback(FailbackEvent::CheckDue) => {
                     self.failback.start_check(&self.order, self.query_subscription());
                 }
@@ -284,6 +293,7 @@
                     FromMember::Reply { .. } => return Err(LinkError::Garbled),
                 },
                 () = self.gateway.poison_changed.notified() => Event::Poison,
+                () = self.gateway.stream_asked_for.notified() => Event::OriginsWanted,
                 event = self.failback.next() => Event::Failback(event),
                 result = self.updates.next_fetch() => Event::Fetch(result),
                 () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
@@ -340,12 +350,21 @@
         let (loads, outcomes) = (self.gateway.report_loads(), self.gateway.take_outcomes());
         let prefix_holders = lock(&self.gateway.prefix_holders).take_pending();
         let tallies = self.gateway.take_tallies();
-        let no_events = outcomes.is_empty() && prefix_holders.is_empty() && tallies.is_empty();
+        let now = self.gateway.now();
+        let streams = lock(&self.gateway.streams).next_local(
+            now,
+            &mut self.streams_reported,
+            MAX_PER_GATEWAY_REPORT,
+        );
+        let no_events = outcomes.is_empty()
+            && prefix_holders.is_empty()
+            && tallies.is_empty()
+            && streams.is_empty();
         if loads.is_empty() && no_events && self.reported_idle {
             return Ok(());
         }
         self.reported_idle = loads.is_empty();
-        let frame = ToMember::Loads { loads, outcomes, prefix_holders, tallies };
+        let frame = ToMember::Loads { loads, outcomes, prefix_holders, tallies, streams };
         let sending = sender.send(&frame);
         tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
     }
@@ -366,6 +385,17 @@
         }
     }
 
+    /// Asks the member which versions began the streams that clients resume here.
+    async fn ask_for_origins(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
+        let streams = self.gateway.take_streams_asked_for();
+        if streams.is_empty() {
+            return Ok(());
+        }
+        let frame = ToMember::FindStreams(streams);
+        let sending = sender.send(&frame);
+        tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
+    }
+
     /// Replaces the known members with these and those of the settings.
     fn set_members(&mut self, mut members: Vec<SocketAddr>) {
         members.extend(lock(&self.gateway.seeds).iter());
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -17,6 +17,7 @@
 use crate::directory::{Announcement, TargetState, key};
 use crate::group::evidence::Outcomes;
 use crate::group::loads::LoadKey;
+use crate::group::stream_origins::VersionKey;
 use crate::retry_after::RetryAfter;
 use crate::sync::lock;
 
@@ -48,6 +49,8 @@
     pub(super) key: u64,
     /// Hash of its data hall's name.
     pub(super) hall_key: u64,
+    /// The version of its service's software.
+    pub(super) version: VersionKey,
     /// Whether it may be sent requests.
     availability: Mutex<Availability>,
     /// Its home (hash slot), or [`NO_HOME`].
@@ -83,6 +86,7 @@
         let target = Target {
             key: announcement.key(),
             hall_key: key(&announcement.data_hall),
+            version: VersionKey::of(&announcement.service, &announcement.version),
             availability: Mutex::default(),
             home: AtomicU32::new(NO_HOME),
             unresponsive: AtomicBool::new(false),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -7,9 +7,11 @@
 
 use super::remembered_reports::RememberedReports;
 use super::target::Target;
+use super::version_history::VersionHistory;
 use crate::clock::Instant;
 use crate::directory::{DirectoryDelta, Listed, Moved, TargetState};
 use crate::group::message::{Evacuation, EvacuationsUpdate};
+use crate::group::stream_origins::VersionKey;
 use crate::rollout::route_mix::RolloutMix;
 use crate::rollout::tally::RouteKey;
 use crate::rollout::{RolloutState, RolloutsUpdate, Stage};
@@ -49,6 +51,7 @@
     by_id: HashMap<String, Arc<Target>>,
     by_key: HashMap<u64, Arc<Target>>,
     by_service: HashMap<String, Vec<Arc<Target>>>,
+    versions: VersionHistory,
     /// What targets that are no longer listed reported about themselves.
     remembered: RememberedReports,
 }
@@ -164,6 +167,17 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The version of a service's software, if no other has been listed for `window`.
+    pub(super) fn only_version(
+        &self,
+        now: Duration,
+        service: &str,
+        window: Duration,
+    ) -> Option<VersionKey> {
+        let listed = self.of(service).iter().map(|target| target.version);
+        self.versions.only(now, service, window, listed)
+    }
+
     /// `None` unless the target was given its home within [`NEW_HOME_WINDOW`]; then the home's
     /// previous owner, if that is still listed.
     pub(super) fn former_home_owner(&self, target: &Target) -> Option<Option<&Arc<Target>>> {
@@ -181,6 +195,7 @@
             return false;
         }
         self.revision = delta.revision;
+        self.versions.note_directory(now);
         // In the gateway's first directory no home has changed its owner.
         let initial = self.homes.is_empty();
         if delta.whole {
@@ -237,6 +252,7 @@
             self.remembered.keep(now, target.key, report);
         }
         self.by_key.remove(&target.key);
+        self.versions.note_gone(now, &target.announcement.service, target.version);
         // Requests in flight still hold a reference to the target and must not keep its connections
         // open.
         target.set_state(TargetState::Draining);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -12,6 +12,7 @@
 use super::exchange::RequestState;
 use super::refusal::Refusal;
 use super::target::Target;
+use super::version_pin::{Known, Resumption, VersionPin};
 use crate::clock::Instant;
 use crate::configuration::Route;
 use crate::retry_after::RetryAfter;
@@ -171,17 +172,21 @@
         "elapsed_ms" => millis_since(state.arrived), "left_ms" => millis_left(state));
 }
 
-/// A client resumes a stream by a new request: `began_as` is the id of the request that began it.
+/// A client resumes a stream by a new request.
 pub(super) fn taken_up(
     gateway: &Gateway,
     id: &HeaderValue,
     route: &Route,
-    began_as: Option<&HeaderValue>,
-    last_event: Option<&HeaderValue>,
+    resumption: Resumption<'_>,
+    known: Known,
+    pin: VersionPin,
+    began: Instant,
 ) {
-    gateway.metrics.stream_taken_up();
+    gateway.metrics.stream_taken_up(known.label());
     info!(gateway.log, "client resumes a stream"; "event" => "taken_up", "id" => text(Some(id)),
-        "began_as" => text(began_as), "last_event" => text(last_event), "route" => &route.name);
+        "began_as" => text(resumption.began_as), "last_event" => text(resumption.last_event),
+        "route" => &route.name, "origin" => known.label(), "pin" => ?pin,
+        "took_ms" => millis_since(began), "news_age_ms" => gateway.update_age_ms());
 }
 
 /// A stream was resumed at another target.
--- a/src/gateway/update_receiver.rs
+++ b/src/gateway/update_receiver.rs
@@ -232,6 +232,7 @@
         }
         lock(&self.gateway.prefix_holders).record(self.gateway.now(), &update.prefix_holders);
         self.gateway.receive_poison_reports(&update.poison);
+        self.gateway.receive_origins(&update.streams);
         if let Some(peers) = &update.relay_peers {
             lock(&self.gateway.peer_selection).set_peers(peers.clone());
             info!(self.gateway.log, "told of gateways that serve for this one";
--- /dev/null
+++ b/src/gateway/version_pin.rs
@@ -0,0 +1,213 @@
+//! Keeps streams at the version of the software that began them: what two versions write does not fit together.
+//!
+//! A stream that breaks goes on at a target of the same version only, inside its answer as well as when its client
+//! resumes it by another request, at whichever gateway.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header::HeaderValue;
+
+use super::Gateway;
+use super::attempt::Source;
+use super::exchange::RequestState;
+use super::target::Target;
+use super::trace;
+use crate::clock::Instant;
+use crate::configuration::{Route, RouteKind};
+use crate::group::stream_origins::{ReportedBy, StreamKey, StreamOrigin, VersionKey, left_s};
+use crate::sync::{lock, read};
+
+/// Time after which a member is asked again for the origin of a stream: reports of streams that have just begun reach
+/// all members within two reports of loads.
+const ASK_INTERVAL: Duration = Duration::from_millis(80);
+/// How long members are asked before the origin of a stream counts as unknown.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of streams whose origins wait to be asked for.
+const MAX_PENDING: usize = 256;
+/// Age of the last update up to which the directory is taken to hold every version.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Which targets may run a request, by the version of their software.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum VersionPin {
+    /// Those of any version.
+    Free,
+    /// Those of one version, which began the stream.
+    Only(VersionKey),
+    /// None, since it is not known which version began the stream.
+    Unknown,
+}
+
+impl VersionPin {
+    /// Whether a target may run the request.
+    pub(super) fn allows(self, target: &Target) -> bool {
+        match self {
+            VersionPin::Free => true,
+            VersionPin::Only(version) => target.version == version,
+            VersionPin::Unknown => false,
+        }
+    }
+}
+
+/// How the gateway learned which version began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Known {
+    /// It began the stream itself, or had asked before.
+    Here,
+    /// A member told it.
+    Told,
+    /// No other version has served since the stream can have begun.
+    OnlyVersion,
+    /// It did not.
+    Unknown,
+}
+
+impl Known {
+    /// Name in logs and metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Known::Here => "here",
+            Known::Told => "told",
+            Known::OnlyVersion => "only_version",
+            Known::Unknown => "unknown",
+        }
+    }
+}
+
+/// A client's request that resumes a stream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Resumption<'a> {
+    /// Id of the request that brought the stream's first event, if the client names it.
+    pub(super) began_as: Option<&'a HeaderValue>,
+    /// Id of the last event that the client has.
+    pub(super) last_event: Option<&'a HeaderValue>,
+}
+
+impl Gateway {
+    /// What a client's request says of a stream that it resumes; `None` if it begins one.
+    pub(super) fn resumption<'a>(
+        &self,
+        route: &Route,
+        headers: &'a HeaderMap,
+    ) -> Option<Resumption<'a>> {
+        let names = self.header_names();
+        let (began_as, last_event) =
+            (headers.get(&names.resumes), headers.get(&names.last_event_id));
+        let resumes = began_as.is_some() || last_event.is_some();
+        (route.kind == RouteKind::ResumableStream && resumes)
+            .then_some(Resumption { began_as, last_event })
+    }
+
+    /// Finds the version that began the stream that a request resumes.
+    pub(super) async fn pin_resumed(
+        &self,
+        id: &HeaderValue,
+        route: &Route,
+        team: Option<&str>,
+        resumption: Resumption<'_>,
+    ) -> VersionPin {
+        let began = Instant::now();
+        let stream = resumption.began_as.map(|id| StreamKey::of(team, id.as_bytes()));
+        let (version, known) = match stream {
+            Some(stream) => self.find_origin(stream, route).await,
+            None => self.only_version_or_unknown(route),
+        };
+        let pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
+        trace::taken_up(self, id, route, resumption, known, pin, began);
+        pin
+    }
+
+    /// The version that began a stream, from this gateway's own record, from the members, or because no other version
+    /// served.
+    async fn find_origin(&self, stream: StreamKey, route: &Route) -> (Option<VersionKey>, Known) {
+        let give_up_at = Instant::now() + ASK_TIMEOUT;
+        if let Some(version) = self.known_origin(stream) {
+            return (Some(version), Known::Here);
+        }
+        while Instant::now() < give_up_at {
+            let told = self.stream_told.notified();
+            let mut told = std::pin::pin!(told);
+            told.as_mut().enable();
+            self.ask_for_origin(stream);
+            let asked_again_at = Instant::now() + ASK_INTERVAL;
+            while self.run_clock.before(asked_again_at, told.as_mut()).await.is_some() {
+                if let Some(version) = self.known_origin(stream) {
+                    return (Some(version), Known::Told);
+                }
+                told.set(self.stream_told.notified());
+                told.as_mut().enable();
+            }
+        }
+        self.only_version_or_unknown(route)
+    }
+
+    fn known_origin(&self, stream: StreamKey) -> Option<VersionKey> {
+        let known = lock(&self.streams);
+        known.find(self.now(), stream).map(|origin| origin.version)
+    }
+
+    fn ask_for_origin(&self, stream: StreamKey) {
+        let mut asked = lock(&self.streams_asked_for);
+        if asked.len() < MAX_PENDING && !asked.contains(&stream) {
+            asked.push(stream);
+        }
+        drop(asked);
+        self.stream_asked_for.notify_one();
+    }
+
+    /// Takes the streams whose origins a member is to be asked for.
+    pub(super) fn take_streams_asked_for(&self) -> Vec<StreamKey> {
+        std::mem::take(&mut *lock(&self.streams_asked_for))
+    }
+
+    /// Records the origins that a member told.
+    pub(super) fn receive_origins(&self, origins: &[StreamOrigin]) {
+        if origins.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut known = lock(&self.streams);
+        origins.iter().for_each(|origin| known.record(now, ReportedBy::Remote, *origin));
+        drop(known);
+        self.stream_told.notify_waiters();
+    }
+
+    /// The version of a route's only service, if no other has served since a stream of the route can have begun, as far
+    /// as the members knew within [`FRESH`].
+    fn only_version_or_unknown(&self, route: &Route) -> (Option<VersionKey>, Known) {
+        let fresh = lock(&self.fresh_at).is_some_and(|at| at.elapsed() < FRESH);
+        let version = match route.services.as_slice() {
+            [only] if fresh => {
+                read(&self.targets).only_version(self.now(), &only.service, 2 * route.timeout)
+            }
+            _ => None,
+        };
+        (version, if version.is_some() { Known::OnlyVersion } else { Known::Unknown })
+    }
+
+    /// The service of the route whose version began the stream, if it still has targets of that version.
+    pub(super) fn service_of_pin(&self, route: &Route, pin: VersionPin) -> Option<String> {
+        let targets = read(&self.targets);
+        let serves = |service: &str| targets.of(service).iter().any(|target| pin.allows(target));
+        let weighted = route.services.iter().find(|weighted| serves(&weighted.service));
+        weighted.map(|weighted| weighted.service.clone())
+    }
+
+    /// Records which version began the request's stream. To be called when the first event has arrived and before the
+    /// client gets it.
+    pub(super) fn note_stream_begun(&self, state: &mut RequestState, source: &Source) {
+        if state.route.kind != RouteKind::ResumableStream {
+            return;
+        }
+        let version = source.version();
+        state.pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
+        if let Some(version) = version.filter(|_| !state.is_from_peer()) {
+            let team = state.team.as_ref().map(|team| team.name.as_str());
+            let stream = StreamKey::of(team, state.outgoing.id.as_bytes());
+            let left = state.client_deadline.saturating_duration_since(Instant::now());
+            let origin = StreamOrigin { stream, version, left_s: left_s(left) };
+            lock(&self.streams).record(self.now(), ReportedBy::Local, origin);
+        }
+    }
+}
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether the roll-out allows sending requests to a target, whatever group they belong to.
+    pub(super) fn may_receive(&self, target: &Target) -> bool {
+        self.rollout.is_none_or(|rollout| rollout.stage.may_send(is_new(rollout, target)))
+    }
+
     fn is_new(&self, target: &Target) -> bool {
         self.rollout.is_some_and(|rollout| is_new(rollout, target))
     }
--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -26,6 +26,8 @@
 use crate::gateway::reuse::Reuse;
 use crate::gateway::stall;
 use crate::gateway::trace::{millis_since, text};
+use crate::gateway::version_pin::VersionPin;
+use crate::group::stream_origins::VersionKey;
 use crate::link::{connect_from, set_tcp_timeouts};
 use crate::sync::lock;
 
@@ -41,13 +43,20 @@
 /// An open connection to a peer.
 pub(in crate::gateway) struct PeerConnection {
     peer: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    opened: OpenConnection,
     pool: Arc<PeerConnections>,
 }
 
+/// An open connection, and what the peer answered to the greeting.
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether the peer sends a request only to targets of the version that it names.
+    keeps_software: bool,
+}
+
 /// An idle connection.
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    opened: OpenConnection,
     since: Instant,
 }
 
@@ -85,17 +94,19 @@
     Unreachable,
     /// It refused the request for its own reasons.
     Refused(Refusal),
+    /// It would send the request to targets of any version.
+    EarlierBuild,
     /// The request's deadline passed.
     TooLate,
 }
 
 impl PeerConnections {
-    fn take(&self, peer: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, peer: SocketAddr, reuse: Reuse) -> Option<OpenConnection> {
         let mut pool = lock(&self.0);
         let idle = pool.get_mut(&peer)?;
-        idle.retain(|idle| idle.sender.is_ready() && idle.since.elapsed() < KEEP_IDLE);
+        idle.retain(|idle| idle.opened.sender.is_ready() && idle.since.elapsed() < KEEP_IDLE);
         let newest = idle.pop_if(|newest| reuse.allows(newest.since.elapsed()))?;
-        Some(newest.sender)
+        Some(newest.opened)
     }
 }
 
@@ -107,13 +118,13 @@
 
     /// Keeps the connection for later requests. To be called when the answer has been read to its end.
     pub(in crate::gateway) fn keep(self) {
-        if self.sender.is_closed() {
+        if self.opened.sender.is_closed() {
             return;
         }
         let mut pool = lock(&self.pool.0);
         let idle = pool.entry(self.peer).or_default();
         if idle.len() < MAX_IDLE {
-            idle.push(IdleConnection { sender: self.sender, since: Instant::now() });
+            idle.push(IdleConnection { opened: self.opened, since: Instant::now() });
         }
     }
 }
@@ -146,6 +157,7 @@
             }
             PeerResult::Refused(refusal) => return Offered::Refused(refusal),
             PeerResult::NotTaken(NotTaken::TooLate) => return Offered::NotTaken,
+            PeerResult::NotTaken(NotTaken::EarlierBuild) => {}
             PeerResult::NotTaken(NotTaken::Unreachable) => {
                 lock(&gateway.peer_selection).note_unreachable(gateway.now(), peer);
             }
@@ -175,8 +187,12 @@
         if Instant::now() >= deadline {
             return PeerResult::NotTaken(NotTaken::TooLate);
         }
+        if state.pin != VersionPin::Free && !connection.opened.keeps_software {
+            connection.keep();
+            return PeerResult::NotTaken(NotTaken::EarlierBuild);
+        }
         let request = to_peer(gateway, state);
-        let mut sending = pin!(connection.sender.try_send_request(request));
+        let mut sending = pin!(connection.opened.sender.try_send_request(request));
         let timeout = stall::answer_timeout(&state.route);
         let answered = match gateway.run_clock.within(timeout, deadline, &mut sending).await {
             None if may_try_another(gateway, state) => {
@@ -211,15 +227,15 @@
 /// Takes an idle connection to the peer, or opens one and makes sure that it serves other gateways.
 async fn connect(gateway: &Gateway, peer: SocketAddr, reuse: Reuse) -> Option<PeerConnection> {
     let pool = gateway.peer_connections.clone();
-    if let Some(sender) = pool.take(peer, reuse) {
-        return Some(PeerConnection { peer, sender, pool });
+    if let Some(opened) = pool.take(peer, reuse) {
+        return Some(PeerConnection { peer, opened, pool });
     }
     let opening = open(gateway.settings.source, peer);
-    let sender = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()??;
-    Some(PeerConnection { peer, sender, pool })
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()??;
+    Some(PeerConnection { peer, opened, pool })
 }
 
-async fn open(source: Option<IpAddr>, peer: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+async fn open(source: Option<IpAddr>, peer: SocketAddr) -> Option<OpenConnection> {
     let stream = connect_from(source, peer).await.ok()?;
     set_tcp_timeouts(&stream, ACK_TIMEOUT).ok()?;
     let (mut sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
@@ -231,8 +247,9 @@
     if answer.status() != StatusCode::NO_CONTENT {
         return None;
     }
+    let keeps_software = answer.headers().contains_key(header::KEEPS_SOFTWARE);
     sender.ready().await.ok()?;
-    Some(sender)
+    Some(OpenConnection { sender, keeps_software })
 }
 
 /// Builds the request for a peer.
@@ -248,6 +265,11 @@
             headers.insert(name, value);
         }
     }
+    if let VersionPin::Only(version) = state.pin
+        && let Ok(version) = HeaderValue::from_str(&format!("{version:x}"))
+    {
+        headers.insert(header::ONLY_SOFTWARE, version);
+    }
     request
 }
 
@@ -262,6 +284,7 @@
     if let Some(key) = decode_key(text(head.headers.remove(header::TARGET).as_ref())) {
         state.tried.push(key);
     }
+    let version = VersionKey::from_hex(text(head.headers.remove(header::SOFTWARE).as_ref()));
     if let Some(code) = head.headers.remove(header::REFUSAL) {
         if body.collect().await.is_ok() {
             connection.keep();
@@ -273,7 +296,7 @@
         Err(AttemptError::NotRun) => return PeerResult::Failed(Refusal::NotRun),
         Err(_) => return PeerResult::Failed(Refusal::WrongAnswer),
     }
-    let source = Source::Peer(connection);
+    let source = Source::Peer { connection, version };
     let (status, headers) = (head.status, head.headers);
     PeerResult::Answered(Box::new(Answer { source, status, headers, body }))
 }
--- a/src/gateway/via_peer/mod.rs
+++ b/src/gateway/via_peer/mod.rs
@@ -24,13 +24,23 @@
     pub(super) const SERVICE: HeaderName = HeaderName::from_static("latchmount-via-service");
     /// Keys of the targets that the request was sent to, in hexadecimal, separated by commas.
     pub(super) const TRIED: HeaderName = HeaderName::from_static("latchmount-via-tried");
+    /// Only version of the software at which the request may run, in the form of `SOFTWARE`; absent if any may.
+    pub(super) const ONLY_SOFTWARE: HeaderName =
+        HeaderName::from_static("latchmount-via-only-software");
+    /// In the answer to a greeting: present if the peer obeys `ONLY_SOFTWARE`, which gateways of earlier builds don't.
+    pub(super) const KEEPS_SOFTWARE: HeaderName =
+        HeaderName::from_static("latchmount-via-keeps-software");
     /// In an answer: key of the target that was tried last, in hexadecimal.
     pub(super) const TARGET: HeaderName = HeaderName::from_static("latchmount-via-target");
+    /// In an answer: version of the software of the target that answered, as in [`VersionKey`]; in hexadecimal.
+    ///
+    /// [`VersionKey`]: crate::group::stream_origins::VersionKey
+    pub(super) const SOFTWARE: HeaderName = HeaderName::from_static("latchmount-via-software");
     /// In an answer that does not come from a target: code of the peer's refusal.
     pub(super) const REFUSAL: HeaderName = HeaderName::from_static("latchmount-via-refusal");
 
     /// All headers of requests.
-    pub(super) const OF_REQUESTS: [HeaderName; 3] = [VERSION, SERVICE, TRIED];
+    pub(super) const OF_REQUESTS: [HeaderName; 4] = [VERSION, SERVICE, TRIED, ONLY_SOFTWARE];
 }
 
 /// Whether a refusal concerns only the peer that gave it, so that another one may serve the request.
--- a/src/gateway/via_peer/server.rs
+++ b/src/gateway/via_peer/server.rs
@@ -23,7 +23,9 @@
 use crate::gateway::outgoing::Outgoing;
 use crate::gateway::refusal::{Refusal, RetryHints};
 use crate::gateway::trace::{self, text};
+use crate::gateway::version_pin::VersionPin;
 use crate::gateway::{Gateway, Stage};
+use crate::group::stream_origins::VersionKey;
 use crate::link::set_tcp_timeouts;
 use crate::route_table::{Caller, RouteTable};
 
@@ -55,7 +57,9 @@
         return empty(StatusCode::NOT_FOUND);
     }
     if request.uri().path() == GREETING_PATH {
-        return empty(StatusCode::NO_CONTENT);
+        let mut answer = empty(StatusCode::NO_CONTENT);
+        answer.headers_mut().insert(header::KEEPS_SOFTWARE, HeaderValue::from_static("1"));
+        return answer;
     }
     let _open = gateway.open_request();
     let (head, body) = request.into_parts();
@@ -73,10 +77,14 @@
         response.headers_mut().insert(header::REFUSAL, HeaderValue::from_static(refusal.code()));
     }
     let target = response.extensions().get::<ServedBy>().copied();
-    if let Some(ServedBy(key)) = target
-        && let Ok(key) = HeaderValue::from_str(&encode_key(key))
-    {
-        response.headers_mut().insert(header::TARGET, key);
+    if let Some(ServedBy { key, version }) = target {
+        let version = version.map(|version| format!("{version:x}"));
+        let named = [(header::TARGET, Some(encode_key(key))), (header::SOFTWARE, version)];
+        for (name, value) in named {
+            if let Some(Ok(value)) = value.as_deref().map(HeaderValue::from_str) {
+                response.headers_mut().insert(name, value);
+            }
+        }
     }
     exchange::close_if_leaving(gateway, &mut response);
     response
@@ -117,8 +125,9 @@
     let outgoing =
         Outgoing::from_peer(names, head, &header::OF_REQUESTS, body, &route, id, deadline);
     let origin = Origin::Peer { tried: tried(text(head.headers.get(header::TRIED))) };
-    let state =
+    let mut state =
         RequestState::new(gateway, client_buffer, route, service, outgoing, affinity, arrived);
+    state.pin = pin(head)?;
     Ok(state.routed(&caller, table.version(), origin))
 }
 
@@ -155,6 +164,14 @@
     text(head.headers.get(name)).parse().map_err(|_| Refusal::BadRequest)
 }
 
+/// The versions at which the other gateway lets the request run.
+fn pin(head: &Parts) -> Result<VersionPin, Refusal> {
+    let Some(only) = head.headers.get(header::ONLY_SOFTWARE) else {
+        return Ok(VersionPin::Free);
+    };
+    VersionKey::from_hex(text(Some(only))).map(VersionPin::Only).ok_or(Refusal::BadRequest)
+}
+
 fn tried(keys: &str) -> Vec<u64> {
     keys.split(',').filter_map(decode_key).collect()
 }
--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -11,6 +11,7 @@
 use super::loads::{loads_interval, loads_ttl, member_loads_interval};
 use super::message::{Call, Reply, ToMember};
 use super::prefix_holders::ReadPosition;
+use super::stream_origins::MAX_PER_MEMBER_REPORT;
 use crate::clock::Instant;
 use crate::control::member::Outbox;
 use crate::level::Level;
@@ -114,6 +115,7 @@
 /// attempts, prefix holders, and tallies of roll-outs.
 pub(super) async fn send_loads(shared: Arc<Shared>) {
     let mut position = ReadPosition::default();
+    let mut streams_position = ReadPosition::default();
     loop {
         let busy = lock(&shared.load_totals).busy_targets();
         tokio::time::sleep(member_loads_interval(shared.gateways_alive(), busy)).await;
@@ -123,8 +125,14 @@
             let evidence = lock(&shared.evidence).local(shared.now());
             let prefix_holders =
                 lock(&shared.prefix_holders).next_for_members(shared.now(), &mut position);
+            let streams = lock(&shared.streams).next_local(
+                shared.now(),
+                &mut streams_position,
+                MAX_PER_MEMBER_REPORT,
+            );
             let (from, tallies) = (shared.own_addr, lock(&shared.rollouts).local());
-            let frame = ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies };
+            let frame =
+                ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies, streams };
             shared.broadcast(&frame);
         }
     }
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -9,12 +9,15 @@
 use super::prefix_holders::ReportedBy;
 use super::propagation::ConnectionId;
 use super::relay_peers::RelayPeer;
+use super::stream_origins::{ReportedBy as StreamReportedBy, StreamKey, StreamOrigin};
 use super::update_sender::{BlobReport, UpdateSender};
 use crate::link::{FrameReceiver, FrameSender, LinkError};
 use crate::sync::lock;
 
 /// Queued reports of one gateway about large blobs. A gateway has one large blob on its way at a time.
 const BLOB_REPORTS_LEN: usize = 16;
+/// Queued answers to one gateway about the origins of streams.
+const FOUND_STREAMS_LEN: usize = 16;
 
 /// Serves one gateway until its connection ends.
 pub(super) async fn serve(
@@ -37,15 +40,21 @@
     let orders_propagation_id =
         lock(&shared.orders_propagation).connect(shared.now(), &gateway, evacuations);
     let (blob_reports, queued) = mpsc::channel(BLOB_REPORTS_LEN);
+    let (found_streams, found) = mpsc::channel(FOUND_STREAMS_LEN);
     let receiving = async {
         loop {
             let now = shared.now();
             match receiver.receive().await? {
-                ToMember::Loads { loads, outcomes, prefix_holders, tallies } => {
+                ToMember::Loads { loads, outcomes, prefix_holders, tallies, streams } => {
                     lock(&shared.load_totals).record_gateway(now, &gateway, loads);
                     lock(&shared.evidence).record_gateway(now, &gateway, &outcomes);
                     lock(&shared.prefix_holders).record(now, ReportedBy::Gateway, &prefix_holders);
                     lock(&shared.rollouts).record_gateway(&tallies);
+                    shared.record_streams(StreamReportedBy::Local, &streams);
+                }
+                ToMember::FindStreams(streams) => {
+                    // A full queue drops the answer; the gateway asks again.
+                    let _ = found_streams.try_send(shared.find_streams(&streams));
                 }
                 ToMember::Poison(reports) => shared.record_gateway_poison(&gateway, reports)?,
                 ToMember::ConfigurationInForce(version) => {
@@ -66,7 +75,7 @@
     };
     let mut updates = UpdateSender::new(shared, &subscription, relay_peer.clone(), sender);
     let ended = tokio::select! {
-        ended = updates.run(queued) => ended,
+        ended = updates.run(queued, found) => ended,
         ended = receiving => ended,
     };
     updates.close();
@@ -84,6 +93,22 @@
     ended
 }
 
+impl Shared {
+    /// Records which versions began streams.
+    pub(super) fn record_streams(&self, by: StreamReportedBy, streams: &[StreamOrigin]) {
+        let (now, mut known) = (self.now(), lock(&self.streams));
+        streams.iter().for_each(|origin| known.record(now, by, *origin));
+    }
+
+    /// The origins of those of the streams that are known here.
+    fn find_streams(&self, streams: &[StreamKey]) -> Vec<StreamOrigin> {
+        let (now, known) = (self.now(), lock(&self.streams));
+        let found: Vec<_> = streams.iter().filter_map(|stream| known.find(now, *stream)).collect();
+        self.metrics.streams_asked_for(streams.len(), found.len());
+        found
+    }
+}
+
 /// The gateway as one that sends requests on behalf of others, or has others do so; `None` if it has no address for
 /// other gateways.
 fn relay_peer(subscription: &Subscription) -> Option<RelayPeer> {
--- a/src/group/frames/from_member.rs
+++ b/src/group/frames/from_member.rs
@@ -12,6 +12,7 @@
 use crate::group::message::{EvacuationsUpdate, FromMember, Reply, Update};
 use crate::group::prefix_holders::PrefixHolder;
 use crate::group::relay_peers::RelayPeer;
+use crate::group::stream_origins::StreamOrigin;
 use crate::link::{LinkError, Message};
 use crate::poison::Report;
 use crate::rollout::RolloutsUpdate;
@@ -26,6 +27,8 @@
     pub(super) const UPDATE_FIELDS: u8 = 2;
     /// [`super::RelayPeer`]s for the gateway; a part only if they changed.
     pub(super) const RELAY_PEERS: u8 = 3;
+    /// [`super::StreamOrigin`]s that the gateway asked for; a part only if there are any.
+    pub(super) const STREAMS: u8 = 4;
 }
 
 /// Fields of an [`Update`] that the first build does not have.
@@ -114,6 +117,9 @@
     if let Some(peers) = &update.relay_peers {
         parts::add(&mut bytes, tag::RELAY_PEERS, peers)?;
     }
+    if !update.streams.is_empty() {
+        parts::add(&mut bytes, tag::STREAMS, &update.streams)?;
+    }
     Ok(bytes)
 }
 
@@ -144,5 +150,6 @@
         mixes: added.mixes.into_owned(),
         poison: added.poison.into_owned(),
         relay_peers: parts.get::<Vec<RelayPeer>>(tag::RELAY_PEERS)?,
+        streams: parts.get::<Vec<StreamOrigin>>(tag::STREAMS)?.unwrap_or_default(),
     })
 }
--- a/src/group/frames/to_member.rs
+++ b/src/group/frames/to_member.rs
@@ -14,6 +14,7 @@
 use crate::group::message::{Call, Subscription, ToMember};
 use crate::group::prefix_holders::PrefixHolder;
 use crate::group::relay_peers::RelayPeer;
+use crate::group::stream_origins::StreamOrigin;
 use crate::level::Level;
 use crate::link::{LinkError, Message};
 use crate::raft::Envelope;
@@ -40,6 +41,10 @@
     pub(super) const RELAYS: u8 = 8;
     /// [`super::RelayPeer`]s of a member.
     pub(super) const RELAY_PEERS: u8 = 9;
+    /// [`super::StreamOrigin`]s behind a report of loads; a part only if there are any.
+    pub(super) const STREAMS: u8 = 10;
+    /// Keys of streams whose origins a gateway asks for.
+    pub(super) const FIND_STREAMS: u8 = 11;
 }
 
 /// Fields of [`ToMember::MemberLoads`] that the first build does not have.
@@ -82,7 +87,7 @@
             ToMember::Presence(gateways) => {
                 parts::encode(&base::ToMember::Presence(Cow::Borrowed(gateways)))
             }
-            ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies } => {
+            ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies, streams } => {
                 let loads = Cow::Borrowed(loads);
                 let report = MemberReport {
                     evidence: Cow::Borrowed(evidence),
@@ -90,16 +95,21 @@
                     tallies: Cow::Borrowed(tallies),
                 };
                 let message = base::ToMember::MemberLoads { from: *from, loads };
-                encode_with_part(&message, tag::MEMBER_REPORT, &report)
+                let bytes = encode_with_part(&message, tag::MEMBER_REPORT, &report)?;
+                with_streams(bytes, streams)
             }
-            ToMember::Loads { loads, outcomes, prefix_holders, tallies } => {
+            ToMember::Loads { loads, outcomes, prefix_holders, tallies, streams } => {
                 let report = GatewayReport {
                     outcomes: Cow::Borrowed(outcomes),
                     prefix_holders: Cow::Borrowed(prefix_holders),
                     tallies: Cow::Borrowed(tallies),
                 };
                 let message = base::ToMember::Loads(Cow::Borrowed(loads));
-                encode_with_part(&message, tag::GATEWAY_REPORT, &report)
+                let bytes = encode_with_part(&message, tag::GATEWAY_REPORT, &report)?;
+                with_streams(bytes, streams)
+            }
+            ToMember::FindStreams(streams) => {
+                encode_with_part(&ignored_by_first_build(), tag::FIND_STREAMS, streams)
             }
             ToMember::Poison(reports) => {
                 encode_with_part(&ignored_by_first_build(), tag::POISON, reports)
@@ -163,7 +173,8 @@
                 let (evidence, prefix_holders) =
                     (evidence.into_owned(), prefix_holders.into_owned());
                 let tallies = tallies.into_owned();
-                ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies }
+                let streams = decode_streams(parts)?;
+                ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies, streams }
             }
             base::ToMember::Loads(loads) => {
                 let loads = loads.into_owned();
@@ -173,7 +184,8 @@
                     .unwrap_or_default();
                 let (outcomes, prefix_holders) =
                     (outcomes.into_owned(), prefix_holders.into_owned());
-                ToMember::Loads { loads, outcomes, prefix_holders, tallies: tallies.into_owned() }
+                let (tallies, streams) = (tallies.into_owned(), decode_streams(parts)?);
+                ToMember::Loads { loads, outcomes, prefix_holders, tallies, streams }
             }
             base::ToMember::ConfigurationInForce(version) => {
                 ToMember::ConfigurationInForce(version)
@@ -187,6 +199,17 @@
     }
 }
 
+fn with_streams(mut bytes: Vec<u8>, streams: &[StreamOrigin]) -> Result<Vec<u8>, LinkError> {
+    if !streams.is_empty() {
+        parts::add(&mut bytes, tag::STREAMS, &streams)?;
+    }
+    Ok(bytes)
+}
+
+fn decode_streams(parts: Parts<'_>) -> Result<Vec<StreamOrigin>, LinkError> {
+    Ok(parts.get(tag::STREAMS)?.unwrap_or_default())
+}
+
 /// A message that the first build ignores when a gateway sends it: no blob has this id.
 fn ignored_by_first_build() -> base::ToMember<'static> {
     base::ToMember::BlobFetchFailed(BlobId::NONE)
@@ -216,6 +239,9 @@
     if let Some(reports) = parts.get(tag::POISON)? {
         return Ok(ToMember::Poison(reports));
     }
+    if let Some(streams) = parts.get(tag::FIND_STREAMS)? {
+        return Ok(ToMember::FindStreams(streams));
+    }
     let in_force = parts.get(tag::EVACUATIONS_IN_FORCE)?.map(ToMember::EvacuationsInForce);
     Ok(in_force.unwrap_or(ToMember::BlobFetchFailed(blob)))
 }
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -7,6 +7,7 @@
 
 use super::message::{Call, FromMember, ToMember};
 use super::prefix_holders::ReportedBy;
+use super::stream_origins::ReportedBy as StreamReportedBy;
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, framed};
 use crate::poison::Origin;
@@ -47,7 +48,8 @@
             ToMember::Presence(gateways) => {
                 lock(&shared.presence).record_remote(shared.run_clock.ran(), gateways);
             }
-            ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies } => {
+            ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies, streams } => {
+                shared.record_streams(StreamReportedBy::Remote, &streams);
                 lock(&shared.load_totals).record_member(shared.now(), from, loads);
                 lock(&shared.evidence).record_member(shared.now(), from, evidence);
                 lock(&shared.prefix_holders).record(
@@ -65,6 +67,7 @@
             }
             // Only a gateway sends these, after it has subscribed.
             ToMember::Loads { .. }
+            | ToMember::FindStreams(_)
             | ToMember::Poison(_)
             | ToMember::ConfigurationInForce(_)
             | ToMember::EvacuationsInForce(_)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -12,6 +12,7 @@
 use super::loads::Loads;
 use super::prefix_holders::PrefixHolder;
 use super::relay_peers::RelayPeer;
+use super::stream_origins::{StreamKey, StreamOrigin};
 use crate::blob::BlobId;
 use crate::directory::Announcement;
 use crate::level::Level;
@@ -55,6 +56,8 @@
         prefix_holders: Vec<PrefixHolder>,
         /// Outcomes by version for each roll-out in progress, since it was ordered.
         tallies: Tallies,
+        /// Origins of streams that they reported since the previous message.
+        streams: Vec<StreamOrigin>,
     },
     /// Periodic report of the gateway on this connection.
     Loads {
@@ -66,7 +69,11 @@
         prefix_holders: Vec<PrefixHolder>,
         /// Outcomes by version for each roll-out in progress, since its previous report.
         tallies: Tallies,
+        /// Origins of streams that it began since its previous report.
+        streams: Vec<StreamOrigin>,
     },
+    /// The gateway on this connection asks for the origins of these streams. It is told those that the member knows.
+    FindStreams(Vec<StreamKey>),
     /// Reports of the gateway on this connection about suspected poison requests: requests during which targets ended,
     /// and those of them that a target completed since.
     Poison(Vec<Report>),
@@ -232,6 +239,8 @@
     pub poison: Vec<Report>,
     /// Gateways that send requests on behalf of this one, if they changed; never empty.
     pub relay_peers: Option<Vec<RelayPeer>>,
+    /// Origins of streams that the gateway asked for.
+    pub streams: Vec<StreamOrigin>,
 }
 
 impl Update {
@@ -243,10 +252,13 @@
         prefix_holders.extend(self.prefix_holders);
         let mut poison = earlier.poison;
         poison.extend(self.poison);
+        let mut streams = earlier.streams;
+        streams.extend(self.streams);
         Update {
             blobs,
             prefix_holders,
             poison,
+            streams,
             mixes: if self.mixes.is_empty() { earlier.mixes } else { self.mixes },
             blob_source: self.blob_source.or(earlier.blob_source),
             members: self.members.or(earlier.members),
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -68,6 +68,7 @@
     level: IntGauge,
     level_known: IntGauge,
     gateways_behind: IntGauge,
+    streams_asked_for: IntCounterVec,
     poison_known: IntGauge,
     poison_blocked: IntGauge,
     /// Poison requests dropped because too many were remembered.
@@ -75,6 +76,15 @@
 }
 
 impl MemberMetrics {
+    /// Gateways asked for the origins of `asked` streams, of which `known` are known here.
+    pub(super) fn streams_asked_for(&self, asked: usize, known: usize) {
+        let count = |label: &str, streams: usize| {
+            self.streams_asked_for.with_label_values(&[label]).inc_by(streams as u64);
+        };
+        count("yes", known);
+        count("no", asked - known);
+    }
+
     /// Registers all metrics.
     pub(super) fn new() -> Result<Self, prometheus::Error> {
         let set = MetricSet::default();
@@ -88,6 +98,11 @@
                 "Calls of operators and targets.",
                 &["call", "outcome"],
             )?,
+            streams_asked_for: set.counters(
+                "latchmount_member_streams_asked_for_total",
+                "Streams whose origins gateways asked for, by whether this member knew them.",
+                &["known"],
+            )?,
             refused: set.counters(
                 "latchmount_member_announcements_refused_total",
                 "Announcements that are no target's, by the field that tells so.",
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -34,6 +34,7 @@
 pub mod relay_peers;
 mod rollout;
 pub mod settings;
+pub mod stream_origins;
 mod update_sender;
 mod upgrade;
 
@@ -82,6 +83,7 @@
 use self::relay_peers::RelayPeers;
 use self::rollout::RolloutTracker;
 use self::settings::MemberSettings;
+use self::stream_origins::StreamOrigins;
 use self::upgrade::GatewaysBehind;
 
 /// Timeout of one attempt to call the leader; after it, the leader is looked up again.
@@ -153,6 +155,8 @@
     load_totals: Mutex<LoadTotals>,
     evidence: Mutex<EvidenceTotals>,
     prefix_holders: Mutex<PrefixHolderLog>,
+    /// Versions that began the streams of all gateways.
+    streams: Mutex<StreamOrigins>,
     /// Targets whose heartbeats this member answered and has not yet reported to the leader.
     pending_report: Mutex<PendingReport>,
     batches: Batches,
@@ -238,6 +242,7 @@
             load_totals: Mutex::default(),
             evidence: Mutex::default(),
             prefix_holders: Mutex::default(),
+            streams: Mutex::default(),
             pending_report: Mutex::default(),
             batches: Batches::default(),
             refused_lines: Mutex::default(),
--- a/src/group/prefix_holders.rs
+++ b/src/group/prefix_holders.rs
@@ -58,6 +58,18 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReadPosition(u64);
 
+impl ReadPosition {
+    /// The position after the first `read` of the entries that are left after `dropped` were dropped.
+    pub(super) fn after(dropped: u64, read: usize) -> Self {
+        ReadPosition(dropped + read as u64)
+    }
+
+    /// Number of entries passed, of those that are left after `dropped` were dropped.
+    pub(super) fn passed(self, dropped: u64) -> usize {
+        self.0.saturating_sub(dropped) as usize
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     at: Duration,
@@ -113,7 +125,7 @@
         wanted: fn(ReportedBy) -> bool,
     ) -> Vec<PrefixHolder> {
         self.drop_expired(now);
-        let from = position.0.saturating_sub(self.dropped) as usize;
+        let from = position.passed(self.dropped);
         let mut holders = Vec::new();
         let mut end = from;
         for entry in self.entries.iter().skip(from) {
@@ -125,7 +137,7 @@
                 holders.push(entry.holder);
             }
         }
-        position.0 = self.dropped + end as u64;
+        *position = ReadPosition::after(self.dropped, end);
         holders
     }
 
--- a/src/group/update_sender.rs
+++ b/src/group/update_sender.rs
@@ -19,6 +19,7 @@
 use super::metrics::BlobDelivery;
 use super::pacer::Turn;
 use super::relay_peers::RelayPeer;
+use super::stream_origins::StreamOrigin;
 use crate::blob::BlobId;
 use crate::clock::Instant;
 use crate::control::member::Published;
@@ -88,10 +89,12 @@
         }
     }
 
-    /// Sends updates until the connection ends. `reports` are those of this gateway.
+    /// Sends updates until the connection ends. `reports` are those of this gateway, `streams` the origins that it
+    /// asked for.
     pub(super) async fn run(
         &mut self,
         mut reports: mpsc::Receiver<BlobReport>,
+        mut streams: mpsc::Receiver<Vec<StreamOrigin>>,
     ) -> Result<(), LinkError> {
         let mut published = self.shared.member.published();
         let mut poison = self.shared.poison_updates.subscribe();
@@ -125,6 +128,9 @@
                 changed = published.changed() => changed.map_err(|_| LinkError::Closed)?,
                 changed = poison.changed() => changed.map_err(|_| LinkError::Closed)?,
                 report = reports.recv() => self.handle_report(report.ok_or(LinkError::Closed)?),
+                found = streams.recv() => {
+                    self.send_streams(found.ok_or(LinkError::Closed)?).await?;
+                }
                 turn = granted(&mut self.turn) => self.send_large(turn).await?,
                 turn = granted(&mut self.poison_turn) => self.send_poison(turn).await?,
                 () = upload_freed.notified() => {}
@@ -302,6 +308,15 @@
         self.send(update).await
     }
 
+    /// Sends the origins of streams that the gateway asked for.
+    async fn send_streams(&mut self, streams: Vec<StreamOrigin>) -> Result<(), LinkError> {
+        if streams.is_empty() {
+            return Ok(());
+        }
+        let update = Update { streams, ..self.periodic_update() };
+        self.send(update).await
+    }
+
     async fn send(&mut self, update: Update) -> Result<(), LinkError> {
         self.send_frame(encode(&FromMember::Update(Box::new(update)))?).await
     }
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -30,6 +30,16 @@
     Unknown,
 }
 
+impl Caller {
+    /// Name of the team that the caller belongs to.
+    pub fn team(&self) -> Option<&str> {
+        match self {
+            Caller::Team(team) => Some(&team.name),
+            Caller::Anyone | Caller::Unknown => None,
+        }
+    }
+}
+
 impl RouteTable {
     /// Indexes a configuration that has passed its checks.
     pub fn new(configuration: Configuration) -> Self {
--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -16,6 +16,7 @@
 };
 use latchmount::group::prefix_holders::{PrefixHolder, PromptKey};
 use latchmount::group::relay_peers::RelayPeer;
+use latchmount::group::stream_origins::{StreamKey, StreamOrigin, VersionKey};
 use latchmount::level::Level;
 use latchmount::link::Message;
 use latchmount::poison::{CrashReport, Identity, Report, Reporter, Suspect};
@@ -134,6 +135,12 @@
     Report { suspect, crashes: vec![crash], cleared_ago_ms: Some(3) }
 }
 
+/// The origin of a stream.
+fn stream() -> StreamOrigin {
+    let version = VersionKey::of("s", "v2");
+    StreamOrigin { stream: StreamKey::of(Some("team-a"), b"r-1"), version, left_s: 9 }
+}
+
 fn tallies() -> Tallies {
     let subject = Subject { rollout: 12, route: RouteKey::of("route-a"), side: Side::New };
     let mut tallies = Tallies::default();
@@ -174,6 +181,7 @@
                 evidence,
                 prefix_holders: prefix_holders.clone(),
                 tallies: tallies(),
+                streams: Vec::new(),
             },
         ),
         (
@@ -183,6 +191,7 @@
                 outcomes,
                 prefix_holders,
                 tallies: tallies(),
+                streams: Vec::new(),
             },
         ),
         ("poison", ToMember::Poison(vec![report()])),
@@ -191,6 +200,28 @@
         ("subscribe_starts", ToMember::Subscribe(subscription)),
         ("subscribe_relays", ToMember::Subscribe(relaying)),
         ("relay_peers", ToMember::MemberRelayPeers { from: member, peers: relay_peers }),
+        (
+            "member_streams",
+            ToMember::MemberLoads {
+                from: member,
+                loads: Default::default(),
+                evidence: Vec::new(),
+                prefix_holders: Vec::new(),
+                tallies: Tallies::default(),
+                streams: vec![stream()],
+            },
+        ),
+        (
+            "gateway_streams",
+            ToMember::Loads {
+                loads: Default::default(),
+                outcomes: Vec::new(),
+                prefix_holders: Vec::new(),
+                tallies: Tallies::default(),
+                streams: vec![stream()],
+            },
+        ),
+        ("find_streams", ToMember::FindStreams(vec![stream().stream])),
     ]
 }
 
@@ -216,11 +247,13 @@
         ..Update::default()
     };
     let peer = RelayPeer { addr: ([10, 0, 0, 9], 7420).into(), data_hall: "hall-a".into() };
+    let with_streams = Update { streams: vec![stream()], ..update.clone() };
     let with_relay_peers = Update { relay_peers: Some(vec![peer]), ..update.clone() };
     vec![
         ("reply_taken", FromMember::Reply { id: 6, reply: outcomes }),
         ("update_starts", FromMember::Update(Box::new(update.clone()))),
         ("update_relay_peers", FromMember::Update(Box::new(with_relay_peers))),
+        ("update_streams", FromMember::Update(Box::new(with_streams))),
     ]
 }
 
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -130,3 +130,21 @@
         assert!((4_900..=5_100).contains(&stands_for), "they stand for {stands_for}");
     }
 }
+
+#[test]
+fn a_timeline_of_a_resumed_stream_begins_with_the_request_that_began_it() {
+    let lines = [
+        "level=INFO msg=x host=g1 at_ms=100 event=answered id=r-1 target=t-1",
+        "level=INFO msg=x host=g2 at_ms=900 event=taken_up id=r-3 began_as=r-1 last_event=7",
+        "level=INFO msg=x host=g2 at_ms=950 event=answered id=r-3 target=t-2",
+        "level=INFO msg=x host=g1 at_ms=960 event=answered id=r-4 target=t-2",
+        "level=INFO msg=x host=g1 at_ms=970 event=taken_up id=r-5 began_as=r-5 last_event=1",
+    ];
+    let steps = |id: &str| {
+        let timeline = Timeline::of(id, lines.into_iter());
+        timeline.steps.iter().map(|step| step.at_ms).collect::<Vec<u64>>()
+    };
+    assert_eq!(steps("r-3"), [100, 900, 950]);
+    assert_eq!(steps("r-1"), [100]);
+    assert_eq!(steps("r-5"), [970], "a request that names itself");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,4 +34,5 @@
 mod seeds;
 mod slowdown;
 mod stale_loads;
+mod stream_origins;
 mod versions;
