Gateways log the prompt of a request under which a target ended, and whether events had come

Cause: the log of a probed target named a digest of the request, which tells nothing of the parts that the suspects of several ends share, nor whether the target had begun to answer.

Change: two fields in the line 'probed target after its answer broke off'.

Conclusion: observability only; no decision is changed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -92,6 +92,8 @@
     pub(super) pin: VersionPin,
     /// Until when the client waits for its answer, over all its requests.
     pub(super) client_deadline: Instant,
+    /// When the first event of the current attempt arrived.
+    pub(super) events_since: Option<Instant>,
     /// Fingerprint of the request, computed on first use.
     fingerprint: OnceLock<Fingerprint>,
 }
@@ -390,6 +392,7 @@
         arrived: Instant,
     ) -> Self {
         RequestState {
+            events_since: None,
             max_sends: route.max_attempts,
             route,
             service,
@@ -525,6 +528,7 @@
 ) -> Result<Answer, FailedAttempt> {
     let target = &choice.target;
     state.tried.push(target.key);
+    state.events_since = None;
     gateway.note_cold_request(target);
     let limits = gateway.connection_limits(&state.service);
     let began = Instant::now();
--- a/src/gateway/outgoing.rs
+++ b/src/gateway/outgoing.rs
@@ -117,6 +117,11 @@
         self.body.len()
     }
 
+    /// The headers that are sent to any target.
+    pub(super) fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
     /// What identifies the team's request across attempts.
     pub(super) fn identity<'a>(&'a self, team: Option<&'a str>) -> Identity<'a> {
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -66,6 +66,8 @@
         let (gateway, target) = (self.clone(), target.clone());
         let (id, service) = (state.outgoing.id.clone(), state.service.clone());
         let (fingerprint, suspect) = (state.fingerprint(), state.suspect());
+        let prompt = state.outgoing.headers().get(&self.header_names().prompt).cloned();
+        let had_events = state.events_since.is_some();
         let route = state.route.name.clone();
         let counted_under = state.counted_under.map(|(subject, _)| subject);
         // If the target is shutting down as planned, its end is not caused by a request.
@@ -90,6 +92,7 @@
                 info!(gateway.log, "probed target after its answer broke off"; "event" => "inquest",
                     "request" => text(Some(&id)), "target" => &target.announcement.id,
                     "found" => ?result, "fingerprint" => %fingerprint, "route" => route,
+                    "prompt" => text(prompt.as_ref()), "had_events" => had_events,
                     "service" => service, "leaves" => leaves,
                     "took_ms" => millis_since(began), "stands_for" => stands_for);
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -294,6 +294,7 @@
             match self.next_from_target().await {
                 Ok(events) => {
                     self.begun |= events.is_some();
+                    self.state.events_since = self.state.events_since.or(Some(Instant::now()));
                     return Ok(events);
                 }
                 Err(interrupted) => self.resume(interrupted).await?,
