--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod member_api;
 mod operators;
 mod poison;
+mod poison_parts;
 mod process_pauses;
 mod refusals;
 mod requests;
--- a/tests/fleet/restarting_target.rs
+++ b/tests/fleet/restarting_target.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::standin::{Behaviour, POISON, Standin};
+use crate::standin::{Arrival, Behaviour, POISON, Standin};
 
 /// Time between a crash and the next start.
 const RESTART_DELAY: Duration = Duration::from_millis(1_000);
@@ -61,7 +61,8 @@
         target.behave(Behaviour::Stream(EVENTS));
         crash.notified().await;
         let poison =
-            target.arrivals().iter().filter(|arrival| arrival.body.starts_with(POISON)).count();
+            |arrival: &&Arrival| arrival.body.starts_with(POISON) || arrival.has_poison_part();
+        let poison = target.arrivals().iter().filter(poison).count();
         drop(target);
         {
             let mut counts = counts.lock().expect("not poisoned");
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -382,6 +382,8 @@
 
 /// Start of the body of a poison request: each target with a `crash` notification crashes when it runs it.
 pub const POISON: &[u8] = b"poison";
+/// Id of a prompt part on which each target with a `crash` notification crashes when it begins to answer.
+pub const POISON_PART: &str = "dead";
 /// Events that a target streams of a poison request before it crashes.
 const EVENTS_BEFORE_CRASH: u32 = 3;
 
@@ -463,6 +465,19 @@
     Full::new(Bytes::from(text)).map_err(|never: Infallible| match never {}).boxed()
 }
 
+impl Arrival {
+    /// Whether the prompt has the part on which targets crash.
+    pub fn has_poison_part(&self) -> bool {
+        has_poison_part(&self.headers)
+    }
+}
+
+fn has_poison_part(headers: &HeaderMap) -> bool {
+    let prompt = headers.get("x-prompt-prefix").and_then(|value| value.to_str().ok());
+    let mut parts = prompt.unwrap_or("").split(',');
+    parts.any(|part| part.split(':').next() == Some(POISON_PART))
+}
+
 impl Server {
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, CloseConnection> {
         let (head, body) = request.into_parts();
@@ -486,7 +501,8 @@
                 .expect("a valid response"));
         }
         let behaviour = *self.behaviour.lock().expect("not poisoned");
-        let poison = body.starts_with(POISON);
+        let poison_part = has_poison_part(&head.headers);
+        let poison = body.starts_with(POISON) || poison_part;
         self.arrivals.lock().expect("not poisoned").push(Arrival {
             id: id.clone(),
             method: head.method.to_string(),
@@ -511,7 +527,10 @@
             });
             answer = answer.header("content-type", "text/event-stream");
             return Ok(answer
-                .body(stalled(last_event, last_event + EVENTS_BEFORE_CRASH))
+                .body(stalled(
+                    last_event,
+                    last_event + if poison_part { 0 } else { EVENTS_BEFORE_CRASH },
+                ))
                 .expect("a valid response"));
         }
         let body = match behaviour {
