A part of prompts under which targets end is sent nowhere, whatever else a request holds

Cause: a request was known again by its team, host, path and whole body. Requests that share only a part of their prompt were strangers to each other, so that nothing was counted together. Class of fault: what differs is compared, and what is shared is to blame.

Change: the shared parts of the prompt (all but the last) are suspects of a crash as well, with the request, in the same tracker and reports; a part's fingerprint bears a mark, so that members of earlier builds pass it on unread. Sound parts are told from the bad one by success: an answer that ends well, or a stream that lasts half a second, clears each of its parts at all gateways, and crashes in the next 5 s don't count; a gateway that hears a part suspected and had a success of it tells so. Of what is left, the fewest parts that explain the crashes are blocked, and parts with the same crashes only together, so that a sound part that was beside the bad one at each crash hinders nobody else. A block lasts 60 s from the last crash, then one gateway after the other tries.

Conclusion: why it works: the part that crashes never succeeds and ran under each crash; no other part has both.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -92,6 +92,10 @@
     pub(super) pin: VersionPin,
     /// Until when the client waits for its answer, over all its requests.
     pub(super) client_deadline: Instant,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub(super) parts: Vec<Fingerprint>,
+    /// The poison request or part that blocks it.
+    pub(super) blocked_by: Option<Fingerprint>,
     /// When the first event of the current attempt arrived.
     pub(super) events_since: Option<Instant>,
     /// Fingerprint of the request, computed on first use.
@@ -288,7 +292,8 @@
         if Instant::now() >= state.outgoing.deadline {
             return Err(state.may_have_run.unwrap_or(Refusal::TooLate));
         }
-        if gateway.is_blocked_as_poison(state) {
+        state.blocked_by = gateway.blocked_as_poison(state);
+        if state.blocked_by.is_some() {
             let ran = state.may_have_run.is_some();
             return Err(if ran { Refusal::PoisonAfterSend } else { Refusal::Poison });
         }
@@ -392,6 +397,8 @@
         arrived: Instant,
     ) -> Self {
         RequestState {
+            parts: gateway.shared_parts(&service, outgoing.headers()),
+            blocked_by: None,
             events_since: None,
             max_sends: route.max_attempts,
             route,
@@ -464,6 +471,11 @@
         self.fingerprint.get().copied()
     }
 
+    /// Whether the first event of the current attempt arrived longer ago than `onset`.
+    pub(super) fn outlived_onset(&self, onset: Duration) -> bool {
+        self.events_since.is_some_and(|since| since.elapsed() >= onset)
+    }
+
     /// Notes a failure after which the target may have run the request, at least in part.
     pub(super) fn note_may_have_run(&mut self, refusal: Refusal) {
         self.may_have_run = self.may_have_run.or(Some(refusal));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -93,7 +93,7 @@
 use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
 use crate::group::stream_origins::{StreamKey, StreamOrigins};
-use crate::poison::PoisonTracker;
+use crate::poison::{PoisonTracker, SoundParts};
 use crate::rollout::tally::Tallies;
 use crate::route_table::RouteTable;
 use crate::run_clock::RunClock;
@@ -144,6 +144,8 @@
     last_request: Mutex<Instant>,
     /// Requests during which targets ended (suspected poison requests).
     poison: Mutex<PoisonTracker>,
+    /// Parts of prompts with which requests succeeded here.
+    sound_parts: Mutex<SoundParts>,
     /// Wakes the task that reports changes of `poison` to a member.
     poison_changed: Notify,
     /// Versions that began the streams of this gateway's clients, and of others that it asked for.
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -1,34 +1,71 @@
-//! Poison requests, under which targets crash: what this gateway has observed of them, and whether
-//! a request may be sent.
+//! Poison requests and parts of prompts, under which targets crash: what this gateway has observed of them, and whether a
+//! request may be sent.
 //!
 //! Every request is checked here before each attempt, including retries and resumed streams.
 
+use std::time::Duration;
+
+use http::HeaderMap;
 use slog::info;
 
 use super::Gateway;
 use super::exchange::RequestState;
-use crate::poison::{Origin, Report, Reporter, Suspect, Verdict, log_block_changes};
+use crate::poison::{
+    Fingerprint, FingerprintKind, Origin, PoisonTracker, PromptPart, Report, Reporter, Suspect,
+    Verdict, log_block_changes,
+};
 use crate::sync::lock;
 
+/// Maximum number of a prompt's parts that are checked.
+const MAX_PARTS: usize = 32;
+/// A stream whose target crashes later than this after its first event is not taken to be the cause: a poison request
+/// crashes its target when it begins to answer. One that lasts so long shows that its parts are sound.
+const CRASH_ONSET: Duration = Duration::from_millis(500);
+
 impl Gateway {
-    /// Whether a request must not be sent because targets ended while processing it. A request that
-    /// is let through as a trial is recorded as tried.
-    pub(super) fn is_blocked_as_poison(&self, state: &RequestState) -> bool {
-        if !self.may_be_known_poison(state) {
-            return false;
+    /// Fingerprints of the parts of a request's prompt that other requests may share: all but the last.
+    pub(super) fn shared_parts(&self, service: &str, headers: &HeaderMap) -> Vec<Fingerprint> {
+        self.named_parts(headers)
+            .iter()
+            .map(|id| PromptPart { service, id }.fingerprint())
+            .collect()
+    }
+
+    fn named_parts<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str> {
+        let value = headers.get(&self.header_names().prompt).and_then(|value| value.to_str().ok());
+        let mut parts = self.dialect.prompt(value.unwrap_or(""));
+        parts.pop();
+        parts.truncate(MAX_PARTS);
+        parts.into_iter().map(|part| part.id).collect()
+    }
+
+    /// Whether a request must not be sent because targets crashed while processing it or others with a part of its
+    /// prompt; if so, what is blocked. A request that is let through as a trial is recorded as tried.
+    pub(super) fn blocked_as_poison(&self, state: &RequestState) -> Option<Fingerprint> {
+        let may_be_known = self.may_be_known_poison(state);
+        if !may_be_known && !self.may_hold_known_part(state) {
+            return None;
         }
-        let (now, fingerprint) = (self.now(), state.fingerprint());
+        let (now, gateways) = (self.now(), self.gateways());
+        let request = may_be_known.then(|| state.fingerprint());
         let mut tracker = lock(&self.poison);
-        match tracker.verdict(now, fingerprint, self.gateways()) {
-            Verdict::Blocked => true,
-            Verdict::Trial => {
+        let on_request = request.map_or((Verdict::Free, None), |fingerprint| {
+            (tracker.verdict(now, fingerprint, gateways), request)
+        });
+        let on_parts = tracker.verdict_on_parts(now, &state.parts, gateways);
+        let verdicts = [on_request, on_parts];
+        if let Some((_, blocked)) = verdicts.iter().find(|(one, _)| *one == Verdict::Blocked) {
+            return *blocked;
+        }
+        for (verdict, fingerprint) in verdicts {
+            if let (Verdict::Trial, Some(fingerprint)) = (verdict, fingerprint) {
                 tracker.record_trial(now, fingerprint);
                 info!(self.log, "poison request let through as a trial"; "event" => "poison_trial",
-                    "fingerprint" => %fingerprint, "ends" => tracker.crash_count(fingerprint));
-                false
+                    "fingerprint" => %fingerprint, "kind" => ?fingerprint.kind(),
+                    "ends" => tracker.crash_count(fingerprint));
             }
-            Verdict::Free | Verdict::Watched => false,
         }
+        None
     }
 
     /// Whether a similar request is tracked. A cheap check that does not read the body excludes
@@ -38,21 +75,81 @@
         !tracker.is_empty() && tracker.may_contain(state.identity().quick_hash())
     }
 
-    /// Records that a target ended while processing a request.
-    pub(super) fn record_crash(&self, suspect: Suspect, target: u64) {
-        let by = Reporter::of(&self.settings.host);
-        lock(&self.poison).record_crash(self.now(), suspect, target, by);
+    /// Whether a part of the request's prompt is tracked.
+    fn may_hold_known_part(&self, state: &RequestState) -> bool {
+        let tracker = lock(&self.poison);
+        let known = |part: &Fingerprint| tracker.may_contain(part.part_hash());
+        !tracker.is_empty() && state.parts.iter().any(known)
+    }
+
+    /// The request, and the parts of its prompt, as suspects of the crash of its target. Of a stream that had lasted for
+    /// a while, the parts are not suspected.
+    pub(super) fn suspects(&self, state: &RequestState) -> Vec<Suspect> {
+        let mut suspects = vec![state.suspect()];
+        if !state.outlived_onset(CRASH_ONSET) {
+            let (service, team) = (&state.service, state.team.as_ref());
+            let team = team.map(|team| team.name.as_str());
+            let named = self.named_parts(state.outgoing.headers());
+            let parts = named.into_iter().map(|id| PromptPart { service, id });
+            suspects.extend(parts.map(|part| Suspect::part(&part, team)));
+        }
+        suspects
+    }
+
+    /// Records that a target ended while processing a request, by the suspects that [`Gateway::suspects`] returned.
+    pub(super) fn record_crash(&self, suspects: Vec<Suspect>, target: u64) {
+        let (now, by) = (self.now(), Reporter::of(&self.settings.host));
+        let mut tracker = lock(&self.poison);
+        for suspect in suspects {
+            let fingerprint = suspect.fingerprint;
+            tracker.record_crash(now, suspect, target, by);
+            self.clear_by_earlier_success(&mut tracker, fingerprint);
+        }
+        drop(tracker);
         self.poison_changed.notify_one();
         self.log_poison();
     }
 
-    /// Records that a request was answered completely and successfully, so that it is not the cause
-    /// of targets' ends.
+    /// Clears a part if a request with it succeeded here shortly before the crashes under it. Returns whether it did.
+    fn clear_by_earlier_success(&self, tracker: &mut PoisonTracker, part: Fingerprint) -> bool {
+        if part.kind() == FingerprintKind::Request {
+            return false;
+        }
+        let last = lock(&self.sound_parts).last(&part);
+        last.is_some_and(|at| tracker.record_earlier_success(self.now(), part, at))
+    }
+
+    /// Records that a request was answered completely and successfully, so that neither it nor a part of its prompt is
+    /// the cause of targets' crashes.
     pub(super) fn record_not_poison(&self, state: &RequestState) {
-        if !self.may_be_known_poison(state) {
-            return;
+        if self.may_be_known_poison(state) {
+            self.record_success(state.fingerprint());
         }
-        let cleared = lock(&self.poison).record_success(self.now(), state.fingerprint());
+        self.record_parts_sound(state);
+    }
+
+    /// Records that a stream has lasted so long that no part of its prompt is the cause of targets' crashes. Returns
+    /// whether it has.
+    pub(super) fn record_if_outlived(&self, state: &RequestState) -> bool {
+        let outlived = state.outlived_onset(CRASH_ONSET);
+        if outlived {
+            self.record_parts_sound(state);
+        }
+        outlived
+    }
+
+    fn record_parts_sound(&self, state: &RequestState) {
+        let now = self.now();
+        let mut sound = lock(&self.sound_parts);
+        state.parts.iter().for_each(|part| sound.note(now, *part));
+        drop(sound);
+        if self.may_hold_known_part(state) {
+            state.parts.iter().for_each(|part| self.record_success(*part));
+        }
+    }
+
+    fn record_success(&self, fingerprint: Fingerprint) {
+        let cleared = lock(&self.poison).record_success(self.now(), fingerprint);
         if cleared {
             self.metrics.poison_cleared();
             self.poison_changed.notify_one();
@@ -60,15 +157,22 @@
         }
     }
 
-    /// Applies what other gateways reported.
+    /// Applies what other gateways reported, and clears parts with which requests succeeded here.
     pub(super) fn receive_poison_reports(&self, reports: &[Report]) {
         if reports.is_empty() {
             return;
         }
         let now = self.now();
         let mut tracker = lock(&self.poison);
-        reports.iter().for_each(|report| tracker.apply(now, Origin::Relayed, report.clone()));
+        let mut cleared = false;
+        for report in reports {
+            tracker.apply(now, Origin::Relayed, report.clone());
+            cleared |= self.clear_by_earlier_success(&mut tracker, report.suspect.fingerprint);
+        }
         drop(tracker);
+        if cleared {
+            self.poison_changed.notify_one();
+        }
         self.log_poison();
     }
 
@@ -77,13 +181,13 @@
         lock(&self.poison).local_updates(self.now(), known)
     }
 
-    /// Number of tracked requests, and how many of them are blocked.
+    /// Number of tracked requests and parts, and how many of them are blocked.
     pub(super) fn count_poison(&self) -> (usize, usize) {
         let tracker = lock(&self.poison);
         (tracker.len(), tracker.blocked_len())
     }
 
-    /// Logs which requests became blocked or unblocked, and counts the ones dropped from the
+    /// Logs which requests and parts became blocked or unblocked, and counts the ones dropped from the
     /// tracker.
     fn log_poison(&self) {
         let mut tracker = lock(&self.poison);
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -65,7 +65,7 @@
     pub(super) fn probe(self: &Arc<Self>, state: &RequestState, target: &Arc<Target>) {
         let (gateway, target) = (self.clone(), target.clone());
         let (id, service) = (state.outgoing.id.clone(), state.service.clone());
-        let (fingerprint, suspect) = (state.fingerprint(), state.suspect());
+        let (fingerprint, suspects) = (state.fingerprint(), self.suspects(state));
         let prompt = state.outgoing.headers().get(&self.header_names().prompt).cloned();
         let had_events = state.events_since.is_some();
         let route = state.route.name.clone();
@@ -86,7 +86,7 @@
             }
             let ended = result == ProbeResult::Ended && !leaves;
             if ended && gateway.reaches_another(&target).await {
-                gateway.record_crash(suspect, target.key);
+                gateway.record_crash(suspects, target.key);
             }
             if let Some(stands_for) = lock(&gateway.probe_sampler).sample(gateway.now()) {
                 info!(gateway.log, "probed target after its answer broke off"; "event" => "inquest",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -215,6 +215,8 @@
     splitter: EventSplitter,
     /// Whether any event was forwarded to the client.
     begun: bool,
+    /// Whether the parts of the prompt were recorded as sound.
+    sound: bool,
     /// Whether the client has made the target wait for [`CLIENT_STALL`], which may be why the stream breaks.
     client_stalled: bool,
 }
@@ -240,6 +242,7 @@
         answer,
         splitter: EventSplitter::default(),
         begun: false,
+        sound: false,
         client_stalled: false,
     };
     let first = match relay.next_events().await {
@@ -295,6 +298,7 @@
                 Ok(events) => {
                     self.begun |= events.is_some();
                     self.state.events_since = self.state.events_since.or(Some(Instant::now()));
+                    self.sound = self.sound || self.gateway.record_if_outlived(&self.state);
                     return Ok(events);
                 }
                 Err(interrupted) => self.resume(interrupted).await?,
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -56,6 +56,7 @@
         "version" => state.version, "targets" => gateway.target_count(&state.service),
         "news_age_ms" => gateway.update_age_ms(), "elapsed_ms" => millis_since(state.arrived),
         "fingerprint" => state.known_fingerprint().map(|one| one.to_string()),
+        "blocked_by" => state.blocked_by.map(|one| one.to_string()),
         "rest_left_ms" => backoff_left.map(|left| left.as_millis() as u64),
         "unreachable" => ?gateway.cut_off(&state.service),
         "connection_requests" => state.client_buffer.requests(), "left_ms" => millis_left(state));
--- a/src/poison/identity.rs
+++ b/src/poison/identity.rs
@@ -1,11 +1,12 @@
-//! Identity of a request across its repetitions: the team, the host, the path and the body.
+//! What may crash targets: a request, identified across its repetitions by the team, the host, the path and the body, or
+//! a part of prompts, identified by its service and id.
 
 use std::fmt;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
 
 /// Length of a fingerprint in bytes. It is long enough that nobody can construct a second request with a given
 /// fingerprint, and that no two of a billion requests share one by chance.
@@ -24,7 +25,10 @@
     pub body: &'a [u8],
 }
 
-/// Cryptographic digest of an [`Identity`].
+/// First bytes of the fingerprint of a part of prompts. By chance, one request in four billion has them too.
+const PART_MARK: [u8; 4] = *b"part";
+
+/// Cryptographic digest of an [`Identity`] or of a [`PromptPart`].
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
 
@@ -33,6 +37,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct QuickHash(u64);
 
+/// A part that prompts to a service share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Id of the part.
+    pub id: &'a str,
+}
+
+/// What a fingerprint identifies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FingerprintKind {
+    /// A request.
+    Request,
+    /// A part of prompts.
+    Part,
+}
+
 /// A text is not a valid fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("must be {} hexadecimal digits", 2 * FINGERPRINT_BYTES)]
@@ -67,6 +89,35 @@
     }
 }
 
+impl PromptPart<'_> {
+    /// Computes the fingerprint.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut digest = Sha256::new();
+        for text in [self.service, self.id] {
+            digest.update((text.len() as u64).to_le_bytes());
+            digest.update(text.as_bytes());
+        }
+        let digest = digest.finalize();
+        let mark = PART_MARK.len();
+        Fingerprint(std::array::from_fn(|at| if at < mark { PART_MARK[at] } else { digest[at] }))
+    }
+}
+
+impl Fingerprint {
+    /// What it identifies.
+    pub fn kind(&self) -> FingerprintKind {
+        match self.0.starts_with(&PART_MARK) {
+            true => FingerprintKind::Part,
+            false => FingerprintKind::Request,
+        }
+    }
+
+    /// The hash by which a part is looked up.
+    pub fn part_hash(&self) -> QuickHash {
+        QuickHash(xxh3_64(&self.0))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/src/poison/report.rs
+++ b/src/poison/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Fingerprint, Identity, QuickHash};
+use super::{Fingerprint, Identity, PromptPart, QuickHash};
 
 /// Maximum number of reports in a message. A report has about 100 bytes, so a message takes about 10 ms on a member's
 /// link of 6 Mbit/s.
@@ -31,16 +31,16 @@
     }
 }
 
-/// A request under which a target crashed.
+/// A request under which a target crashed, or a part of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Identifies the request.
+    /// Identifies the request or the part.
     pub fingerprint: Fingerprint,
     /// Compared before the fingerprint, since it is cheaper to compute.
     pub quick_hash: QuickHash,
     /// Team that sends it; `None` where callers need no API key.
     pub team: Option<String>,
-    /// Name of its route, shown to operators.
+    /// Name of the request's route, or the part and its service; shown to operators.
     pub route: String,
 }
 
@@ -57,6 +57,20 @@
     }
 }
 
+impl Suspect {
+    /// Creates a suspect for a part of the prompt of a team's request.
+    pub fn part(part: &PromptPart<'_>, team: Option<&str>) -> Self {
+        let short = |name: &str| name.chars().take(MAX_NAME_CHARS).collect();
+        let fingerprint = part.fingerprint();
+        Suspect {
+            fingerprint,
+            quick_hash: fingerprint.part_hash(),
+            team: team.map(short),
+            route: short(&format!("prompt part {} of {}", part.id, part.service)),
+        }
+    }
+}
+
 /// A crash of a target under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
--- a/src/poison/tracker.rs
+++ b/src/poison/tracker.rs
@@ -1,11 +1,12 @@
 //! Tracks, in one process, the requests during which targets crashed, and decides which of them are blocked.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use super::report::ago_ms;
 use super::{
-    CrashReport, Fingerprint, MAX_REPORTS_PER_MESSAGE, QuickHash, Report, Reporter, Suspect,
+    CrashReport, Fingerprint, FingerprintKind, MAX_REPORTS_PER_MESSAGE, QuickHash, Report,
+    Reporter, Suspect,
 };
 
 /// Maximum number of crashes kept for one request; more give no new information.
@@ -32,6 +33,11 @@
     /// Time after the last crash during which a request is sent to no target. Callers fix their requests, or operators
     /// the targets, within minutes, and the trial afterwards may cost one target per such period.
     pub block_duration: Duration,
+    /// The same for a part of prompts. It is shorter, since a part that is blocked by mistake hinders many requests.
+    pub part_block_duration: Duration,
+    /// Time after a success of a part for which crashes under it do not count: a part that crashes targets never
+    /// succeeds, and a sound one does so again and again.
+    pub part_trust: Duration,
     /// Average time between the trials of two gateways once a block has expired. A report of a crash during the first
     /// trial reaches the other gateways within this time.
     pub trial_interval: Duration,
@@ -50,6 +56,8 @@
             crashes_to_block: 3,
             clears: true,
             block_duration: Duration::from_secs(600),
+            part_block_duration: Duration::from_secs(60),
+            part_trust: Duration::from_secs(5),
             trial_interval: Duration::from_millis(500),
             retention: Duration::from_secs(3_600),
             max_records: 4_096,
@@ -110,10 +118,14 @@
     tried: Option<Duration>,
     /// Whether enough credible crashes were reported that it is not sent, except for trials.
     blocked: bool,
+    /// Other parts that explain the same crashes. Only requests with all of them are blocked.
+    companions: Vec<Fingerprint>,
     /// Number of its last change in [`PoisonTracker::local_changes`].
     local_change: Option<u64>,
     /// Number of its last change in [`PoisonTracker::gateway_changes`].
     gateway_change: Option<u64>,
+    /// Time after a clearing for which crashes do not count.
+    trust: Duration,
 }
 
 /// All tracked requests of one process.
@@ -198,6 +210,26 @@
         self.rule.clears && suspected && self.clear(now, fingerprint)
     }
 
+    /// Records that a tracked part succeeded at `at`, some time before `now`. Returns whether this cleared it.
+    pub fn record_earlier_success(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        at: Duration,
+    ) -> bool {
+        let wanted = |record: &&Record| {
+            let trusted_until = at + record.trust;
+            record.crashes.iter().any(|crash| crash.at <= trusted_until)
+        };
+        let Some(record) = self.records.get(&fingerprint).filter(wanted) else {
+            return false;
+        };
+        let suspect = record.suspect.clone();
+        let cleared_ago_ms = Some(ago_ms(now, at));
+        self.apply(now, Origin::Local, Report { suspect, crashes: Vec::new(), cleared_ago_ms });
+        true
+    }
+
     /// Clears a request: its crashes so far no longer count. Returns whether it was tracked.
     pub fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
         let Some(record) = self.records.get(&fingerprint) else {
@@ -246,11 +278,39 @@
         }
         let position = self.own.map_or(0.0, |own| own.trial_position(fingerprint));
         let spread = self.rule.trial_interval.mul_f64(position * f64::from(gateways));
-        let trial_at = record.last_crash() + self.rule.block_duration + spread;
-        let tried = record.tried.is_some_and(|at| now < at + self.rule.block_duration);
+        let block_duration = match fingerprint.kind() {
+            FingerprintKind::Request => self.rule.block_duration,
+            FingerprintKind::Part => self.rule.part_block_duration,
+        };
+        let trial_at = record.last_crash() + block_duration + spread;
+        let tried = record.tried.is_some_and(|at| now < at + block_duration);
         if now < trial_at || tried { Verdict::Blocked } else { Verdict::Trial }
     }
 
+    /// Whether a request with these parts in its prompt may be sent now, and the part that decides. A part that is blocked
+    /// together with others counts only in requests with all of them.
+    pub fn verdict_on_parts(
+        &self,
+        now: Duration,
+        parts: &[Fingerprint],
+        gateways: u32,
+    ) -> (Verdict, Option<Fingerprint>) {
+        let mut decisive = (Verdict::Free, None);
+        for part in parts {
+            let record = self.records.get(part);
+            let mut companions = record.iter().flat_map(|record| &record.companions);
+            if !companions.all(|companion| parts.contains(companion)) {
+                continue;
+            }
+            match self.verdict(now, *part, gateways) {
+                Verdict::Blocked => return (Verdict::Blocked, Some(*part)),
+                Verdict::Trial => decisive = (Verdict::Trial, Some(*part)),
+                Verdict::Free | Verdict::Watched => {}
+            }
+        }
+        decisive
+    }
+
     /// Records that this process starts a trial. The next one follows only after the request was cleared, or after
     /// [`Rule::block_duration`].
     pub fn record_trial(&mut self, now: Duration, fingerprint: Fingerprint) {
@@ -345,9 +405,11 @@
         if record.crashes.len() < self.rule.crashes_to_block && !record.blocked {
             return;
         }
-        let to_block = self.requests_to_block();
+        let mut to_block = self.requests_to_block();
         for (fingerprint, record) in &mut self.records {
-            let blocked = to_block.contains(fingerprint);
+            let companions = to_block.remove(fingerprint);
+            let blocked = companions.is_some();
+            record.companions = companions.unwrap_or_default();
             if std::mem::replace(&mut record.blocked, blocked) != blocked {
                 let (suspect, crashes) = (record.suspect.clone(), record.crashes.len());
                 self.block_changes.push(BlockChange { suspect, crashes, blocked });
@@ -355,8 +417,8 @@
         }
     }
 
-    /// Requests under which enough targets crashed, by credible reports.
-    fn requests_to_block(&self) -> HashSet<Fingerprint> {
+    /// Requests and parts under which enough targets crashed, by credible reports, with the companions of each part.
+    fn requests_to_block(&self) -> HashMap<Fingerprint, Vec<Fingerprint>> {
         let enough = self
             .records
             .values()
@@ -367,9 +429,35 @@
         candidates.sort_by_key(|record| {
             (record.crashes[self.rule.crashes_to_block - 1].at, record.suspect.fingerprint)
         });
+        let (mut requests, parts): (Vec<&Record>, Vec<&Record>) =
+            candidates.into_iter().partition(|record| record.kind() == FingerprintKind::Request);
         let mut single_reporter: HashMap<Reporter, usize> = HashMap::new();
-        candidates.retain(|record| self.credible(record, &mut single_reporter));
-        candidates.iter().map(|record| record.suspect.fingerprint).collect()
+        requests.retain(|record| self.credible(record, &mut single_reporter));
+        let mut groups = self.parts_that_explain(parts);
+        single_reporter.clear();
+        groups.retain(|group| self.credible(group[0], &mut single_reporter));
+        let requests = requests.iter().map(|record| (record.suspect.fingerprint, Vec::new()));
+        requests.chain(groups.iter().flat_map(|group| with_companions(group))).collect()
+    }
+
+    /// The fewest parts that explain the crashes, as far as a greedy choice finds them: the one with the most crashes
+    /// comes first, and a crash of a target under which a chosen part ran counts for no other. Parts with the same
+    /// crashes are chosen as a group, since it is not known which of them is to blame.
+    fn parts_that_explain<'a>(&self, mut parts: Vec<&'a Record>) -> Vec<Vec<&'a Record>> {
+        let mut explained: HashSet<u64> = HashSet::new();
+        let mut groups = Vec::new();
+        loop {
+            parts.retain(|part| part.unexplained(&explained).len() >= self.rule.crashes_to_block);
+            // Equal numbers are decided by the targets, so that all processes choose alike.
+            let crashes = parts.iter().map(|part| part.unexplained(&explained));
+            let Some(crashes) = crashes.max_by_key(|crashes| (crashes.len(), crashes.clone()))
+            else {
+                return groups;
+            };
+            let alike = |part: &&&Record| part.unexplained(&explained) == crashes;
+            groups.push(parts.iter().filter(alike).copied().collect());
+            explained.extend(crashes);
+        }
     }
 
     /// Whether the crashes count: several gateways reported them, or this process observed enough of them itself, or
@@ -403,8 +491,13 @@
             cleared: None,
             tried: None,
             blocked: false,
+            companions: Vec::new(),
             local_change: None,
             gateway_change: None,
+            trust: match fingerprint.kind() {
+                FingerprintKind::Request => Duration::ZERO,
+                FingerprintKind::Part => self.rule.part_trust,
+            },
         };
         self.records.insert(fingerprint, record);
     }
@@ -459,6 +552,13 @@
     }
 }
 
+/// The parts of a group, each with the others as its companions.
+fn with_companions(group: &[&Record]) -> Vec<(Fingerprint, Vec<Fingerprint>)> {
+    let fingerprints = || group.iter().map(|part| part.suspect.fingerprint);
+    let others = |part| fingerprints().filter(|other| *other != part).collect();
+    fingerprints().map(|part| (part, others(part))).collect()
+}
+
 impl Record {
     /// Applies that the request was cleared at `at`. Returns whether that is new.
     fn clear(&mut self, at: Option<Duration>) -> bool {
@@ -470,14 +570,15 @@
         }
         self.cleared = Some(at);
         self.tried = None;
-        self.crashes.retain(|crash| crash.at > at);
+        let trusted_until = at + self.trust;
+        self.crashes.retain(|crash| crash.at > trusted_until);
         true
     }
 
     /// Adds a crash. Returns whether it is new: not before the last clearing, and of another target than those
     /// recorded.
     fn add(&mut self, crash: Crash) -> bool {
-        if self.cleared.is_some_and(|cleared| crash.at <= cleared) {
+        if self.cleared.is_some_and(|cleared| crash.at <= cleared + self.trust) {
             return false;
         }
         if self.crashes.iter().any(|known| known.target == crash.target) {
@@ -494,6 +595,16 @@
         true
     }
 
+    /// Targets that crashed under it, except for those whose crashes are explained.
+    fn unexplained(&self, explained: &HashSet<u64>) -> BTreeSet<u64> {
+        let targets = self.crashes.iter().map(|crash| crash.target);
+        targets.filter(|target| !explained.contains(target)).collect()
+    }
+
+    fn kind(&self) -> FingerprintKind {
+        self.suspect.fingerprint.kind()
+    }
+
     fn last_crash(&self) -> Duration {
         self.crashes.iter().map(|crash| crash.at).max().unwrap_or_default()
     }
--- a/tests/poison/main.rs
+++ b/tests/poison/main.rs
@@ -4,6 +4,7 @@
 
 mod identity;
 mod model;
+mod parts;
 #[path = "../seeds/seed.rs"]
 mod seeds;
 mod tracker;
