Soak: a part of prompts under which targets end

Cause: the soak's poison requests were one request repeated, so that it could not see a part that ends targets whatever else a request holds (docs/incidents/one-part-of-a-prompt-ends-targets.md).

Change: a test of its own with eight targets and a caller whose requests share one part and nothing else; callers' resumable requests have parts in common with it and with each other. The checks are those of poison requests.

Conclusion: the promise is held by the soak from now on.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::recorder::{Kind, Outcome, Recorder, Seen, ShutdownNotice};
-use crate::target::{EVENTS, SHUTDOWN_HEADER, TARGET_NAME_HEADER, VERSIONS, event};
+use crate::target::{EVENTS, POISON_PART, SHUTDOWN_HEADER, TARGET_NAME_HEADER, VERSIONS, event};
 
 /// Deadline that callers set in their requests.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
@@ -254,6 +254,36 @@
     Ok(())
 }
 
+/// Sends requests with one poison part in their prompts and nothing else in common, at random gateways. Each target ends
+/// that begins to answer one.
+pub async fn send_poison_part(number: usize, gateways: Vec<SocketAddr>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    for attempt in 0.. {
+        let pause = rng.random_range(50..500);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let addr = gateways[rng.random_range(0..gateways.len())];
+        let Some(mut connection) = connect(addr).await else {
+            continue;
+        };
+        let id = format!("part{number}-{attempt}");
+        let prompt = format!("a0:100,{POISON_PART}{number}:50,{attempt:x}:10");
+        let request = Request::post("/resumable/x")
+            .header("host", "h.example")
+            .header("x-request-id", &id)
+            .header("x-credential", "key-a")
+            .header("x-deadline-ms", REQUEST_TIMEOUT.as_millis() as u64)
+            .header("x-prompt-prefix", prompt)
+            .body(Full::new(Bytes::from(format!("body of {id}"))))
+            .expect("a valid request");
+        let exchange = async {
+            let response = connection.send_request(request).await?;
+            response.into_body().collect().await
+        };
+        // The response does not matter: the targets record what the request does.
+        let _ = tokio::time::timeout(REQUEST_TIMEOUT + RESPONSE_GRACE, exchange).await;
+    }
+}
+
 /// Repeats one poison request, which ends each target that runs it, at random gateways.
 pub async fn repeat_poison(number: usize, gateways: Vec<SocketAddr>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -37,6 +37,7 @@
     targets: 4,
     callers: 8,
     poison: 1,
+    poison_parts: 0,
     header_only_shutdowns: true,
     cut_off: false,
     length: Duration::from_secs(8),
@@ -47,6 +48,7 @@
     targets: 24,
     callers: 64,
     poison: 3,
+    poison_parts: 0,
     header_only_shutdowns: true,
     cut_off: false,
     length: Duration::from_secs(25),
@@ -113,6 +115,18 @@
     }
 }
 
+#[tokio::test]
+async fn no_promise_is_broken_while_targets_end_under_a_prompt_part() {
+    let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
+        Some(1) => Size { poison_parts: 2, ..LARGE },
+        _ => Size { targets: 8, poison: 0, poison_parts: 1, ..SMALL },
+    };
+    let first = seeds::seed();
+    for seed in first..first + seeds::env_number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(1) {
+        soak(size, seed, None).await;
+    }
+}
+
 /// Guards against targets that restart while the others refuse connections too, and are taken for warm.
 #[tokio::test]
 async fn a_seed_whose_targets_ended_together_holds() {
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -52,6 +52,8 @@
 
 /// Software versions of the targets; what two versions write does not fit together.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Prefix of the ids of prompt parts on which a target ends when it begins to answer.
+pub const POISON_PART: &str = "dead";
 /// Prefix of the body of a poison request, which ends each target that runs it.
 pub const POISON: &[u8] = b"poison";
 /// Start time that a target's first instance reports, in Unix milliseconds.
@@ -379,8 +381,8 @@
         }
     }
 
-    /// Begins to send a stream and ends the instance shortly after.
-    fn run_poison(self: &Arc<Self>, id: &str, poison: String) -> Response<Body> {
+    /// Begins to send a stream of these many events, and ends the instance shortly after.
+    fn run_poison(self: &Arc<Self>, id: &str, poison: String, events: u32) -> Response<Body> {
         let now = self.recorder.now();
         self.recorder
             .lock()
@@ -398,7 +400,7 @@
         });
         self.head(id)
             .header("content-type", "text/event-stream")
-            .body(stream(0, EVENTS, self.version, Ending::Complete))
+            .body(stream(0, events, self.version, Ending::Open))
             .expect("a valid response")
     }
 
@@ -462,7 +464,12 @@
         self.recorder.lock().arrivals.push(arrival);
         if body.starts_with(POISON) {
             let poison = String::from_utf8_lossy(&body).into_owned();
-            return Ok(self.run_poison(&id, poison));
+            return Ok(self.run_poison(&id, poison, EVENTS));
+        }
+        let prompt = text("x-prompt-prefix");
+        let parts = prompt.split(',').map(|part| part.split(':').next().unwrap_or(""));
+        if let Some(part) = parts.into_iter().find(|part| part.starts_with(POISON_PART)) {
+            return Ok(self.run_poison(&id, part.to_owned(), 0));
         }
         let fault = self.draw_fault();
         if fault == ResponseFault::Rejected {
@@ -509,6 +516,8 @@
     Complete,
     /// Within the next event.
     Truncated,
+    /// Not before its target does.
+    Open,
 }
 
 /// A stream of the events after `last` up to `events`.
@@ -523,5 +532,10 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
         chunk.map(|text| Frame::data(Bytes::from(text)))
     });
-    StreamBody::new(chunks).boxed_unsync()
+    match ending {
+        Ending::Open => {
+            StreamBody::new(chunks.chain(futures_util::stream::pending())).boxed_unsync()
+        }
+        Ending::Complete | Ending::Truncated => StreamBody::new(chunks).boxed_unsync(),
+    }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
-use crate::caller::{Caller, repeat_poison};
+use crate::caller::{Caller, repeat_poison, send_poison_part};
 use crate::harness::{Fleet, call, eventually, this_build};
 use crate::proxy::Network;
 use crate::recorder::Recorder;
@@ -25,6 +25,8 @@
     pub callers: usize,
     /// Number of poison requests, which end each target that runs them and are repeated during the run.
     pub poison: usize,
+    /// Number of poison parts of prompts.
+    pub poison_parts: usize,
     /// Whether every second target that shuts down announces this only in response headers.
     pub header_only_shutdowns: bool,
     /// Whether gateways are cut off from all targets, besides the other faults.
@@ -173,6 +175,11 @@
             let repeater = repeat_poison(number, world.gateway_addrs.clone(), seed);
             world.callers.push(tokio::spawn(repeater));
         }
+        for number in 0..size.poison_parts {
+            let seed = world.rng.random();
+            let sender = send_poison_part(number, world.gateway_addrs.clone(), seed);
+            world.callers.push(tokio::spawn(sender));
+        }
         world
     }
 
