--- /dev/null
+++ b/tests/fleet/crowded.rs
@@ -0,0 +1,59 @@
+//! A gateway that gets most of the clients for a while: its part of the connections to targets is used up, while those of
+//! the other gateways are idle.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::harness::Fleet;
+use crate::member_api::configuration;
+use crate::refusals::ClientRequest;
+use crate::standin::{Behaviour, Standin};
+
+const GATEWAYS: usize = 3;
+const TARGETS: usize = 12;
+/// Connections to a target from all gateways together.
+const MAX_CONNECTIONS: usize = 12;
+/// Requests in progress at a time, more than a gateway's part of the connections and far fewer than all.
+const IN_PROGRESS: usize = 86;
+/// Requests that each client sends, one after the other, each on a connection of its own.
+const PER_CLIENT: usize = 6;
+/// Time in which a target answers.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Share of the requests that must be served at the first attempt.
+const MIN_SHARE: f64 = 0.75;
+
+#[tokio::test]
+async fn a_gateway_that_gets_most_clients_serves_them_over_the_connections_of_the_others() {
+    let fleet = Fleet::start(1, GATEWAYS).await;
+    let mut standins = Vec::new();
+    for number in 0..TARGETS {
+        let standin = Standin::start(&format!("i-{number}"), "s", fleet.api_addrs()).await;
+        standin.behave(Behaviour::Slow(ANSWER_TIME));
+        standins.push(standin);
+    }
+    let mut limited = configuration(1);
+    limited["services"][0]["max-conns"] = MAX_CONNECTIONS.into();
+    fleet.configure(&limited).await;
+    for gateway in 0..GATEWAYS {
+        fleet.wait_for_targets(gateway, TARGETS).await;
+    }
+    let front = fleet.gateway_addr(0);
+    let served = AtomicUsize::new(0);
+    let most_connections = AtomicUsize::new(0);
+    let client = async |client: usize| {
+        for number in 0..PER_CLIENT {
+            let id = format!("c-{client}-{number}");
+            let path = ["/safe/x", "/unsafe/x"][client % 2];
+            let answer = ClientRequest::new(path, &id).send(front).await;
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                served.fetch_add(1, Ordering::Relaxed);
+            }
+            let open = standins.iter().map(Standin::open_connections).max().unwrap_or(0);
+            most_connections.fetch_max(open, Ordering::Relaxed);
+        }
+    };
+    futures_util::future::join_all((0..IN_PROGRESS).map(client)).await;
+    let (served, all) = (served.into_inner(), IN_PROGRESS * PER_CLIENT);
+    assert!(served as f64 >= MIN_SHARE * all as f64, "{served} of {all} requests served");
+    assert!(most_connections.into_inner() <= MAX_CONNECTIONS, "more connections than allowed");
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod brittle;
 mod cold;
+mod crowded;
 mod cut_off;
 mod distribution;
 mod evacuations;
