A gateway whose part of the connections is used up sends through its peers

What callers saw, or would see: while most new connections go to one gateway, about half of the requests that it has read are served at the first attempt; the rest is refused at once.

Cause: each gateway may open an equal part of the connections that a service allows to a target. One gateway with most of the clients has its part of the connections and no way to those of the others, which are idle. Class of fault: a limit divided in equal parts where demand is not equal.

Change: targets to which this gateway may open no further connection are not chosen; where that leaves none, or no room for the request's body, the request is offered to peer gateways as those of gateways that are cut off are, and sent over their parts. No target gets more connections than its service allows.

Conclusion: why it works: the parts add up to the limit, and a peer's part is used by the peer alone. A gateway that does not know its peers yet (the first second after its start) still refuses.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -117,12 +117,14 @@
     ) -> Option<(VersionGroup, Vec<&'a Arc<Target>>)> {
         let (body, max_bytes) = (state.outgoing.body_bytes(), self.max_bodies_per_target());
         let gateways = self.gateways();
+        let max_connections = self.max_connections_to(&state.service);
         let usable = |target: &&Arc<Target>| {
             target.eligibility(now).accepts_work()
                 && state.pin.allows(target)
                 && self.region_allows(state, target)
                 && !state.tried.contains(&target.key)
                 && target.has_room(body, max_bytes)
+                && target.has_connection(max_connections)
                 && target.has_room_if_brittle(now, gateways, &self.settings.host)
                 && cold.is_none_or(|limit| limit.may_send(now, target))
         };
@@ -196,7 +198,10 @@
         let untried = suitable.iter().filter(|target| !state.tried.contains(&target.key));
         let open = untried.clone().filter(|target| target.eligibility(now).accepts_work());
         let (body, max_bytes) = (state.outgoing.body_bytes(), self.max_bodies_per_target());
-        let fitting = open.clone().filter(|target| target.has_room(body, max_bytes));
+        let max_connections = self.max_connections_to(&state.service);
+        let fitting = open.clone().filter(|target| {
+            target.has_room(body, max_bytes) && target.has_connection(max_connections)
+        });
         let gateways = self.gateways();
         if fitting
             .clone()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -301,14 +301,10 @@
             return Err(state.may_have_run.unwrap_or(Refusal::NotRun));
         }
         if !peers_declined && gateway.prefers_peer(state) {
-            match via_peer::client::offer(gateway, state).await {
-                Offered::Answered(answer) => return Ok(*answer),
-                Offered::Failed(failed) => {
-                    after_failure(state, failed)?;
-                    continue;
-                }
-                Offered::Refused(refusal) => return Err(state.may_have_run.unwrap_or(refusal)),
-                Offered::NotTaken => peers_declined = true,
+            match offer_to_peers(gateway, state, &mut peers_declined).await? {
+                Some(answer) => return Ok(answer),
+                None if !peers_declined => continue,
+                None => {}
             }
             if gateway.cut_off(&state.service) == Some(CutOff::Unreachable) {
                 return Err(state.may_have_run.unwrap_or(Refusal::CutOff));
@@ -316,6 +312,13 @@
         }
         let Some(choice) = gateway.choose(state) else {
             let refusal = gateway.why_no_choice(state);
+            // The other gateways have parts of the connections too.
+            if refusal == Refusal::NoRoom && !peers_declined && gateway.may_use_peers(state) {
+                match offer_to_peers(gateway, state, &mut peers_declined).await? {
+                    Some(answer) => return Ok(answer),
+                    None => continue,
+                }
+            }
             return Err(state.may_have_run.unwrap_or(refusal));
         };
         match attempt_at(gateway, state, &choice).await {
@@ -325,14 +328,32 @@
     }
 }
 
+/// Offers the request to peer gateways. `None`: it got no answer and may be tried again; `declined` says whether no peer
+/// took it.
+async fn offer_to_peers(
+    gateway: &Arc<Gateway>,
+    state: &mut RequestState,
+    declined: &mut bool,
+) -> Result<Option<Answer>, Refusal> {
+    match via_peer::client::offer(gateway, state).await {
+        Offered::Answered(answer) => return Ok(Some(*answer)),
+        Offered::Failed(failed) => after_failure(state, failed)?,
+        Offered::Refused(refusal) => return Err(state.may_have_run.unwrap_or(refusal)),
+        Offered::NotTaken => *declined = true,
+    }
+    Ok(None)
+}
+
 impl Gateway {
     /// Whether a request is offered to peer gateways before it is sent from here.
     fn prefers_peer(&self, state: &RequestState) -> bool {
         let doubtful = state.unreachable_cost >= PEER_CONNECT_COST;
-        !state.from_peer
-            && state.pin != VersionPin::Unknown
-            && (doubtful || self.cut_off(&state.service).is_some())
-            && self.has_relay_peers()
+        (doubtful || self.cut_off(&state.service).is_some()) && self.may_use_peers(state)
+    }
+
+    /// Whether a request may be sent through a peer gateway.
+    fn may_use_peers(&self, state: &RequestState) -> bool {
+        !state.from_peer && state.pin != VersionPin::Unknown && self.has_relay_peers()
     }
 }
 
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -63,7 +63,8 @@
     BodyTooLarge,
     /// The body did not arrive in time, or its connection was closed to free memory for other clients.
     BodyTooSlow,
-    /// The memory for clients' requests at this gateway, or for request bodies at every suitable target, is used up.
+    /// The memory for clients' requests at this gateway is used up, or this gateway's part of the connections to every
+    /// suitable target or of the request bodies there.
     NoRoom,
     /// The service has no target that could take the request.
     NoTarget,
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -110,6 +110,11 @@
         target
     }
 
+    /// Whether a request could be sent there over a connection that is idle or may be opened.
+    pub(super) fn has_connection(&self, max_connections: u32) -> bool {
+        self.connections.load(Ordering::Relaxed) < max_connections || !lock(&self.idle).is_empty()
+    }
+
     /// Closes idle connections. Each of them holds a reference to its target.
     fn close_idle(&self) {
         lock(&self.idle).clear();
--- a/tests/fleet/crowded.rs
+++ b/tests/fleet/crowded.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crate::harness::Fleet;
+use crate::harness::{Fleet, eventually, field};
 use crate::member_api::configuration;
 use crate::refusals::ClientRequest;
 use crate::standin::{Behaviour, Standin};
@@ -37,6 +37,13 @@
     for gateway in 0..GATEWAYS {
         fleet.wait_for_targets(gateway, TARGETS).await;
     }
+    let gateway = &fleet.gateways[0];
+    eventually("the gateway knows its peers", async || {
+        let log = gateway.log();
+        let told = log.lines().rev().find(|line| line.contains("event=relay_peers"))?;
+        (field(told, "peers")? == (GATEWAYS - 1).to_string()).then_some(())
+    })
+    .await;
     let front = fleet.gateway_addr(0);
     let served = AtomicUsize::new(0);
     let most_connections = AtomicUsize::new(0);
