Poison parts of prompts in virtual time

Cause: how many targets a poison part costs, and how many sound requests are refused, was known of three processes on the loopback alone.

Change: the model of poison requests has prompts: killers that are a part and differ in all else, and innocent requests with first parts and documents in common. Two tests with the users' limits; the bench compares the ways for parts too, and one in which a success counts for the crashes before it alone.

--- a/benches/poison.rs
+++ b/benches/poison.rs
@@ -17,13 +17,15 @@
 /// Sizes of the bodies whose digests are timed, in bytes.
 const BODIES: [usize; 3] = [1_700, 24_000, 140_000];
 
-fn policies() -> [(&'static str, Policy); 3] {
+fn policies() -> [(&'static str, Policy); 4] {
+    let untrusting = Rule { part_trust: std::time::Duration::ZERO, ..Rule::default() };
     let counted = Rule { clears: false, ..Rule::default() };
     let cleared = Rule::default();
     [
         ("counted", Policy { rule: counted, isolate_suspects: false }),
         ("cleared", Policy { rule: cleared, isolate_suspects: false }),
         ("apart", Policy { rule: cleared, isolate_suspects: true }),
+        ("untrusting", Policy { rule: untrusting, isolate_suspects: false }),
     ]
 }
 
@@ -34,11 +36,21 @@
         for trouble in TROUBLES {
             for (killers, late) in [(0, 0.0), (1, 0.0), (6, 0.0), (1, 0.2)] {
                 let (gateways, targets, rate) = size;
-                let scenario =
-                    Scenario { gateways, targets, killers, rate, trouble, late, seconds: 20 };
-                policies()
-                    .iter()
-                    .for_each(|(name, policy)| compare(scenario, name, *policy, seeds));
+                for parts in [false, true] {
+                    let scenario = Scenario {
+                        gateways,
+                        targets,
+                        killers,
+                        parts,
+                        rate,
+                        trouble,
+                        late,
+                        seconds: 20,
+                    };
+                    policies()
+                        .iter()
+                        .for_each(|(name, policy)| compare(scenario, name, *policy, seeds));
+                }
             }
         }
     }
@@ -48,12 +60,13 @@
     let mut sum = Totals::default();
     (1..=seeds).for_each(|seed| sum.add(Model::simulate(scenario, policy, seed)));
     sum.blocked_after_ms.sort_unstable();
-    let Scenario { gateways, killers, trouble, late, .. } = scenario;
+    let Scenario { gateways, killers, parts, trouble, late, .. } = scenario;
     let each = sum.crashed as f64 / (killers.max(1) as u64 * seeds) as f64;
     let refused = 1_000.0 * sum.refused as f64 / sum.attempts.max(1) as f64;
     println!(
-        "gateways={gateways} trouble={trouble:?} killers={killers} late={late} way={name} \
-        ended_each={each:.2} refused_permille={refused:.3} lost={} last_ms={:?} reports={}",
+        "gateways={gateways} trouble={trouble:?} killers={killers} parts={parts} late={late} way={name} \
+        ended_each={each:.2} late_sends={} refused_permille={refused:.3} lost={} last_ms={:?} reports={}",
+        sum.late_sends,
         sum.lost,
         sum.blocked_after_ms.last(),
         sum.reports
--- a/tests/poison/model.rs
+++ b/tests/poison/model.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use latchmount::poison::{
-    Fingerprint, Identity, Origin, PoisonTracker, Report, Reporter, Rule, Suspect, Verdict,
+    Fingerprint, Identity, Origin, PoisonTracker, PromptPart, Report, Reporter, Rule, SoundParts,
+    Suspect, Verdict,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -13,6 +14,11 @@
 const MEMBERS: usize = 5;
 /// Time from the start of a poison request until its target crashes.
 const CRASH_AFTER_MS: u64 = 70;
+/// Age of a run from which on its parts are not suspected when its target crashes.
+const ONSET_MS: u64 = CRASH_AFTER_MS + 500;
+/// First parts that requests share, and the documents behind them.
+const FIRST_PARTS: u64 = 4;
+const DOCUMENTS: u64 = 200;
 /// Maximum number of targets that a request is sent to before its caller gets an error.
 const MAX_ATTEMPTS: u32 = 2;
 /// Minimum time in which a gateway detects that a connection broke because the target crashed.
@@ -46,6 +52,8 @@
     pub targets: usize,
     /// Number of distinct poison requests (killers); each is repeated until the end.
     pub killers: usize,
+    /// Whether requests have prompts, and a killer is a part of prompts: no two requests with it are alike.
+    pub parts: bool,
     /// Innocent requests per second.
     pub rate: f64,
     pub trouble: Trouble,
@@ -58,6 +66,8 @@
 pub struct Totals {
     /// Targets that a poison request crashed.
     pub crashed: usize,
+    /// Poison requests sent to a target later than 0.5 s after the fifth crash by the same killer.
+    pub late_sends: usize,
     /// Innocent requests sent, and those that were refused as poison.
     pub attempts: usize,
     pub refused: usize,
@@ -73,6 +83,7 @@
     /// Adds the totals of another simulation.
     pub fn add(&mut self, other: Totals) {
         self.crashed += other.crashed;
+        self.late_sends += other.late_sends;
         self.attempts += other.attempts;
         self.refused += other.refused;
         self.lost += other.lost;
@@ -86,6 +97,8 @@
     /// Number of the killer; `None` for an innocent request.
     killer: Option<usize>,
     suspect: Suspect,
+    /// Parts of its prompt that others share.
+    parts: Vec<Suspect>,
     resumable: bool,
     retries_left: u32,
 }
@@ -128,6 +141,8 @@
     gateway: usize,
     target: usize,
     sends: u32,
+    /// When it was last sent.
+    began: u64,
 }
 
 pub struct Model {
@@ -140,6 +155,7 @@
     next: u64,
     gateway_trackers: Vec<PoisonTracker>,
     member_trackers: Vec<PoisonTracker>,
+    sound_parts: Vec<SoundParts>,
     /// Newest change that was sent: by each gateway to its member, by each member to the others, and to each gateway.
     sent_by_gateways: Vec<u64>,
     sent_to_members: Vec<u64>,
@@ -155,6 +171,8 @@
     /// Time of each killer's third crash, and the gateways without delay that block it since.
     third_crashes: HashMap<Fingerprint, (u64, HashSet<usize>)>,
     crash_counts: HashMap<Fingerprint, usize>,
+    /// Time of each killer's fifth crash.
+    fifth_crashes: HashMap<usize, u64>,
     totals: Totals,
 }
 
@@ -163,6 +181,21 @@
     Suspect::new(&identity, identity.fingerprint(), "r")
 }
 
+fn part(id: &str) -> Suspect {
+    Suspect::part(&PromptPart { service: "s", id }, None)
+}
+
+impl Request {
+    /// What crashes targets: the request, or a part of its prompt.
+    fn culprit(&self) -> Fingerprint {
+        self.parts.last().unwrap_or(&self.suspect).fingerprint
+    }
+
+    fn part_fingerprints(&self) -> Vec<Fingerprint> {
+        self.parts.iter().map(|part| part.fingerprint).collect()
+    }
+}
+
 impl Model {
     pub fn simulate(scenario: Scenario, policy: Policy, seed: u64) -> Totals {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -178,6 +211,7 @@
             events: HashMap::new(),
             next: 0,
             gateway_trackers: (0..scenario.gateways).map(tracker).collect(),
+            sound_parts: vec![SoundParts::new(policy.rule.part_trust); scenario.gateways],
             member_trackers: (0..MEMBERS).map(|_| PoisonTracker::new(policy.rule, None)).collect(),
             sent_by_gateways: vec![0; scenario.gateways],
             sent_to_members: vec![0; MEMBERS],
@@ -189,6 +223,7 @@
             runs_at: vec![HashSet::new(); scenario.targets],
             third_crashes: HashMap::new(),
             crash_counts: HashMap::new(),
+            fifth_crashes: HashMap::new(),
             totals: Totals::default(),
         };
         model.process_events();
@@ -206,6 +241,10 @@
             let request = Request {
                 killer: Some(killer),
                 suspect: suspect("k", &format!("poison {killer}")),
+                parts: match self.scenario.parts {
+                    true => vec![part("first 0"), part(&format!("poison {killer}"))],
+                    false => Vec::new(),
+                },
                 resumable: true,
                 retries_left: u32::MAX,
             };
@@ -234,8 +273,17 @@
             true => format!("often {}", self.rng.random_range(0..50)),
             false => format!("once {number}"),
         };
+        let parts = match self.scenario.parts {
+            true => {
+                let first = self.rng.random_range(0..FIRST_PARTS);
+                let document = self.rng.random_range(0..DOCUMENTS);
+                vec![part(&format!("first {first}")), part(&format!("document {document}"))]
+            }
+            false => Vec::new(),
+        };
         let request = Request {
             killer: None,
+            parts,
             suspect: suspect(&format!("t-{}", number % 10), &body),
             resumable: self.rng.random_bool(0.5),
             retries_left: 1,
@@ -253,7 +301,7 @@
                 }
                 let gateway = self.rng.random_range(0..self.scenario.gateways);
                 self.totals.attempts += usize::from(request.killer.is_none());
-                self.send(Run { request, gateway, target: 0, sends: 0 });
+                self.send(Run { request, gateway, target: 0, sends: 0, began: 0 });
             }
             Event::RunEnds { run } => self.finish_run(run),
             Event::TargetStarts { target } => {
@@ -270,8 +318,12 @@
     fn send(&mut self, mut run: Run) {
         let (now, gateways) = (self.clock(), self.scenario.gateways as u32);
         let fingerprint = run.request.suspect.fingerprint;
-        let verdict = self.gateway_trackers[run.gateway].verdict(now, fingerprint, gateways);
-        if matches!(verdict, Verdict::Blocked | Verdict::Trial) {
+        let tracker = &self.gateway_trackers[run.gateway];
+        let verdict = tracker.verdict(now, fingerprint, gateways);
+        let parts = run.request.part_fingerprints();
+        let (on_parts, _) = tracker.verdict_on_parts(now, &parts, gateways);
+        let refuses = |verdict| matches!(verdict, Verdict::Blocked | Verdict::Trial);
+        if refuses(verdict) || refuses(on_parts) {
             self.totals.refused += usize::from(run.request.killer.is_none());
             return self.retry_later(run.request);
         }
@@ -280,6 +332,9 @@
         };
         run.target = target;
         run.sends += 1;
+        run.began = self.now;
+        let fifth = run.request.killer.and_then(|killer| self.fifth_crashes.get(&killer));
+        self.totals.late_sends += usize::from(fifth.is_some_and(|at| self.now > at + 500));
         let lasts = match run.request.killer {
             Some(_) => CRASH_AFTER_MS,
             None => 50 + (-self.rng.random::<f64>().max(1e-9).ln() * 500.0) as u64,
@@ -313,7 +368,12 @@
         self.runs.remove(&id);
         self.runs_at[run.target].remove(&id);
         let now = self.clock();
-        self.gateway_trackers[run.gateway].record_success(now, run.request.suspect.fingerprint);
+        let tracker = &mut self.gateway_trackers[run.gateway];
+        tracker.record_success(now, run.request.suspect.fingerprint);
+        for part in run.request.part_fingerprints() {
+            self.sound_parts[run.gateway].note(now, part);
+            tracker.record_success(now, part);
+        }
         self.report_to_member(run.gateway);
     }
 
@@ -325,12 +385,15 @@
         for id in std::mem::take(&mut self.runs_at[target]) {
             let run = self.runs.remove(&id).expect("a run at a target is known");
             self.totals.lost += usize::from(poison && run.request.killer.is_none());
-            if run.request.killer.is_some() {
-                let crashes = self.crash_counts.entry(run.request.suspect.fingerprint).or_default();
+            if let Some(killer) = run.request.killer {
+                let culprit = run.request.culprit();
+                let crashes = self.crash_counts.entry(culprit).or_default();
                 *crashes += 1;
                 if *crashes == 3 {
-                    let third_crash = (self.now, HashSet::new());
-                    self.third_crashes.insert(run.request.suspect.fingerprint, third_crash);
+                    self.third_crashes.insert(culprit, (self.now, HashSet::new()));
+                }
+                if *crashes == 5 {
+                    self.fifth_crashes.insert(killer, self.now);
                 }
             }
             let detection = MIN_DETECTION_MS + self.rng.random_range(0..4);
@@ -344,6 +407,12 @@
         let by = Reporter::of(&format!("g-{gateway}"));
         let now = self.clock();
         self.gateway_trackers[gateway].record_crash(now, run.request.suspect.clone(), key, by);
+        if self.now < run.began + ONSET_MS {
+            for part in &run.request.parts {
+                self.gateway_trackers[gateway].record_crash(now, part.clone(), key, by);
+                self.clear_by_earlier_success(gateway, part.fingerprint);
+            }
+        }
         self.record_blocked(gateway);
         self.report_to_member(gateway);
         if run.request.resumable && run.sends < MAX_ATTEMPTS {
@@ -352,6 +421,13 @@
         self.retry_later(run.request);
     }
 
+    fn clear_by_earlier_success(&mut self, gateway: usize, part: Fingerprint) {
+        let now = self.clock();
+        if let Some(at) = self.sound_parts[gateway].last(&part) {
+            self.gateway_trackers[gateway].record_earlier_success(now, part, at);
+        }
+    }
+
     /// The caller repeats the request: a killer always, an innocent one once.
     fn retry_later(&mut self, mut request: Request) {
         let pause = match request.killer {
@@ -360,6 +436,9 @@
             None => 20,
         };
         request.retries_left -= 1;
+        if request.killer.is_some() && self.scenario.parts {
+            request.suspect = suspect("k", &format!("poison {} {}", request.culprit(), self.next));
+        }
         self.schedule(pause, Event::RequestArrives { request });
     }
 
@@ -387,9 +466,12 @@
         match to {
             Node::Gateway(gateway) => {
                 for report in reports {
+                    let fingerprint = report.suspect.fingerprint;
                     self.gateway_trackers[gateway].apply(now, Origin::Relayed, report);
+                    self.clear_by_earlier_success(gateway, fingerprint);
                 }
                 self.record_blocked(gateway);
+                self.report_to_member(gateway);
             }
             Node::Member(member) => {
                 let origin = match from {
--- a/tests/poison/ways.rs
+++ b/tests/poison/ways.rs
@@ -19,7 +19,35 @@
 
 fn scenario(killers: usize, trouble: Trouble) -> Scenario {
     let (gateways, targets, rate) = (8, 18, 300.0);
-    Scenario { gateways, targets, killers, rate, trouble, late: 0.0, seconds: 20 }
+    let (parts, late, seconds) = (false, 0.0, 20);
+    Scenario { gateways, targets, killers, parts, rate, trouble, late, seconds }
+}
+
+/// The same with prompts, in which the killers are parts.
+fn part_scenario(killers: usize, trouble: Trouble) -> Scenario {
+    Scenario { parts: true, ..scenario(killers, trouble) }
+}
+
+/// The users' limits: sends after five targets have crashed under a part, and sound requests refused.
+#[test]
+fn a_poison_part_is_hardly_sent_after_five_crashes_whatever_else_crashes() {
+    let troubles = [Trouble::None, Trouble::Crash, Trouble::HallLost, Trouble::Flapping];
+    for (killers, trouble) in [1, 6].into_iter().flat_map(|n| troubles.map(|t| (n, t))) {
+        let totals = simulate(part_scenario(killers, trouble));
+        let (late, plays) = (totals.late_sends, killers * SEEDS as usize);
+        assert!(late <= 3 * plays, "{killers} parts, {trouble:?}: {late} late sends in {plays}");
+        assert!(totals.refused * 100 <= totals.attempts, "{killers}, {trouble:?}: {totals:?}");
+    }
+}
+
+#[test]
+fn crashes_alone_have_under_one_request_with_sound_parts_in_a_thousand_refused() {
+    let troubles =
+        [Trouble::None, Trouble::Crash, Trouble::HallLost, Trouble::Flapping, Trouble::Rolling];
+    for trouble in troubles {
+        let totals = simulate(part_scenario(0, trouble));
+        assert!(totals.refused * 1_000 < totals.attempts, "{trouble:?} {totals:?}");
+    }
 }
 
 #[test]
