Streams of clients that name no origin go on by their request

What callers saw, or would see: clients that send Last-Event-Id without naming the request that began their stream were refused as origin_unknown after a second version had come.

Cause: looked such streams up by nothing; clients of earlier contracts don't name their origin.

Change: a stream is recorded under its request's id and under the request itself (team, host, path, body), which such a client sends again. Where one request began streams at two versions, its origin is ambiguous, everywhere, and only a client that names the id goes on.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -167,7 +167,12 @@
     let deadline = arrived + timeout.min(route.timeout);
     let body = read_body(gateway, client_buffer, body, limits.max_body_bytes, deadline).await?;
     let pin = match gateway.resumption(&route, &head.headers) {
-        Some(resumption) => gateway.pin_resumed(&id, &route, caller.team(), resumption).await,
+        Some(resumption) => {
+            let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+            let host = text(head.headers.get(HOST));
+            let identity = Identity { team: caller.team(), host, path, body: &body };
+            gateway.pin_resumed(&id, &route, &identity, resumption).await
+        }
         None => VersionPin::Free,
     };
     let service = match pin {
--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -16,6 +16,7 @@
 use crate::clock::Instant;
 use crate::configuration::{Route, RouteKind};
 use crate::group::stream_origins::{ReportedBy, StreamKey, StreamOrigin, VersionKey, left_s};
+use crate::poison::Identity;
 use crate::sync::{lock, read};
 
 /// Time after which a member is asked again for the origin of a stream: reports of streams that have just begun reach
@@ -104,15 +105,14 @@
         &self,
         id: &HeaderValue,
         route: &Route,
-        team: Option<&str>,
+        identity: &Identity<'_>,
         resumption: Resumption<'_>,
     ) -> VersionPin {
         let began = Instant::now();
-        let stream = resumption.began_as.map(|id| StreamKey::of(team, id.as_bytes()));
-        let (version, known) = match stream {
-            Some(stream) => self.find_origin(stream, route).await,
-            None => self.only_version_or_unknown(route),
-        };
+        let named = resumption.began_as.map(|id| StreamKey::of(identity.team, id.as_bytes()));
+        let stream = named.unwrap_or_else(|| StreamKey::of_request(identity));
+        let (version, known) = self.find_origin(stream, route).await;
+        let version = version.filter(|version| *version != VersionKey::AMBIGUOUS);
         let pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
         trace::taken_up(self, id, route, resumption, known, pin, began);
         pin
@@ -203,11 +203,15 @@
         let version = source.version();
         state.pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
         if let Some(version) = version.filter(|_| !state.is_from_peer()) {
-            let team = state.team.as_ref().map(|team| team.name.as_str());
-            let stream = StreamKey::of(team, state.outgoing.id.as_bytes());
+            let identity = state.identity();
+            let by_id = StreamKey::of(identity.team, state.outgoing.id.as_bytes());
             let left = state.client_deadline.saturating_duration_since(Instant::now());
-            let origin = StreamOrigin { stream, version, left_s: left_s(left) };
-            lock(&self.streams).record(self.now(), ReportedBy::Local, origin);
+            let (now, left_s) = (self.now(), left_s(left));
+            let mut streams = lock(&self.streams);
+            for stream in [by_id, StreamKey::of_request(&identity)] {
+                let origin = StreamOrigin { stream, version, left_s };
+                streams.record(now, ReportedBy::Local, origin);
+            }
         }
     }
 }
--- a/src/group/stream_origins.rs
+++ b/src/group/stream_origins.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use super::prefix_holders::ReadPosition;
+use crate::poison::Identity;
 
 /// Bits of a stream's hash that are sent: among 70,000 open streams, two share them in one of 100,000 fleets.
 const STREAM_BITS: u32 = 48;
@@ -35,7 +36,19 @@
     /// The key of the stream that the team's request with this id began. `None`: callers need no API key.
     pub fn of(team: Option<&str>, request_id: &[u8]) -> Self {
         let team = team.unwrap_or("");
-        StreamKey(hash([team.as_bytes(), request_id]) >> (u64::BITS - STREAM_BITS))
+        StreamKey::from_hash(hash([team.as_bytes(), request_id]))
+    }
+
+    /// The key of the streams of a request that is the same in team, host, path and body. A client that does not name the
+    /// request that began its stream sends the same request again.
+    pub fn of_request(identity: &Identity<'_>) -> Self {
+        let Identity { team, host, path, body } = identity;
+        let team = team.unwrap_or("");
+        StreamKey::from_hash(hash([team.as_bytes(), host.as_bytes(), path.as_bytes(), body]))
+    }
+
+    fn from_hash(hash: u64) -> Self {
+        StreamKey(hash >> (u64::BITS - STREAM_BITS))
     }
 }
 
@@ -44,9 +57,13 @@
 pub struct VersionKey(u32);
 
 impl VersionKey {
+    /// Stands for several versions, each of which began a stream with the same key.
+    pub const AMBIGUOUS: VersionKey = VersionKey(0);
+
     /// The key of a version of a service's software.
     pub fn of(service: &str, version: &str) -> Self {
-        VersionKey((hash([service.as_bytes(), version.as_bytes()]) >> VERSION_BITS) as u32)
+        let hash = (hash([service.as_bytes(), version.as_bytes()]) >> VERSION_BITS) as u32;
+        VersionKey(hash.max(1))
     }
 
     /// The key that [`fmt::LowerHex`] wrote.
@@ -110,13 +127,16 @@
 }
 
 impl StreamOrigins {
-    /// Records an origin. The first report of a stream counts.
+    /// Records an origin. Reports of several versions make it ambiguous.
     pub fn record(&mut self, now: Duration, by: ReportedBy, origin: StreamOrigin) {
         self.drop_expired(now);
         let until = now + Duration::from_secs(origin.left_s.into()).min(MAX_RETENTION);
-        let entry = Entry { version: origin.version, by, until };
-        if self.find(now, origin.stream).is_some() {
-            return;
+        let mut entry = Entry { version: origin.version, by, until };
+        if let Some(known) = self.find(now, origin.stream) {
+            if known.version == origin.version || known.version == VersionKey::AMBIGUOUS {
+                return;
+            }
+            entry.version = VersionKey::AMBIGUOUS;
         }
         self.entries.insert(origin.stream, entry);
         self.order.push_back((origin.stream, until));
--- a/tests/fleet/stream_versions.rs
+++ b/tests/fleet/stream_versions.rs
@@ -76,13 +76,18 @@
 
 /// Begins a stream, and leaves after its first events.
 async fn begin(front: SocketAddr, id: &str) -> Interrupted {
+    begin_with(front, id, "body").await
+}
+
+async fn begin_with(front: SocketAddr, id: &str, body: &str) -> Interrupted {
     let client = reqwest::Client::new();
     let request = client
         .post(format!("http://{front}/resumable/x"))
         .header("host", "h.example")
         .header("x-request-id", id)
         .header("x-credential", "key-a")
-        .header("x-deadline-ms", "20000");
+        .header("x-deadline-ms", "20000")
+        .body(body.to_owned());
     let response = request.send().await.expect("a head");
     let stamp = response.headers()["x-server-stamp"].to_str().expect("text").to_owned();
     let mut received = Vec::new();
@@ -182,6 +187,45 @@
     assert!(versions.versions_reached().is_empty());
 }
 
+/// Clients of earlier contracts don't name the request that began their stream, but send the same one again.
+#[tokio::test]
+async fn a_stream_of_a_client_that_does_not_name_it_goes_on_only_at_its_version() {
+    let versions = TwoVersions::start(3, 2).await;
+    let (first, second) = (versions.fleet.gateway_addr(0), versions.fleet.gateway_addr(1));
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(begin_with(first, &format!("u-{number}"), &format!("body {number}")).await);
+    }
+    versions.behave(Behaviour::Stream(RESUMED_EVENTS));
+    for (number, stream) in streams.iter().enumerate() {
+        let last_event = stream.last_event.to_string();
+        let answer = eventually("the stream goes on", async || {
+            let id = format!("u-{number}-{}", rand::random::<u32>());
+            let request =
+                ClientRequest::new("/resumable/x", &id).with("last-event-id", &last_event);
+            let request = ClientRequest { body: format!("body {number}").into_bytes(), ..request };
+            request.send(second).await.ok().filter(|answer| answer.status == 200)
+        })
+        .await;
+        let stamp = answer.header("x-server-stamp").expect("a stamp");
+        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
+    }
+}
+
+#[tokio::test]
+async fn a_stream_whose_request_began_streams_at_two_versions_must_be_named() {
+    let versions = TwoVersions::start(1, 1).await;
+    let front = versions.fleet.gateway_addr(0);
+    let streams = begin_all(front).await;
+    let unnamed = ClientRequest::new("/resumable/x", "a-1").with("last-event-id", "3");
+    let answer = unnamed.send(front).await.expect("an answer");
+    assert_eq!((answer.status, error_code(&answer).as_str()), (503, "origin_unknown"));
+    versions.behave(Behaviour::Stream(RESUMED_EVENTS));
+    let answer = resume(front, &streams[0]).await;
+    let stamp = answer.header("x-server-stamp").expect("a stamp");
+    assert_eq!(version(stamp), streams[0].version);
+}
+
 #[tokio::test]
 async fn a_stream_whose_version_has_left_is_refused_and_reaches_no_target() {
     let mut versions = TwoVersions::start(1, 1).await;
--- a/tests/gateway/stream_origins.rs
+++ b/tests/gateway/stream_origins.rs
@@ -74,6 +74,28 @@
     }
 }
 
+#[test]
+fn reports_of_two_versions_make_an_origin_ambiguous_everywhere() {
+    let with = |version| StreamOrigin { version, ..origin(1, 10) };
+    let (v1, v2) = (VersionKey::of("s", "v1"), VersionKey::of("s", "v2"));
+    let version = |origins: &StreamOrigins| origins.find(ms(9), stream(1)).map(|one| one.version);
+    let (mut origins, mut position) = (StreamOrigins::default(), ReadPosition::default());
+    origins.record(ms(1), ReportedBy::Local, with(v1));
+    origins.record(ms(2), ReportedBy::Local, with(v1));
+    assert_eq!(version(&origins), Some(v1));
+    let first = origins.next_local(ms(3), &mut position, MAX_PER_GATEWAY_REPORT);
+    origins.record(ms(4), ReportedBy::Local, with(v2));
+    assert_eq!(version(&origins), Some(VersionKey::AMBIGUOUS));
+    let second = origins.next_local(ms(5), &mut position, MAX_PER_GATEWAY_REPORT);
+    let mut other = StreamOrigins::default();
+    for origin in first.iter().chain(&second) {
+        other.record(ms(6), ReportedBy::Remote, *origin);
+    }
+    assert_eq!(version(&other), Some(VersionKey::AMBIGUOUS));
+    other.record(ms(7), ReportedBy::Local, with(v1));
+    assert_eq!(version(&other), Some(VersionKey::AMBIGUOUS));
+}
+
 #[test]
 fn a_new_reader_gets_all_live_origins_in_messages_of_bounded_size() {
     let mut origins = StreamOrigins::default();
