Tests: answers that end with their connection alone

Change: a target on plain sockets; whole answers and streams, resets, and streams that stop within an event.

Conclusion: held by tests from now on.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! play clients, targets and operators, and use the platform's dialect.
 
 mod brittle;
+mod close_delimited;
 mod cold;
 mod crowded;
 mod cut_off;
