Origins of streams: room for two records of each stream

Cause: with two records a stream, a member's report and its table had room for half as many streams.

--- a/src/group/stream_origins.rs
+++ b/src/group/stream_origins.rs
@@ -22,9 +22,9 @@
 /// Maximum number of streams in a report of a gateway, some 14 bytes each.
 pub const MAX_PER_GATEWAY_REPORT: usize = 128;
 /// Maximum number of streams in a report of a member, which passes on those of all its gateways.
-pub const MAX_PER_MEMBER_REPORT: usize = 2_048;
-/// Maximum number of streams that are retained, some 60 bytes each.
-const MAX_RETAINED: usize = 131_072;
+pub const MAX_PER_MEMBER_REPORT: usize = 8_192;
+/// Maximum number of origins that are retained, some 60 bytes each.
+const MAX_RETAINED: usize = 262_144;
 /// Longest time for which a stream's origin is retained, whatever its client's deadline is.
 const MAX_RETENTION: Duration = Duration::from_secs(300);
 
