Sound parts that ran beside a poison request are not blocked with it

What callers saw, or would see: where one request ended three targets, sound requests with parts that ran under the same three ends were refused as well: 26 of 246 in the soak.

Cause: a part with three ends was blocked though a blocked request explained all of them.

Change: a part is left alone while a blocked request ran under as many crashes, and under enough of the same.

Conclusion: a part that is bad and whose request is repeated until blocked is found by one crash more, at most four in all.

--- a/src/poison/tracker.rs
+++ b/src/poison/tracker.rs
@@ -433,6 +433,7 @@
             candidates.into_iter().partition(|record| record.kind() == FingerprintKind::Request);
         let mut single_reporter: HashMap<Reporter, usize> = HashMap::new();
         requests.retain(|record| self.credible(record, &mut single_reporter));
+        let parts = parts.into_iter().filter(|part| !self.ran_beside(part, &requests)).collect();
         let mut groups = self.parts_that_explain(parts);
         single_reporter.clear();
         groups.retain(|group| self.credible(group[0], &mut single_reporter));
@@ -440,6 +441,17 @@
         requests.chain(groups.iter().flat_map(|group| with_companions(group))).collect()
     }
 
+    /// Whether a blocked request ran under as many crashes as the part, and under enough of the same: the request is
+    /// then to blame, unless another crash tells otherwise.
+    fn ran_beside(&self, part: &Record, requests: &[&Record]) -> bool {
+        let targets = part.unexplained(&HashSet::new());
+        requests.iter().any(|request| {
+            let under_both = request.crashes.iter().filter(|crash| targets.contains(&crash.target));
+            request.crashes.len() >= part.crashes.len()
+                && under_both.count() >= self.rule.crashes_to_block
+        })
+    }
+
     /// The fewest parts that explain the crashes, as far as a greedy choice finds them: the one with the most crashes
     /// comes first, and a crash of a target under which a chosen part ran counts for no other. Parts with the same
     /// crashes are chosen as a group, since it is not known which of them is to blame.
--- a/tests/poison/parts.rs
+++ b/tests/poison/parts.rs
@@ -80,6 +80,33 @@
     assert!(!blocked(&tracker, now, &["first", "doc"]));
 }
 
+#[test]
+fn parts_that_ran_beside_a_poison_request_are_not_blocked_with_it() {
+    let identity = Identity { team: Some("t"), host: "h", path: "/p/", body: b"poison" };
+    let request = Suspect::new(&identity, identity.fingerprint(), "r");
+    let mut tracker = tracker();
+    for target in 0..4 {
+        tracker.record_crash(ms(100), request.clone(), target, Reporter::of("g-0"));
+        crash(&mut tracker, ms(100), target, &["first", "doc"]);
+    }
+    let verdict = tracker.verdict(ms(100), request.fingerprint, GATEWAYS);
+    assert_eq!(verdict, Verdict::Blocked);
+    assert!(!blocked(&tracker, ms(100), &["first", "doc"]));
+}
+
+#[test]
+fn a_bad_part_is_blocked_though_each_request_with_it_is_repeated_until_it_is_blocked() {
+    let mut tracker = tracker();
+    for target in 0..4 {
+        let body = format!("body {}", target / 3);
+        let identity = Identity { team: Some("t"), host: "h", path: "/p/", body: body.as_bytes() };
+        let request = Suspect::new(&identity, identity.fingerprint(), "r");
+        tracker.record_crash(ms(100), request, target, Reporter::of("g-0"));
+        crash(&mut tracker, ms(100), target, &["first", "bad"]);
+    }
+    assert!(blocked(&tracker, ms(100), &["first", "bad"]));
+}
+
 #[test]
 fn two_bad_parts_are_both_blocked() {
     let mut tracker = tracker();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -127,6 +127,12 @@
     }
 }
 
+/// Guards against sound parts of prompts that are blocked since they ran beside a poison request.
+#[tokio::test]
+async fn a_seed_whose_sound_parts_were_blocked_with_a_poison_request_holds() {
+    soak(SMALL, 680_002, None).await;
+}
+
 /// Guards against targets that restart while the others refuse connections too, and are taken for warm.
 #[tokio::test]
 async fn a_seed_whose_targets_ended_together_holds() {
