--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -145,6 +145,13 @@
     soak(size, 650_001, None).await;
 }
 
+/// Guards against gateways that serve next to nothing while cuts reset their new connections and open ones go on.
+#[tokio::test]
+async fn a_seed_whose_cuts_reset_new_connections_holds() {
+    let size = Size { gateways: 5, cut_off: true, length: Duration::from_secs(20), ..SMALL };
+    soak(size, 682_001, None).await;
+}
+
 #[tokio::test]
 async fn seeds_that_failed_once_hold() {
     for (seed, header_only_shutdowns) in REGRESSION_SEEDS {
