Names and one copy: where a stream's origin is known from, and how the soak sends poison

Change: Known is OriginSource, with names that say where the knowledge comes from; the soak's two senders of poison requests share the sending.

Conclusion: no decision is changed.

--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -12,7 +12,7 @@
 use super::exchange::RequestState;
 use super::refusal::Refusal;
 use super::target::Target;
-use super::version_pin::{Known, Resumption, VersionPin};
+use super::version_pin::{OriginSource, Resumption, VersionPin};
 use crate::clock::Instant;
 use crate::configuration::Route;
 use crate::retry_after::RetryAfter;
@@ -179,14 +179,14 @@
     id: &HeaderValue,
     route: &Route,
     resumption: Resumption<'_>,
-    known: Known,
+    source: OriginSource,
     pin: VersionPin,
     began: Instant,
 ) {
-    gateway.metrics.stream_taken_up(known.label());
+    gateway.metrics.stream_taken_up(source.label());
     info!(gateway.log, "client resumes a stream"; "event" => "taken_up", "id" => text(Some(id)),
         "began_as" => text(resumption.began_as), "last_event" => text(resumption.last_event),
-        "route" => &route.name, "origin" => known.label(), "pin" => ?pin,
+        "route" => &route.name, "origin" => source.label(), "pin" => ?pin,
         "took_ms" => millis_since(began), "news_age_ms" => gateway.update_age_ms());
 }
 
--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -51,27 +51,27 @@
     }
 }
 
-/// How the gateway learned which version began a stream.
+/// Where the gateway has it from which version began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Known {
-    /// It began the stream itself, or had asked before.
-    Here,
+pub(super) enum OriginSource {
+    /// The gateway began the stream itself, or had asked before.
+    OwnRecord,
     /// A member told it.
-    Told,
+    Member,
     /// No other version has served since the stream can have begun.
     OnlyVersion,
-    /// It did not.
+    /// Nobody knows.
     Unknown,
 }
 
-impl Known {
+impl OriginSource {
     /// Name in logs and metrics.
     pub(super) fn label(self) -> &'static str {
         match self {
-            Known::Here => "here",
-            Known::Told => "told",
-            Known::OnlyVersion => "only_version",
-            Known::Unknown => "unknown",
+            OriginSource::OwnRecord => "here",
+            OriginSource::Member => "told",
+            OriginSource::OnlyVersion => "only_version",
+            OriginSource::Unknown => "unknown",
         }
     }
 }
@@ -111,19 +111,23 @@
         let began = Instant::now();
         let named = resumption.began_as.map(|id| StreamKey::of(identity.team, id.as_bytes()));
         let stream = named.unwrap_or_else(|| StreamKey::of_request(identity));
-        let (version, known) = self.find_origin(stream, route).await;
+        let (version, source) = self.find_origin(stream, route).await;
         let version = version.filter(|version| *version != VersionKey::AMBIGUOUS);
         let pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
-        trace::taken_up(self, id, route, resumption, known, pin, began);
+        trace::taken_up(self, id, route, resumption, source, pin, began);
         pin
     }
 
     /// The version that began a stream, from this gateway's own record, from the members, or because no other version
     /// served.
-    async fn find_origin(&self, stream: StreamKey, route: &Route) -> (Option<VersionKey>, Known) {
+    async fn find_origin(
+        &self,
+        stream: StreamKey,
+        route: &Route,
+    ) -> (Option<VersionKey>, OriginSource) {
         let give_up_at = Instant::now() + ASK_TIMEOUT;
         if let Some(version) = self.known_origin(stream) {
-            return (Some(version), Known::Here);
+            return (Some(version), OriginSource::OwnRecord);
         }
         while Instant::now() < give_up_at {
             let told = self.stream_told.notified();
@@ -133,7 +137,7 @@
             let asked_again_at = Instant::now() + ASK_INTERVAL;
             while self.run_clock.before(asked_again_at, told.as_mut()).await.is_some() {
                 if let Some(version) = self.known_origin(stream) {
-                    return (Some(version), Known::Told);
+                    return (Some(version), OriginSource::Member);
                 }
                 told.set(self.stream_told.notified());
                 told.as_mut().enable();
@@ -175,7 +179,7 @@
 
     /// The version of a route's only service, if no other has served since a stream of the route can have begun, as far
     /// as the members knew within [`FRESH`].
-    fn only_version_or_unknown(&self, route: &Route) -> (Option<VersionKey>, Known) {
+    fn only_version_or_unknown(&self, route: &Route) -> (Option<VersionKey>, OriginSource) {
         let fresh = lock(&self.fresh_at).is_some_and(|at| at.elapsed() < FRESH);
         let version = match route.services.as_slice() {
             [only] if fresh => {
@@ -183,7 +187,7 @@
             }
             _ => None,
         };
-        (version, if version.is_some() { Known::OnlyVersion } else { Known::Unknown })
+        (version, if version.is_some() { OriginSource::OnlyVersion } else { OriginSource::Unknown })
     }
 
     /// The service of the route whose version began the stream, if it still has targets of that version.
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -275,12 +275,7 @@
             .header("x-prompt-prefix", prompt)
             .body(Full::new(Bytes::from(format!("body of {id}"))))
             .expect("a valid request");
-        let exchange = async {
-            let response = connection.send_request(request).await?;
-            response.into_body().collect().await
-        };
-        // The response does not matter: the targets record what the request does.
-        let _ = tokio::time::timeout(REQUEST_TIMEOUT + RESPONSE_GRACE, exchange).await;
+        send_unheeded(&mut connection, request).await;
     }
 }
 
@@ -301,15 +296,19 @@
             .header("x-deadline-ms", REQUEST_TIMEOUT.as_millis() as u64)
             .body(Full::new(Bytes::from(format!("poison {number}"))))
             .expect("a valid request");
-        let exchange = async {
-            let response = connection.send_request(request).await?;
-            response.into_body().collect().await
-        };
-        // The response does not matter: the targets record what the request does.
-        let _ = tokio::time::timeout(REQUEST_TIMEOUT + RESPONSE_GRACE, exchange).await;
+        send_unheeded(&mut connection, request).await;
     }
 }
 
+/// Sends a poison request. The response does not matter: the targets record what the request does.
+async fn send_unheeded(connection: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) {
+    let exchange = async {
+        let response = connection.send_request(request).await?;
+        response.into_body().collect().await
+    };
+    let _ = tokio::time::timeout(REQUEST_TIMEOUT + RESPONSE_GRACE, exchange).await;
+}
+
 #[derive(Debug)]
 struct Head {
     stamp: Option<String>,
