--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -29,6 +29,7 @@
 use std::time::Duration;
 
 use injector::FaultInjector;
+use target::Versions;
 use world::{Size, World};
 
 const SMALL: Size = Size {
@@ -38,6 +39,7 @@
     callers: 8,
     poison: 1,
     poison_parts: 0,
+    versions: Versions::PerId,
     header_only_shutdowns: true,
     cut_off: false,
     length: Duration::from_secs(8),
@@ -49,6 +51,7 @@
     callers: 64,
     poison: 3,
     poison_parts: 0,
+    versions: Versions::PerId,
     header_only_shutdowns: true,
     cut_off: false,
     length: Duration::from_secs(25),
@@ -127,6 +130,13 @@
     }
 }
 
+/// Guards against streams that mix versions where a target starts again under its id with another version.
+#[tokio::test]
+async fn a_target_that_starts_again_with_another_version_is_not_taken_for_the_earlier_start() {
+    let size = Size { targets: 8, poison: 6, ..SMALL };
+    soak(Size { versions: Versions::PerStart, ..size }, 20_261_202, None).await;
+}
+
 /// Guards against sound parts of prompts that are blocked since they ran beside a poison request.
 #[tokio::test]
 async fn a_seed_whose_sound_parts_were_blocked_with_a_poison_request_holds() {
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -52,6 +52,17 @@
 
 /// Software versions of the targets; what two versions write does not fit together.
 pub const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Which starts of targets have which version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions {
+    /// All have the first.
+    One,
+    /// The two starts that share an id have the same one; the next ids alternate.
+    PerId,
+    /// All starts alternate.
+    PerStart,
+}
+
 /// Prefix of the ids of prompt parts on which a target ends when it begins to answer.
 pub const POISON_PART: &str = "dead";
 /// Prefix of the body of a poison request, which ends each target that runs it.
@@ -88,8 +99,7 @@
     network: Network,
     members: Vec<SocketAddr>,
     recorder: Recorder,
-    /// Whether instances have different versions. Otherwise all have the first.
-    two_versions: bool,
+    versions: Versions,
 }
 
 /// The tasks of a running instance, which end when this is dropped.
@@ -139,20 +149,12 @@
         endpoint: Endpoint,
         members: Vec<SocketAddr>,
         recorder: Recorder,
-        two_versions: bool,
+        versions: Versions,
         seed: u64,
     ) -> Self {
         let Endpoint { private, public, network } = endpoint;
-        let config = TargetConfig {
-            name,
-            data_hall,
-            private,
-            public,
-            network,
-            members,
-            recorder,
-            two_versions,
-        };
+        let config =
+            TargetConfig { name, data_hall, private, public, network, members, recorder, versions };
         let first = config.new_instance(0, seed);
         let start = config.start(&first).await;
         let instance = Arc::new(Mutex::new(first));
@@ -231,9 +233,13 @@
         let started = self.recorder.now();
         let place = Place { data_hall: self.data_hall.to_owned(), started };
         self.recorder.lock().targets.insert(name.clone(), place);
-        // The starts that share an id have one version; the next ids alternate.
-        let number = self.name.bytes().map(u64::from).sum::<u64>() + start / 2;
-        let version = VERSIONS[if self.two_versions { number as usize % 2 } else { 0 }];
+        let number = self.name.bytes().map(u64::from).sum::<u64>();
+        let number = match self.versions {
+            Versions::One => 0,
+            Versions::PerId => number + start / 2,
+            Versions::PerStart => number + start,
+        };
+        let version = VERSIONS[number as usize % VERSIONS.len()];
         Arc::new(Instance {
             id,
             name,
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -14,7 +14,7 @@
 use crate::harness::{Fleet, call, eventually, this_build};
 use crate::proxy::Network;
 use crate::recorder::Recorder;
-use crate::target::{COLD_PERIOD, Endpoint, Target};
+use crate::target::{COLD_PERIOD, Endpoint, Target, Versions};
 
 /// Sizes and duration of a run.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,8 @@
     pub poison: usize,
     /// Number of poison parts of prompts.
     pub poison_parts: usize,
+    /// Versions of the targets' software.
+    pub versions: Versions,
     /// Whether every second target that shuts down announces this only in response headers.
     pub header_only_shutdowns: bool,
     /// Whether gateways are cut off from all targets, besides the other faults.
@@ -68,6 +70,7 @@
     header_only_shutdowns: bool,
     /// The binary that all processes start with in runs that replace builds.
     pub earlier_build: Option<PathBuf>,
+    versions: Versions,
     /// Source of the random choices about cuts, so that the other faults of a seed stay the same; `None` without cuts.
     pub cuts: Option<StdRng>,
     callers: Vec<JoinHandle<()>>,
@@ -145,6 +148,7 @@
             shutdowns: 0,
             header_only_shutdowns: size.header_only_shutdowns,
             earlier_build,
+            versions: size.versions,
             cuts: size.cut_off.then(|| StdRng::seed_from_u64(!seed)),
             callers: Vec::new(),
         };
@@ -243,10 +247,12 @@
         let data_hall = HALLS[self.next_target % HALLS.len()];
         let endpoint = Endpoint { private, public, network: network.clone() };
         // Earlier builds mix versions.
-        let two_versions = self.earlier_build.is_none();
+        let versions = match self.earlier_build {
+            Some(_) => Versions::One,
+            None => self.versions,
+        };
         let target =
-            Target::start(id, data_hall, endpoint, member_addrs, recorder, two_versions, seed)
-                .await;
+            Target::start(id, data_hall, endpoint, member_addrs, recorder, versions, seed).await;
         self.targets.push((target, network));
     }
 
