Outgoing requests are put together in one place

Cause: requests from clients and from other gateways ended in the same ten lines twice.

Change: both call with_headers. No header and no decision changes.

Conclusion: one copy.

--- a/src/gateway/outgoing.rs
+++ b/src/gateway/outgoing.rs
@@ -72,16 +72,7 @@
         if route.kind.streams() {
             headers.insert(names.priority.clone(), HeaderValue::from(rank(caller, route)));
         }
-        let path = head.uri.path_and_query();
-        Outgoing {
-            method: head.method.clone(),
-            uri: path.map_or_else(Uri::default, |path| path.clone().into()),
-            headers,
-            body,
-            id,
-            deadline,
-            reuse: reuse(route),
-        }
+        Outgoing::with_headers(head, headers, body, route, id, deadline)
     }
 
     /// Builds the request from one that another gateway has prepared for targets, except for `from_peer`, the headers
@@ -100,6 +91,17 @@
         for name in from_peer.iter().chain([&names.deadline_ms]) {
             headers.remove(name);
         }
+        Outgoing::with_headers(head, headers, body, route, id, deadline)
+    }
+
+    fn with_headers(
+        head: &Parts,
+        headers: HeaderMap,
+        body: Bytes,
+        route: &Route,
+        id: HeaderValue,
+        deadline: Instant,
+    ) -> Self {
         let path = head.uri.path_and_query();
         Outgoing {
             method: head.method.clone(),
