Logs and metrics of what brittle targets reject

Cause: an attempt that a target turned away was logged without what the gateway believed of the target, so that the three hypotheses of docs/incidents/brittle-targets-fall-again.md could not be told apart.

Change: the event brittle_rejection (whether the target was known as brittle, this gateway's share, the room that it assumed, load), the counter latchmount_gateway_rejections_by_brittle_targets_total, and the field brittle of given_up. No decision changes.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::balance::{Affinity, Candidate, Preference, choose, is_expected_holder};
+use super::brittle::Belief;
 use super::exchange::RequestState;
 use super::mechanism::Mechanism;
 use super::prefix_source::PrefixSearch;
@@ -227,6 +228,21 @@
         if state.connect_cost > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget }
     }
 
+    /// What this gateway believes of the targets of a service that may be brittle, for logs; empty if none is.
+    pub(super) fn brittle_summary(&self, service: &str) -> String {
+        let now = self.now();
+        let known = read(&self.targets);
+        let beliefs: Vec<Belief> = known.of(service).iter().map(|one| one.belief(now)).collect();
+        let count =
+            |holds: &dyn Fn(&Belief) -> bool| beliefs.iter().filter(|one| holds(one)).count();
+        let brittle = count(&|one| one.withstands.is_some());
+        if brittle == 0 {
+            return String::new();
+        }
+        let (paused, limited) = (count(&|one| one.paused), count(&|one| one.room.is_some()));
+        format!("{brittle} of {}, {paused} paused, {limited} found full", beliefs.len())
+    }
+
     /// Time until the first target that backs off can be sent requests again, plus a random part of
     /// [`BACKOFF_RETURN_SPREAD`]; `None` if no target backs off.
     pub(super) fn backoff_left(&self, state: &RequestState) -> Option<Duration> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,7 @@
     /// Number of services none of whose targets can be reached from here.
     pub(super) services_unreachable: IntGauge,
     reach_probes: IntCounterVec,
+    rejections_by_brittle: IntCounterVec,
     offers_to_peers: IntCounterVec,
     served_for_peers: IntCounterVec,
     attempts: IntCounterVec,
@@ -181,6 +182,11 @@
                 "Looks at targets of services that can't be reached from here, by whether one answered.",
                 &["service", "answered"],
             )?,
+            rejections_by_brittle: set.counters(
+                "latchmount_gateway_rejections_by_brittle_targets_total",
+                "Requests for which a target that says that it is brittle had no room.",
+                &["service"],
+            )?,
             offers_to_peers: set.counters(
                 "latchmount_gateway_offers_to_peers_total",
                 "Requests offered to a peer gateway since their targets can't be reached from here, by the outcome.",
@@ -347,6 +353,11 @@
         self.reach_probes.with_label_values(&[service, answered]).inc();
     }
 
+    /// Counts a request for which a brittle target had no room.
+    pub(super) fn rejected_by_brittle(&self, service: &str) {
+        self.rejections_by_brittle.with_label_values(&[service]).inc();
+    }
+
     /// Counts a request that was offered to a peer gateway.
     pub(super) fn offered_to_peer(&self, service: &str, outcome: &str) {
         self.offers_to_peers.with_label_values(&[service, outcome]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -161,6 +161,7 @@
     probe_sampler: Mutex<Sampler>,
     backoff_sampler: Mutex<Sampler>,
     offer_sampler: Mutex<Sampler>,
+    rejection_sampler: Mutex<Sampler>,
     unknown_headers: Mutex<UnknownHeaders>,
     started: Instant,
     /// Time during which this process was running. Timeouts on members and targets use it, so that they do not fire
@@ -337,6 +338,9 @@
             let known = target.draining();
             trace::target_shutting_down(self, target, target.note_draining(), known);
         }
+        if full && report.brittle.is_some() {
+            trace::rejected_by_brittle(self, target);
+        }
         if target.note_brittle(now, report.brittle, full, self.gateways()) {
             self.apply_brittleness(now, target, report.brittle);
         }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -127,6 +127,7 @@
             probe_sampler: Mutex::default(),
             backoff_sampler: Mutex::default(),
             offer_sampler: Mutex::default(),
+            rejection_sampler: Mutex::default(),
             unknown_headers: Mutex::default(),
             started: Instant::now(),
             run_clock: RunClock::start(&log),
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -7,7 +7,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::brittle::{Brittle, Load, Position};
+use super::brittle::{Belief, Brittle, Load, Position};
 use super::cold::ColdState;
 use super::connection::IdleConnection;
 use super::health::Health;
@@ -308,6 +308,11 @@
         before != withstands.is_some()
     }
 
+    /// What this gateway believes of the target's room.
+    pub(super) fn belief(&self, now: Duration) -> Belief {
+        lock(&self.brittle).belief(now)
+    }
+
     /// Assumes that the target is brittle, since another of its service said so, unless it spoke for itself lately.
     pub(super) fn assume_brittle(&self, now: Duration, withstands: u32) {
         let mut brittle = lock(&self.brittle);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -59,6 +59,7 @@
         "blocked_by" => state.blocked_by.map(|one| one.to_string()),
         "rest_left_ms" => backoff_left.map(|left| left.as_millis() as u64),
         "unreachable" => ?gateway.cut_off(&state.service),
+        "brittle" => %gateway.brittle_summary(&state.service),
         "connection_requests" => state.client_buffer.requests(), "left_ms" => millis_left(state));
 }
 
@@ -117,6 +118,23 @@
         "elapsed_ms" => millis_since(state.arrived), "stands_for" => stands_for);
 }
 
+/// A brittle target had no room for a request. Shows what this gateway believed of the target until then.
+pub(super) fn rejected_by_brittle(gateway: &Gateway, target: &Target) {
+    gateway.metrics.rejected_by_brittle(&target.announcement.service);
+    let now = gateway.now();
+    let Some(stands_for) = lock(&gateway.rejection_sampler).sample(now) else {
+        return;
+    };
+    let belief = target.belief(now);
+    info!(gateway.log, "a brittle target had no room for a request"; "event" => "brittle_rejection",
+        "target" => &target.announcement.id, "service" => &target.announcement.service,
+        "known_brittle" => belief.withstands.is_some(), "withstands" => belief.withstands,
+        "slots" => target.announcement.slots, "in_flight" => target.in_flight(),
+        "load" => target.load(now, 0.0, gateway.gateways()), "room" => belief.room,
+        "paused" => belief.paused, "share" => belief.share, "gateways" => gateway.gateways(),
+        "stands_for" => stands_for);
+}
+
 /// An answer was relayed to its end.
 pub(super) fn ended(gateway: &Gateway, state: &mut RequestState) {
     gateway.metrics.answer_ended(&state.service, state.arrived.elapsed());
