Tests: brittle targets that fall over again and again

Cause: a target that falls over came back as the same one in our tests, or not at all, and no test had a burst after a quiet time.

Change: a stand-in that falls over under what it rejects and comes back under another id, and two tests with 24 gateways and seven targets. The stand-in announces its slots by a constant; they were 8 before too.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 //! play clients, targets and operators, and use the platform's dialect.
 
 mod brittle;
+mod brittle_returns;
+mod brittle_target;
 mod close_delimited;
 mod cold;
 mod crowded;
--- a/tests/fleet/restarting_target.rs
+++ b/tests/fleet/restarting_target.rs
@@ -70,11 +70,16 @@
             counts.poison_arrivals += poison;
         }
         tokio::time::sleep(RESTART_DELAY).await;
-        listener = loop {
-            match TcpListener::bind(addr).await {
-                Ok(listener) => break listener,
-                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-            }
-        };
+        listener = listen_again(addr).await;
+    }
+}
+
+/// Listens at the address of a target that has just ended.
+pub async fn listen_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
     }
 }
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -23,11 +23,15 @@
 use serde_json::json;
 use socket2::SockRef;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::JoinHandle;
 
 use crate::harness::{CallResponse, call};
 
+/// Requests that a target says it processes at once.
+pub const SLOTS: usize = 8;
+/// Time in which a target with [`Behaviour::Queue`] answers a request that does not wait.
+pub const WORK: Duration = Duration::from_millis(200);
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -64,6 +68,10 @@
     NeverAnswer,
     /// Answers with 200 after 200 ms, and rejects a request if this many are running.
     Room(usize),
+    /// Works on [`SLOTS`] requests at a time and answers each with 200 after [`WORK`]. Lets `waiting` more wait and
+    /// rejects the others. A target with a `crash` notification crashes when it rejects more than `withstands` in a
+    /// second.
+    Queue { waiting: usize, withstands: usize },
 }
 
 /// How a target is cut off from the callers at one address.
@@ -165,6 +173,7 @@
             arrivals: arrivals.clone(),
             answers: answers.clone(),
             running: AtomicUsize::new(0),
+            slots: Semaphore::new(SLOTS),
             rejections: rejections.clone(),
             extra_headers: extra_headers.clone(),
             crash,
@@ -357,7 +366,7 @@
     };
     let mut body = json!({
         "service": announcement.service, "address": announcement.addr, "zone": announcement.data_hall,
-        "version": *announcement.version.lock().expect("not poisoned"), "slots": 8,
+        "version": *announcement.version.lock().expect("not poisoned"), "slots": SLOTS,
         "state": reported_state, "cold-left-ms": announcement.cold_left_ms.load(Ordering::Relaxed), "stage": "both", "sequence": sequence,
     });
     match announcement.born_ms.load(Ordering::Relaxed) {
@@ -375,6 +384,8 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     answers: Arc<AtomicUsize>,
     running: AtomicUsize,
+    /// Places of [`Behaviour::Queue`].
+    slots: Semaphore,
     rejections: Arc<Mutex<Vec<Instant>>>,
     extra_headers: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     crash: Option<Arc<Notify>>,
@@ -478,7 +489,33 @@
     parts.any(|part| part.split(':').next() == Some(POISON_PART))
 }
 
+/// Counts a request as running or waiting until dropped, also when its connection closes.
+struct Running<'a>(&'a AtomicUsize);
+
+impl<'a> Running<'a> {
+    /// `None` if `room` requests are running or waiting already.
+    fn begin(running: &'a AtomicUsize, room: usize) -> Option<Self> {
+        let begun = Running(running);
+        (running.fetch_add(1, Ordering::Relaxed) < room).then_some(begun)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Server {
+    /// Records a rejection and returns the number of them in the last second.
+    fn reject(&self) -> usize {
+        let now = Instant::now();
+        let mut rejections = self.rejections.lock().expect("not poisoned");
+        rejections.push(now);
+        let recent = rejections.iter().rev().take_while(|at| now < **at + Duration::from_secs(1));
+        recent.count()
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, CloseConnection> {
         let (head, body) = request.into_parts();
         let text = |name: &str| {
@@ -551,6 +588,24 @@
                     full_body(String::new())
                 }
             }
+            Behaviour::Queue { waiting, withstands } => {
+                match Running::begin(&self.running, SLOTS + waiting) {
+                    Some(_running) => {
+                        let _slot = self.slots.acquire().await.expect("never closed");
+                        tokio::time::sleep(WORK).await;
+                        full_body(format!("answer to {id}"))
+                    }
+                    None => {
+                        if self.reject() > withstands
+                            && let Some(crash) = &self.crash
+                        {
+                            crash.notify_one();
+                        }
+                        answer = answer.status(503).header("x-not-run", "1");
+                        full_body(String::new())
+                    }
+                }
+            }
             Behaviour::NotRun => {
                 answer = answer.status(503).header("x-not-run", "1");
                 full_body(String::new())
