--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -7,6 +7,7 @@
 
 use latchmount::blob::{Blob, Content};
 use latchmount::directory::DirectoryDelta;
+use latchmount::group::brittle::{BrittleService, ServiceKey};
 use latchmount::group::evidence::{Evidence, Outcomes};
 use latchmount::group::heartbeats::HeartbeatOutcome;
 use latchmount::group::loads::LoadKey;
@@ -222,6 +223,8 @@
             },
         ),
         ("find_streams", ToMember::FindStreams(vec![stream().stream])),
+        ("brittle", ToMember::Brittle(vec![brittle()])),
+        ("member_brittle", ToMember::MemberBrittle { from: member, services: vec![brittle()] }),
     ]
 }
 
@@ -248,15 +251,23 @@
     };
     let peer = RelayPeer { addr: ([10, 0, 0, 9], 7420).into(), data_hall: "hall-a".into() };
     let with_streams = Update { streams: vec![stream()], ..update.clone() };
+    let dispatchers = vec![([10, 0, 0, 9], 7420).into(), ([10, 0, 1, 9], 7420).into()];
+    let with_brittle =
+        Update { brittle: vec![brittle()], dispatchers: Some(dispatchers), ..update.clone() };
     let with_relay_peers = Update { relay_peers: Some(vec![peer]), ..update.clone() };
     vec![
         ("reply_taken", FromMember::Reply { id: 6, reply: outcomes }),
         ("update_starts", FromMember::Update(Box::new(update.clone()))),
         ("update_relay_peers", FromMember::Update(Box::new(with_relay_peers))),
         ("update_streams", FromMember::Update(Box::new(with_streams))),
+        ("update_brittle", FromMember::Update(Box::new(with_brittle))),
     ]
 }
 
+fn brittle() -> BrittleService {
+    BrittleService { service: ServiceKey::of("s"), withstands: 10 }
+}
+
 #[test]
 fn a_batch_reaches_a_leader_of_the_first_build_as_its_first_announcement() {
     let batch = Call::Announce(vec![started_target("t1", 7), started_target("t2", 8)]);
