A gateway that dispatches for another one counts all requests that others have in flight

Cause: where a gateway can't reach the one that dispatches to a target, it asks the next in the ranking, while the first goes on serving others. Each took the whole target for its own.

Evidence: rejections at gateways with 1, 4 and 6 requests in flight while 9, 12 and 22 were there in all; on five cores 24 gateways in debug builds can't always connect to a peer within 300 ms.

Change: a gateway that is not the first in the ranking counts the largest number that members told lately, the first one the least, since a single total may hold its own requests.

--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use self::admission::{Admitted, Part};
+use self::ranking::Role;
 use super::Gateway;
 use super::attempt::Answer;
 use super::choice::Choice;
@@ -177,14 +178,23 @@
         Part::of(slots, withstands, ranking::dispatchers_of(slots, withstands))
     }
 
+    /// In what capacity this gateway dispatches to the target.
+    pub(super) fn role(&self, target: &Target, withstands: u32) -> Role {
+        let count = ranking::dispatchers_of(target.announcement.slots, withstands);
+        let ranked = ranking::rank(&lock(&self.dispatchers), target.key);
+        let appointed = ranked.iter().take(count).any(|addr| Some(*addr) == self.blob_addr);
+        if appointed { Role::Appointed } else { Role::Substitute }
+    }
+
     /// Whether a brittle target has room for one more request, which then counts as sent. Waits a moment if it is not
     /// known yet whether the target takes those before it.
     pub(super) async fn admit(&self, target: &Target, withstands: u32) -> bool {
         let part = self.dispatched_part(target, withstands);
+        let role = self.role(target, withstands);
         let service = &target.announcement.service;
         let began = Instant::now();
         loop {
-            match target.admit(self.now(), part) {
+            match target.admit(self.now(), part, role) {
                 Admitted::Now => {
                     self.metrics.admitted(service, "admitted");
                     return true;
--- a/src/gateway/dispatch/ranking.rs
+++ b/src/gateway/dispatch/ranking.rs
@@ -10,6 +10,15 @@
 /// Rejections withstood in a second for each gateway that dispatches to a target.
 const REJECTIONS_PER_DISPATCHER: u32 = 4;
 
+/// In what capacity a gateway dispatches to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// By the ranking.
+    Appointed,
+    /// For one that some gateways can't reach, and that may go on serving others.
+    Substitute,
+}
+
 /// Number of gateways that dispatch to one target. With few places or rejections one gateway must know of all requests.
 pub fn dispatchers_of(slots: u32, withstands: u32) -> usize {
     let places = slots / PLACES_PER_DISPATCHER;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -351,7 +351,8 @@
         }
         if full && let Some(withstands) = report.brittle {
             trace::rejected_by_brittle(self, target);
-            target.note_rejected(now, self.dispatched_part(target, withstands));
+            let role = self.role(target, withstands);
+            target.note_rejected(now, self.dispatched_part(target, withstands), role);
         }
         self.note_brittleness_of_service(target, report.brittle);
         if target.note_brittle(now, report.brittle, full, self.gateways()) {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -12,6 +12,7 @@
 use super::cold::ColdState;
 use super::connection::IdleConnection;
 use super::dispatch::admission::{Admission, Admitted, Part};
+use super::dispatch::ranking::Role;
 use super::health::Health;
 use super::slowdown::Slowdown;
 use crate::availability::{Availability, Eligibility, OwnReport};
@@ -319,14 +320,14 @@
     }
 
     /// Whether this gateway, which dispatches to the target, may send it one more request.
-    pub(super) fn admit(&self, now: Duration, part: Part) -> Admitted {
-        let in_flight = self.in_flight() + self.steady_others(now);
+    pub(super) fn admit(&self, now: Duration, part: Part, role: Role) -> Admitted {
+        let in_flight = self.in_flight() + self.others_beside(now, role);
         lock(&self.admission).admit(now, in_flight, part)
     }
 
     /// Records that the target had no room for a request that is still counted as in flight.
-    pub(super) fn note_rejected(&self, now: Duration, part: Part) {
-        let others = (self.in_flight() + self.steady_others(now)).saturating_sub(1);
+    pub(super) fn note_rejected(&self, now: Duration, part: Part, role: Role) {
+        let others = (self.in_flight() + self.others_beside(now, role)).saturating_sub(1);
         lock(&self.admission).note_rejected(now, others, part);
     }
 
@@ -403,12 +404,20 @@
         });
     }
 
-    /// Requests that other gateways have had in flight for some time. A total may be older than this gateway's own
-    /// report in it, so a single one may count requests of this gateway as those of others.
-    fn steady_others(&self, now: Duration) -> u32 {
-        let live = lock(&self.others_from_members).is_some_and(|load| now < load.expires_at);
-        let least = lock(&self.recent_others).iter().min().copied();
-        least.filter(|_| live).unwrap_or(0)
+    /// Requests that other gateways have in flight beside this one, which dispatches to the target.
+    ///
+    /// A total may be older than this gateway's own report in it, so a single one may count requests of this gateway as
+    /// those of others. Where the others should have none, only what they have had for some time counts.
+    fn others_beside(&self, now: Duration, role: Role) -> u32 {
+        if !lock(&self.others_from_members).is_some_and(|load| now < load.expires_at) {
+            return 0;
+        }
+        let recent = lock(&self.recent_others);
+        let others = match role {
+            Role::Appointed => recent.iter().min(),
+            Role::Substitute => recent.iter().max(),
+        };
+        others.copied().unwrap_or(0)
     }
 
     /// Estimated requests in flight from other gateways, or `None` without a recent figure.
