An end that a target's own rejections explain says nothing against requests

Callers saw all requests refused as poison (ends_targets) after six brittle targets had fallen over, where all requests were alike.

Cause: a fall cuts all connections and its address then refuses new ones, as after a crash, so that each request in flight was suspected of it.

Change: a gateway that a target rejected as often within 1.5 s as it withstands in a second does not report the requests that ran there. A gateway that dispatches to a target sees all of its rejections; where shares hold each gateway sees some only.

Conclusion: fixed where requests are dispatched, as far as its test shows; partly elsewhere.

--- a/src/gateway/dispatch/admission.rs
+++ b/src/gateway/dispatch/admission.rs
@@ -4,6 +4,7 @@
 //! So only few requests are sent whose rejection could still be on its way; after a rejection the limit is lowered to
 //! what the target had taken, and is raised again step by step.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// A request that was not rejected within this time after it was sent counts as taken, if it raised the number in flight
@@ -22,6 +23,11 @@
 /// Bounds of the time between two raises of the limit.
 const RAISE_BOUNDS: (f64, f64) = (0.5, 5.0);
 
+/// Time in which rejections count towards the end of a target: a second, and until its end is noticed.
+const FALL_WINDOW: Duration = Duration::from_millis(1_500);
+/// Maximum number of rejections that are remembered.
+const MAX_REJECTIONS: usize = 64;
+
 /// A gateway's part of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
@@ -94,7 +100,8 @@
     unconfirmed: Vec<Duration>,
     /// Requests that the target lately had in flight, and until when that counts.
     level: (f64, Duration),
-    rejected_at: Option<Duration>,
+    /// When the target rejected requests for want of room in the last [`FALL_WINDOW`].
+    rejections: VecDeque<Duration>,
 }
 
 impl Admission {
@@ -125,7 +132,11 @@
 
     /// Records that the target had no room for a request while `others` more were in flight.
     pub fn note_rejected(&mut self, now: Duration, others: u32, part: Part) {
-        self.rejected_at = Some(now);
+        self.rejections.retain(|earlier| now < *earlier + FALL_WINDOW);
+        self.rejections.push_back(now);
+        if self.rejections.len() > MAX_REJECTIONS {
+            self.rejections.pop_front();
+        }
         self.level = (0.0, now);
         if others == 0 {
             // An idle target does not reject for want of places.
@@ -146,9 +157,11 @@
         self.limit.map(|limit| limit.requests)
     }
 
-    /// When the target last rejected a request for want of room.
-    pub fn rejected_at(&self) -> Option<Duration> {
-        self.rejected_at
+    /// Whether the target rejected as many requests of this gateway lately as it withstands, so that these explain its
+    /// end.
+    pub fn explains_end(&self, now: Duration, withstands: u32) -> bool {
+        let recent = self.rejections.iter().filter(|at| now < **at + FALL_WINDOW);
+        recent.count() >= (withstands.max(1) as usize).min(MAX_REJECTIONS)
     }
 
     fn allowed(&self, now: Duration, part: Part) -> f64 {
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -72,6 +72,8 @@
         let counted_under = state.counted_under.map(|(subject, _)| subject);
         // If the target is shutting down as planned, its end is not caused by a request.
         let leaves = target.draining();
+        let withstands = self.withstands(&state.service);
+        let fell = withstands.is_some_and(|one| target.fell_over(self.now(), one));
         let began = Instant::now();
         tokio::spawn(async move {
             let result = gateway.probe_one(&target).await;
@@ -84,7 +86,8 @@
                 // reached, shows nothing about its version.
                 lock(&gateway.tallies).record_failure(subject);
             }
-            let ended = result == ProbeResult::Ended && !leaves;
+            // An end that the target's own rejections explain says nothing against the requests that it was running.
+            let ended = result == ProbeResult::Ended && !leaves && !fell;
             if ended && gateway.reaches_another(&target).await {
                 gateway.record_crash(suspects, target.key);
             }
@@ -93,7 +96,7 @@
                     "request" => text(Some(&id)), "target" => &target.announcement.id,
                     "found" => ?result, "fingerprint" => %fingerprint, "route" => route,
                     "prompt" => text(prompt.as_ref()), "had_events" => had_events,
-                    "service" => service, "leaves" => leaves,
+                    "service" => service, "leaves" => leaves, "fell_over" => fell,
                     "took_ms" => millis_since(began), "stands_for" => stands_for);
             }
         });
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -331,6 +331,11 @@
         lock(&self.admission).note_rejected(now, others, part);
     }
 
+    /// Whether the target, which withstands so many rejections in a second, fell over under those of this gateway.
+    pub(super) fn fell_over(&self, now: Duration, withstands: u32) -> bool {
+        lock(&self.admission).explains_end(now, withstands)
+    }
+
     /// Requests that this gateway, which dispatches to the target, believes it has room for; `None` if it was never
     /// found full.
     pub(super) fn admission_limit(&self) -> Option<f64> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `LATCHMOUNT_SEED` sets the seed of the random cases.
 
+mod admission;
 mod answer_headers;
 mod availability;
 mod backoff;
