Names in the model of brittle fleets, and when shares hold

Cause: Result shadowed the standard name, a comment told of other plans, and brittle.rs did not say when it is used.

Change: names and comments only.

Conclusion: no decision changes.

--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -1,6 +1,9 @@
 //! Limits what a brittle target is sent. A brittle target fails as a whole when it has to turn away more requests in a
 //! second than it states, and it may at any time have less room than before.
 //!
+//! This holds where no gateways are named that dispatch to brittle targets (see [`dispatch`](super::dispatch)), as by
+//! members of earlier builds.
+//!
 //! All gateways together must stay below that rate without asking each other, and the loads that they know are some
 //! hundred milliseconds old, so that acting on these alone would make all of them send too much at once. So the places
 //! of a target are divided among the gateways. One whose share is used up while the target has many free places raises
--- a/tests/gateway/brittle_fleet.rs
+++ b/tests/gateway/brittle_fleet.rs
@@ -69,7 +69,8 @@
     sends: u32,
     /// When its dispatcher received it.
     held_since: u64,
-    first_after_shrinking: bool,
+    /// Whether it was sent after the room shrank.
+    counts: bool,
 }
 
 #[derive(Default)]
@@ -117,7 +118,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Result {
+struct Totals {
     falls: u32,
     rejected: u32,
     /// Requests sent after the room shrank, and those of them that were served.
@@ -140,7 +141,7 @@
     events: Vec<Vec<Event>>,
     now: u64,
     rng: StdRng,
-    result: Result,
+    result: Totals,
 }
 
 impl Fleet {
@@ -177,7 +178,7 @@
             events: (0..RUN + 5_000).map(|_| Vec::new()).collect(),
             now: 0,
             rng,
-            result: Result::default(),
+            result: Totals::default(),
         };
         for at in 0..plan.gateways {
             let first = fleet.rng.random_range(0..LOADS_INTERVAL);
@@ -375,7 +376,7 @@
             }
         }
         if outcome == Outcome::Served {
-            self.result.served += u32::from(request.first_after_shrinking);
+            self.result.served += u32::from(request.counts);
             return;
         }
         request.sends += u32::from(outcome != Outcome::Refused);
@@ -456,7 +457,7 @@
         self.after(LOADS_INTERVAL, Event::Told(at));
     }
 
-    fn run(mut self) -> Result {
+    fn run(mut self) -> Totals {
         let mut ends = self.plan.ends.iter().enumerate();
         let mut next_end = ends.next();
         let mut next_clump = 0.0;
@@ -479,14 +480,13 @@
                     self.result.sent += u32::from(shrunk);
                     let gateway = self.rng.random_range(0..self.plan.gateways);
                     let (tried, full) = (Vec::new(), Vec::new());
-                    let first_after_shrinking = shrunk;
                     self.send(Request {
                         gateway,
                         tried,
                         full,
                         sends: 0,
                         held_since: now,
-                        first_after_shrinking,
+                        counts: shrunk,
                     });
                 }
                 let gap: f64 = -(1.0 - self.rng.random::<f64>()).ln();
@@ -497,7 +497,7 @@
     }
 }
 
-/// Portwell-like: seven targets with six places.
+/// Seven targets with six places before many gateways.
 const FEW: Plan = Plan {
     gateways: 62,
     targets: 7,
@@ -509,7 +509,7 @@
     ends: &[],
 };
 
-/// Fewer gateways and targets, or more, with more places.
+/// What is played at each size.
 const PLANS: [(&str, Plan); 5] = [
     ("calm", FEW),
     ("overload", Plan { demand: (0.55, 1.2), ..FEW }),
@@ -529,7 +529,7 @@
         let plan = Plan { room, demand, ends, ..size };
         let [dispatched, ideal] =
             [Way::Dispatched, Way::Ideal].map(|way| Fleet::new(plan, way, seed).run());
-        let share = |one: Result| f64::from(one.served) / f64::from(one.sent);
+        let share = |one: Totals| f64::from(one.served) / f64::from(one.sent);
         eprintln!(
             "{} gateways, {} targets of {}, withstand {}, {name}: falls {}, served {:.3} after {:.1} asks; ideal {:.3}",
             size.gateways,
