Failing test: gateways go on dispatching after brittleness has ended

What callers see: after targets have ceased to be brittle their requests still take the way over dispatching gateways, and some are refused as `full` while most places are free.

The test asks that each of 24 gateways sends its own requests to targets 3 s after the targets ceased to state anything.

The stand-in records who sent a request, the brittle one can cease to be so.

--- a/tests/fleet/brittle_returns.rs
+++ b/tests/fleet/brittle_returns.rs
@@ -1,9 +1,11 @@
 //! Brittle targets that fall over and come back under another id, and bursts after a quiet time.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde_json::json;
 use tokio::task::JoinSet;
 
 use crate::brittle_target::BrittleTarget;
@@ -11,7 +13,7 @@
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
 use crate::seeds::seed;
-use crate::standin::{Behaviour, SLOTS, WORK};
+use crate::standin::{Arrival, Behaviour, SLOTS, WORK};
 
 const GATEWAYS: usize = 24;
 const TARGETS: usize = 7;
@@ -47,13 +49,20 @@
     fleet: Fleet,
     targets: Vec<BrittleTarget>,
     clients: JoinSet<Vec<Option<CallResponse>>>,
+    /// Whether all requests have the same body.
+    alike: bool,
     sent: usize,
     rng: StdRng,
 }
 
 impl World {
     async fn start() -> Self {
-        let fleet = Fleet::start(3, GATEWAYS).await;
+        let mut fleet = Fleet::prepare(3, GATEWAYS);
+        for gateway in &mut fleet.gateways {
+            gateway.set("source", json!(gateway.ip));
+        }
+        fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
+        fleet.wait_for_leader().await;
         let mut targets = Vec::new();
         let behaviour = Behaviour::Queue { waiting: WAITING, withstands: WITHSTANDS };
         for at in 0..TARGETS {
@@ -65,7 +74,7 @@
             fleet.wait_for_targets(gateway, TARGETS).await;
         }
         let rng = StdRng::seed_from_u64(seed());
-        World { fleet, targets, clients: JoinSet::new(), sent: 0, rng }
+        World { fleet, targets, clients: JoinSet::new(), alike: false, sent: 0, rng }
     }
 
     /// Lets no request wait at any target from now on.
@@ -95,10 +104,11 @@
         self.sent += 1;
         let gateways =
             [(); 2].map(|()| self.fleet.gateway_addr(self.rng.random_range(0..GATEWAYS)));
+        let alike = self.alike;
         self.clients.spawn(async move {
             let id = format!("r-{number}");
             let mut request = ClientRequest::new("/safe/x", &id);
-            request.body = id.clone().into_bytes();
+            request.body = if alike { Vec::new() } else { id.clone().into_bytes() };
             let mut answers = Vec::new();
             for gateway in gateways {
                 let answer = request.send(gateway).await.ok();
@@ -114,6 +124,25 @@
         });
     }
 
+    /// Sends a request to each gateway, one after the other, and returns how many gateways sent theirs to a target
+    /// themselves. `when` is part of the ids.
+    async fn count_direct(&self, when: &str) -> usize {
+        let mut ids = Vec::new();
+        for gateway in 0..GATEWAYS {
+            let id = format!("{when}-{gateway}");
+            let addr = self.fleet.gateway_addr(gateway);
+            let answer = ClientRequest::new("/safe/x", &id).send(addr).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{}", answer.body);
+            ids.push((id, addr.ip()));
+        }
+        let arrivals: Vec<Arrival> =
+            self.targets.iter().flat_map(BrittleTarget::arrivals).collect();
+        let direct = |(id, gateway): &&(String, IpAddr)| {
+            arrivals.iter().any(|arrival| arrival.id == *id && arrival.caller == *gateway)
+        };
+        ids.iter().filter(direct).count()
+    }
+
     fn falls(&self) -> usize {
         self.targets.iter().map(BrittleTarget::falls).sum()
     }
@@ -181,3 +210,30 @@
     let (falls, _) = world.finish().await;
     assert!(falls <= MAX_FALLS, "{falls} falls");
 }
+
+#[tokio::test]
+async fn no_gateway_goes_on_dispatching_when_targets_are_not_brittle_any_more() {
+    let mut world = World::start().await;
+    world.send(Phase { demand: 0.3, lasts: Duration::from_secs(3) }).await;
+    assert!(world.count_direct("brittle").await < GATEWAYS, "targets were never brittle");
+    world.targets.iter().for_each(BrittleTarget::cease_to_be_brittle);
+    world.send(Phase { demand: 0.3, lasts: Duration::from_secs(3) }).await;
+    let direct = world.count_direct("ended").await;
+    assert_eq!(direct, GATEWAYS, "gateways that send requests to targets directly");
+}
+
+#[tokio::test]
+async fn requests_that_are_alike_are_not_blocked_when_brittle_targets_end() {
+    let mut world = World::start().await;
+    world.alike = true;
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(3) }).await;
+    world.shrink();
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(2) }).await;
+    world.targets[0].end();
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(4) }).await;
+    world.targets[1].end();
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(5) }).await;
+    let (_, seen) = world.finish().await;
+    let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
+    assert_eq!(blocked.count(), 0, "requests blocked");
+}
--- a/tests/fleet/brittle_target.rs
+++ b/tests/fleet/brittle_target.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::restarting_target::listen_again;
-use crate::standin::{Behaviour, Standin};
+use crate::standin::{Arrival, Behaviour, Standin};
 
 /// Time between an end and the next start.
 const DOWN: Duration = Duration::from_secs(2);
@@ -29,6 +29,8 @@
 /// State that the target's task shares with the test.
 struct Shared {
     behaviour: Mutex<Behaviour>,
+    /// What answers state; `None` if the target is not brittle any more.
+    states: Mutex<Option<&'static str>>,
     running: Mutex<Option<Standin>>,
     history: Mutex<History>,
     /// Ends the running start.
@@ -59,11 +61,12 @@
     ) -> Self {
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(behaviour),
+            states: Mutex::new(Some(states)),
             running: Mutex::default(),
             history: Mutex::default(),
             end: Notify::new(),
         });
-        let task = tokio::spawn(run(name.clone(), members, states, shared.clone()));
+        let task = tokio::spawn(run(name.clone(), members, shared.clone()));
         BrittleTarget { name, task, shared }
     }
 
@@ -75,6 +78,20 @@
         }
     }
 
+    /// States nothing in answers from now on, also after the next starts.
+    pub fn cease_to_be_brittle(&self) {
+        *self.shared.states.lock().expect("not poisoned") = None;
+        if let Some(standin) = &*self.shared.running.lock().expect("not poisoned") {
+            standin.clear_headers();
+        }
+    }
+
+    /// The requests that reached the running start.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let running = self.shared.running.lock().expect("not poisoned");
+        running.as_ref().map(Standin::arrivals).unwrap_or_default()
+    }
+
     /// Ends the running start, which does not count as a fall.
     pub fn end(&self) {
         self.shared.history.lock().expect("not poisoned").ends = true;
@@ -102,7 +119,7 @@
     }
 }
 
-async fn run(name: String, members: Vec<SocketAddr>, states: &'static str, shared: Arc<Shared>) {
+async fn run(name: String, members: Vec<SocketAddr>, shared: Arc<Shared>) {
     let mut listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("bound");
     for start in 0.. {
@@ -110,7 +127,9 @@
         let id = format!("{name}-{start}");
         let members = members.clone();
         let standin = Standin::serve(listener, "hall-a", &id, "s", members, Some(falls.clone()));
-        standin.add_header("server-brittle", states);
+        if let Some(states) = *shared.states.lock().expect("not poisoned") {
+            standin.add_header("server-brittle", states);
+        }
         standin.behave(*shared.behaviour.lock().expect("not poisoned"));
         *shared.running.lock().expect("not poisoned") = Some(standin);
         tokio::select! {
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -92,6 +92,8 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub id: String,
+    /// Address of the gateway that sent it.
+    pub caller: IpAddr,
     pub method: String,
     pub path: String,
     pub headers: HeaderMap,
@@ -423,7 +425,7 @@
             let service = service_fn(|request| {
                 let server = server.clone();
                 async move {
-                    let answer = server.answer(request).await;
+                    let answer = server.answer(request, caller.ip()).await;
                     server.answers.fetch_add(1, Ordering::Relaxed);
                     answer
                 }
@@ -516,7 +518,11 @@
         recent.count()
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, CloseConnection> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        caller: IpAddr,
+    ) -> Result<Response<Body>, CloseConnection> {
         let (head, body) = request.into_parts();
         let text = |name: &str| {
             head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
@@ -542,6 +548,7 @@
         let poison = body.starts_with(POISON) || poison_part;
         self.arrivals.lock().expect("not poisoned").push(Arrival {
             id: id.clone(),
+            caller,
             method: head.method.to_string(),
             path: head.uri.to_string(),
             headers: head.headers.clone(),
