Gateways learn from relayed answers too that a service is brittle

What callers saw: after targets had ceased to be brittle, half of the gateways went on sending every request by way of another gateway.

Cause: a gateway looked for what targets state only in answers that it got from a target itself. One that dispatches to no target got its last such answer when brittleness began, and what it said holds for 30 s.

An answer that states nothing ends the brittleness of a service only if its target stated something before: others of the service may never have been brittle.

--- a/src/gateway/brittle_services.rs
+++ b/src/gateway/brittle_services.rs
@@ -1,6 +1,6 @@
 //! Which services have brittle targets, by the answers that this gateway received and by the members' word.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use crate::group::brittle::{BrittleService, ServiceKey};
@@ -13,11 +13,17 @@
 /// How long a gateway reports a service after an answer last said that its targets are brittle.
 const REPORTED_FOR: Duration = Duration::from_secs(1);
 
+/// Maximum number of targets of a service of which it is known that they stated something.
+const MAX_STATING: usize = 1_024;
+
 /// What answers stated about the targets of a service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Stated {
+    /// When an answer last stated something.
     at: Duration,
     withstands: u32,
+    /// Keys of the targets whose answers did.
+    by: HashSet<u64>,
 }
 
 /// The services with brittle targets, as a gateway knows them.
@@ -29,18 +35,35 @@
 
 impl BrittleServices {
     /// Records what an answer of a target of the service states; `None` if it states nothing.
-    pub fn note_answer(&mut self, now: Duration, service: ServiceKey, withstands: Option<u32>) {
+    pub fn note_answer(
+        &mut self,
+        now: Duration,
+        service: ServiceKey,
+        target: u64,
+        withstands: Option<u32>,
+    ) {
         if let Some(withstands) = withstands {
-            self.stated.insert(service, Stated { at: now, withstands });
+            self.note_stated(now, service, target, withstands);
             return;
         }
-        let ended = |stated: &Stated| now >= stated.at + SETTLING_TIME;
+        // Others of the service may never have been brittle.
+        let ended =
+            |stated: &Stated| now >= stated.at + SETTLING_TIME && stated.by.contains(&target);
         if self.stated.get(&service).is_some_and(ended) {
             self.stated.remove(&service);
             self.told.remove(&service);
         }
     }
 
+    fn note_stated(&mut self, now: Duration, service: ServiceKey, target: u64, withstands: u32) {
+        let stated = self.stated.entry(service).or_default();
+        stated.at = now;
+        stated.withstands = withstands;
+        if stated.by.len() < MAX_STATING {
+            stated.by.insert(target);
+        }
+    }
+
     /// Replaces what members told.
     pub fn note_told(&mut self, services: &[BrittleService]) {
         self.told = services.iter().map(|told| (told.service, told.withstands)).collect();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -354,7 +354,8 @@
             let role = self.role(target, withstands);
             target.note_rejected(now, self.dispatched_part(target, withstands), role);
         }
-        self.note_brittleness_of_service(target, report.brittle);
+        let service = &target.announcement.service;
+        self.note_brittleness_of_service(service, target.key, report.brittle);
         if target.note_brittle(now, report.brittle, full, self.gateways()) {
             self.apply_brittleness(now, target, report.brittle);
         }
@@ -369,12 +370,23 @@
         self.note_unknown_headers(target, headers);
     }
 
+    /// Records what the head of an answer that another gateway passed on reports about its target.
+    fn record_relayed_report(
+        &self,
+        service: &str,
+        target: u64,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        let report = self.dialect.target_status(status, headers);
+        self.note_brittleness_of_service(service, target, report.brittle);
+    }
+
     /// Records what an answer of a target states about its service.
-    fn note_brittleness_of_service(&self, target: &Target, withstands: Option<u32>) {
+    fn note_brittleness_of_service(&self, service: &str, target: u64, withstands: Option<u32>) {
         let mut known = lock(&self.brittle_services);
         if withstands.is_some() || !known.is_empty() {
-            let service = ServiceKey::of(&target.announcement.service);
-            known.note_answer(self.now(), service, withstands);
+            known.note_answer(self.now(), ServiceKey::of(service), target, withstands);
         }
     }
 
--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -339,9 +339,8 @@
     response: Response<Incoming>,
 ) -> PeerResult {
     let (mut head, body) = response.into_parts();
-    if let Some(key) = decode_key(text(head.headers.remove(header::TARGET).as_ref())) {
-        state.tried.push(key);
-    }
+    let target = decode_key(text(head.headers.remove(header::TARGET).as_ref()));
+    state.tried.extend(target);
     let version = VersionKey::from_hex(text(head.headers.remove(header::SOFTWARE).as_ref()));
     if let Some(code) = head.headers.remove(header::REFUSAL) {
         if body.collect().await.is_ok() {
@@ -354,6 +353,9 @@
         Err(AttemptError::NotRun) => return PeerResult::Failed(Refusal::NotRun),
         Err(_) => return PeerResult::Failed(Refusal::WrongAnswer),
     }
+    if let Some(target) = target {
+        gateway.record_relayed_report(&state.service, target, head.status, &head.headers);
+    }
     let source = Source::Peer { connection, version };
     let (status, headers) = (head.status, head.headers);
     PeerResult::Answered(Box::new(Answer { source, status, headers, body }))
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod balance;
 mod brittle;
 mod brittle_fleet;
+mod brittle_services;
 mod budget;
 mod buffer_ledger;
 mod cold;
