Brittleness is kept by service alone, and its end reaches every gateway

What callers saw: after targets had ceased to be brittle, some requests were refused as `full` while most places were free, and a gateway with few requests went on dispatching.

Cause: brittleness was kept twice. A target counted as brittle for 30 s after its own last answer to this gateway, whatever was known of its service; a gateway whose shares of all targets were below one place then refused every request. And a gateway whose few answers after the end came from targets that had stated nothing to it before never noticed the end.

Change: whether a target is brittle follows from its service alone; the target keeps only the room that was found. Any answer that states nothing ends what this gateway heard itself, unless one stated something within the last 0.5 s; it does not refute the members' word, since another target may be brittle. Members tell the services with brittle targets when they change, the empty list too, instead of with each report of loads: in a large fleet that was up to 50 s late, and while no target is in use it was not sent at all. Their word counts for 10 s after their last update. The frames have not been in production yet; the encoding of the part is the same.

`brittle=` in the log of a request that is given up on says how many targets withstand how many rejections; rooms found by dispatching count as found full too.

--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -106,9 +106,7 @@
 
     /// What the gateway believes of the target, for logs.
     pub fn belief(&self, now: Duration) -> Belief {
-        let stated = self.stated.filter(|stated| now < stated.until);
         Belief {
-            withstands: stated.map(|stated| stated.rejections),
             room: self.room.map(|room| room.requests),
             paused: self.room.is_some_and(|room| now < room.paused_until),
             share: self.share.multiple,
@@ -174,11 +172,9 @@
     }
 }
 
-/// What a gateway believes of a target that may be brittle.
+/// What a gateway believes of a brittle target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
-    /// Rejections in a second that the target withstands; `None` if it does not count as brittle.
-    pub withstands: Option<u32>,
     /// Requests from all gateways that it is believed to have room for; `None` if it was never found full.
     pub room: Option<f64>,
     /// Whether it is sent nothing for now, since it rejected a request.
--- a/src/gateway/brittle_services.rs
+++ b/src/gateway/brittle_services.rs
@@ -1,6 +1,6 @@
 //! Which services have brittle targets, by the answers that this gateway received and by the members' word.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::group::brittle::{BrittleService, ServiceKey};
@@ -13,66 +13,55 @@
 /// How long a gateway reports a service after an answer last said that its targets are brittle.
 const REPORTED_FOR: Duration = Duration::from_secs(1);
 
-/// Maximum number of targets of a service of which it is known that they stated something.
-const MAX_STATING: usize = 1_024;
+/// How long the members' word counts after an update of a member. Later it may have changed without this gateway being
+/// told.
+const TOLD_TTL: Duration = Duration::from_secs(10);
 
 /// What answers stated about the targets of a service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Stated {
-    /// When an answer last stated something.
     at: Duration,
     withstands: u32,
-    /// Keys of the targets whose answers did.
-    by: HashSet<u64>,
 }
 
 /// The services with brittle targets, as a gateway knows them.
 #[derive(Debug, Default)]
 pub struct BrittleServices {
     stated: HashMap<ServiceKey, Stated>,
+    /// By the members' word.
     told: HashMap<ServiceKey, u32>,
+    /// Until when that word counts.
+    told_until: Duration,
 }
 
 impl BrittleServices {
     /// Records what an answer of a target of the service states; `None` if it states nothing.
-    pub fn note_answer(
-        &mut self,
-        now: Duration,
-        service: ServiceKey,
-        target: u64,
-        withstands: Option<u32>,
-    ) {
+    ///
+    /// An answer that states nothing does not refute the members' word: another target of the service may be brittle.
+    pub fn note_answer(&mut self, now: Duration, service: ServiceKey, withstands: Option<u32>) {
         if let Some(withstands) = withstands {
-            self.note_stated(now, service, target, withstands);
+            self.stated.insert(service, Stated { at: now, withstands });
             return;
         }
-        // Others of the service may never have been brittle.
-        let ended =
-            |stated: &Stated| now >= stated.at + SETTLING_TIME && stated.by.contains(&target);
+        let ended = |stated: &Stated| now >= stated.at + SETTLING_TIME;
         if self.stated.get(&service).is_some_and(ended) {
             self.stated.remove(&service);
-            self.told.remove(&service);
         }
     }
 
-    fn note_stated(&mut self, now: Duration, service: ServiceKey, target: u64, withstands: u32) {
-        let stated = self.stated.entry(service).or_default();
-        stated.at = now;
-        stated.withstands = withstands;
-        if stated.by.len() < MAX_STATING {
-            stated.by.insert(target);
+    /// Records an update of a member: the services with brittle targets by its word, if they changed.
+    pub fn note_update(&mut self, now: Duration, services: Option<&[BrittleService]>) {
+        self.told_until = now + TOLD_TTL;
+        if let Some(services) = services {
+            self.told = services.iter().map(|told| (told.service, told.withstands)).collect();
         }
     }
 
-    /// Replaces what members told.
-    pub fn note_told(&mut self, services: &[BrittleService]) {
-        self.told = services.iter().map(|told| (told.service, told.withstands)).collect();
-    }
-
     /// Rejections in a second that a target of the service withstands; `None` if the service is not brittle.
     pub fn withstands(&self, now: Duration, service: ServiceKey) -> Option<u32> {
         let stated = self.stated.get(&service).filter(|stated| now < stated.at + STATED_TTL);
-        stated.map(|stated| stated.withstands).or_else(|| self.told.get(&service).copied())
+        let told = self.told.get(&service).filter(|_| now < self.told_until);
+        stated.map(|stated| stated.withstands).or(told.copied())
     }
 
     /// What this gateway reports to members: what answers stated lately.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,7 +9,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::balance::{Affinity, Candidate, Preference, choose, is_expected_holder};
-use super::brittle::Belief;
 use super::dispatch::Sending;
 use super::exchange::RequestState;
 use super::mechanism::Mechanism;
@@ -118,13 +117,13 @@
         cold: Option<ColdLimit>,
     ) -> Option<(VersionGroup, Vec<&'a Arc<Target>>)> {
         let (body, max_bytes) = (state.outgoing.body_bytes(), self.max_bodies_per_target());
-        let gateways = self.gateways();
         let max_connections = self.max_connections_to(&state.service);
+        let withstands = self.withstands(&state.service);
         let may_send = |target: &Arc<Target>| match state.sending {
             Sending::Direct => {
                 target.has_room(body, max_bytes)
                     && target.has_connection(max_connections)
-                    && target.has_room_if_brittle(now, gateways, &self.settings.host)
+                    && self.has_room_if_brittle(now, target, withstands)
                     && cold.is_none_or(|limit| limit.may_send(now, target))
             }
             Sending::Dispatched => {
@@ -217,11 +216,8 @@
         let fitting = open.clone().filter(|target| {
             target.has_room(body, max_bytes) && target.has_connection(max_connections)
         });
-        let gateways = self.gateways();
-        if fitting
-            .clone()
-            .any(|target| target.has_room_if_brittle(now, gateways, &self.settings.host))
-        {
+        let withstands = self.withstands(&state.service);
+        if fitting.clone().any(|target| self.has_room_if_brittle(now, target, withstands)) {
             return Refusal::Cold;
         }
         if fitting.count() > 0 {
@@ -242,19 +238,28 @@
         if state.connect_cost > 0 { Refusal::ConnectFailed } else { Refusal::NoTarget }
     }
 
-    /// What this gateway believes of the targets of a service that may be brittle, for logs; empty if none is.
+    /// What this gateway believes of the targets of a service, for logs; empty if they are not brittle.
     pub(super) fn brittle_summary(&self, service: &str) -> String {
+        let Some(withstands) = self.withstands(service) else {
+            return String::new();
+        };
         let now = self.now();
         let known = read(&self.targets);
-        let beliefs: Vec<Belief> = known.of(service).iter().map(|one| one.belief(now)).collect();
-        let count =
-            |holds: &dyn Fn(&Belief) -> bool| beliefs.iter().filter(|one| holds(one)).count();
-        let brittle = count(&|one| one.withstands.is_some());
-        if brittle == 0 {
-            return String::new();
-        }
-        let (paused, limited) = (count(&|one| one.paused), count(&|one| one.room.is_some()));
-        format!("{brittle} of {}, {paused} paused, {limited} found full", beliefs.len())
+        let targets = known.of(service);
+        let paused = targets.iter().filter(|one| one.belief(now).paused).count();
+        let found_full =
+            |one: &&Arc<Target>| one.belief(now).room.is_some() || one.admission_limit().is_some();
+        let limited = targets.iter().filter(found_full).count();
+        format!("{} withstand {withstands}, {paused} paused, {limited} found full", targets.len())
+    }
+
+    /// Whether a target may be sent one more request from here, if its service is brittle: `withstands` rejections in a
+    /// second.
+    fn has_room_if_brittle(&self, now: Duration, target: &Target, withstands: Option<u32>) -> bool {
+        let host = &self.settings.host;
+        withstands.is_none_or(|withstands| {
+            target.has_room_if_brittle(now, withstands, self.gateways(), host)
+        })
     }
 
     /// Time until the first target that backs off can be sent requests again, plus a random part of
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -146,12 +146,9 @@
         known.withstands(self.now(), ServiceKey::of(service))
     }
 
-    /// Applies the services that members say have brittle targets.
-    pub(super) fn receive_brittle_services(&self, services: &[BrittleService]) {
-        let mut known = lock(&self.brittle_services);
-        if !services.is_empty() || !known.is_empty() {
-            known.note_told(services);
-        }
+    /// Applies an update of a member: the services that have brittle targets by its word, if they changed.
+    pub(super) fn receive_brittle_services(&self, services: Option<&[BrittleService]>) {
+        lock(&self.brittle_services).note_update(self.now(), services);
     }
 
     /// A gateway that dispatches to the target; `None` if none of them can be reached.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -349,16 +349,7 @@
             let known = target.draining();
             trace::target_shutting_down(self, target, target.note_draining(), known);
         }
-        if full && let Some(withstands) = report.brittle {
-            trace::rejected_by_brittle(self, target);
-            let role = self.role(target, withstands);
-            target.note_rejected(now, self.dispatched_part(target, withstands), role);
-        }
-        let service = &target.announcement.service;
-        self.note_brittleness_of_service(service, target.key, report.brittle);
-        if target.note_brittle(now, report.brittle, full, self.gateways()) {
-            self.apply_brittleness(now, target, report.brittle);
-        }
+        self.record_brittleness(target, report.brittle, full);
         match report.backoff {
             Some(backoff) => {
                 target.note_backoff(now, backoff, return_spread(self.gateways()));
@@ -370,35 +361,35 @@
         self.note_unknown_headers(target, headers);
     }
 
-    /// Records what the head of an answer that another gateway passed on reports about its target.
-    fn record_relayed_report(
-        &self,
-        service: &str,
-        target: u64,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) {
+    /// Records what the head of an answer that another gateway passed on states about the targets of a service.
+    fn record_relayed_report(&self, service: &str, status: StatusCode, headers: &HeaderMap) {
         let report = self.dialect.target_status(status, headers);
-        self.note_brittleness_of_service(service, target, report.brittle);
+        self.note_brittleness_of_service(service, report.brittle);
     }
 
-    /// Records what an answer of a target states about its service.
-    fn note_brittleness_of_service(&self, service: &str, target: u64, withstands: Option<u32>) {
-        let mut known = lock(&self.brittle_services);
-        if withstands.is_some() || !known.is_empty() {
-            known.note_answer(self.now(), ServiceKey::of(service), target, withstands);
+    /// Records what a target's answer states about its brittleness, and whether it had no room for the request.
+    fn record_brittleness(&self, target: &Target, states: Option<u32>, full: bool) {
+        let service = &target.announcement.service;
+        if full && let Some(withstands) = states {
+            trace::rejected_by_brittle(self, target);
+            let role = self.role(target, withstands);
+            target.note_rejected(self.now(), self.dispatched_part(target, withstands), role);
+        }
+        self.note_brittleness_of_service(service, states);
+        if target.note_states_brittleness(states.is_some()) {
+            trace::brittleness_changed(self, target, states);
+            target.forget_room();
+        }
+        if let Some(withstands) = self.withstands(service) {
+            target.note_answered_brittle(self.now(), withstands, full, self.gateways());
         }
     }
 
-    /// Logs that a target became brittle or ceased to be, and takes what it withstands to hold for its service.
-    fn apply_brittleness(&self, now: Duration, target: &Target, withstands: Option<u32>) {
-        let service = &target.announcement.service;
-        info!(self.log, "brittleness of a target changed"; "event" => "target_brittle",
-            "target" => &target.announcement.id, "service" => service, "withstands" => withstands,
-            "load" => target.load(now, 0.0, self.gateways()), "in_flight" => target.in_flight());
-        if let Some(withstands) = withstands {
-            let targets = read(&self.targets);
-            targets.of(service).iter().for_each(|other| other.assume_brittle(now, withstands));
+    /// Records what an answer of a target states about its service.
+    fn note_brittleness_of_service(&self, service: &str, states: Option<u32>) {
+        let mut known = lock(&self.brittle_services);
+        if states.is_some() || !known.is_empty() {
+            known.note_answer(self.now(), ServiceKey::of(service), states);
         }
     }
 
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -83,9 +83,10 @@
     others_from_target: Mutex<Option<OthersLoad>>,
     /// How much slower than usual the target works, as it reports itself.
     slowdown: Mutex<Slowdown>,
+    /// What was found out about its room, for the time while its service is brittle.
     brittle: Mutex<Brittle>,
-    /// Whether `brittle` holds anything.
-    may_be_brittle: AtomicBool,
+    /// Whether its last answer said that it is brittle.
+    states_brittleness: AtomicBool,
     /// What this gateway found out about its room by dispatching to it.
     admission: Mutex<Admission>,
 }
@@ -113,7 +114,7 @@
             others_from_target: Mutex::default(),
             slowdown: Mutex::default(),
             brittle: Mutex::default(),
-            may_be_brittle: AtomicBool::new(false),
+            states_brittleness: AtomicBool::new(false),
             admission: Mutex::default(),
             announcement,
         };
@@ -296,27 +297,31 @@
         }
     }
 
-    /// Records what an answer says about the brittleness of the target: `withstands` as stated, if it is brittle, and
-    /// `full` if it rejected the request for want of room. Returns whether it became brittle or ceased to be.
-    pub(super) fn note_brittle(
+    /// Records whether an answer says that the target is brittle. Returns whether it became so or ceased to be.
+    pub(super) fn note_states_brittleness(&self, states: bool) -> bool {
+        self.states_brittleness.swap(states, Ordering::Relaxed) != states
+    }
+
+    /// Records an answer while its service is brittle: `full` if it rejected the request for want of room.
+    pub(super) fn note_answered_brittle(
         &self,
         now: Duration,
-        withstands: Option<u32>,
+        withstands: u32,
         full: bool,
         gateways: u32,
-    ) -> bool {
-        let before = self.may_be_brittle.swap(withstands.is_some(), Ordering::Relaxed);
-        if !before && withstands.is_none() {
-            return false;
-        }
+    ) {
         let load = self.load(now, 0.0, gateways);
         let mut brittle = lock(&self.brittle);
-        brittle.note_stated(now, withstands);
+        brittle.note_stated(now, Some(withstands));
         match full {
             true => brittle.note_rejected(now, load - 1.0, gateways, rand::random()),
             false => brittle.note_taken(now, self.announcement.slots),
         }
-        before != withstands.is_some()
+    }
+
+    /// Forgets the room that its share of the places was bounded by.
+    pub(super) fn forget_room(&self) {
+        *lock(&self.brittle) = Brittle::default();
     }
 
     /// Whether this gateway, which dispatches to the target, may send it one more request.
@@ -347,25 +352,21 @@
         lock(&self.brittle).belief(now)
     }
 
-    /// Assumes that the target is brittle, since another of its service said so, unless it spoke for itself lately.
-    pub(super) fn assume_brittle(&self, now: Duration, withstands: u32) {
-        let mut brittle = lock(&self.brittle);
-        if !brittle.active(now) {
-            brittle.note_stated(now, Some(withstands));
-            self.may_be_brittle.store(true, Ordering::Relaxed);
-        }
-    }
-
-    /// Whether the target has room for one more request, as far as that has to be known before it is sent: a brittle
-    /// target must not have to reject many. `host` is the name of this gateway's host.
-    pub(super) fn has_room_if_brittle(&self, now: Duration, gateways: u32, host: &str) -> bool {
-        if !self.may_be_brittle.load(Ordering::Relaxed) {
-            return true;
-        }
+    /// Whether the target, whose service is brittle, has room for one more request, as far as that has to be known before
+    /// it is sent: it must not have to reject many. `host` is the name of this gateway's host.
+    pub(super) fn has_room_if_brittle(
+        &self,
+        now: Duration,
+        withstands: u32,
+        gateways: u32,
+        host: &str,
+    ) -> bool {
         let hash = xxh3_64_with_seed(host.as_bytes(), self.key);
         let position = Position { gateways, draw: hash as f64 / u64::MAX as f64 };
         let load = Load { total: self.load(now, 0.0, gateways), own: self.in_flight() };
-        lock(&self.brittle).may_send(now, load, self.announcement.slots, position)
+        let mut brittle = lock(&self.brittle);
+        brittle.note_stated(now, Some(withstands));
+        brittle.may_send(now, load, self.announcement.slots, position)
     }
 
     /// Processing time at the target, as a multiple of the usual time.
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -278,11 +278,6 @@
         self.by_id.insert(announcement.id.clone(), target);
     }
 
-    /// How many rejections in a second the targets of a service withstand, if any of them says that it is brittle.
-    fn stated_brittleness(&self, now: Duration, service: &str) -> Option<u32> {
-        self.of(service).iter().find_map(|target| target.belief(now).withstands)
-    }
-
     /// Inserts or updates a target, and returns it.
     fn change(&mut self, now: Duration, listed: Listed) -> Arc<Target> {
         let Listed { announcement, home } = listed;
@@ -302,9 +297,6 @@
         let target = Arc::new(Target::new(announcement));
         let report = self.remembered.take(now, target.key);
         report.into_iter().chain(inherited_report).for_each(|report| target.restore_report(report));
-        if let Some(withstands) = self.stated_brittleness(now, &target.announcement.service) {
-            target.assume_brittle(now, withstands);
-        }
         target.set_home(home);
         self.insert(target.clone());
         target
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -118,6 +118,14 @@
         "elapsed_ms" => millis_since(state.arrived), "stands_for" => stands_for);
 }
 
+/// A target said that it is brittle, or that it is so no longer.
+pub(super) fn brittleness_changed(gateway: &Gateway, target: &Target, withstands: Option<u32>) {
+    info!(gateway.log, "brittleness of a target changed"; "event" => "target_brittle",
+        "target" => &target.announcement.id, "service" => &target.announcement.service,
+        "withstands" => withstands, "in_flight" => target.in_flight(),
+        "load" => target.load(gateway.now(), 0.0, gateway.gateways()));
+}
+
 /// A brittle target had no room for a request. Shows what this gateway believed of the target until then.
 pub(super) fn rejected_by_brittle(gateway: &Gateway, target: &Target) {
     gateway.metrics.rejected_by_brittle(&target.announcement.service);
@@ -126,9 +134,10 @@
         return;
     };
     let belief = target.belief(now);
+    let withstands = gateway.withstands(&target.announcement.service);
     info!(gateway.log, "a brittle target had no room for a request"; "event" => "brittle_rejection",
         "target" => &target.announcement.id, "service" => &target.announcement.service,
-        "known_brittle" => belief.withstands.is_some(), "withstands" => belief.withstands,
+        "known_brittle" => withstands.is_some(), "withstands" => withstands,
         "slots" => target.announcement.slots, "in_flight" => target.in_flight(),
         "load" => target.load(now, 0.0, gateway.gateways()), "room" => belief.room,
         "paused" => belief.paused, "limit" => target.admission_limit(), "share" => belief.share, "gateways" => gateway.gateways(),
--- a/src/gateway/update_receiver.rs
+++ b/src/gateway/update_receiver.rs
@@ -225,8 +225,8 @@
         self.gateway.metrics.version_announced.set(self.lateness.newest_version() as i64);
         if let Some(loads) = &update.loads {
             self.gateway.receive_loads(loads);
-            self.gateway.receive_brittle_services(&update.brittle);
         }
+        self.gateway.receive_brittle_services(update.brittle.as_deref());
         if let Some(dispatchers) = &update.dispatchers {
             info!(self.gateway.log, "told of gateways that dispatch to brittle targets";
                 "event" => "dispatchers", "dispatchers" => dispatchers.len());
--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -339,8 +339,9 @@
     response: Response<Incoming>,
 ) -> PeerResult {
     let (mut head, body) = response.into_parts();
-    let target = decode_key(text(head.headers.remove(header::TARGET).as_ref()));
-    state.tried.extend(target);
+    if let Some(key) = decode_key(text(head.headers.remove(header::TARGET).as_ref())) {
+        state.tried.push(key);
+    }
     let version = VersionKey::from_hex(text(head.headers.remove(header::SOFTWARE).as_ref()));
     if let Some(code) = head.headers.remove(header::REFUSAL) {
         if body.collect().await.is_ok() {
@@ -353,9 +354,7 @@
         Err(AttemptError::NotRun) => return PeerResult::Failed(Refusal::NotRun),
         Err(_) => return PeerResult::Failed(Refusal::WrongAnswer),
     }
-    if let Some(target) = target {
-        gateway.record_relayed_report(&state.service, target, head.status, &head.headers);
-    }
+    gateway.record_relayed_report(&state.service, head.status, &head.headers);
     let source = Source::Peer { connection, version };
     let (status, headers) = (head.status, head.headers);
     PeerResult::Answered(Box::new(Answer { source, status, headers, body }))
--- a/src/group/cursor.rs
+++ b/src/group/cursor.rs
@@ -6,6 +6,7 @@
 use crate::blob::{Blob, BlobId};
 use crate::store::Revision;
 
+use super::brittle::BrittleService;
 use super::message::Subscription;
 use super::prefix_holders::ReadPosition;
 use super::relay_peers::RelayPeer;
@@ -54,6 +55,8 @@
     pub(super) relay_peers: Vec<RelayPeer>,
     /// When these are looked at again.
     pub(super) next_relay_peers_at: Duration,
+    /// Services that it was told have brittle targets; `None` before the first update.
+    pub(super) brittle: Option<Vec<BrittleService>>,
     /// Gateways that it was told dispatch to brittle targets.
     pub(super) dispatchers: Vec<SocketAddr>,
     /// When these are looked at again.
@@ -79,6 +82,7 @@
             prefix_holders: ReadPosition::default(),
             relay_peers: Vec::new(),
             next_relay_peers_at: Duration::ZERO,
+            brittle: None,
             dispatchers: Vec::new(),
             next_dispatchers_at: Duration::ZERO,
             poison: 0,
--- a/src/group/frames/from_member.rs
+++ b/src/group/frames/from_member.rs
@@ -31,7 +31,7 @@
     pub(super) const RELAY_PEERS: u8 = 3;
     /// [`super::StreamOrigin`]s that the gateway asked for; a part only if there are any.
     pub(super) const STREAMS: u8 = 4;
-    /// [`super::BrittleService`]s; a part only if there are any.
+    /// [`super::BrittleService`]s; a part only if they changed.
     pub(super) const BRITTLE: u8 = 5;
     /// Addresses of the gateways that dispatch to brittle targets; a part only if they changed.
     pub(super) const DISPATCHERS: u8 = 6;
@@ -126,8 +126,8 @@
     if !update.streams.is_empty() {
         parts::add(&mut bytes, tag::STREAMS, &update.streams)?;
     }
-    if !update.brittle.is_empty() {
-        parts::add(&mut bytes, tag::BRITTLE, &update.brittle)?;
+    if let Some(services) = &update.brittle {
+        parts::add(&mut bytes, tag::BRITTLE, services)?;
     }
     if let Some(dispatchers) = &update.dispatchers {
         parts::add(&mut bytes, tag::DISPATCHERS, dispatchers)?;
@@ -163,7 +163,7 @@
         poison: added.poison.into_owned(),
         relay_peers: parts.get::<Vec<RelayPeer>>(tag::RELAY_PEERS)?,
         streams: parts.get::<Vec<StreamOrigin>>(tag::STREAMS)?.unwrap_or_default(),
-        brittle: parts.get::<Vec<BrittleService>>(tag::BRITTLE)?.unwrap_or_default(),
+        brittle: parts.get::<Vec<BrittleService>>(tag::BRITTLE)?,
         dispatchers: parts.get::<Vec<SocketAddr>>(tag::DISPATCHERS)?,
     })
 }
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -251,8 +251,8 @@
     pub relay_peers: Option<Vec<RelayPeer>>,
     /// Origins of streams that the gateway asked for.
     pub streams: Vec<StreamOrigin>,
-    /// Services with brittle targets; sent with `loads`.
-    pub brittle: Vec<BrittleService>,
+    /// Services with brittle targets, if they changed.
+    pub brittle: Option<Vec<BrittleService>>,
     /// Addresses of the gateways that dispatch to brittle targets, if they changed and a service is brittle.
     pub dispatchers: Option<Vec<SocketAddr>>,
 }
@@ -282,7 +282,7 @@
             evidence: self.evidence.or(earlier.evidence),
             relay_peers: self.relay_peers.or(earlier.relay_peers),
             dispatchers: self.dispatchers.or(earlier.dispatchers),
-            brittle: if self.brittle.is_empty() { earlier.brittle } else { self.brittle },
+            brittle: self.brittle.or(earlier.brittle),
             ..self
         }
     }
--- a/src/group/update_sender.rs
+++ b/src/group/update_sender.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::Shared;
+use super::brittle::BrittleService;
 use super::cursor::{Cursor, Missing, MissingBlob, PeerFetch};
 use super::fan_out::PeerGateway;
 use super::loads::Loads;
@@ -349,11 +350,8 @@
         let mixes = mixes.unwrap_or_default();
         let fresh = self.fresh();
         let relay_peers = self.next_relay_peers(now);
-        let brittle = match loads {
-            Some(_) => lock(&self.shared.brittle).all(now, gateways),
-            None => Vec::new(),
-        };
-        let dispatchers = if brittle.is_empty() { None } else { self.next_dispatchers(now) };
+        let brittle = self.next_brittle(now, gateways);
+        let dispatchers = self.next_dispatchers(now);
         let rest = Update { prefix_holders, mixes, relay_peers, ..Update::default() };
         let rest = Update { brittle, dispatchers, ..rest };
         Update { fresh, version, evacuations, rollouts, gateways, loads, evidence, ..rest }
@@ -376,9 +374,24 @@
         Some(selected)
     }
 
-    /// The gateways that dispatch to brittle targets, if they changed and a look at them is due.
+    /// The services with brittle targets, if they changed.
+    fn next_brittle(&mut self, now: Duration, gateways: u32) -> Option<Vec<BrittleService>> {
+        if self.status_only {
+            return None;
+        }
+        let services = lock(&self.shared.brittle).all(now, gateways);
+        if self.cursor.brittle.as_ref() == Some(&services) {
+            return None;
+        }
+        self.cursor.brittle = Some(services.clone());
+        Some(services)
+    }
+
+    /// The gateways that dispatch to brittle targets, if there are such targets, the gateways changed and a look at them
+    /// is due.
     fn next_dispatchers(&mut self, now: Duration) -> Option<Vec<SocketAddr>> {
-        if self.status_only || now < self.cursor.next_dispatchers_at {
+        let any_brittle = self.cursor.brittle.as_ref().is_some_and(|services| !services.is_empty());
+        if !any_brittle || now < self.cursor.next_dispatchers_at {
             return None;
         }
         let known = lock(&self.shared.relay_peers);
--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -253,7 +253,7 @@
     let with_streams = Update { streams: vec![stream()], ..update.clone() };
     let dispatchers = vec![([10, 0, 0, 9], 7420).into(), ([10, 0, 1, 9], 7420).into()];
     let with_brittle =
-        Update { brittle: vec![brittle()], dispatchers: Some(dispatchers), ..update.clone() };
+        Update { brittle: Some(vec![brittle()]), dispatchers: Some(dispatchers), ..update.clone() };
     let with_relay_peers = Update { relay_peers: Some(vec![peer]), ..update.clone() };
     vec![
         ("reply_taken", FromMember::Reply { id: 6, reply: outcomes }),
--- a/tests/fleet/brittle_returns.rs
+++ b/tests/fleet/brittle_returns.rs
@@ -218,6 +218,8 @@
     assert!(world.count_direct("brittle").await < GATEWAYS, "targets were never brittle");
     world.targets.iter().for_each(BrittleTarget::cease_to_be_brittle);
     world.send(Phase { demand: 0.3, lasts: Duration::from_secs(3) }).await;
+    // Afterwards each gateway has had an answer that states nothing.
+    world.count_direct("ending").await;
     let direct = world.count_direct("ended").await;
     assert_eq!(direct, GATEWAYS, "gateways that send requests to targets directly");
 }
