A request that succeeded within 5 s is not blamed for the end of a brittle target

What callers saw: while brittle targets fell over, requests that are all alike were refused with 500 as poison, though they were served all the time by the targets that still ran.

Cause: an end counts against each request that the target was running. A success clears a request only afterwards, so a few ends at one moment block it until the next success; requests that are blocked have none.

Evidence: six of seven brittle targets end at once, 24 gateways, all requests alike.

Change: as for parts of prompts, a success says for 5 s that a request is no poison. It is remembered while the service is brittle only, since it takes the fingerprint of each request. A poison request never succeeds, so that it is blocked as before.

The stand-in's ends are not falls, so that the rule on ends which a target's rejections explain plays no part here.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,7 +98,7 @@
 use crate::dialect::{Headers, SharedDialect};
 use crate::group::brittle::ServiceKey;
 use crate::group::stream_origins::{StreamKey, StreamOrigins};
-use crate::poison::{PoisonTracker, SoundParts};
+use crate::poison::{PoisonTracker, RecentSuccesses};
 use crate::rollout::tally::Tallies;
 use crate::route_table::RouteTable;
 use crate::run_clock::RunClock;
@@ -156,7 +156,7 @@
     /// Requests during which targets ended (suspected poison requests).
     poison: Mutex<PoisonTracker>,
     /// Parts of prompts with which requests succeeded here.
-    sound_parts: Mutex<SoundParts>,
+    successes: Mutex<RecentSuccesses>,
     /// Wakes the task that reports changes of `poison` to a member.
     poison_changed: Notify,
     /// Versions that began the streams of this gateway's clients, and of others that it asked for.
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -18,6 +18,8 @@
 
 /// Maximum number of a prompt's parts that are checked.
 const MAX_PARTS: usize = 32;
+/// Time after a success of a request for which it is not suspected. A poison request never succeeds.
+const REQUEST_TRUST: Duration = Duration::from_secs(5);
 /// A stream whose target crashes later than this after its first event is not taken to be the cause: a poison request
 /// crashes its target when it begins to answer. One that lasts so long shows that its parts are sound.
 const CRASH_ONSET: Duration = Duration::from_millis(500);
@@ -96,9 +98,13 @@
         suspects
     }
 
-    /// Records that a target ended while processing a request, by the suspects that [`Gateway::suspects`] returned.
+    /// Records that a target ended while processing a request, by the suspects that [`Gateway::suspects`] returned. A
+    /// request that succeeded shortly before is not suspected.
     pub(super) fn record_crash(&self, suspects: Vec<Suspect>, target: u64) {
         let (now, by) = (self.now(), Reporter::of(&self.settings.host));
+        let suspects =
+            suspects.into_iter().filter(|one| !self.succeeded_lately(now, one.fingerprint));
+        let suspects: Vec<Suspect> = suspects.collect();
         let mut tracker = lock(&self.poison);
         for suspect in suspects {
             let fingerprint = suspect.fingerprint;
@@ -110,12 +116,19 @@
         self.log_poison();
     }
 
+    /// Whether a request is known to have succeeded within [`REQUEST_TRUST`].
+    fn succeeded_lately(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let last = lock(&self.successes).last(&fingerprint);
+        fingerprint.kind() == FingerprintKind::Request
+            && last.is_some_and(|at| now < at + REQUEST_TRUST)
+    }
+
     /// Clears a part if a request with it succeeded here shortly before the crashes under it. Returns whether it did.
     fn clear_by_earlier_success(&self, tracker: &mut PoisonTracker, part: Fingerprint) -> bool {
         if part.kind() == FingerprintKind::Request {
             return false;
         }
-        let last = lock(&self.sound_parts).last(&part);
+        let last = lock(&self.successes).last(&part);
         last.is_some_and(|at| tracker.record_earlier_success(self.now(), part, at))
     }
 
@@ -125,6 +138,10 @@
         if self.may_be_known_poison(state) {
             self.record_success(state.fingerprint());
         }
+        // Brittle targets that fall over end under many requests at once.
+        if self.withstands(&state.service).is_some() {
+            lock(&self.successes).note(self.now(), state.fingerprint());
+        }
         self.record_parts_sound(state);
     }
 
@@ -140,9 +157,9 @@
 
     fn record_parts_sound(&self, state: &RequestState) {
         let now = self.now();
-        let mut sound = lock(&self.sound_parts);
-        state.parts.iter().for_each(|part| sound.note(now, *part));
-        drop(sound);
+        let mut successes = lock(&self.successes);
+        state.parts.iter().for_each(|part| successes.note(now, *part));
+        drop(successes);
         if self.may_hold_known_part(state) {
             state.parts.iter().for_each(|part| self.record_success(*part));
         }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -17,7 +17,7 @@
 use super::{Gateway, Stage, listener, peers, rollout_log, subscriber};
 use crate::clock::Instant;
 use crate::dialect::SharedDialect;
-use crate::poison::{PoisonTracker, Reporter, Rule, SoundParts};
+use crate::poison::{PoisonTracker, RecentSuccesses, Reporter, Rule};
 use crate::run_clock::RunClock;
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::sync::lock;
@@ -116,7 +116,7 @@
             client_connections: AtomicUsize::new(0),
             last_request: Mutex::new(Instant::now()),
             poison: Mutex::new(PoisonTracker::new(Rule::default(), Some(reporter))),
-            sound_parts: Mutex::new(SoundParts::new(Rule::default().part_trust)),
+            successes: Mutex::new(RecentSuccesses::new(Rule::default().part_trust)),
             poison_changed: Notify::new(),
             streams: Mutex::default(),
             streams_asked_for: Mutex::default(),
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -12,7 +12,7 @@
 mod identity;
 mod log;
 mod report;
-mod sound;
+mod successes;
 mod tracker;
 
 pub use self::identity::{
@@ -20,5 +20,5 @@
 };
 pub(crate) use self::log::log_block_changes;
 pub use self::report::{CrashReport, MAX_REPORTS_PER_MESSAGE, Report, Reporter, Suspect};
-pub use self::sound::SoundParts;
+pub use self::successes::RecentSuccesses;
 pub use self::tracker::{BlockChange, Origin, PoisonTracker, Rule, Verdict};
--- a/tests/fleet/brittle_returns.rs
+++ b/tests/fleet/brittle_returns.rs
@@ -239,3 +239,15 @@
     let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
     assert_eq!(blocked.count(), 0, "requests blocked");
 }
+
+#[tokio::test]
+async fn requests_that_are_alike_are_not_blocked_when_brittle_targets_end_at_once() {
+    let mut world = World::start().await;
+    world.alike = true;
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(3) }).await;
+    world.targets[1..].iter().for_each(BrittleTarget::end);
+    world.send(Phase { demand: 0.3, lasts: Duration::from_secs(4) }).await;
+    let (_, seen) = world.finish().await;
+    let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
+    assert_eq!(blocked.count(), 0, "requests blocked");
+}
--- a/tests/poison/model.rs
+++ b/tests/poison/model.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use latchmount::poison::{
-    Fingerprint, Identity, Origin, PoisonTracker, PromptPart, Report, Reporter, Rule, SoundParts,
-    Suspect, Verdict,
+    Fingerprint, Identity, Origin, PoisonTracker, PromptPart, RecentSuccesses, Report, Reporter,
+    Rule, Suspect, Verdict,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -155,7 +155,7 @@
     next: u64,
     gateway_trackers: Vec<PoisonTracker>,
     member_trackers: Vec<PoisonTracker>,
-    sound_parts: Vec<SoundParts>,
+    sound_parts: Vec<RecentSuccesses>,
     /// Newest change that was sent: by each gateway to its member, by each member to the others, and to each gateway.
     sent_by_gateways: Vec<u64>,
     sent_to_members: Vec<u64>,
@@ -211,7 +211,7 @@
             events: HashMap::new(),
             next: 0,
             gateway_trackers: (0..scenario.gateways).map(tracker).collect(),
-            sound_parts: vec![SoundParts::new(policy.rule.part_trust); scenario.gateways],
+            sound_parts: vec![RecentSuccesses::new(policy.rule.part_trust); scenario.gateways],
             member_trackers: (0..MEMBERS).map(|_| PoisonTracker::new(policy.rule, None)).collect(),
             sent_by_gateways: vec![0; scenario.gateways],
             sent_to_members: vec![0; MEMBERS],
--- a/tests/poison/parts.rs
+++ b/tests/poison/parts.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use latchmount::poison::{
-    Fingerprint, FingerprintKind, Identity, PoisonTracker, PromptPart, Reporter, Rule, SoundParts,
-    Suspect, Verdict,
+    Fingerprint, FingerprintKind, Identity, PoisonTracker, PromptPart, RecentSuccesses, Reporter,
+    Rule, Suspect, Verdict,
 };
 use proptest::prelude::*;
 
@@ -171,7 +171,7 @@
 
 #[test]
 fn successes_are_remembered_for_as_long_as_they_count_and_are_bounded() {
-    let mut sound = SoundParts::new(ms(5_000));
+    let mut sound = RecentSuccesses::new(ms(5_000));
     sound.note(ms(100), key("a"));
     sound.note(ms(5_100), key("b"));
     assert_eq!(sound.last(&key("a")), Some(ms(100)), "in the older generation");
