A peer that was only slow to accept a connection is used again at once

Cause: a connection to a peer that is not open within 300 ms makes the peer count as unreachable for 1 s, for all requests. On a busy machine the first burst of connections to both peers is that late.

Change: the connection goes on being opened in the background for up to 1 s in all. If it is opened after all, the peer is reachable again and the connection is kept for the next request. A peer that refuses, or stays silent, is left out for 1 s as before.

--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -15,6 +15,8 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use slog::info;
+use tokio::task::JoinHandle;
+use tokio::time::error::Elapsed;
 
 use super::{GREETING_PATH, concerns_peer_only, decode_key, encode_key, header};
 use crate::clock::Instant;
@@ -34,6 +36,8 @@
 
 /// Timeout for a new connection to a peer and its answer to the greeting; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for which a connection is waited for in the background, where it shows that the peer was only slow.
+const MAX_CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which bytes sent to a peer may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum idle connections kept per peer.
@@ -57,6 +61,9 @@
     dispatches: bool,
 }
 
+/// A connection that is being opened; `None` if that fails.
+type Opening = JoinHandle<Result<Option<OpenConnection>, Elapsed>>;
+
 /// An idle connection.
 struct IdleConnection {
     opened: OpenConnection,
@@ -172,10 +179,7 @@
             }
             PeerResult::Refused(refusal) => return Offered::Refused(refusal),
             PeerResult::NotTaken(NotTaken::TooLate) => return Offered::NotTaken,
-            PeerResult::NotTaken(NotTaken::EarlierBuild) => {}
-            PeerResult::NotTaken(NotTaken::Unreachable) => {
-                lock(&gateway.peer_selection).note_unreachable(gateway.now(), peer);
-            }
+            PeerResult::NotTaken(NotTaken::EarlierBuild | NotTaken::Unreachable) => {}
             PeerResult::NotTaken(NotTaken::Refused(_)) => {
                 lock(&gateway.peer_selection).note_refused(gateway.now(), peer, &service);
             }
@@ -205,10 +209,7 @@
             state.count_arrival();
             DispatchOutcome::Failed(FailedAttempt::via_peer(refusal))
         }
-        PeerResult::NotTaken(NotTaken::Unreachable) => {
-            lock(&gateway.peer_selection).note_unreachable(now, peer);
-            DispatchOutcome::NoDispatcher
-        }
+        PeerResult::NotTaken(NotTaken::Unreachable) => DispatchOutcome::NoDispatcher,
         PeerResult::NotTaken(_) => {
             lock(&gateway.peer_selection).note_refused(now, peer, service);
             DispatchOutcome::NoDispatcher
@@ -276,15 +277,33 @@
         && gateway.may_spend_retry_after_current(state)
 }
 
-/// Takes an idle connection to the peer, or opens one and makes sure that it serves other gateways.
-async fn connect(gateway: &Gateway, peer: SocketAddr, reuse: Reuse) -> Option<PeerConnection> {
+/// Takes an idle connection to the peer, or opens one and makes sure that it serves other gateways. If that fails, the
+/// peer counts as unreachable for a while.
+async fn connect(gateway: &Arc<Gateway>, peer: SocketAddr, reuse: Reuse) -> Option<PeerConnection> {
     let pool = gateway.peer_connections.clone();
     if let Some(opened) = pool.take(peer, reuse) {
         return Some(PeerConnection { peer, opened, pool });
     }
     let opening = open(gateway.settings.source, peer);
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()??;
-    Some(PeerConnection { peer, opened, pool })
+    let mut opening = tokio::spawn(tokio::time::timeout(MAX_CONNECT_TIME, opening));
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, &mut opening).await;
+    if let Ok(Ok(Ok(Some(opened)))) = opened {
+        return Some(PeerConnection { peer, opened, pool });
+    }
+    lock(&gateway.peer_selection).note_unreachable(gateway.now(), peer);
+    if opened.is_err() {
+        tokio::spawn(note_late_connection(gateway.clone(), peer, opening));
+    }
+    None
+}
+
+/// Waits for a connection that no request waits for any more. If it is opened after all, the peer was only slow.
+async fn note_late_connection(gateway: Arc<Gateway>, peer: SocketAddr, opening: Opening) {
+    if let Ok(Ok(Some(opened))) = opening.await {
+        lock(&gateway.peer_selection).note_reachable(peer);
+        let pool = gateway.peer_connections.clone();
+        PeerConnection { peer, opened, pool }.keep();
+    }
 }
 
 async fn open(source: Option<IpAddr>, peer: SocketAddr) -> Option<OpenConnection> {
--- a/src/gateway/via_peer/selection.rs
+++ b/src/gateway/via_peer/selection.rs
@@ -62,6 +62,11 @@
         self.unreachable.insert(peer, now + UNREACHABLE_PAUSE);
     }
 
+    /// Records that a peer was reached after all.
+    pub fn note_reachable(&mut self, peer: SocketAddr) {
+        self.unreachable.remove(&peer);
+    }
+
     /// Records that a peer refused a request for the service for its own reasons.
     pub fn note_refused(&mut self, now: Duration, peer: SocketAddr, service: &str) {
         self.refused.retain(|_, until| now < *until);
--- a/tests/gateway/peer_selection.rs
+++ b/tests/gateway/peer_selection.rs
@@ -40,6 +40,16 @@
     assert_eq!(offered(1_100, "s"), [addr(1), addr(2), addr(3)].into());
 }
 
+#[test]
+fn a_peer_that_was_reached_after_all_is_not_left_out_any_more() {
+    let mut selection = PeerSelection::default();
+    selection.set_peers(vec![peer(1, "a")]);
+    selection.note_unreachable(at(0), addr(1));
+    assert!(!selection.usable(at(100), addr(1), "s"));
+    selection.note_reachable(addr(1));
+    assert!(selection.usable(at(100), addr(1), "s"));
+}
+
 #[test]
 fn requests_are_spread_over_all_peers_and_those_nearby_get_more() {
     let mut rng = StdRng::seed_from_u64(seed());
