A cold target gets no more than its rate where requests are dispatched too

What callers saw: a brittle target that came back cold, which can handle few requests until it is warm, got those of all gateways at once (FAILBACK).

Cause: each gateway enforces its share of a cold target's rate by itself, and counts the requests that it sends. A gateway that dispatches to a target did not look at the rate, and the gateways that it dispatches for did not count what it sent.

Change: where requests are dispatched, the gateways that dispatch to a target divide its rate, and refuse what exceeds it as without room; the others ask for no more than that.

Before, three runs of the new test, 24 gateways, a target that comes back and is cold for 8 s, 14 requests in a second allowed: 15, 20 and 16 in the first second. After: three of three passed.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::balance::{Affinity, Candidate, Preference, choose, is_expected_holder};
-use super::dispatch::Sending;
+use super::dispatch::{self, Sending};
 use super::exchange::RequestState;
 use super::mechanism::Mechanism;
 use super::prefix_source::PrefixSearch;
@@ -74,7 +74,7 @@
         let now = self.now();
         let known = read(&self.targets);
         let versions = Versions::new(now, &known, state);
-        let cold = self.cold_limit(&state.service);
+        let cold = self.cold_limit(&state.service, state.sending);
         let (group, targets) = self.usable(now, &known, &versions, state, cold)?;
         let candidates = self.to_candidates(now, &targets);
         let in_group =
@@ -119,6 +119,10 @@
         let (body, max_bytes) = (state.outgoing.body_bytes(), self.max_bodies_per_target());
         let max_connections = self.max_connections_to(&state.service);
         let withstands = self.withstands(&state.service);
+        let may_send_dispatched = |target: &Target| {
+            let dispatchers = dispatch::dispatchers_of(target, withstands);
+            cold.is_none_or(|limit| limit.among(dispatchers).may_send(now, target))
+        };
         let may_send = |target: &Arc<Target>| match state.sending {
             Sending::Direct => {
                 target.has_room(body, max_bytes)
@@ -126,11 +130,10 @@
                     && self.has_room_if_brittle(now, target, withstands)
                     && cold.is_none_or(|limit| limit.may_send(now, target))
             }
-            Sending::Dispatched => {
-                !state.full.contains(&target.key)
-                    && cold.is_none_or(|limit| limit.may_send(now, target))
+            Sending::Dispatched => !state.full.contains(&target.key) && may_send_dispatched(target),
+            Sending::Dispatching(key) => {
+                target.key == key && target.has_room(body, max_bytes) && may_send_dispatched(target)
             }
-            Sending::Dispatching(key) => target.key == key && target.has_room(body, max_bytes),
         };
         let usable = |target: &&Arc<Target>| {
             target.eligibility(now).accepts_work()
@@ -303,13 +306,18 @@
         })
     }
 
-    /// Counts a request that is about to be sent to a target, if the target is cold.
-    pub(super) fn note_cold_request(&self, target: &Target) {
-        if let Some(limit) = self.cold_limit(&target.announcement.service) {
+    /// Counts a request that is about to be sent to a target in this way, if the target is cold.
+    pub(super) fn note_cold_request(&self, target: &Target, sending: Sending) {
+        if let Some(limit) = self.cold_limit(&target.announcement.service, sending) {
             let now = self.now();
             let mut cold_state = target.cold_state();
             if cold_state.cold(now, limit.cold_start) {
                 self.metrics.cold_attempt(&target.announcement.service);
+                let withstands = self.withstands(&target.announcement.service);
+                let limit = match sending {
+                    Sending::Direct => limit,
+                    _ => limit.among(dispatch::dispatchers_of(target, withstands)),
+                };
                 cold_state.note_sent(now, limit.gap);
             }
         }
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -96,7 +96,10 @@
         };
         let outcome = match dispatcher {
             Dispatcher::ThisGateway => send_here(gateway, state, &choice, withstands).await,
-            Dispatcher::Peer(peer) => offer_for(gateway, state, peer, &choice.target).await,
+            Dispatcher::Peer(peer) => {
+                gateway.note_cold_request(&choice.target, state.sending);
+                offer_for(gateway, state, peer, &choice.target).await
+            }
         };
         match outcome {
             DispatchOutcome::Answered(answer) => return Ok(Dispatched::Answered(answer)),
@@ -126,6 +129,11 @@
     }
 }
 
+/// Number of gateways that dispatch to a target; `withstands`: rejections in a second that it is known to withstand.
+pub(super) fn dispatchers_of(target: &Target, withstands: Option<u32>) -> usize {
+    ranking::dispatchers_of(target.announcement.slots, withstands.unwrap_or(0))
+}
+
 impl Gateway {
     /// Rejections in a second that targets of the service withstand, if they are brittle and requests to them are
     /// dispatched.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -599,7 +599,7 @@
     let target = &choice.target;
     state.tried.push(target.key);
     state.events_since = None;
-    gateway.note_cold_request(target);
+    gateway.note_cold_request(target, state.sending);
     let mut limits = gateway.connection_limits(&state.service);
     if state.sending != Sending::Direct {
         // This gateway dispatches to the target, and the others don't send to it.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -77,6 +77,7 @@
 use self::client_buffers::ClientBuffers;
 use self::cold::ColdRule;
 use self::connection::ConnectionLimits;
+use self::dispatch::Sending;
 use self::dispatch::asks::Asks;
 use self::evidence::return_spread;
 use self::fleet_size::FleetSize;
@@ -195,7 +196,7 @@
     Closed,
 }
 
-/// This gateway's share of the requests that cold targets of a service may be sent.
+/// This gateway's share of the requests that a cold target may be sent.
 #[derive(Clone, Copy, Debug)]
 struct ColdLimit {
     /// Longest time for which a target stays cold after a start.
@@ -210,6 +211,11 @@
         target.cold_state().cold(now, self.cold_start)
     }
 
+    /// The share of one of so many gateways that dispatch to the same target.
+    fn among(self, dispatchers: usize) -> Self {
+        ColdLimit { gap: self.gap * dispatchers as u32, ..self }
+    }
+
     /// Whether a target may be sent a request now.
     fn may_send(self, now: Duration, target: &Target) -> bool {
         target.cold_state().may_send(now, self.cold_start, self.gap, rand::random)
@@ -288,8 +294,9 @@
         (configured.unwrap_or(DEFAULT_MAX_CONNECTIONS) / self.gateways().max(1)).max(1)
     }
 
-    /// Limit on requests to cold targets of a service; `None` if the service sets no rate.
-    fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+    /// Limit on requests that are sent in this way to cold targets of a service; `None` if the service sets no rate.
+    /// Where requests are dispatched it is that of a single gateway that dispatches.
+    fn cold_limit(&self, service: &str, sending: Sending) -> Option<ColdLimit> {
         let table = self.table()?;
         let service = table.service(service)?;
         if service.cold_per_s <= 0.0 {
@@ -300,8 +307,11 @@
             over: self.settings.cold_over,
             slack: self.settings.cold_slack,
         };
-        let gateways = lock(&self.fleet_size).confirmed(self.now());
-        Some(ColdLimit { cold_start: service.cold_start, gap: rule.gap(gateways) })
+        let senders = match sending {
+            Sending::Direct => lock(&self.fleet_size).confirmed(self.now()),
+            Sending::Dispatched | Sending::Dispatching(_) => 1,
+        };
+        Some(ColdLimit { cold_start: service.cold_start, gap: rule.gap(senders) })
     }
 
     /// Limits on connections to targets of a service.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -147,7 +147,7 @@
         target: &Target,
     ) -> Option<Subject> {
         let rollout = known.rollout(&state.service).filter(|rollout| rollout.stage.under_way())?;
-        let cold = self.cold_limit(&state.service);
+        let cold = self.cold_limit(&state.service, state.sending);
         if cold.is_some_and(|limit| limit.cold(self.now(), target)) {
             return None;
         }
--- a/tests/fleet/brittle_returns.rs
+++ b/tests/fleet/brittle_returns.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tokio::task::JoinSet;
 
-use crate::brittle_target::BrittleTarget;
+use crate::brittle_target::{BrittleTarget, DOWN};
 use crate::harness::{CallResponse, Fleet, Process, field};
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
@@ -29,6 +29,12 @@
 /// Longest pause of a client before it sends a refused request once more.
 const MAX_PAUSE: f64 = 1.0;
 
+/// How long a target is cold that says so, in milliseconds, and the requests in a second that it can handle then.
+const COLD_MS: u64 = 8_000;
+const COLD_PER_S: f64 = 4.0;
+/// Requests in a second that it may get: one and a half times that, and 8.
+const MAX_COLD_PER_S: usize = 14;
+
 /// Requests to the targets for some time, in fractions of what they can serve.
 #[derive(Clone, Copy)]
 struct Phase {
@@ -60,6 +66,8 @@
         let mut fleet = Fleet::prepare(3, GATEWAYS);
         for gateway in &mut fleet.gateways {
             gateway.set("source", json!(gateway.ip));
+            gateway.set("cold_over", json!(1.5));
+            gateway.set("cold_slack", json!(8));
         }
         fleet.members.iter_mut().chain(&mut fleet.gateways).for_each(Process::start);
         fleet.wait_for_leader().await;
@@ -69,7 +77,10 @@
             let members = fleet.api_addrs();
             targets.push(BrittleTarget::start(format!("i-{at}"), members, behaviour, STATES).await);
         }
-        fleet.configure(&configuration(1)).await;
+        let mut with_cold_rate = configuration(1);
+        with_cold_rate["services"][0]["cold-start-s"] = (COLD_MS as f64 / 1_000.0).into();
+        with_cold_rate["services"][0]["cold-per-s"] = COLD_PER_S.into();
+        fleet.configure(&with_cold_rate).await;
         for gateway in 0..GATEWAYS {
             fleet.wait_for_targets(gateway, TARGETS).await;
         }
@@ -251,3 +262,19 @@
     let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
     assert_eq!(blocked.count(), 0, "requests blocked");
 }
+
+#[tokio::test]
+async fn a_brittle_target_that_returns_cold_is_sent_few_requests_until_it_is_warm() {
+    let mut world = World::start().await;
+    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(2) }).await;
+    let returning = &world.targets[0];
+    returning.start_cold(COLD_MS);
+    returning.end();
+    world.send(Phase { demand: 0.55, lasts: DOWN }).await;
+    let mut sent = 0;
+    for second in 0..4 {
+        world.send(Phase { demand: 0.9, lasts: Duration::from_secs(1) }).await;
+        let before = std::mem::replace(&mut sent, world.targets[0].arrivals().len());
+        assert!(sent - before <= MAX_COLD_PER_S, "{} in second {second}", sent - before);
+    }
+}
--- a/tests/fleet/brittle_target.rs
+++ b/tests/fleet/brittle_target.rs
@@ -2,6 +2,7 @@
 //! again, under a new id, after a delay.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use crate::standin::{Arrival, Behaviour, Standin};
 
 /// Time between an end and the next start.
-const DOWN: Duration = Duration::from_secs(2);
+pub const DOWN: Duration = Duration::from_secs(2);
 
 /// What a target did, over all its starts.
 #[derive(Default)]
@@ -29,6 +30,8 @@
 /// State that the target's task shares with the test.
 struct Shared {
     behaviour: Mutex<Behaviour>,
+    /// For how long each start after the first is cold, in milliseconds.
+    cold_ms: AtomicU64,
     /// What answers state; `None` if the target is not brittle any more.
     states: Mutex<Option<&'static str>>,
     running: Mutex<Option<Standin>>,
@@ -61,6 +64,7 @@
     ) -> Self {
         let shared = Arc::new(Shared {
             behaviour: Mutex::new(behaviour),
+            cold_ms: AtomicU64::new(0),
             states: Mutex::new(Some(states)),
             running: Mutex::default(),
             history: Mutex::default(),
@@ -78,6 +82,11 @@
         }
     }
 
+    /// Makes the next starts report that they are cold.
+    pub fn start_cold(&self, cold_ms: u64) {
+        self.shared.cold_ms.store(cold_ms, Ordering::Relaxed);
+    }
+
     /// States nothing in answers from now on, also after the next starts.
     pub fn cease_to_be_brittle(&self) {
         *self.shared.states.lock().expect("not poisoned") = None;
@@ -130,6 +139,9 @@
         if let Some(states) = *shared.states.lock().expect("not poisoned") {
             standin.add_header("server-brittle", states);
         }
+        if start > 0 {
+            standin.set_cold_left(shared.cold_ms.load(Ordering::Relaxed));
+        }
         standin.behave(*shared.behaviour.lock().expect("not poisoned"));
         *shared.running.lock().expect("not poisoned") = Some(standin);
         tokio::select! {
