--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -156,7 +156,7 @@
     last_request: Mutex<Instant>,
     /// Requests during which targets ended (suspected poison requests).
     poison: Mutex<PoisonTracker>,
-    /// Parts of prompts with which requests succeeded here.
+    /// Requests and parts of prompts that succeeded here lately.
     successes: Mutex<RecentSuccesses>,
     /// Wakes the task that reports changes of `poison` to a member.
     poison_changed: Notify,
