--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -66,7 +66,7 @@
 
 /// Seeds that failed once, each with the value of `header_only_shutdowns` that it failed with. The
 /// failure: targets that restarted under the same id got more requests than a cold target can serve.
-const REGRESSION_SEEDS: [(u64, bool); 7] = [
+const REGRESSION_SEEDS: [(u64, bool); 8] = [
     (120_005, false),
     (120_102, false),
     (120_201, false),
@@ -74,6 +74,7 @@
     (130_108, false),
     (320_116, true),
     (570_008, true),
+    (720_202, true),
 ];
 
 /// Runs one fleet with the faults of one seed, then checks the promises.
