Brittle returns: one play and one count of blocked requests

Change: `World::end_two_targets_in_turn` and `Seen::blocked`; steps, bounds and assertions are the same.

Conclusion: no behaviour changed.

--- a/tests/fleet/brittle_returns.rs
+++ b/tests/fleet/brittle_returns.rs
@@ -51,6 +51,13 @@
     wrong: Vec<String>,
 }
 
+impl Seen {
+    /// Requests refused as poison.
+    fn blocked(&self) -> usize {
+        self.wrong.iter().filter(|wrong| wrong.starts_with("500")).count()
+    }
+}
+
 struct World {
     fleet: Fleet,
     targets: Vec<BrittleTarget>,
@@ -135,6 +142,17 @@
         });
     }
 
+    /// Sends half of what the targets can serve; no request may wait from 3 s on, and two targets end in turn.
+    async fn end_two_targets_in_turn(&mut self) {
+        self.send(Phase { demand: 0.55, lasts: Duration::from_secs(3) }).await;
+        self.shrink();
+        self.send(Phase { demand: 0.55, lasts: Duration::from_secs(2) }).await;
+        self.targets[0].end();
+        self.send(Phase { demand: 0.55, lasts: Duration::from_secs(4) }).await;
+        self.targets[1].end();
+        self.send(Phase { demand: 0.55, lasts: Duration::from_secs(5) }).await;
+    }
+
     /// Sends a request to each gateway, one after the other, and returns how many gateways sent theirs to a target
     /// themselves. `when` is part of the ids.
     async fn count_direct(&self, when: &str) -> usize {
@@ -201,13 +219,7 @@
 #[tokio::test]
 async fn a_brittle_target_that_returns_under_another_id_is_not_flooded() {
     let mut world = World::start().await;
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(3) }).await;
-    world.shrink();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(2) }).await;
-    world.targets[0].end();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(4) }).await;
-    world.targets[1].end();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(5) }).await;
+    world.end_two_targets_in_turn().await;
     let (falls, _) = world.finish().await;
     assert!(falls <= MAX_FALLS, "{falls} falls");
 }
@@ -239,16 +251,9 @@
 async fn requests_that_are_alike_are_not_blocked_when_brittle_targets_end() {
     let mut world = World::start().await;
     world.alike = true;
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(3) }).await;
-    world.shrink();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(2) }).await;
-    world.targets[0].end();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(4) }).await;
-    world.targets[1].end();
-    world.send(Phase { demand: 0.55, lasts: Duration::from_secs(5) }).await;
+    world.end_two_targets_in_turn().await;
     let (_, seen) = world.finish().await;
-    let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
-    assert_eq!(blocked.count(), 0, "requests blocked");
+    assert_eq!(seen.blocked(), 0, "requests blocked");
 }
 
 #[tokio::test]
@@ -259,8 +264,7 @@
     world.targets[1..].iter().for_each(BrittleTarget::end);
     world.send(Phase { demand: 0.3, lasts: Duration::from_secs(4) }).await;
     let (_, seen) = world.finish().await;
-    let blocked = seen.wrong.iter().filter(|wrong| wrong.starts_with("500"));
-    assert_eq!(blocked.count(), 0, "requests blocked");
+    assert_eq!(seen.blocked(), 0, "requests blocked");
 }
 
 #[tokio::test]
