--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -62,7 +62,8 @@
         }
         if request.header("x-expect-instance").is_some_and(|expected| expected != me.id) {
             let headers = [("X-Request-Id", id.as_str()), ("X-Not-Run", "1")];
-            let _ = connection.write(&http::encode("HTTP/1.1 421 Misdirected Request", &headers, b""));
+            let _ =
+                connection.write(&http::encode("HTTP/1.1 421 Misdirected Request", &headers, b""));
             continue;
         }
         server.arrivals.lock().unwrap().push((Instant::now(), id.clone()));
@@ -73,15 +74,29 @@
             return;
         }
         let stamp = format!("stamp.{}.{id}", me.id);
-        let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", stamp.as_str()), ("Keep-Alive", "timeout=15")];
-        let status = if request.method() == "GET" && fails(&id, &me.id) { "HTTP/1.1 500 Internal Server Error" } else { "HTTP/1.1 200 OK" };
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Server-Stamp", stamp.as_str()),
+            ("Keep-Alive", "timeout=15"),
+        ];
+        let status = if request.method() == "GET" && fails(&id, &me.id) {
+            "HTTP/1.1 500 Internal Server Error"
+        } else {
+            "HTTP/1.1 200 OK"
+        };
         if connection.write(&http::encode(status, &headers, stamp.as_bytes())).is_err() {
             return;
         }
     }
 }
 
-fn start_server(hosts: &mut Hosts, id: &str, service: &str, members: &[SocketAddr], record: &Arc<Record>) -> Result<Arc<Server>, Unable> {
+fn start_server(
+    hosts: &mut Hosts,
+    id: &str,
+    service: &str,
+    members: &[SocketAddr],
+    record: &Arc<Record>,
+) -> Result<Arc<Server>, Unable> {
     let (listener, addr) = server::bind(hosts.host())?;
     let announcer = Announcer::new(id, service, addr, 6, members);
     let server = Arc::new(Server { announcer, arrivals: Mutex::default() });
@@ -126,11 +141,13 @@
             "{line} HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
              X-Credential: n2ctnfzs989anu6wsjnb\r\n{length}"
         );
-        let connection = kept.take().map_or_else(|| Connection::open(gateway, Duration::from_secs(1)), Ok);
+        let connection =
+            kept.take().map_or_else(|| Connection::open(gateway, Duration::from_secs(1)), Ok);
         let answer = connection.and_then(|mut connection| {
             connection.write(request.as_bytes())?;
             let answer = connection.read(Instant::now() + Duration::from_secs(3))?;
-            if !answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+            if !answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+            {
                 kept = Some(connection);
             }
             Ok(answer)
@@ -151,7 +168,8 @@
 
 /// Plays the case; true if the rule held.
 pub fn play(folder: &Path, trouble: bool) -> Result<bool, Unable> {
-    let record = Arc::new(Record::create(&folder.join("record.txt")).map_err(|error| error.to_string())?);
+    let record =
+        Arc::new(Record::create(&folder.join("record.txt")).map_err(|error| error.to_string())?);
     let mut hosts = Hosts::draw();
     let mut fleet = Fleet::start(&mut hosts, 3, 2, HEARTBEAT_MS)?;
     fleet.configure(CONFIG)?;
@@ -215,12 +233,16 @@
     let late: Vec<_> = arrivals.iter().filter(|(at, _)| *at > due).collect();
     for (at, id) in &late {
         let after = at.duration_since(acknowledged).as_secs_f64();
-        record.note(&format!("DRAIN: {id} reached i-leaves {after:.3} s after the acknowledgement"));
+        record
+            .note(&format!("DRAIN: {id} reached i-leaves {after:.3} s after the acknowledgement"));
     }
     let all = stays.arrivals.lock().unwrap().len();
     let text = format!(
         "{} requests reached i-stays, {} i-leaves, {} of them later than drain-ms; {} were not served",
-        all, arrivals.len(), late.len(), lost.load(Ordering::Relaxed)
+        all,
+        arrivals.len(),
+        late.len(),
+        lost.load(Ordering::Relaxed)
     );
     record.note(&text);
     println!("{text}");
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -66,13 +66,15 @@
 
 /// A free port of the host.
 pub fn free(host: IpAddr) -> Result<SocketAddr, Unable> {
-    let listener = TcpListener::bind(SocketAddr::new(host, 0)).map_err(|error| error.to_string())?;
+    let listener =
+        TcpListener::bind(SocketAddr::new(host, 0)).map_err(|error| error.to_string())?;
     listener.local_addr().map_err(|error| error.to_string())
 }
 
 /// The command of a role in the deploy file, with the path of the settings replaced.
 fn command(role: &str, settings: &Path) -> Result<Command, Unable> {
-    let deploy = std::fs::read_to_string("deploy/system.toml").map_err(|error| error.to_string())?;
+    let deploy =
+        std::fs::read_to_string("deploy/system.toml").map_err(|error| error.to_string())?;
     let section = deploy.split("[roles.").find(|section| section.starts_with(&format!("{role}]")));
     let section = section.ok_or_else(|| format!("the deploy file has no role {role}"))?;
     let run = section.lines().find_map(|line| line.strip_prefix("run = "));
@@ -86,7 +88,7 @@
 }
 
 impl Fleet {
-    /// Starts members and gateways with the settings that the platform's templates give on the sheet of trinacria-farm.
+    /// Starts members and gateways with the settings that the platform's templates give for a small deployment.
     pub fn start(
         hosts: &mut Hosts,
         members: usize,
@@ -113,7 +115,7 @@
         let seeds: Vec<String> =
             fleet.members.iter().take(3).map(|member| format!("\"{member}\"")).collect();
         let seeds = seeds.join(", ");
-        let halls = "{\"catania-hall\": \"sicilia\"}";
+        let halls = "{\"hall-a\": \"region-a\"}";
         for (at, listen) in fleet.members.clone().into_iter().enumerate() {
             let data = fleet.folder.join(format!("member-{at}"));
             let bear = (members - 1) / 2;
@@ -130,7 +132,7 @@
             let host = hosts.host();
             let (listen, ready) = (free(host)?, free(host)?);
             let text = format!(
-                "{{ \"host\": \"front-{at}\", \"data_hall\": \"catania-hall\", \"data_halls\": {halls},\n\
+                "{{ \"host\": \"front-{at}\", \"data_hall\": \"hall-a\", \"data_halls\": {halls},\n\
                  \"listen\": \"{listen}\", \"ready_listen\": \"{ready}\", \"members\": [{seeds}],\n\
                  \"peer_port\": {peer_port}, \"on_stale\": \"serve\", \"stale_after_ms\": 5000, \"source\": \"{host}\",\n\
                  \"retry_ratio\": 0.2, \"retry_window_s\": 10, \"retry_slack\": 56, \"load_bound\": 2,\n\
@@ -143,10 +145,17 @@
         Ok(fleet)
     }
 
-    fn launch(&mut self, role: &str, name: &str, settings: &str, logs: &Path) -> Result<(), Unable> {
+    fn launch(
+        &mut self,
+        role: &str,
+        name: &str,
+        settings: &str,
+        logs: &Path,
+    ) -> Result<(), Unable> {
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = File::create(logs.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+        let log =
+            File::create(logs.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let mut command = command(role, &path)?;
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
@@ -160,11 +169,20 @@
         let until = Instant::now() + Duration::from_secs(20);
         let json = [("Content-Type", "application/json")];
         for member in self.members.iter().cycle() {
-            let answer = http::call(*member, "PUT", "/config", &json, body.as_bytes(), Duration::from_secs(1));
+            let answer = http::call(
+                *member,
+                "PUT",
+                "/config",
+                &json,
+                body.as_bytes(),
+                Duration::from_secs(1),
+            );
             match answer.map(|answer| answer.status()) {
                 Ok(200) => return Ok(()),
                 Ok(400..=499) => return Err("the configuration was refused".to_owned()),
-                _ if Instant::now() > until => return Err("the configuration is not acknowledged".to_owned()),
+                _ if Instant::now() > until => {
+                    return Err("the configuration is not acknowledged".to_owned());
+                }
                 _ => std::thread::sleep(Duration::from_millis(100)),
             }
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -109,7 +109,8 @@
     /// Reads a message whole: its body has a length, comes in chunks, or is empty.
     pub fn read(&mut self, until: Instant) -> io::Result<Message> {
         let mut message = self.read_head(until)?;
-        let chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+        let chunked =
+            message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
         if chunked {
             loop {
                 let chunk = self.read_chunk(until)?;
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -32,7 +32,13 @@
 }
 
 impl Announcer {
-    pub fn new(id: &str, service: &str, addr: SocketAddr, slots: u32, members: &[SocketAddr]) -> Self {
+    pub fn new(
+        id: &str,
+        service: &str,
+        addr: SocketAddr,
+        slots: u32,
+        members: &[SocketAddr],
+    ) -> Self {
         Announcer {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -91,7 +97,8 @@
 
     /// Calls the address first that the acknowledgement names.
     fn follow(&self, answer: &str) {
-        let named = answer.split("\"heartbeat-addr\":\"").nth(1).and_then(|rest| rest.split('"').next());
+        let named =
+            answer.split("\"heartbeat-addr\":\"").nth(1).and_then(|rest| rest.split('"').next());
         let mut members = self.members.lock().unwrap();
         if let Some(named) = named.and_then(|named| named.parse().ok())
             && let Some(at) = members.iter().position(|member| *member == named)
@@ -106,7 +113,7 @@
         let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let born = self.born.map_or(String::new(), |born| format!(",\"born\":{born}"));
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"catania-hall\",\"version\":\"{}\",\"slots\":{},\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"{}\",\"slots\":{},\
              \"state\":\"{state}\",\"cold-left-ms\":0,\"sequence\":{sequence}{born}}}",
             self.service, self.addr, self.version, self.slots
         );
@@ -136,7 +143,8 @@
 
 /// Binds a free port of the host.
 pub fn bind(host: std::net::IpAddr) -> Result<(TcpListener, SocketAddr), String> {
-    let listener = TcpListener::bind(SocketAddr::new(host, 0)).map_err(|error| error.to_string())?;
+    let listener =
+        TcpListener::bind(SocketAddr::new(host, 0)).map_err(|error| error.to_string())?;
     let addr = listener.local_addr().map_err(|error| error.to_string())?;
     Ok((listener, addr))
 }
