--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -2,7 +2,7 @@
 //! with a loopback address, free ports and a temporary folder of its own. Logs go to that folder too, which is removed, or
 //! to the folder REVIEW_LOGS.
 
-use std::fs::File;
+use std::fs::OpenOptions;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -13,8 +13,12 @@
 /// The case can't run.
 pub type Unable = String;
 
+/// Memory that a gateway may use (`memory-mb`).
+pub const MEMORY_MB: u64 = 260;
+
 pub struct Process {
     pub name: String,
+    role: String,
     child: Child,
 }
 
@@ -110,6 +114,10 @@
         let peer_port = hosts.port;
         for _ in 0..members {
             let host = hosts.host();
+            for port in [peer_port, peer_port + 1] {
+                TcpListener::bind(SocketAddr::new(host, port))
+                    .map_err(|error| error.to_string())?;
+            }
             fleet.members.push(SocketAddr::new(host, peer_port + 1));
         }
         let seeds: Vec<String> =
@@ -136,7 +144,7 @@
                  \"listen\": \"{listen}\", \"ready_listen\": \"{ready}\", \"members\": [{seeds}],\n\
                  \"peer_port\": {peer_port}, \"on_stale\": \"serve\", \"stale_after_ms\": 5000, \"source\": \"{host}\",\n\
                  \"retry_ratio\": 0.2, \"retry_window_s\": 10, \"retry_slack\": 56, \"load_bound\": 2,\n\
-                 \"stop_within_ms\": 8000, \"max_descriptors\": 4100, \"memory_mb\": 260 }}\n"
+                 \"stop_within_ms\": 8000, \"max_descriptors\": 4100, \"memory_mb\": {MEMORY_MB} }}\n"
             );
             fleet.gateways.push(listen);
             fleet.ready.push(ready);
@@ -154,13 +162,47 @@
     ) -> Result<(), Unable> {
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).map_err(|error| error.to_string())?;
+        let child = self.spawn(role, name, logs)?;
+        self.processes.push(Process { name: name.to_owned(), role: role.to_owned(), child });
+        Ok(())
+    }
+
+    fn spawn(&self, role: &str, name: &str, logs: &Path) -> Result<Child, Unable> {
+        let path = self.folder.join(format!("{name}.json"));
         let log =
-            File::create(logs.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+            OpenOptions::new().create(true).append(true).open(logs.join(format!("{name}.log")));
+        let log = log.map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let mut command = command(role, &path)?;
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
-        let child = command.spawn().map_err(|error| format!("{role}: {error}"))?;
-        self.processes.push(Process { name: name.to_owned(), child });
+        command.spawn().map_err(|error| format!("{role}: {error}"))
+    }
+
+    /// Resident memory of a process, in KiB; 0 if it doesn't run.
+    pub fn resident_kb(&self, name: &str) -> u64 {
+        let process = self.processes.iter().find(|process| process.name == name);
+        let id = process.map_or(0, |process| process.child.id());
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let held = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        held.and_then(|held| held.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
+    /// Ends a process at once.
+    pub fn kill(&mut self, name: &str) {
+        for process in self.processes.iter_mut().filter(|process| process.name == name) {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+
+    /// Starts a process again that has ended.
+    pub fn start_again(&mut self, name: &str) -> Result<(), Unable> {
+        let at = self.processes.iter().position(|process| process.name == name);
+        let at = at.ok_or_else(|| format!("there is no process {name}"))?;
+        let role = self.processes[at].role.clone();
+        let logs =
+            std::env::var_os("REVIEW_LOGS").map_or_else(|| self.folder.clone(), PathBuf::from);
+        self.processes[at].child = self.spawn(&role, name, &logs)?;
         Ok(())
     }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod fleet;
 mod http;
+mod memory;
 mod order;
 mod record;
 mod server;
@@ -21,6 +22,7 @@
     let folder = Path::new(folder);
     let played = match case.as_str() {
         "drain" => drain::play(folder, trouble),
+        "memory" => memory::play(folder, trouble),
         "order" => order::play(folder, trouble),
         _ => Err(format!("there is no case {case}")),
     };
