--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -57,7 +57,8 @@
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         if request.path() == "/health" {
             let headers = [("X-Instance-Id", me.id.as_str())];
-            let _ = connection.write(&http::encode("HTTP/1.1 200 OK", &headers, b""));
+            let status = if me.is_draining() { "503 Service Unavailable" } else { "200 OK" };
+            let _ = connection.write(&http::encode(&format!("HTTP/1.1 {status}"), &headers, b""));
             continue;
         }
         if request.header("x-expect-instance").is_some_and(|expected| expected != me.id) {
@@ -74,17 +75,19 @@
             return;
         }
         let stamp = format!("stamp.{}.{id}", me.id);
+        let leaving = me.is_draining();
         let headers = [
             ("X-Request-Id", id.as_str()),
             ("X-Server-Stamp", stamp.as_str()),
-            ("Keep-Alive", "timeout=15"),
+            if leaving { ("Connection", "close") } else { ("Keep-Alive", "timeout=15") },
         ];
         let status = if request.method() == "GET" && fails(&id, &me.id) {
             "HTTP/1.1 500 Internal Server Error"
         } else {
             "HTTP/1.1 200 OK"
         };
-        if connection.write(&http::encode(status, &headers, stamp.as_bytes())).is_err() {
+        let written = connection.write(&http::encode(status, &headers, stamp.as_bytes()));
+        if written.is_err() || leaving {
             return;
         }
     }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -64,6 +64,11 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Whether it said that it leaves.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
     }
@@ -110,7 +115,7 @@
     /// Sends one heartbeat; true if it was acknowledged.
     pub fn beat(&self) -> bool {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let state = if self.is_draining() { "draining" } else { "ready" };
         let born = self.born.map_or(String::new(), |born| format!(",\"born\":{born}"));
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"{}\",\"slots\":{},\
