Streams do not go on at a target that restarted unannounced

Cause: a gateway knows the version of a target from the listed incarnation, by an id that the next incarnation shares. It had seen the connections break and be refused, but used that for coldness only.

Change: broken and refused connections make the listed incarnation suspected, at all gateways by way of the members. A suspected target gets no resumed stream until it reports its incarnation (GET /report, born) or the next one is listed; a stream that begins there has an ambiguous origin. Frames are parts behind ones that earlier builds ignore; nothing replicated changes.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -293,6 +293,17 @@
         Some(TargetLoad { running, waiting, slowdown_percent: None })
     }
 
+    /// Path at which a target that serves models reports about itself, if the dialect has one.
+    fn target_report(&self) -> Option<&'static str> {
+        None
+    }
+
+    /// Decodes when a target started from its report about itself; unknown if the report does not tell.
+    fn reported_start(&self, report: &[u8]) -> Born {
+        let report: Result<Departure, _> = jsonc::from_slice_lenient(report);
+        report.map_or(Born::default(), |report| Born(report.born))
+    }
+
     /// Decodes what the head of an answer reports about its target.
     fn target_status(&self, status: StatusCode, headers: &HeaderMap) -> TargetStatus {
         let names = self.headers();
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -77,8 +77,9 @@
         let cold = self.cold_limit(&state.service, state.sending);
         let (group, targets) = self.usable(now, &known, &versions, state, cold)?;
         let candidates = self.to_candidates(now, &targets);
-        let in_group =
-            |target: &&Arc<Target>| state.pin.allows(target) && versions.contains(group, target);
+        let in_group = |target: &&Arc<Target>| {
+            self.pin_allows(now, state.pin, target) && versions.contains(group, target)
+        };
         let in_group = known.of(&state.service).iter().filter(in_group);
         let preference = self.preference(now, state, in_group);
         let at = choose(&candidates, preference, &mut rand::rng())?;
@@ -137,7 +138,7 @@
         };
         let usable = |target: &&Arc<Target>| {
             target.eligibility(now).accepts_work()
-                && state.pin.allows(target)
+                && self.pin_allows(now, state.pin, target)
                 && self.region_allows(state, target)
                 && !state.tried.contains(&target.key)
                 && may_send(target)
@@ -211,7 +212,13 @@
     pub(super) fn why_no_choice(&self, state: &RequestState) -> Refusal {
         let now = self.now();
         let known = read(&self.targets);
-        let suitable = self.suitable(&known, state);
+        let mut suitable = self.suitable(&known, state);
+        if state.pin != VersionPin::Free && !suitable.is_empty() {
+            suitable.retain(|target| !target.may_have_restarted(now));
+            if suitable.is_empty() {
+                return Refusal::RestartSuspected;
+            }
+        }
         let untried = suitable.iter().filter(|target| !state.tried.contains(&target.key));
         let open = untried.clone().filter(|target| target.eligibility(now).accepts_work());
         let (body, max_bytes) = (state.outgoing.body_bytes(), self.max_bodies_per_target());
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
-use http::{Request, Uri};
-use http_body_util::{BodyExt, Full};
+use http::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use http::{Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 
@@ -30,6 +30,8 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// How long a new connection must stay open to show that the target serves it.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Maximum size of a target's report about itself, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Maximum idle connections kept per target.
 const MAX_IDLE: usize = 64;
 
@@ -171,6 +173,46 @@
     true
 }
 
+/// What came of asking a target for its report about itself.
+pub(super) enum Report {
+    /// The body of the report.
+    Body(Bytes),
+    /// An answer that is no report.
+    Unreadable,
+    /// No answer.
+    None,
+}
+
+/// Asks a target for its report about itself on a new connection, which is kept for the next request.
+pub(super) async fn ask_for_report(
+    target: &Arc<Target>,
+    limits: ConnectionLimits<'_>,
+    path: &'static str,
+) -> Report {
+    let Ok(mut connection) = open(target, limits).await else {
+        return Report::None;
+    };
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::from_static(path);
+    if let Ok(host) = HeaderValue::from_str(&target.announcement.addr.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let Ok(answer) = connection.sender.send_request(request).await else {
+        return Report::None;
+    };
+    let (head, body) = answer.into_parts();
+    let media_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let json = media_type.is_some_and(|value| value.starts_with("application/json"));
+    if head.status != StatusCode::OK || !json {
+        return Report::Unreadable;
+    }
+    let Ok(body) = Limited::new(body, MAX_REPORT_BYTES).collect().await else {
+        return Report::None;
+    };
+    connection.keep(&head.headers);
+    Report::Body(body.to_bytes())
+}
+
 fn take_idle(target: &Arc<Target>, reuse: Reuse) -> Option<IdleConnection> {
     let mut idle = lock(&target.idle);
     let now = Instant::now();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
 use super::outgoing::Outgoing;
 use super::reach::{Contact, CutOff};
 use super::refusal::{Refusal, RetryHints};
+use super::restart::RestartSign;
 use super::stall::{self, StallGuard};
 use super::target::Target;
 use super::trace::{self, DisconnectGuard, text};
@@ -265,8 +266,10 @@
             }
         };
         let served_by = answer.source.target();
-        let served_by =
-            served_by.map(|target| ServedBy { key: target.key, version: Some(target.version) });
+        let served_by = served_by.map(|target| {
+            let version = Some(gateway.certain_version(target));
+            ServedBy { key: target.key, version }
+        });
         let retried = match relay::relay(gateway, state, answer).await {
             relay::Relayed::Response(mut response) => {
                 served_by.map(|served_by| response.extensions_mut().insert(served_by));
@@ -328,7 +331,7 @@
                 return Err(state.may_have_run.unwrap_or(Refusal::CutOff));
             }
         }
-        let Some(choice) = gateway.choose(state) else {
+        let Some(choice) = gateway.choose_confirmed(state).await else {
             let refusal = gateway.why_no_choice(state);
             // The other gateways have parts of the connections too.
             if refusal == Refusal::NoRoom && !peers_declined && gateway.may_use_peers(state) {
@@ -439,7 +442,7 @@
 pub(super) struct ServedBy {
     /// Its key.
     pub(super) key: u64,
-    /// The version of its software, if it answered.
+    /// The version of its software, if it answered; ambiguous if it may have restarted as another one.
     pub(super) version: Option<VersionKey>,
 }
 
@@ -571,8 +574,10 @@
 
 impl Supervisor for AttemptSupervisor<'_> {
     fn may_send(&self) -> bool {
-        let takes_work = self.target.eligibility(self.gateway.now()).accepts_work();
-        takes_work && self.gateway.version_may_receive(self.target)
+        let now = self.gateway.now();
+        let takes_work = self.target.eligibility(now).accepts_work();
+        let pin_allows = self.gateway.pin_allows(now, self.state.pin, self.target);
+        takes_work && pin_allows && self.gateway.version_may_receive(self.target)
     }
 
     fn may_try_another(&self) -> bool {
@@ -651,6 +656,9 @@
                 gateway.note_outcome(target, outcome);
             }
             gateway.metrics.attempt_failed(refusal);
+            if let Some(sign) = restart_sign(error) {
+                gateway.suspect_restart(target, sign);
+            }
             trace::attempt(gateway, state, choice, began, Err((refusal, error)));
             if error == AttemptError::Lost {
                 gateway.probe(state, target);
@@ -676,6 +684,19 @@
     }
 }
 
+/// Whether a failed attempt is a sign that the target's listed incarnation ended.
+fn restart_sign(error: AttemptError) -> Option<RestartSign> {
+    match error {
+        AttemptError::NotSent(ConnectError::Refused) => Some(RestartSign::Refused),
+        AttemptError::Gone => Some(RestartSign::OtherTarget),
+        AttemptError::Lost => Some(RestartSign::Broke),
+        AttemptError::NotSent(_)
+        | AttemptError::NotRun
+        | AttemptError::Late
+        | AttemptError::Wrong => None,
+    }
+}
+
 /// What an attempt shows about whether the target accepts connections.
 fn reachability(sent: &Result<Answer, AttemptError>) -> ProbeResult {
     match sent {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,8 @@
     pub(super) poison_blocked: IntGauge,
     streams_resumed: IntCounter,
     streams_taken_up: IntCounterVec,
+    restarts_suspected: IntCounterVec,
+    incarnations_asked: IntCounterVec,
     clients_disconnected: IntCounter,
     clients_cut: IntCounterVec,
     /// Bytes of requests and answers buffered for clients.
@@ -138,6 +140,16 @@
                 "Streams that clients resumed by a new request, by how it is known which version began them.",
                 &["origin"],
             )?,
+            restarts_suspected: set.counters(
+                "latchmount_gateway_restarts_suspected_total",
+                "Times that a target may have restarted without an announcement, by sign.",
+                &["service", "sign"],
+            )?,
+            incarnations_asked: set.counters(
+                "latchmount_gateway_incarnations_asked_total",
+                "Times that a target was asked for its incarnation, by what was found.",
+                &["service", "found"],
+            )?,
             clients_disconnected: set.counter(
                 "latchmount_gateway_clients_left_total",
                 "Clients that left before their final answer.",
@@ -344,6 +356,16 @@
         self.streams_taken_up.with_label_values(&[origin]).inc();
     }
 
+    /// A target may have restarted without an announcement.
+    pub(super) fn restart_suspected(&self, service: &str, sign: &str) {
+        self.restarts_suspected.with_label_values(&[service, sign]).inc();
+    }
+
+    /// A target was asked for its incarnation.
+    pub(super) fn incarnation_asked(&self, service: &str, found: &str) {
+        self.incarnations_asked.with_label_values(&[service, found]).inc();
+    }
+
     pub(super) fn client_disconnected(&self) {
         self.clients_disconnected.inc();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod first_update;
 pub mod fleet_size;
 pub mod health;
+pub mod incarnation_check;
 mod listener;
 pub mod mechanism;
 pub mod member_order;
@@ -42,6 +43,7 @@
 pub mod refusal;
 mod relay;
 pub mod remembered_reports;
+mod restart;
 mod retries;
 pub mod reuse;
 mod rollout_log;
@@ -98,6 +100,7 @@
 use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
 use crate::group::brittle::ServiceKey;
+use crate::group::restarts::SuspectedRestarts;
 use crate::group::stream_origins::{StreamKey, StreamOrigins};
 use crate::poison::{PoisonTracker, RecentSuccesses};
 use crate::rollout::tally::Tallies;
@@ -160,6 +163,10 @@
     successes: Mutex<RecentSuccesses>,
     /// Wakes the task that reports changes of `poison` to a member.
     poison_changed: Notify,
+    /// Incarnations of targets that may have ended.
+    restarts: Mutex<SuspectedRestarts>,
+    /// Wakes the task that reports those seen here to a member.
+    restart_suspected: Notify,
     /// Versions that began the streams of this gateway's clients, and of others that it asked for.
     streams: Mutex<StreamOrigins>,
     /// Streams whose origins a member is to be asked for.
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::connection::{ProbeResult, probe_target};
 use super::exchange::RequestState;
+use super::restart::RestartSign;
 use super::target::Target;
 use super::trace::{millis_since, text};
 use crate::clock::Instant;
@@ -24,7 +25,10 @@
     /// sent before they do.
     pub(super) fn note_reachability(&self, target: &Target, found: ProbeResult) {
         match found {
-            ProbeResult::Ended => target.cold_state().note_absent(),
+            ProbeResult::Ended => {
+                target.cold_state().note_absent();
+                self.suspect_restart(target, RestartSign::Refused);
+            }
             ProbeResult::Lives => target.cold_state().note_present(self.now()),
             ProbeResult::Unknown => {}
         }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -33,6 +33,9 @@
 /// Retry-After if no target has the version that began a stream: one that crashed takes seconds to start again.
 const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry-After if it is not known whether targets restarted as another version: their next heartbeats tell.
+const RESTART_SUSPECTED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What the gateway knows about when a refused request could be served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryHints {
@@ -85,6 +88,8 @@
     OriginUnknown,
     /// The request resumes a stream, and no target has the version of the software that began it.
     VersionGone,
+    /// The request resumes a stream, and the targets of the version that began it may have restarted as another one.
+    RestartSuspected,
     /// A target answered that it did not run the request.
     NotRun,
     /// The deadline passed before the request was sent.
@@ -103,7 +108,7 @@
 
 impl Refusal {
     /// Every reason.
-    pub const ALL: [Refusal; 26] = [
+    pub const ALL: [Refusal; 27] = [
         Refusal::NoConfiguration,
         Refusal::Stopping,
         Refusal::Stale,
@@ -123,6 +128,7 @@
         Refusal::CutOff,
         Refusal::OriginUnknown,
         Refusal::VersionGone,
+        Refusal::RestartSuspected,
         Refusal::NotRun,
         Refusal::TooLate,
         Refusal::AnswerLost,
@@ -154,6 +160,7 @@
             Refusal::CutOff => "cut_off",
             Refusal::OriginUnknown => "origin_unknown",
             Refusal::VersionGone => "version_gone",
+            Refusal::RestartSuspected => "restart_suspected",
             Refusal::NotRun => "not_run",
             Refusal::TooLate => "too_late",
             Refusal::AnswerLost => "answer_lost",
@@ -195,6 +202,7 @@
             | Refusal::CutOff
             | Refusal::OriginUnknown
             | Refusal::VersionGone
+            | Refusal::RestartSuspected
             | Refusal::NotRun
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -225,6 +233,7 @@
             Refusal::CutOff => Some(CUT_OFF_RETRY_AFTER),
             Refusal::OriginUnknown => Some(ORIGIN_UNKNOWN_RETRY_AFTER),
             Refusal::VersionGone => Some(VERSION_GONE_RETRY_AFTER),
+            Refusal::RestartSuspected => Some(RESTART_SUSPECTED_RETRY_AFTER),
             Refusal::Stopping
             | Refusal::NoRoom
             | Refusal::NoTarget
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use super::outgoing::strip_hop_by_hop;
 use super::reach::Contact;
 use super::refusal::Refusal;
+use super::restart::RestartSign;
 use super::stall::{self, StallGuard};
 use super::trace::{self, text};
 
@@ -133,6 +134,7 @@
         return;
     };
     if refusal == Refusal::AnswerLost {
+        gateway.suspect_restart(target, RestartSign::Broke);
         gateway.record_contact(target, Contact::Unreachable);
     }
     gateway.note_outcome(target, AttemptOutcome::Failed);
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -117,6 +117,8 @@
             last_request: Mutex::new(Instant::now()),
             poison: Mutex::new(PoisonTracker::new(Rule::default(), Some(reporter))),
             successes: Mutex::new(RecentSuccesses::new(Rule::default().part_trust)),
+            restarts: Mutex::default(),
+            restart_suspected: Notify::new(),
             poison_changed: Notify::new(),
             streams: Mutex::default(),
             streams_asked_for: Mutex::default(),
--- a/src/gateway/subscriber.rs
+++ b/src/gateway/subscriber.rs
@@ -55,6 +55,7 @@
         suspensions: SuspendDetector::start(),
         last_data: LastData { at: Instant::now(), ran: gateway.run_clock.ran() },
         poison_reported: 0,
+        restarts_reported: 0,
         streams_reported: ReadPosition::default(),
         gateway,
     };
@@ -100,6 +101,8 @@
     LoadsDue,
     /// A target crashed under a request, or a suspected request completed without a crash.
     Poison,
+    /// A target may have restarted.
+    RestartSuspected,
     /// A client resumes a stream whose origin is not known here.
     OriginsWanted,
 }
@@ -127,6 +130,8 @@
     last_data: LastData,
     /// Change number up to which poison requests seen here have been reported to the member.
     poison_reported: u64,
+    /// Change number up to which suspected restarts seen here have been reported to the member.
+    restarts_reported: u64,
     /// How far the streams begun here have been reported to the member.
     streams_reported: ReadPosition,
 }
@@ -236,7 +241,9 @@
         self.suspensions = SuspendDetector::start();
         // The member may just have started, with no reports at all.
         self.poison_reported = 0;
+        self.restarts_reported = 0;
         self.streams_reported = ReadPosition::default();
+        self.report_restarts(&mut sender).await?;
         self.report_poison(&mut sender).await?;
         let mut fresh_at = self.gateway.run_clock.ran();
         let mut loads_at = tokio::time::Instant::now() + self.loads_interval();
@@ -259,6 +266,7 @@
                     self.report_loads(&mut sender).await?;
                 }
                 Event::Poison => self.report_poison(&mut sender).await?,
+                Event::RestartSuspected => self.report_restarts(&mut sender).await?,
                 Event::OriginsWanted => self.ask_for_origins(&mut sender).await?,
                 Event::Failback(FailbackEvent::CheckDue) => {
                     self.failback.start_check(&self.order, self.query_subscription());
@@ -292,6 +300,7 @@
                     FromMember::Update(update) => Event::Update(update),
                     FromMember::Reply { .. } => return Err(LinkError::Garbled),
                 },
+                () = self.gateway.restart_suspected.notified() => Event::RestartSuspected,
                 () = self.gateway.poison_changed.notified() => Event::Poison,
                 () = self.gateway.stream_asked_for.notified() => Event::OriginsWanted,
                 event = self.failback.next() => Event::Failback(event),
@@ -376,6 +385,24 @@
         tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
     }
 
+    /// Sends the member the restarts that are suspected here, without delay: clients resume their streams at once.
+    async fn report_restarts(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
+        loop {
+            let now = self.gateway.now();
+            let (restarts, upto) =
+                lock(&self.gateway.restarts).local_changes_after(now, self.restarts_reported);
+            self.restarts_reported = upto;
+            if restarts.is_empty() {
+                return Ok(());
+            }
+            let frame = ToMember::SuspectedRestarts(restarts);
+            let sending = sender.send(&frame);
+            tokio::time::timeout(MEMBER_TIMEOUT, sending)
+                .await
+                .map_err(|_| LinkError::Timeout)??;
+        }
+    }
+
     /// Sends the member the pending reports on poison requests seen here. They are small, and sent without delay.
     async fn report_poison(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
         loop {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -14,6 +14,7 @@
 use super::dispatch::admission::{Admission, Admitted, Part};
 use super::dispatch::ranking::Role;
 use super::health::Health;
+use super::incarnation_check::IncarnationCheck;
 use super::slowdown::Slowdown;
 use crate::availability::{Availability, Eligibility, OwnReport};
 use crate::dialect::TargetLoad;
@@ -89,6 +90,10 @@
     states_brittleness: AtomicBool,
     /// What this gateway found out about its room by dispatching to it.
     admission: Mutex<Admission>,
+    /// Evidence on whether it still runs as the listed incarnation.
+    incarnation_check: Mutex<IncarnationCheck>,
+    /// Held while the target is asked for its incarnation.
+    pub(super) question: tokio::sync::Mutex<()>,
 }
 
 impl Target {
@@ -116,6 +121,8 @@
             brittle: Mutex::default(),
             states_brittleness: AtomicBool::new(false),
             admission: Mutex::default(),
+            incarnation_check: Mutex::default(),
+            question: tokio::sync::Mutex::default(),
             announcement,
         };
         target.set_state(target.announcement.state);
@@ -231,6 +238,22 @@
         lock(&self.cold_state)
     }
 
+    /// Evidence on whether it still runs as the listed incarnation.
+    pub(super) fn incarnation_check(&self) -> MutexGuard<'_, IncarnationCheck> {
+        lock(&self.incarnation_check)
+    }
+
+    /// Whether its next incarnation may have the same identity. A target that reports no start time has a new identity
+    /// after each start, and rejects requests that are meant for another one.
+    pub(super) fn may_restart_unseen(&self) -> bool {
+        self.announcement.born.0.is_some()
+    }
+
+    /// Whether it may run as another incarnation than the listed one.
+    pub(super) fn may_have_restarted(&self, now: Duration) -> bool {
+        self.may_restart_unseen() && self.incarnation_check().suspected(now, self.unresponsive())
+    }
+
     /// Counts the outcome of an attempt for the next report to a member.
     pub(super) fn count_outcome(&self, failed: bool) {
         let mut pending_outcomes = lock(&self.pending_outcomes);
--- a/src/gateway/update_receiver.rs
+++ b/src/gateway/update_receiver.rs
@@ -165,6 +165,8 @@
             info!(self.gateway.log, "targets changed"; "event" => "targets",
                 "revision" => targets.revision(), "targets" => targets.len(),
                 "changed" => changed, "removed" => removed, "from" => %from);
+            drop(targets);
+            self.gateway.reapply_suspected_restarts();
         }
         Ok(())
     }
@@ -238,6 +240,7 @@
         }
         lock(&self.gateway.prefix_holders).record(self.gateway.now(), &update.prefix_holders);
         self.gateway.receive_poison_reports(&update.poison);
+        self.gateway.receive_suspected_restarts(&update.restarts);
         self.gateway.receive_origins(&update.streams);
         if let Some(peers) = &update.relay_peers {
             lock(&self.gateway.peer_selection).set_peers(peers.clone());
--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -204,13 +204,18 @@
         if state.route.kind != RouteKind::ResumableStream {
             return;
         }
-        let version = source.version();
-        state.pin = version.map_or(VersionPin::Unknown, VersionPin::Only);
+        let version = match source.target() {
+            Some(target) => Some(self.certain_version(target)),
+            None => source.version(),
+        };
+        let known = version.filter(|version| *version != VersionKey::AMBIGUOUS);
+        state.pin = known.map_or(VersionPin::Unknown, VersionPin::Only);
         if let Some(version) = version.filter(|_| !state.is_from_peer()) {
             let identity = state.identity();
             let by_id = StreamKey::of(identity.team, state.outgoing.id.as_bytes());
             let left = state.client_deadline.saturating_duration_since(Instant::now());
-            let (now, left_s) = (self.now(), left_s(left));
+            let left_s = left_s(left);
+            let now = self.now();
             let mut streams = lock(&self.streams);
             for stream in [by_id, StreamKey::of_request(&identity)] {
                 let origin = StreamOrigin { stream, version, left_s };
--- a/src/group/cursor.rs
+++ b/src/group/cursor.rs
@@ -61,6 +61,8 @@
     pub(super) dispatchers: Vec<SocketAddr>,
     /// When these are looked at again.
     pub(super) next_dispatchers_at: Duration,
+    /// Number of the last change to suspected restarts that it was sent.
+    pub(super) restarts: u64,
     /// Number of the last change to suspected poison requests that it was sent.
     pub(super) poison: u64,
     /// Whether the last loads that it was sent were empty: no requests in flight at any target.
@@ -85,6 +87,7 @@
             brittle: None,
             dispatchers: Vec::new(),
             next_dispatchers_at: Duration::ZERO,
+            restarts: 0,
             poison: 0,
             idle: true,
             peer_fetch: None,
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -10,6 +10,7 @@
 use super::prefix_holders::ReportedBy;
 use super::propagation::ConnectionId;
 use super::relay_peers::RelayPeer;
+use super::restarts::{MAX_PER_MESSAGE, ReportedBy as RestartReportedBy, SuspectedRestart};
 use super::stream_origins::{ReportedBy as StreamReportedBy, StreamKey, StreamOrigin};
 use super::update_sender::{BlobReport, UpdateSender};
 use crate::link::{FrameReceiver, FrameSender, LinkError};
@@ -60,6 +61,9 @@
                     // A full queue drops the answer; the gateway asks again.
                     let _ = found_streams.try_send(shared.find_streams(&streams));
                 }
+                ToMember::SuspectedRestarts(restarts) => {
+                    shared.record_gateway_restarts(&restarts);
+                }
                 ToMember::Poison(reports) => shared.record_gateway_poison(&gateway, reports)?,
                 ToMember::ConfigurationInForce(version) => {
                     note_in_force(shared, propagation_id, version)
@@ -98,6 +102,31 @@
 }
 
 impl Shared {
+    /// Records incarnations that a gateway suspects to have ended, and tells the other members those that are new.
+    fn record_gateway_restarts(&self, restarts: &[SuspectedRestart]) {
+        let new = self.record_restarts(RestartReportedBy::Local, restarts);
+        if !new.is_empty() {
+            let from = self.own_addr;
+            self.broadcast(&ToMember::MemberSuspectedRestarts { from, restarts: new });
+        }
+    }
+
+    /// Records incarnations that may have ended, and wakes the tasks that tell the gateways. Returns those that are new.
+    pub(super) fn record_restarts(
+        &self,
+        by: RestartReportedBy,
+        restarts: &[SuspectedRestart],
+    ) -> Vec<SuspectedRestart> {
+        let (now, mut known) = (self.now(), lock(&self.restarts));
+        let restarts = restarts.iter().take(MAX_PER_MESSAGE);
+        let new =
+            restarts.filter(|suspicion| known.record(now, by, **suspicion)).copied().collect();
+        let newest = known.newest_change();
+        drop(known);
+        self.restart_updates.send_if_modified(|known| std::mem::replace(known, newest) != newest);
+        new
+    }
+
     /// Records which versions began streams.
     pub(super) fn record_streams(&self, by: StreamReportedBy, streams: &[StreamOrigin]) {
         let (now, mut known) = (self.now(), lock(&self.streams));
--- a/src/group/frames/from_member.rs
+++ b/src/group/frames/from_member.rs
@@ -14,6 +14,7 @@
 use crate::group::message::{EvacuationsUpdate, FromMember, Reply, Update};
 use crate::group::prefix_holders::PrefixHolder;
 use crate::group::relay_peers::RelayPeer;
+use crate::group::restarts::SuspectedRestart;
 use crate::group::stream_origins::StreamOrigin;
 use crate::link::{LinkError, Message};
 use crate::poison::Report;
@@ -35,6 +36,8 @@
     pub(super) const BRITTLE: u8 = 5;
     /// Addresses of the gateways that dispatch to brittle targets; a part only if they changed.
     pub(super) const DISPATCHERS: u8 = 6;
+    /// [`super::SuspectedRestart`]s; a part only if there are any.
+    pub(super) const RESTARTS: u8 = 7;
 }
 
 /// Fields of an [`Update`] that the first build does not have.
@@ -132,6 +135,9 @@
     if let Some(dispatchers) = &update.dispatchers {
         parts::add(&mut bytes, tag::DISPATCHERS, dispatchers)?;
     }
+    if !update.restarts.is_empty() {
+        parts::add(&mut bytes, tag::RESTARTS, &update.restarts)?;
+    }
     Ok(bytes)
 }
 
@@ -165,5 +171,6 @@
         streams: parts.get::<Vec<StreamOrigin>>(tag::STREAMS)?.unwrap_or_default(),
         brittle: parts.get::<Vec<BrittleService>>(tag::BRITTLE)?,
         dispatchers: parts.get::<Vec<SocketAddr>>(tag::DISPATCHERS)?,
+        restarts: parts.get::<Vec<SuspectedRestart>>(tag::RESTARTS)?.unwrap_or_default(),
     })
 }
--- a/src/group/frames/to_member.rs
+++ b/src/group/frames/to_member.rs
@@ -14,6 +14,7 @@
 use crate::group::message::{Call, Subscription, ToMember};
 use crate::group::prefix_holders::PrefixHolder;
 use crate::group::relay_peers::RelayPeer;
+use crate::group::restarts::SuspectedRestart;
 use crate::group::stream_origins::StreamOrigin;
 use crate::level::Level;
 use crate::link::{LinkError, Message};
@@ -47,6 +48,8 @@
     pub(super) const FIND_STREAMS: u8 = 11;
     /// [`super::BrittleService`]s of a gateway or a member.
     pub(super) const BRITTLE: u8 = 12;
+    /// [`super::SuspectedRestart`]s of a gateway or a member.
+    pub(super) const RESTARTS: u8 = 13;
 }
 
 /// Fields of [`ToMember::MemberLoads`] that the first build does not have.
@@ -125,6 +128,12 @@
             ToMember::MemberPoison { from, reports } => {
                 encode_with_part(&no_raft_messages(*from), tag::POISON, reports)
             }
+            ToMember::SuspectedRestarts(restarts) => {
+                encode_with_part(&ignored_by_first_build(), tag::RESTARTS, restarts)
+            }
+            ToMember::MemberSuspectedRestarts { from, restarts } => {
+                encode_with_part(&no_raft_messages(*from), tag::RESTARTS, restarts)
+            }
             ToMember::MemberRelayPeers { from, peers } => {
                 encode_with_part(&no_raft_messages(*from), tag::RELAY_PEERS, peers)
             }
@@ -239,6 +248,9 @@
     if let Some(services) = parts.get(tag::BRITTLE)? {
         return Ok(ToMember::MemberBrittle { from, services });
     }
+    if let Some(restarts) = parts.get::<Vec<SuspectedRestart>>(tag::RESTARTS)? {
+        return Ok(ToMember::MemberSuspectedRestarts { from, restarts });
+    }
     if let Some(peers) = parts.get::<Vec<RelayPeer>>(tag::RELAY_PEERS)? {
         return Ok(ToMember::MemberRelayPeers { from, peers });
     }
@@ -253,6 +265,9 @@
     if let Some(services) = parts.get(tag::BRITTLE)? {
         return Ok(ToMember::Brittle(services));
     }
+    if let Some(restarts) = parts.get(tag::RESTARTS)? {
+        return Ok(ToMember::SuspectedRestarts(restarts));
+    }
     if let Some(streams) = parts.get(tag::FIND_STREAMS)? {
         return Ok(ToMember::FindStreams(streams));
     }
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -8,6 +8,7 @@
 use super::brittle::ReportedBy as BrittleReportedBy;
 use super::message::{Call, FromMember, ToMember};
 use super::prefix_holders::ReportedBy;
+use super::restarts::ReportedBy as RestartReportedBy;
 use super::stream_origins::ReportedBy as StreamReportedBy;
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, framed};
@@ -69,11 +70,15 @@
             ToMember::MemberBrittle { services, .. } => {
                 lock(&shared.brittle).record(shared.now(), BrittleReportedBy::Member, &services);
             }
+            ToMember::MemberSuspectedRestarts { restarts, .. } => {
+                shared.record_restarts(RestartReportedBy::Remote, &restarts);
+            }
             // Only a gateway sends these, after it has subscribed.
             ToMember::Loads { .. }
             | ToMember::Brittle(_)
             | ToMember::FindStreams(_)
             | ToMember::Poison(_)
+            | ToMember::SuspectedRestarts(_)
             | ToMember::ConfigurationInForce(_)
             | ToMember::EvacuationsInForce(_)
             | ToMember::HasBlob(_)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -13,6 +13,7 @@
 use super::loads::Loads;
 use super::prefix_holders::PrefixHolder;
 use super::relay_peers::RelayPeer;
+use super::restarts::SuspectedRestart;
 use super::stream_origins::{StreamKey, StreamOrigin};
 use crate::blob::BlobId;
 use crate::directory::Announcement;
@@ -94,6 +95,15 @@
         /// The reports.
         reports: Vec<Report>,
     },
+    /// Incarnations of targets that may have ended, as the gateway on this connection noticed.
+    SuspectedRestarts(Vec<SuspectedRestart>),
+    /// The same reports, passed on by another member.
+    MemberSuspectedRestarts {
+        /// Peer address of the sender.
+        from: SocketAddr,
+        /// The incarnations.
+        restarts: Vec<SuspectedRestart>,
+    },
     /// Gateways connected to another member that send requests on behalf of other gateways.
     MemberRelayPeers {
         /// Peer address of the sender.
@@ -255,6 +265,8 @@
     pub brittle: Option<Vec<BrittleService>>,
     /// Addresses of the gateways that dispatch to brittle targets, if they changed and a service is brittle.
     pub dispatchers: Option<Vec<SocketAddr>>,
+    /// Incarnations of targets that may have ended, reported since the previous update with any.
+    pub restarts: Vec<SuspectedRestart>,
 }
 
 impl Update {
@@ -268,11 +280,14 @@
         poison.extend(self.poison);
         let mut streams = earlier.streams;
         streams.extend(self.streams);
+        let mut restarts = earlier.restarts;
+        restarts.extend(self.restarts);
         Update {
             blobs,
             prefix_holders,
             poison,
             streams,
+            restarts,
             mixes: if self.mixes.is_empty() { earlier.mixes } else { self.mixes },
             blob_source: self.blob_source.or(earlier.blob_source),
             members: self.members.or(earlier.members),
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -33,6 +33,7 @@
 mod presence;
 pub mod propagation;
 pub mod relay_peers;
+pub mod restarts;
 mod rollout;
 pub mod settings;
 pub mod stream_origins;
@@ -83,6 +84,7 @@
 use self::presence::Presence;
 use self::propagation::Propagation;
 use self::relay_peers::RelayPeers;
+use self::restarts::SuspectedRestarts;
 use self::rollout::RolloutTracker;
 use self::settings::MemberSettings;
 use self::stream_origins::StreamOrigins;
@@ -166,6 +168,10 @@
     batches: Batches,
     /// Limits the log lines about refused heartbeats.
     refused_lines: Mutex<Sampler>,
+    /// Incarnations of targets that may have ended, as reported by all gateways.
+    restarts: Mutex<SuspectedRestarts>,
+    /// Number of the last change in `restarts`.
+    restart_updates: watch::Sender<u64>,
     /// Requests under which targets crashed, as reported by all gateways.
     poison: Mutex<PoisonTracker>,
     /// Number of the last change in `poison` that gateways are to know.
@@ -251,6 +257,8 @@
             pending_report: Mutex::default(),
             batches: Batches::default(),
             refused_lines: Mutex::default(),
+            restarts: Mutex::default(),
+            restart_updates: watch::Sender::new(0),
             poison: Mutex::new(PoisonTracker::new(Rule::default(), None)),
             poison_updates: watch::Sender::new(0),
             poison_reported: Notify::new(),
--- a/src/group/update_sender.rs
+++ b/src/group/update_sender.rs
@@ -99,7 +99,11 @@
     ) -> Result<(), LinkError> {
         let mut published = self.shared.member.published();
         let mut poison = self.shared.poison_updates.subscribe();
+        let mut restarts = self.shared.restart_updates.subscribe();
         loop {
+            if self.cursor.restarts < *restarts.borrow_and_update() {
+                self.send_restarts().await?;
+            }
             let newest_poison = *poison.borrow_and_update();
             let missing = self.missing_now(&published.borrow_and_update())?;
             if self.lacks_evacuations() || self.lacks_rollouts() {
@@ -128,6 +132,7 @@
             tokio::select! {
                 changed = published.changed() => changed.map_err(|_| LinkError::Closed)?,
                 changed = poison.changed() => changed.map_err(|_| LinkError::Closed)?,
+                changed = restarts.changed() => changed.map_err(|_| LinkError::Closed)?,
                 report = reports.recv() => self.handle_report(report.ok_or(LinkError::Closed)?),
                 found = streams.recv() => {
                     self.send_streams(found.ok_or(LinkError::Closed)?).await?;
@@ -166,6 +171,21 @@
         }
     }
 
+    /// Sends the incarnations that may have ended and that the gateway was not told of, with the pacing of small blobs.
+    async fn send_restarts(&mut self) -> Result<(), LinkError> {
+        let turn = self.shared.small_pacer.turn().await;
+        let now = self.shared.now();
+        let (restarts, upto) = lock(&self.shared.restarts).changes_after(now, self.cursor.restarts);
+        self.cursor.restarts = upto;
+        if restarts.is_empty() || self.status_only {
+            return Ok(());
+        }
+        let update = Update { restarts, ..self.periodic_update() };
+        let frame = encode(&FromMember::Update(Box::new(update)))?;
+        turn.spend(frame.len());
+        self.send_frame(frame).await
+    }
+
     /// Sends the suspected poison requests that changed since the last update with them.
     async fn send_poison(&mut self, turn: Turn<'a>) -> Result<(), LinkError> {
         self.poison_turn = None;
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -1,9 +1,9 @@
 //! Look-up of a request's route and team in the configuration in force.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::configuration::{ClientLimits, Configuration, Route, Service, Team};
+use crate::configuration::{ClientLimits, Configuration, Route, RouteKind, Service, Team};
 
 /// A configuration, indexed for look-ups.
 #[derive(Debug, Default)]
@@ -14,6 +14,8 @@
     hosts: HashMap<String, Vec<Arc<Route>>>,
     /// Services by name.
     services: HashMap<String, Service>,
+    /// Services whose streams can be resumed.
+    resumable: HashSet<String>,
     /// Teams by API key; `None` if requests need no key.
     teams: Option<HashMap<String, Arc<Team>>>,
     teams_by_name: HashMap<String, Arc<Team>>,
@@ -44,6 +46,7 @@
     /// Indexes a configuration that has passed its checks.
     pub fn new(configuration: Configuration) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let resumable = resumable_services(&configuration.routes);
         for route in configuration.routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
@@ -65,6 +68,7 @@
             version: configuration.version,
             limits: configuration.limits,
             hosts,
+            resumable,
             services: configuration.services.into_iter().map(by_name).collect(),
             teams: teams.map(by_key),
             teams_by_name,
@@ -86,6 +90,11 @@
         self.services.get(name)
     }
 
+    /// Whether streams of a service can be resumed.
+    pub fn resumes_streams(&self, service: &str) -> bool {
+        self.resumable.contains(service)
+    }
+
     /// The route of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = without_port(host);
@@ -115,6 +124,12 @@
     }
 }
 
+/// Services whose streams can be resumed on any route.
+fn resumable_services(routes: &[Route]) -> HashSet<String> {
+    let resumable = routes.iter().filter(|route| route.kind == RouteKind::ResumableStream);
+    resumable.flat_map(|route| &route.services).map(|one| one.service.clone()).collect()
+}
+
 /// The host name without the port.
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -17,6 +17,7 @@
 };
 use latchmount::group::prefix_holders::{PrefixHolder, PromptKey};
 use latchmount::group::relay_peers::RelayPeer;
+use latchmount::group::restarts::SuspectedRestart;
 use latchmount::group::stream_origins::{StreamKey, StreamOrigin, VersionKey};
 use latchmount::level::Level;
 use latchmount::link::Message;
@@ -225,6 +226,11 @@
         ("find_streams", ToMember::FindStreams(vec![stream().stream])),
         ("brittle", ToMember::Brittle(vec![brittle()])),
         ("member_brittle", ToMember::MemberBrittle { from: member, services: vec![brittle()] }),
+        ("restarts", ToMember::SuspectedRestarts(vec![restart()])),
+        (
+            "member_restarts",
+            ToMember::MemberSuspectedRestarts { from: member, restarts: vec![restart()] },
+        ),
     ]
 }
 
@@ -254,6 +260,7 @@
     let dispatchers = vec![([10, 0, 0, 9], 7420).into(), ([10, 0, 1, 9], 7420).into()];
     let with_brittle =
         Update { brittle: Some(vec![brittle()]), dispatchers: Some(dispatchers), ..update.clone() };
+    let with_restarts = Update { restarts: vec![restart()], ..update.clone() };
     let with_relay_peers = Update { relay_peers: Some(vec![peer]), ..update.clone() };
     vec![
         ("reply_taken", FromMember::Reply { id: 6, reply: outcomes }),
@@ -261,9 +268,14 @@
         ("update_relay_peers", FromMember::Update(Box::new(with_relay_peers))),
         ("update_streams", FromMember::Update(Box::new(with_streams))),
         ("update_brittle", FromMember::Update(Box::new(with_brittle))),
+        ("update_restarts", FromMember::Update(Box::new(with_restarts))),
     ]
 }
 
+fn restart() -> SuspectedRestart {
+    SuspectedRestart { target: 1 << 50, age_ms: 300 }
+}
+
 fn brittle() -> BrittleService {
     BrittleService { service: ServiceKey::of("s"), withstands: 10 }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -38,4 +38,5 @@
 mod target_restarts;
 mod target_shutdown;
 mod timelines;
+mod unannounced_restarts;
 mod upgrade;
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -122,6 +122,8 @@
     cold_left_ms: Arc<AtomicU64>,
     /// Reported start time in Unix milliseconds; 0: not reported.
     born_ms: Arc<AtomicU64>,
+    /// Whether it reports its start time when asked.
+    reports: Arc<AtomicBool>,
     /// Reported software version.
     version: Arc<Mutex<&'static str>>,
     data_hall: String,
@@ -169,8 +171,11 @@
         let open_connections = Arc::new(AtomicUsize::new(0));
         let replaced = Arc::new(AtomicBool::new(false));
         let extra_headers: Arc<Mutex<Vec<_>>> = Arc::default();
+        let (born_ms, reports) = (Arc::<AtomicU64>::default(), Arc::<AtomicBool>::default());
         let server = Server {
             id: id.to_owned(),
+            born_ms: born_ms.clone(),
+            reports: reports.clone(),
             replaced: replaced.clone(),
             behaviour: behaviour.clone(),
             arrivals: arrivals.clone(),
@@ -198,7 +203,8 @@
             tasks: vec![tokio::spawn(serving)],
             state,
             cold_left_ms: Arc::default(),
-            born_ms: Arc::default(),
+            born_ms,
+            reports,
             version: Arc::new(Mutex::new("v1")),
             data_hall: data_hall.to_owned(),
             cuts,
@@ -275,6 +281,12 @@
         self
     }
 
+    /// Has it answer `GET /report` with its start time.
+    pub fn with_report(self) -> Self {
+        self.reports.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Cuts the target off from the callers at these addresses.
     pub fn cut(&self, callers: &[IpAddr], cut: Cut) {
         self.cuts.send_modify(|cuts| cuts.extend(callers.iter().map(|caller| (*caller, cut))));
@@ -382,6 +394,8 @@
 /// The HTTP server of a target; shares its state with the [`Standin`].
 struct Server {
     replaced: Arc<AtomicBool>,
+    born_ms: Arc<AtomicU64>,
+    reports: Arc<AtomicBool>,
     id: String,
     behaviour: Arc<Mutex<Behaviour>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -538,6 +552,13 @@
                 .body(full_body(String::new()))
                 .expect("a valid response"));
         }
+        if head.uri.path() == "/report" && self.reports.load(Ordering::Relaxed) {
+            let born = self.born_ms.load(Ordering::Relaxed);
+            return Ok(Response::builder()
+                .header("content-type", "application/json")
+                .body(full_body(json!({"stage": "both", "born": born}).to_string()))
+                .expect("a valid response"));
+        }
         if expected != self.id || self.replaced.load(Ordering::Relaxed) {
             return Ok(Response::builder()
                 .status(421)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod fan_out;
 mod first_update;
 mod health;
+mod incarnation_check;
 mod incarnations;
 mod member_link;
 mod member_order;
