A target's announced shutdown is not forgotten when its heartbeats are missed

Cause: the leader marked it as unresponsive, and the directory keeps that in the field that says that it drains. Gateways used it again.

Change: the leader removes a draining target whose heartbeats it misses, by the command of its own removal, so that all builds apply it alike. A heartbeat that shows a draining incarnation as ready is stale. Gateways keep a leave for as long as they know the incarnation.

tests/gateway/availability.rs compared with a naive version in which a list that shows the target otherwise ends the leave; that was the fault. It is stricter now: a listed leave is final, as the target's own report was.

--- a/src/availability.rs
+++ b/src/availability.rs
@@ -71,8 +71,8 @@
     allowed: u32,
 }
 
-/// What one incarnation of a target reported about itself in its answers. It stays valid if that incarnation is listed
-/// anew.
+/// What is known for good of one incarnation of a target: what it reported in its answers, and that it shuts down. It
+/// stays valid if that incarnation is listed anew.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnReport {
     shutting_down: bool,
@@ -88,10 +88,10 @@
 }
 
 impl Availability {
-    /// Sets whether the list of targets shows it as draining. The list may be older than the target's own report and
-    /// never overrides it.
-    pub fn set_listed_draining(&mut self, draining: bool) {
-        self.listed_draining = draining;
+    /// Records that the list of targets shows it as draining. This is final: a later list that shows it otherwise tells
+    /// that its heartbeats are missed or came late, not that it stays.
+    pub fn record_listed_draining(&mut self) {
+        self.listed_draining = true;
     }
 
     /// Sets whether its data hall is evacuated.
@@ -168,9 +168,10 @@
         !self.shutting_down() && !self.evacuated
     }
 
-    /// What the target reported about itself; `None` if it reported nothing.
+    /// What is known for good of this incarnation; `None` if nothing is.
     pub fn own_report(&self) -> Option<OwnReport> {
-        (self.reported != OwnReport::default()).then_some(self.reported)
+        let report = OwnReport { shutting_down: self.shutting_down(), ..self.reported };
+        (report != OwnReport::default()).then_some(report)
     }
 
     /// The part of the report that may come from the next incarnation under the same identity: a back-off requested
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -140,7 +140,9 @@
     }
 
     pub(super) fn set_state(&self, state: TargetState) {
-        lock(&self.availability).set_listed_draining(state == TargetState::Draining);
+        if state == TargetState::Draining {
+            lock(&self.availability).record_listed_draining();
+        }
         self.unresponsive.store(state == TargetState::Silent, Ordering::Relaxed);
         if state != TargetState::Ready {
             self.close_idle();
--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use super::Shared;
+use super::liveness::Overdue;
 use super::loads::{loads_interval, loads_ttl, member_loads_interval};
 use super::message::{Call, Reply, ToMember};
 use super::prefix_holders::ReadPosition;
@@ -167,6 +168,24 @@
     }
 }
 
+impl Shared {
+    /// Marks overdue targets as unresponsive, and removes those that were draining.
+    async fn apply_overdue(&self, overdue: Overdue) {
+        let Overdue { unresponsive, drained } = overdue;
+        if !unresponsive.is_empty() {
+            info!(self.log, "targets unresponsive"; "event" => "targets_silent", "ids" => ?unresponsive);
+            self.propose_here(Command::Silence(unresponsive)).await;
+        }
+        if drained.is_empty() {
+            return;
+        }
+        info!(self.log, "draining targets unresponsive, removed"; "event" => "targets_drained", "ids" => ?drained);
+        for target in drained {
+            self.propose_here(Command::Remove(target)).await;
+        }
+    }
+}
+
 /// While this member leads, marks unresponsive targets, assigns homes to new ones, and records which data halls are
 /// warm again after an evacuation.
 pub(super) async fn watch_targets(shared: Arc<Shared>) {
@@ -174,7 +193,7 @@
         tokio::time::sleep(TARGETS_CHECK_INTERVAL).await;
         let (now, leads) = (shared.run_clock.ran(), shared.leads());
         let directory = shared.published().directory;
-        let unresponsive = lock(&shared.liveness).unresponsive(now, leads, &directory);
+        let overdue = lock(&shared.liveness).overdue(now, leads, &directory);
         let due = lock(&shared.liveness).due_for_home(now, leads, &directory);
         if !due.is_empty() {
             info!(shared.log, "homes assigned to new targets"; "event" => "targets_settled", "ids" => ?due);
@@ -190,10 +209,7 @@
                 info!(shared.log, "data halls warm again after an evacuation"; "event" => "halls_warm", "halls" => halls);
             }
         }
-        if !unresponsive.is_empty() {
-            info!(shared.log, "targets unresponsive"; "event" => "targets_silent", "ids" => ?unresponsive);
-            shared.propose_here(Command::Silence(unresponsive)).await;
-        }
+        shared.apply_overdue(overdue).await;
     }
 }
 
--- a/src/group/heartbeats.rs
+++ b/src/group/heartbeats.rs
@@ -15,7 +15,7 @@
 use super::{Shared, Unavailable};
 use crate::clock::Instant;
 use crate::control::member::Published;
-use crate::directory::{Announcement, HeartbeatClass};
+use crate::directory::{Announcement, Directory, HeartbeatClass, TargetState};
 use crate::level::Level;
 use crate::store::{Answer, Command, Sight};
 use crate::sync::lock;
@@ -68,6 +68,18 @@
     }
 }
 
+/// What a heartbeat means for the directory. One that shows a draining incarnation as ready is stale, whatever its
+/// sequence number: a target that has announced its shutdown does not come back but with its next incarnation.
+fn classify(directory: &Directory, heartbeat: &Announcement) -> HeartbeatClass {
+    let drains = directory
+        .get(&heartbeat.id)
+        .is_some_and(|known| known.state == TargetState::Draining && known.born == heartbeat.born);
+    if drains && heartbeat.state == TargetState::Ready {
+        return HeartbeatClass::Stale;
+    }
+    directory.classify(heartbeat)
+}
+
 impl Shared {
     /// Handles a heartbeat that a target sent to this member.
     pub(super) async fn handle_heartbeat(
@@ -115,7 +127,7 @@
 
     /// Classifies a heartbeat by the directory that this member holds.
     fn classify(&self, announcement: &Announcement) -> HeartbeatClass {
-        self.member.published().borrow().directory.classify(announcement)
+        classify(&self.member.published().borrow().directory, announcement)
     }
 
     /// Handles heartbeats as the leader; those that change the directory are committed together.
@@ -129,7 +141,7 @@
             for announcement in announcements {
                 let announcement = announcement.limited_to(level);
                 liveness.record_heartbeat(now, announcement.key());
-                let changed = directory.classify(&announcement) == HeartbeatClass::Changed;
+                let changed = classify(&directory, &announcement) == HeartbeatClass::Changed;
                 outcomes.push(if changed {
                     HeartbeatOutcome::Changed
                 } else {
--- a/src/group/liveness.rs
+++ b/src/group/liveness.rs
@@ -10,6 +10,16 @@
 /// Heartbeat intervals for which a target without a home waits for the home of a target that shuts down.
 const HOME_WAIT_HEARTBEATS: u32 = 5;
 
+/// Targets from which no heartbeat has arrived within the timeout.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Overdue {
+    /// Those that were ready.
+    pub(super) unresponsive: Vec<Incarnation>,
+    /// Those that were draining. They have ended, or are about to, so they are removed: marked as unresponsive they would
+    /// no longer count as draining.
+    pub(super) drained: Vec<Incarnation>,
+}
+
 /// When each target last sent a heartbeat; kept in the leader's memory only.
 #[derive(Debug)]
 pub(super) struct Liveness {
@@ -58,17 +68,12 @@
         first.is_some()
     }
 
-    /// Targets that have become unresponsive. After a change of leader every target has the full timeout again.
-    pub(super) fn unresponsive(
-        &mut self,
-        now: Duration,
-        leads: bool,
-        directory: &Directory,
-    ) -> Vec<Incarnation> {
+    /// Targets whose heartbeats are overdue. After a change of leader every target has the full timeout again.
+    pub(super) fn overdue(&mut self, now: Duration, leads: bool, directory: &Directory) -> Overdue {
         if !leads {
             self.leading_since = None;
             self.last_heartbeats.clear();
-            return Vec::new();
+            return Overdue::default();
         }
         let since = *self.leading_since.get_or_insert(now);
         let timeout = self.timeout;
@@ -78,7 +83,12 @@
             let last = self.last_heartbeats.get(&target.key()).copied().unwrap_or(since).max(since);
             target.state != TargetState::Silent && now >= last + timeout
         });
-        overdue.map(Announcement::incarnation).collect()
+        let (drained, unresponsive): (Vec<&Announcement>, Vec<&Announcement>) =
+            overdue.partition(|target| target.state == TargetState::Draining);
+        let incarnations = |targets: Vec<&Announcement>| {
+            targets.into_iter().map(Announcement::incarnation).collect()
+        };
+        Overdue { unresponsive: incarnations(unresponsive), drained: incarnations(drained) }
     }
 
     /// Targets that have waited long enough to get a home of their own.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod harness;
 mod headers;
 mod keep_alive;
+mod leaving_targets;
 mod malformed_input;
 mod member_api;
 mod operators;
--- a/tests/gateway/availability.rs
+++ b/tests/gateway/availability.rs
@@ -61,7 +61,7 @@
                 self.backoffs.push((now, Duration::from_millis(*ms).min(MAX_BACKOFF)));
             }
             Event::Backoff(None) => self.backoffs.push((now, UNCLEAR_BACKOFF)),
-            Event::List(draining) | Event::Relist(draining) => self.listed_draining = *draining,
+            Event::List(draining) | Event::Relist(draining) => self.listed_draining |= *draining,
             Event::Evacuate(evacuated) => self.evacuated = *evacuated,
             Event::Wait(_) | Event::Answered => {}
         }
@@ -72,6 +72,12 @@
     }
 }
 
+fn list(known: &mut Availability, draining: bool) {
+    if draining {
+        known.record_listed_draining();
+    }
+}
+
 fn note(known: &mut Availability, now: Duration, event: &Event, chance: f64, evacuated: bool) {
     match event {
         Event::Wait(_) => {}
@@ -84,12 +90,12 @@
             known.back_off(now, backoff, RETURN_SPREAD, chance);
         }
         Event::Answered => known.record_answer(now),
-        Event::List(draining) => known.set_listed_draining(*draining),
+        Event::List(draining) => list(known, *draining),
         Event::Evacuate(evacuated) => known.set_evacuated(*evacuated),
         Event::Relist(draining) => {
             let reported = known.own_report();
             *known = Availability::default();
-            known.set_listed_draining(*draining);
+            list(known, *draining);
             known.set_evacuated(evacuated);
             reported.into_iter().for_each(|report| known.restore(report));
         }
--- a/tests/gateway/remembered_reports.rs
+++ b/tests/gateway/remembered_reports.rs
@@ -20,7 +20,6 @@
     reports.keep(SECOND, 7, report);
     assert_eq!(reports.take(SECOND, 8), None, "there is no report of another incarnation");
     let mut again = Availability::default();
-    again.set_listed_draining(false);
     again.restore(reports.take(SECOND, 7).expect("remembered"));
     assert_eq!(again.eligibility(SECOND), Eligibility::ShuttingDown);
     assert_eq!(Availability::default().own_report(), None);
