Suspected restarts: no sign in rejections, and answers that refute one

Cause: such a rejection was taken for a sign. It needs none, since a pinned request gets it too.

Change: it is no sign. The lines about signs are sampled like those about attempts. An answer on a connection that was open before the first sign, to a request sent after the last, refutes it, so that a gateway whose own path broke does not keep others from a target that they use.

Tests: `--test gateway incarnation_check` (13 passed), `--test fleet unannounced stream leaving target_` (77 passed).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -68,6 +68,7 @@
 /// An open connection to a target, closed when dropped.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) opened_at: Instant,
     slot: ConnectionSlot,
 }
 
@@ -269,7 +270,7 @@
     let (sender, driver) =
         handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError::Broke)?;
     tokio::spawn(driver);
-    Ok(Connection { sender, slot })
+    Ok(Connection { sender, opened_at: Instant::now(), slot })
 }
 
 impl Connection {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -637,6 +637,7 @@
     }
     match sent {
         Ok(answer) => {
+            gateway.note_same_incarnation(&answer.source, began);
             gateway.note_outcome(target, outcome_of(answer.status));
             if answer.status.is_server_error() {
                 gateway.note_version_failure(state);
@@ -688,9 +689,10 @@
 fn restart_sign(error: AttemptError) -> Option<RestartSign> {
     match error {
         AttemptError::NotSent(ConnectError::Refused) => Some(RestartSign::Refused),
-        AttemptError::Gone => Some(RestartSign::OtherTarget),
         AttemptError::Lost => Some(RestartSign::Broke),
-        AttemptError::NotSent(_)
+        // A target with another identity rejects the request.
+        AttemptError::Gone
+        | AttemptError::NotSent(_)
         | AttemptError::NotRun
         | AttemptError::Late
         | AttemptError::Wrong => None,
--- a/src/gateway/incarnation_check.rs
+++ b/src/gateway/incarnation_check.rs
@@ -50,9 +50,9 @@
 /// The evidence on one listed incarnation. Times are since the start of the gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct IncarnationCheck {
-    /// When a connection last broke or was refused, here or at another gateway.
-    suspected_at: Option<Duration>,
-    /// When the question was sent to which the target last answered that it is the listed incarnation.
+    /// When a connection first and last broke or was refused, here or at another gateway, since the last confirmation.
+    signs: Option<(Duration, Duration)>,
+    /// When the target was last known to run as the listed incarnation.
     confirmed_at: Option<Duration>,
     /// When the target was last asked.
     asked_at: Option<Duration>,
@@ -67,46 +67,58 @@
     pub fn suspect(&mut self, at: Duration) {
         let confirmed_since = self.confirmed_at.is_some_and(|confirmed| confirmed > at);
         if !confirmed_since {
-            self.suspected_at = self.suspected_at.max(Some(at));
+            let (first, last) = self.signs.unwrap_or((at, at));
+            self.signs = Some((first.min(at), last.max(at)));
         }
     }
 
     /// Records what the target answered to a question that was sent at `asked_at`.
     pub fn record_report(&mut self, asked_at: Duration, reported: ReportedIncarnation) {
         match reported {
-            ReportedIncarnation::Listed => {
-                self.confirmed_at = self.confirmed_at.max(Some(asked_at));
-                self.suspected_at = self.suspected_at.filter(|at| *at >= asked_at);
-            }
+            ReportedIncarnation::Listed => self.confirm(asked_at),
             ReportedIncarnation::Other => self.replaced = true,
             ReportedIncarnation::Untold => self.untold = true,
             ReportedIncarnation::Unknown => {}
         }
     }
 
-    /// Records that the address was found to belong to another target.
-    pub fn record_replaced(&mut self) {
-        self.replaced = true;
+    /// Records an answer to a request that was sent at `sent_at`, on a connection that was opened at `opened_at`. If the
+    /// connection was open before the first sign, the incarnation had not ended when the request was sent.
+    pub fn record_answer(&mut self, opened_at: Duration, sent_at: Duration) {
+        if self.signs.is_some_and(|(first, _)| opened_at < first) {
+            self.confirm(sent_at);
+        }
+    }
+
+    /// Records that the target ran as the listed incarnation at `at`.
+    fn confirm(&mut self, at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.signs = self.signs.filter(|(_, last)| *last >= at);
+    }
+
+    /// Whether there are signs that are not refuted.
+    pub fn has_signs(&self) -> bool {
+        self.signs.is_some()
     }
 
     /// Whether the target may run as another incarnation than the listed one. `unresponsive`: the members miss its
     /// heartbeats.
     pub fn suspected(&self, now: Duration, unresponsive: bool) -> bool {
         let confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL);
-        let suspected = self.suspected_at.is_some_and(|at| now < at + SUSPICION_TTL);
+        let suspected = self.signs.is_some_and(|(_, last)| now < last + SUSPICION_TTL);
         self.replaced || suspected || (unresponsive && !confirmed)
     }
 
     /// Age of the last sign that the incarnation may have ended, for logs.
     pub fn suspicion_age(&self, now: Duration) -> Option<Duration> {
-        self.suspected_at.map(|at| now.saturating_sub(at))
+        self.signs.map(|(_, last)| now.saturating_sub(last))
     }
 
     /// Whether it is worth asking the target. If so, it counts as asked now.
     pub fn begin_question(&mut self, now: Duration) -> bool {
         let confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL);
         let asked = self.asked_at.is_some_and(|at| now < at + ASK_INTERVAL);
-        let settled = confirmed && self.suspected_at.is_none();
+        let settled = confirmed && self.signs.is_none();
         if self.replaced || self.untold || settled || asked {
             return false;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -178,6 +178,8 @@
     attempt_sampler: Mutex<Sampler>,
     answer_sampler: Mutex<Sampler>,
     probe_sampler: Mutex<Sampler>,
+    suspicion_sampler: Mutex<Sampler>,
+    told_sampler: Mutex<Sampler>,
     backoff_sampler: Mutex<Sampler>,
     offer_sampler: Mutex<Sampler>,
     rejection_sampler: Mutex<Sampler>,
--- a/src/gateway/restart.rs
+++ b/src/gateway/restart.rs
@@ -11,6 +11,7 @@
 use slog::info;
 
 use super::Gateway;
+use super::attempt::Source;
 use super::choice::Choice;
 use super::connection::{Report, ask_for_report};
 use super::exchange::RequestState;
@@ -37,8 +38,6 @@
     Broke,
     /// Its address refused a connection.
     Refused,
-    /// Another target was found at its address.
-    OtherTarget,
 }
 
 impl RestartSign {
@@ -47,7 +46,6 @@
         match self {
             RestartSign::Broke => "broke",
             RestartSign::Refused => "refused",
-            RestartSign::OtherTarget => "other_target",
         }
     }
 }
@@ -61,18 +59,32 @@
             return;
         }
         let now = self.now();
-        match sign {
-            RestartSign::OtherTarget => target.incarnation_check().record_replaced(),
-            RestartSign::Broke | RestartSign::Refused => target.incarnation_check().suspect(now),
-        }
+        target.incarnation_check().suspect(now);
         let suspicion = SuspectedRestart { target: target.key, age_ms: 0 };
-        if lock(&self.restarts).record(now, ReportedBy::Local, suspicion) {
-            self.restart_suspected.notify_one();
-            self.metrics.restart_suspected(service, sign.label());
+        if !lock(&self.restarts).record(now, ReportedBy::Local, suspicion) {
+            return;
+        }
+        self.restart_suspected.notify_one();
+        self.metrics.restart_suspected(service, sign.label());
+        if let Some(stands_for) = lock(&self.suspicion_sampler).sample(now) {
             info!(self.log, "target may have restarted"; "event" => "restart_suspected",
                 "target" => &target.announcement.id, "service" => service,
-                "born" => target.announcement.born.0, "sign" => sign.label());
+                "born" => target.announcement.born.0, "sign" => sign.label(),
+                "stands_for" => stands_for);
+        }
+    }
+
+    /// Records that an attempt that began at `began` was answered. On a connection that was open before the target was
+    /// suspected, that shows that it did not restart.
+    pub(super) fn note_same_incarnation(&self, source: &Source, began: Instant) {
+        let Source::Target { target, connection, .. } = source else {
+            return;
+        };
+        if !target.may_restart_unseen() || !target.incarnation_check().has_signs() {
+            return;
         }
+        let ago = |at: Instant| self.now().saturating_sub(at.elapsed());
+        target.incarnation_check().record_answer(ago(connection.opened_at), ago(began));
     }
 
     /// Records incarnations that may have ended, as a member reports them.
@@ -87,8 +99,10 @@
         }
         drop(known);
         self.apply_suspected_restarts(restarts);
-        info!(self.log, "told of targets that may have restarted"; "event" => "restarts_told",
-            "targets" => restarts.len());
+        if let Some(stands_for) = lock(&self.told_sampler).sample(now) {
+            info!(self.log, "told of targets that may have restarted"; "event" => "restarts_told",
+                "targets" => restarts.len(), "stands_for" => stands_for);
+        }
     }
 
     /// Applies all known suspicions to the targets after the directory changed: a suspicion may arrive before its target.
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -127,6 +127,8 @@
             attempt_sampler: Mutex::default(),
             answer_sampler: Mutex::default(),
             probe_sampler: Mutex::default(),
+            suspicion_sampler: Mutex::default(),
+            told_sampler: Mutex::default(),
             backoff_sampler: Mutex::default(),
             offer_sampler: Mutex::default(),
             rejection_sampler: Mutex::default(),
--- a/tests/gateway/incarnation_check.rs
+++ b/tests/gateway/incarnation_check.rs
@@ -64,6 +64,19 @@
     assert!(check.suspected(ms(2_500), true));
 }
 
+#[test]
+fn only_a_connection_that_was_open_before_the_first_sign_refutes_it() {
+    let mut check = IncarnationCheck::default();
+    check.suspect(SECOND);
+    check.suspect(SECOND * 2);
+    check.record_answer(ms(1_500), SECOND * 3);
+    assert!(check.suspected(SECOND * 3, false), "it may lead to the next incarnation");
+    check.record_answer(ms(900), ms(1_900));
+    assert!(check.suspected(SECOND * 3, false), "the request was sent before the last sign");
+    check.record_answer(ms(900), SECOND * 3);
+    assert!(!check.suspected(SECOND * 3, false));
+}
+
 #[test]
 fn a_target_that_does_not_tell_is_not_asked_again() {
     let mut check = IncarnationCheck::default();
@@ -76,8 +89,15 @@
 /// One step of a random history of a target.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Sign { ago: u64 },
+    Sign {
+        ago: u64,
+    },
     Report(ReportedIncarnation),
+    /// An answer on a connection that was opened this long before the request was sent.
+    Answer {
+        sent_ago: u64,
+        opened_before: u64,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -85,6 +105,8 @@
         (0..800_u64).prop_map(|ago| Step::Sign { ago }),
         Just(Step::Report(ReportedIncarnation::Listed)),
         Just(Step::Report(ReportedIncarnation::Unknown)),
+        (0..500_u64, 0..3_000_u64)
+            .prop_map(|(sent_ago, opened_before)| Step::Answer { sent_ago, opened_before }),
     ]
 }
 
@@ -95,25 +117,35 @@
     ) {
         let mut check = IncarnationCheck::default();
         let (mut signs, mut confirmations) = (Vec::new(), Vec::new());
-        let mut now = SECOND;
+        let mut now = SECOND * 4;
         for (pause, step) in steps {
             now += ms(pause);
             match step {
                 Step::Sign { ago } => {
                     let at = now - ms(ago);
                     check.suspect(at);
-                    signs.push(at);
+                    if confirmations.iter().all(|confirmed| *confirmed <= at) {
+                        signs.push(at);
+                    }
+                }
+                Step::Answer { sent_ago, opened_before } => {
+                    let sent_at = now - ms(sent_ago);
+                    let opened_at = sent_at - ms(opened_before);
+                    check.record_answer(opened_at, sent_at);
+                    if signs.iter().min().is_some_and(|first| opened_at < *first) {
+                        confirmations.push(sent_at);
+                        signs.retain(|sign| *sign >= sent_at);
+                    }
                 }
                 Step::Report(reported) => {
                     check.record_report(now, reported);
                     if reported == ReportedIncarnation::Listed {
                         confirmations.push(now);
+                        signs.retain(|sign| *sign >= now);
                     }
                 }
             }
-            let suspected = signs.iter().any(|sign| {
-                now < *sign + SUSPICION_TTL && confirmations.iter().all(|at| at <= sign)
-            });
+            let suspected = signs.iter().any(|sign| now < *sign + SUSPICION_TTL);
             prop_assert_eq!(check.suspected(now, false), suspected);
         }
     }
