A back-off that a restarted target asked for holds once it is listed

What callers saw: a target that had just restarted under its id and turned requests away with Retry-After got the same gateway's requests again inside that time.

Cause: a list that announces a restart names the id as removed and as changed. The gateway removed the target first, so that its next incarnation inherited nothing of what had been answered before the list came.

Change: an id in both lists is only changed, which removes the old incarnation.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -206,7 +206,11 @@
                 known.filter(|id| !kept.contains(id.as_str())).cloned().collect();
             unlisted.iter().for_each(|id| self.remove(now, id));
         }
-        delta.removed.iter().for_each(|id| self.remove(now, id));
+        // A target that restarted is in both lists. Its next incarnation inherits from it, so it must still be known then.
+        let restarted: HashSet<&str> =
+            delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
+        let gone = delta.removed.iter().filter(|id| !restarted.contains(id.as_str()));
+        gone.for_each(|id| self.remove(now, id));
         for listed in delta.changed {
             let cold_left = listed.announcement.cold_left;
             let target = self.change(now, listed);
--- a/tests/fleet/target_restarts.rs
+++ b/tests/fleet/target_restarts.rs
@@ -1,10 +1,13 @@
 //! Targets that restart under the same id. Each incarnation is a new target, which holds no home and no caches.
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
 
 use crate::harness::{Fleet, call, eventually};
 use crate::member_api::configuration;
 use crate::refusals::ClientRequest;
+use crate::restarting_target::listen_again;
 use crate::standin::{Behaviour, Standin};
 
 /// Start time of the first incarnation, in Unix milliseconds.
@@ -102,3 +105,60 @@
     }
     assert!(late.arrivals().is_empty());
 }
+
+/// Requests that are sent after the restart is listed.
+const LATER_REQUESTS: usize = 30;
+/// Time within which a restart must be listed for its first answers to be known as its own.
+const LISTED_WITHIN: Duration = Duration::from_secs(4);
+
+/// Restarts a target that asks for a back-off before it announces itself. Returns how many requests reached it after the
+/// announcement, during the back-off; `None` if the announcement took too long.
+async fn arrivals_during_early_back_off(fleet: &Fleet, id: &str) -> Option<usize> {
+    let mut first = Standin::start(id, "s", Vec::new()).await;
+    first.set_start_time(FIRST_START_MS, 0);
+    first.start_heartbeats(fleet.api_addrs());
+    wait_until_used(fleet, &first).await;
+    let addr = first.addr;
+    drop(first);
+    let listener = listen_again(addr).await;
+    let mut second = Standin::serve(listener, "hall-a", id, "s", Vec::new(), None);
+    second.set_start_time(SECOND_START_MS, 0);
+    second.behave(Behaviour::NotRun);
+    second.add_header("retry-after", "60");
+    eventually("the target asks for a back-off", async || {
+        let id = format!("b-{}", rand::random::<u32>());
+        let _ = ClientRequest::new("/safe/x", &id).send(fleet.gateway_addr(0)).await;
+        (!second.arrivals().is_empty()).then_some(())
+    })
+    .await;
+    let asked = Instant::now();
+    let updates = || fleet.gateways[0].log().matches("event=targets").count();
+    let before = updates();
+    second.start_heartbeats(fleet.api_addrs());
+    eventually("the restart is listed", async || (updates() > before).then_some(())).await;
+    if asked.elapsed() > LISTED_WITHIN {
+        return None;
+    }
+    let before = second.arrivals().len();
+    for number in 0..LATER_REQUESTS {
+        let id = format!("l-{number}-{}", rand::random::<u32>());
+        let _ = ClientRequest::new("/safe/x", &id).send(fleet.gateway_addr(0)).await;
+    }
+    Some(second.arrivals().len() - before)
+}
+
+// Guards against forgetting, once a restart is listed, the back-off that it asked for before.
+#[tokio::test]
+async fn a_back_off_that_a_restarted_target_asked_for_before_it_was_listed_holds() {
+    let fleet = fleet().await;
+    let _other = Standin::start("i-other", "s", fleet.api_addrs()).await;
+    let mut tries = 0;
+    let arrivals = loop {
+        tries += 1;
+        if let Some(arrivals) = arrivals_during_early_back_off(&fleet, &format!("i-{tries}")).await
+        {
+            break arrivals;
+        }
+    };
+    assert_eq!(arrivals, 0);
+}
