Streams begun while the members have no leader, and a soak of missed targets

What callers saw: a stream that began at a target which had restarted as another version, with all members down, went on at the version that is listed (new soak).

Cause: suspicions last 30 s and are lost with the members, and silence is marked by a leader only. A gateway with an old directory took the version of a stream that began from it.

Change: while the directory is older than a second, a target is asked for its incarnation before a stream begins there, once a second at most.

The soak cuts targets off from the members alone; they crash and start again behind the cut as another version, or leave just before.

--- a/src/gateway/restart.rs
+++ b/src/gateway/restart.rs
@@ -157,13 +157,14 @@
         }
     }
 
-    /// Asks the chosen target for its incarnation if the request resumes a stream, or begins one at a suspected target.
-    /// Returns whether the request may still go there.
+    /// Asks the chosen target for its incarnation if the request resumes a stream, or begins one where the target is
+    /// suspected or the members may have missed a restart. Returns whether the request may still go there.
     async fn confirm_choice(&self, state: &RequestState, target: &Arc<Target>) -> bool {
         if state.route.kind != RouteKind::ResumableStream {
             return true;
         }
-        if state.pin != VersionPin::Free || target.may_have_restarted(self.now()) {
+        let uncertain = || target.may_have_restarted(self.now()) || !self.directory_is_fresh();
+        if state.pin != VersionPin::Free || uncertain() {
             self.ask_for_incarnation(state, target).await;
         }
         self.pin_allows(self.now(), state.pin, target)
--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -180,7 +180,7 @@
     /// The version of a route's only service, if no other has served since a stream of the route can have begun, as far
     /// as the members knew within [`FRESH`].
     fn only_version_or_unknown(&self, route: &Route) -> (Option<VersionKey>, OriginSource) {
-        let fresh = lock(&self.fresh_at).is_some_and(|at| at.elapsed() < FRESH);
+        let fresh = self.directory_is_fresh();
         let version = match route.services.as_slice() {
             [only] if fresh => {
                 read(&self.targets).only_version(self.now(), &only.service, 2 * route.timeout)
@@ -190,6 +190,11 @@
         (version, if version.is_some() { OriginSource::OnlyVersion } else { OriginSource::Unknown })
     }
 
+    /// Whether the directory is taken to hold every incarnation.
+    pub(super) fn directory_is_fresh(&self) -> bool {
+        lock(&self.fresh_at).is_some_and(|at| at.elapsed() < FRESH)
+    }
+
     /// The service of the route whose version began the stream, if it still has targets of that version.
     pub(super) fn service_of_pin(&self, route: &Route, pin: VersionPin) -> Option<String> {
         let targets = read(&self.targets);
--- a/tests/soak/injector.rs
+++ b/tests/soak/injector.rs
@@ -34,6 +34,10 @@
 /// Chance of another cut at each step of the run, and how long it lasts, in milliseconds.
 const CUT_CHANCE: f64 = 0.2;
 const CUT_MS: std::ops::Range<u64> = 4_000..8_000;
+/// Chance of another target that is cut off from the members at each step of the run, and how long that lasts, in
+/// milliseconds.
+const UNHEARD_CHANCE: f64 = 0.3;
+const UNHEARD_MS: std::ops::Range<u64> = 1_500..6_000;
 /// Time between two lost disks: the member must be a voter again before the next disk is lost.
 const DISK_LOSS_INTERVAL: Duration = Duration::from_secs(12);
 /// Time within which a target repeats its drain until a member acknowledges it.
@@ -80,6 +84,7 @@
                 self.inject(fault).await;
             }
             self.cut_gateway_off();
+            self.cut_target_from_members().await;
             self.repair(false).await;
         }
         while !self.repairs.is_empty() {
@@ -200,6 +205,35 @@
         self.repairs.push((Instant::now() + after, Repair::JoinGateway(at)));
     }
 
+    /// Now and then cuts one more target off from the members, not from the gateways. It may crash behind the cut, and
+    /// start again there, or have announced its shutdown just before.
+    async fn cut_target_from_members(&mut self) {
+        let Some(mut rng) = self.world.unheard.take() else {
+            return;
+        };
+        let heard = |at: &usize| !self.world.targets[*at].0.is_unheard();
+        let free = (0..self.world.targets.len()).filter(|at| !self.busy_targets.contains(at));
+        let free: Vec<usize> = free.filter(heard).collect();
+        if free.len() > 2 && rng.random_bool(UNHEARD_CHANCE) {
+            let at = free[rng.random_range(0..free.len())];
+            let length = Duration::from_millis(rng.random_range(UNHEARD_MS));
+            let change = rng.random_range(0..4);
+            self.note(format!("cut off from the members: {}", self.world.targets[at].0.id()));
+            self.record_fault_of_target(at);
+            if change == 0 {
+                self.replace(at).await;
+            }
+            let target = &self.world.targets[at].0;
+            target.cut_from_members(length);
+            if change == 1 || change == 2 {
+                tokio::time::sleep(Duration::from_millis(rng.random_range(0..300))).await;
+                self.log.push(format!("            {} crashes behind the cut", target.id()));
+                target.crash();
+            }
+        }
+        self.world.unheard = Some(rng);
+    }
+
     /// Ends the cut of a gateway.
     fn join_gateway(&mut self, at: usize) {
         let ip = self.world.fleet.gateways[at].ip;
@@ -381,6 +415,10 @@
         let Some(at) = self.draw(self.world.targets.len(), &busy) else {
             return;
         };
+        self.replace(at).await;
+    }
+
+    async fn replace(&mut self, at: usize) {
         let id = self.world.targets[at].0.id();
         self.note(format!("ReplaceTarget {id}"));
         self.world.add_target().await;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -44,6 +44,7 @@
     brittle: false,
     header_only_shutdowns: true,
     cut_off: false,
+    unheard: false,
     length: Duration::from_secs(8),
 };
 const LARGE: Size = Size {
@@ -57,6 +58,7 @@
     brittle: false,
     header_only_shutdowns: true,
     cut_off: false,
+    unheard: false,
     length: Duration::from_secs(25),
 };
 
@@ -64,6 +66,17 @@
 const BRITTLE: Size =
     Size { gateways: 8, targets: 6, callers: 160, poison: 0, brittle: true, ..SMALL };
 
+/// Targets that the members miss, and a version for each of their starts.
+const UNHEARD: Size = Size {
+    targets: 8,
+    callers: 24,
+    poison: 0,
+    versions: Versions::PerStart,
+    unheard: true,
+    length: Duration::from_secs(15),
+    ..SMALL
+};
+
 /// Seeds that failed once, each with the value of `header_only_shutdowns` that it failed with. The
 /// failure: targets that restarted under the same id got more requests than a cold target can serve.
 const REGRESSION_SEEDS: [(u64, bool); 8] = [
@@ -126,6 +139,19 @@
     }
 }
 
+/// Guards against streams of two versions and requests to targets that left, where the members miss what targets say.
+#[tokio::test]
+async fn no_promise_is_broken_while_targets_are_cut_off_from_the_members() {
+    let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
+        Some(1) => Size { poison: 0, versions: Versions::PerStart, unheard: true, ..LARGE },
+        _ => UNHEARD,
+    };
+    let first = seeds::seed();
+    for seed in first..first + seeds::env_number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(1) {
+        soak(size, seed, None).await;
+    }
+}
+
 #[tokio::test]
 async fn no_promise_is_broken_while_targets_end_under_a_prompt_part() {
     let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
@@ -166,6 +192,22 @@
     soak(Size { versions: Versions::PerStart, ..size }, 20_261_202, None).await;
 }
 
+/// Guards against streams of two versions where a target restarted as another one and the members missed it.
+#[tokio::test]
+async fn seeds_whose_streams_mixed_versions_at_unannounced_starts_hold() {
+    for seed in [780_004, 781_028] {
+        soak(UNHEARD, seed, None).await;
+    }
+}
+
+/// Guards against requests without bound to a start that is cold and that nobody has announced.
+#[tokio::test]
+async fn seeds_whose_unannounced_starts_got_too_many_requests_hold() {
+    for seed in [781_017, 781_025] {
+        soak(UNHEARD, seed, None).await;
+    }
+}
+
 /// Guards against sound parts of prompts that are blocked since they ran beside a poison request.
 #[tokio::test]
 async fn a_seed_whose_sound_parts_were_blocked_with_a_poison_request_holds() {
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -116,8 +116,12 @@
     recorder: Recorder,
     versions: Versions,
     brittle: bool,
+    unheard_until: UnheardUntil,
 }
 
+/// Until when nothing that the target sends reaches the members, over all its starts.
+type UnheardUntil = Arc<Mutex<Option<tokio::time::Instant>>>;
+
 /// The tasks of a running instance, which end when this is dropped.
 struct InstanceTasks(Vec<JoinHandle<()>>);
 
@@ -147,6 +151,7 @@
     /// Whether its response headers announce its shutdown although its heartbeats do not.
     shutdown_in_headers_only: AtomicBool,
     sequence: AtomicU64,
+    unheard_until: UnheardUntil,
     /// Its slots, if it is brittle.
     slots: Option<Slots>,
     /// Notified when a poison request, `crash` or a fall ends the instance.
@@ -182,6 +187,7 @@
             recorder,
             versions,
             brittle,
+            unheard_until: Arc::default(),
         };
         let first = config.new_instance(0, seed);
         let start = config.start(&first).await;
@@ -209,6 +215,17 @@
         self.instance().exit.notify_one();
     }
 
+    /// Cuts this start and the next ones off from the members, not from the gateways.
+    pub fn cut_from_members(&self, length: Duration) {
+        let until = tokio::time::Instant::now() + length;
+        *self.config.unheard_until.lock().expect("the lock is not poisoned") = Some(until);
+    }
+
+    /// Whether it is cut off from the members.
+    pub fn is_unheard(&self) -> bool {
+        is_unheard(&self.config.unheard_until)
+    }
+
     pub fn set_fault_rate(&self, rate: f64) {
         *self.instance().fault_rate.lock().expect("the lock is not poisoned") = rate;
     }
@@ -240,6 +257,9 @@
 
     /// Removes the target from the directory by a request to the members in turn until one acknowledges.
     pub async fn leave(&self, members: &[SocketAddr]) {
+        if self.is_unheard() {
+            return;
+        }
         for member in members {
             let path = format!("/instances/{}", self.id());
             if call(*member, "DELETE", &path, "").await.is_some_and(|answer| answer.status == 200) {
@@ -282,6 +302,7 @@
             state: Mutex::new("ready"),
             shutdown_in_headers_only: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
+            unheard_until: self.unheard_until.clone(),
             slots: self.brittle.then(|| {
                 let seed = seed.wrapping_mul(31).wrapping_add(start);
                 Slots::new(seed, started.max(BRITTLE_FROM), started >= BRITTLE_FROM)
@@ -332,8 +353,16 @@
     }
 }
 
+fn is_unheard(until: &UnheardUntil) -> bool {
+    let until = *until.lock().expect("the lock is not poisoned");
+    until.is_some_and(|until| tokio::time::Instant::now() < until)
+}
+
 /// Sends one heartbeat; returns whether the member acknowledged it.
 async fn send_heartbeat(instance: &Instance, addr: SocketAddr, member: SocketAddr) -> bool {
+    if is_unheard(&instance.unheard_until) {
+        return false;
+    }
     let cold_left = instance.cold_until.saturating_sub(instance.recorder.now()).as_millis() as u64;
     let body = json!({
         "service": "s", "address": addr, "zone": instance.data_hall, "version": instance.version, "slots": SLOTS,
@@ -497,6 +526,15 @@
             .expect("a valid response")
     }
 
+    /// What it reports about itself when asked.
+    fn report(&self) -> Response<Body> {
+        let report = json!({"stage": "both", "born": self.start_time_ms});
+        Response::builder()
+            .header("content-type", "application/json")
+            .body(full_body(report.to_string()))
+            .expect("a valid response")
+    }
+
     /// Handles a request: records its arrival, draws a fault, records the run and responds.
     async fn answer(
         self: &Arc<Self>,
@@ -507,6 +545,9 @@
         let text = |name: &str| {
             head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
         };
+        if head.uri.path() == "/report" {
+            return Ok(self.report());
+        }
         let id = text("x-request-id");
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
         for name in SYSTEM_HEADERS {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -35,6 +35,8 @@
     pub header_only_shutdowns: bool,
     /// Whether gateways are cut off from all targets, besides the other faults.
     pub cut_off: bool,
+    /// Whether targets are cut off from the members, and crash, leave or go on meanwhile, besides the other faults.
+    pub unheard: bool,
     /// How long faults are injected.
     pub length: Duration,
 }
@@ -75,6 +77,8 @@
     target_kind: TargetKind,
     /// Source of the random choices about cuts, so that the other faults of a seed stay the same; `None` without cuts.
     pub cuts: Option<StdRng>,
+    /// The same for cuts between targets and members.
+    pub unheard: Option<StdRng>,
     callers: Vec<JoinHandle<()>>,
 }
 
@@ -154,6 +158,7 @@
             earlier_build,
             target_kind: TargetKind { versions, brittle: size.brittle },
             cuts: size.cut_off.then(|| StdRng::seed_from_u64(!seed)),
+            unheard: size.unheard.then(|| StdRng::seed_from_u64(seed.rotate_left(32))),
             callers: Vec::new(),
         };
         for _ in 0..size.targets {
@@ -281,7 +286,7 @@
         }));
         json!({
             "version": version, "routes": routes,
-            "services": [{"name": "s", "health-path": "/health", "max-conns": 400,
+            "services": [{"name": "s", "health-path": "/health", "max-conns": 400, "engine": {},
                 "cold-start-s": COLD_PERIOD.as_secs_f64(), "cold-per-s": COLD_LIMITS.0}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
