A target's refusal to report is no word that it has no report

A server error or a 429 to GET /report was taken for a target without one, which is not asked again. The two requests that gateways make on their own behalf share their construction.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -159,12 +159,7 @@
         tokio::time::sleep(SETTLE_TIME).await;
         return !connection.sender.is_closed();
     };
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = path;
-    if let Ok(host) = HeaderValue::from_str(&target.announcement.addr.to_string()) {
-        request.headers_mut().insert(HOST, host);
-    }
-    let Ok(answer) = connection.sender.send_request(request).await else {
+    let Ok(answer) = connection.sender.send_request(get(target, path)).await else {
         return false;
     };
     let (head, body) = answer.into_parts();
@@ -174,13 +169,23 @@
     true
 }
 
+/// A request of this gateway's own for a path of a target.
+fn get(target: &Target, path: Uri) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path;
+    if let Ok(host) = HeaderValue::from_str(&target.announcement.addr.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
 /// What came of asking a target for its report about itself.
 pub(super) enum Report {
     /// The body of the report.
     Body(Bytes),
-    /// An answer that is no report.
+    /// An answer that is no report: the target has none.
     Unreadable,
-    /// No answer.
+    /// No answer, or one that it can't report now.
     None,
 }
 
@@ -193,15 +198,14 @@
     let Ok(mut connection) = open(target, limits).await else {
         return Report::None;
     };
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = Uri::from_static(path);
-    if let Ok(host) = HeaderValue::from_str(&target.announcement.addr.to_string()) {
-        request.headers_mut().insert(HOST, host);
-    }
+    let request = get(target, Uri::from_static(path));
     let Ok(answer) = connection.sender.send_request(request).await else {
         return Report::None;
     };
     let (head, body) = answer.into_parts();
+    if head.status.is_server_error() || head.status == StatusCode::TOO_MANY_REQUESTS {
+        return Report::None;
+    }
     let media_type = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     let json = media_type.is_some_and(|value| value.starts_with("application/json"));
     if head.status != StatusCode::OK || !json {
