The soak's seeds of missed targets in one test, listed for FAILBACK

It is the fault of seeds 781017 and 781025: gateways that saw no refused connection take the new start for warm until it is listed.

The checks and seeds are as they were.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -192,18 +192,11 @@
     soak(Size { versions: Versions::PerStart, ..size }, 20_261_202, None).await;
 }
 
-/// Guards against streams of two versions where a target restarted as another one and the members missed it.
+/// Guards against streams of two versions, and against requests without bound to a start that is cold, where the members
+/// missed that a target restarted.
 #[tokio::test]
-async fn seeds_whose_streams_mixed_versions_at_unannounced_starts_hold() {
-    for seed in [780_004, 781_028] {
-        soak(UNHEARD, seed, None).await;
-    }
-}
-
-/// Guards against requests without bound to a start that is cold and that nobody has announced.
-#[tokio::test]
-async fn seeds_whose_unannounced_starts_got_too_many_requests_hold() {
-    for seed in [781_017, 781_025] {
+async fn seeds_whose_targets_restarted_unannounced_hold() {
+    for seed in [780_004, 781_028, 781_017, 781_025] {
         soak(UNHEARD, seed, None).await;
     }
 }
