The first sign of a restart counts from the last confirmation

It errs to the safe side, but keeps a target from resumed streams for longer.

Change: with a confirmation the first sign counts from its time at the earliest.

--- a/src/gateway/incarnation_check.rs
+++ b/src/gateway/incarnation_check.rs
@@ -51,6 +51,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct IncarnationCheck {
     /// When a connection first and last broke or was refused, here or at another gateway, since the last confirmation.
+    /// The first may have been later: between two signs of which a confirmation refutes one, its time stands.
     signs: Option<(Duration, Duration)>,
     /// When the target was last known to run as the listed incarnation.
     confirmed_at: Option<Duration>,
@@ -93,7 +94,8 @@
     /// Records that the target ran as the listed incarnation at `at`.
     fn confirm(&mut self, at: Duration) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
-        self.signs = self.signs.filter(|(_, last)| *last >= at);
+        let unrefuted = self.signs.filter(|(_, last)| *last >= at);
+        self.signs = unrefuted.map(|(first, last)| (first.max(at), last));
     }
 
     /// Whether there are signs that are not refuted.
--- a/tests/gateway/incarnation_check.rs
+++ b/tests/gateway/incarnation_check.rs
@@ -116,7 +116,11 @@
         steps in prop::collection::vec((0..2_000_u64, step()), 1..60),
     ) {
         let mut check = IncarnationCheck::default();
+        // All signs that are not refuted, and the time before which a connection must have been opened to refute them.
         let (mut signs, mut confirmations) = (Vec::new(), Vec::new());
+        let mut refutes_before = None;
+        // The same where the time of each sign is known, so that a later connection may refute them.
+        let (mut exact, mut exact_confirmations) = (Vec::new(), Vec::new());
         let mut now = SECOND * 4;
         for (pause, step) in steps {
             now += ms(pause);
@@ -126,15 +130,24 @@
                     check.suspect(at);
                     if confirmations.iter().all(|confirmed| *confirmed <= at) {
                         signs.push(at);
+                        refutes_before = Some(refutes_before.map_or(at, |before| at.min(before)));
+                    }
+                    if exact_confirmations.iter().all(|confirmed| *confirmed <= at) {
+                        exact.push(at);
                     }
                 }
                 Step::Answer { sent_ago, opened_before } => {
                     let sent_at = now - ms(sent_ago);
                     let opened_at = sent_at - ms(opened_before);
                     check.record_answer(opened_at, sent_at);
-                    if signs.iter().min().is_some_and(|first| opened_at < *first) {
+                    if refutes_before.is_some_and(|before| opened_at < before) {
                         confirmations.push(sent_at);
                         signs.retain(|sign| *sign >= sent_at);
+                        refutes_before = refutes_before.map(|before| sent_at.max(before));
+                    }
+                    if exact.iter().min().is_some_and(|first| opened_at < *first) {
+                        exact_confirmations.push(sent_at);
+                        exact.retain(|sign| *sign >= sent_at);
                     }
                 }
                 Step::Report(reported) => {
@@ -142,11 +155,17 @@
                     if reported == ReportedIncarnation::Listed {
                         confirmations.push(now);
                         signs.retain(|sign| *sign >= now);
+                        refutes_before = refutes_before.map(|before| now.max(before));
+                        exact_confirmations.push(now);
+                        exact.retain(|sign| *sign >= now);
                     }
                 }
             }
+            refutes_before = refutes_before.filter(|_| !signs.is_empty());
             let suspected = signs.iter().any(|sign| now < *sign + SUSPICION_TTL);
             prop_assert_eq!(check.suspected(now, false), suspected);
+            let exactly = exact.iter().any(|sign| now < *sign + SUSPICION_TTL);
+            prop_assert!(suspected || !exactly, "trusted against a sign that nothing refutes");
         }
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -196,7 +196,7 @@
 /// missed that a target restarted.
 #[tokio::test]
 async fn seeds_whose_targets_restarted_unannounced_hold() {
-    for seed in [780_004, 781_028, 781_017, 781_025] {
+    for seed in [780_004, 781_028, 781_017, 781_025, 784_008, 784_011, 784_012] {
         soak(UNHEARD, seed, None).await;
     }
 }
