--- a/src/gateway/incarnation_check.rs
+++ b/src/gateway/incarnation_check.rs
@@ -106,9 +106,12 @@
     /// Whether the target may run as another incarnation than the listed one. `unresponsive`: the members miss its
     /// heartbeats.
     pub fn suspected(&self, now: Duration, unresponsive: bool) -> bool {
-        let confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL);
         let suspected = self.signs.is_some_and(|(_, last)| now < last + SUSPICION_TTL);
-        self.replaced || suspected || (unresponsive && !confirmed)
+        self.replaced || suspected || (unresponsive && !self.confirmed_lately(now))
+    }
+
+    fn confirmed_lately(&self, now: Duration) -> bool {
+        self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL)
     }
 
     /// Age of the last sign that the incarnation may have ended, for logs.
@@ -118,9 +121,8 @@
 
     /// Whether it is worth asking the target. If so, it counts as asked now.
     pub fn begin_question(&mut self, now: Duration) -> bool {
-        let confirmed = self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TTL);
         let asked = self.asked_at.is_some_and(|at| now < at + ASK_INTERVAL);
-        let settled = confirmed && self.signs.is_none();
+        let settled = self.confirmed_lately(now) && self.signs.is_none();
         if self.replaced || self.untold || settled || asked {
             return false;
         }
--- a/src/gateway/restart.rs
+++ b/src/gateway/restart.rs
@@ -22,8 +22,8 @@
 use crate::clock::Instant;
 use crate::configuration::RouteKind;
 use crate::directory::Born;
-use crate::group::restarts::{ReportedBy, SuspectedRestart};
-use crate::group::stream_origins::VersionKey;
+use crate::group::restarts::SuspectedRestart;
+use crate::group::stream_origins::{ReportedBy, VersionKey};
 use crate::sync::{lock, read};
 
 /// Timeout for a target's report, including the connection.
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Asks the chosen target for its incarnation if the request resumes a stream, or begins one where the target is
+    /// Asks a target for its incarnation before an attempt if the request resumes a stream, or begins one where the target is
     /// suspected or the members may have missed a restart. Returns whether the request may still go there.
     async fn confirm_choice(&self, state: &RequestState, target: &Arc<Target>) -> bool {
         if state.route.kind != RouteKind::ResumableStream {
--- a/src/gateway/subscriber.rs
+++ b/src/gateway/subscriber.rs
@@ -368,9 +368,7 @@
         let brittle = lock(&self.gateway.brittle_services).reports(now);
         if !brittle.is_empty() {
             let frame = ToMember::Brittle(brittle);
-            tokio::time::timeout(MEMBER_TIMEOUT, sender.send(&frame))
-                .await
-                .map_err(|_| LinkError::Timeout)??;
+            send_in_time(sender, &frame).await?;
         }
         let no_events = outcomes.is_empty()
             && prefix_holders.is_empty()
@@ -381,8 +379,7 @@
         }
         self.reported_idle = loads.is_empty();
         let frame = ToMember::Loads { loads, outcomes, prefix_holders, tallies, streams };
-        let sending = sender.send(&frame);
-        tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
+        send_in_time(sender, &frame).await
     }
 
     /// Sends the member the restarts that are suspected here, without delay: clients resume their streams at once.
@@ -396,10 +393,7 @@
                 return Ok(());
             }
             let frame = ToMember::SuspectedRestarts(restarts);
-            let sending = sender.send(&frame);
-            tokio::time::timeout(MEMBER_TIMEOUT, sending)
-                .await
-                .map_err(|_| LinkError::Timeout)??;
+            send_in_time(sender, &frame).await?;
         }
     }
 
@@ -411,10 +405,7 @@
                 return Ok(());
             }
             let frame = ToMember::Poison(reports);
-            let sending = sender.send(&frame);
-            tokio::time::timeout(MEMBER_TIMEOUT, sending)
-                .await
-                .map_err(|_| LinkError::Timeout)??;
+            send_in_time(sender, &frame).await?;
             self.poison_reported = upto;
         }
     }
@@ -426,8 +417,7 @@
             return Ok(());
         }
         let frame = ToMember::FindStreams(streams);
-        let sending = sender.send(&frame);
-        tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
+        send_in_time(sender, &frame).await
     }
 
     /// Replaces the known members with these and those of the settings.
@@ -460,3 +450,12 @@
         }
     }
 }
+
+/// Sends a frame to the member.
+///
+/// # Errors
+/// [`LinkError`] when the connection fails or does not take the frame within [`MEMBER_TIMEOUT`].
+async fn send_in_time(sender: &mut FrameSender, frame: &ToMember) -> Result<(), LinkError> {
+    let sending = sender.send(frame);
+    tokio::time::timeout(MEMBER_TIMEOUT, sending).await.map_err(|_| LinkError::Timeout)?
+}
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -198,18 +198,16 @@
         self.versions.note_directory(now);
         // In the gateway's first directory no home has changed its owner.
         let initial = self.homes.is_empty();
+        let listed: HashSet<&str> =
+            delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
         if delta.whole {
-            let kept: HashSet<&str> =
-                delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
             let known = self.by_id.keys();
             let unlisted: Vec<String> =
-                known.filter(|id| !kept.contains(id.as_str())).cloned().collect();
+                known.filter(|id| !listed.contains(id.as_str())).cloned().collect();
             unlisted.iter().for_each(|id| self.remove(now, id));
         }
         // A target that restarted is in both lists. Its next incarnation inherits from it, so it must still be known then.
-        let restarted: HashSet<&str> =
-            delta.changed.iter().map(|changed| changed.announcement.id.as_str()).collect();
-        let gone = delta.removed.iter().filter(|id| !restarted.contains(id.as_str()));
+        let gone = delta.removed.iter().filter(|id| !listed.contains(id.as_str()));
         gone.for_each(|id| self.remove(now, id));
         for listed in delta.changed {
             let cold_left = listed.announcement.cold_left;
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -10,7 +10,7 @@
 use super::prefix_holders::ReportedBy;
 use super::propagation::ConnectionId;
 use super::relay_peers::RelayPeer;
-use super::restarts::{MAX_PER_MESSAGE, ReportedBy as RestartReportedBy, SuspectedRestart};
+use super::restarts::{MAX_PER_MESSAGE, SuspectedRestart};
 use super::stream_origins::{ReportedBy as StreamReportedBy, StreamKey, StreamOrigin};
 use super::update_sender::{BlobReport, UpdateSender};
 use crate::link::{FrameReceiver, FrameSender, LinkError};
@@ -104,7 +104,7 @@
 impl Shared {
     /// Records incarnations that a gateway suspects to have ended, and tells the other members those that are new.
     fn record_gateway_restarts(&self, restarts: &[SuspectedRestart]) {
-        let new = self.record_restarts(RestartReportedBy::Local, restarts);
+        let new = self.record_restarts(StreamReportedBy::Local, restarts);
         if !new.is_empty() {
             let from = self.own_addr;
             self.broadcast(&ToMember::MemberSuspectedRestarts { from, restarts: new });
@@ -114,7 +114,7 @@
     /// Records incarnations that may have ended, and wakes the tasks that tell the gateways. Returns those that are new.
     pub(super) fn record_restarts(
         &self,
-        by: RestartReportedBy,
+        by: StreamReportedBy,
         restarts: &[SuspectedRestart],
     ) -> Vec<SuspectedRestart> {
         let (now, mut known) = (self.now(), lock(&self.restarts));
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -8,7 +8,6 @@
 use super::brittle::ReportedBy as BrittleReportedBy;
 use super::message::{Call, FromMember, ToMember};
 use super::prefix_holders::ReportedBy;
-use super::restarts::ReportedBy as RestartReportedBy;
 use super::stream_origins::ReportedBy as StreamReportedBy;
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, framed};
@@ -71,7 +70,7 @@
                 lock(&shared.brittle).record(shared.now(), BrittleReportedBy::Member, &services);
             }
             ToMember::MemberSuspectedRestarts { restarts, .. } => {
-                shared.record_restarts(RestartReportedBy::Remote, &restarts);
+                shared.record_restarts(StreamReportedBy::Remote, &restarts);
             }
             // Only a gateway sends these, after it has subscribed.
             ToMember::Loads { .. }
--- a/src/group/restarts.rs
+++ b/src/group/restarts.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::stream_origins::ReportedBy;
+
 /// How long a suspicion counts. If the incarnation had ended, the members would have missed its heartbeats or received
 /// those of the next one by then.
 pub const SUSPICION_TTL: Duration = Duration::from_secs(30);
@@ -29,15 +31,6 @@
     pub age_ms: u32,
 }
 
-/// Who reported a suspicion.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportedBy {
-    /// This process, or a gateway that is connected to this member. This process passes it on.
-    Local,
-    /// Another member, which tells all members.
-    Remote,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     at: Duration,
--- a/src/group/stream_origins.rs
+++ b/src/group/stream_origins.rs
@@ -98,7 +98,7 @@
     pub left_s: u16,
 }
 
-/// Who reported an origin.
+/// Who reported the origin of a stream or a suspected restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportedBy {
     /// This process, or a gateway that reports to it. This process passes it on.
--- a/tests/gateway/incarnation_check.rs
+++ b/tests/gateway/incarnation_check.rs
@@ -7,8 +7,9 @@
 use latchmount::directory::Born;
 use latchmount::gateway::incarnation_check::{IncarnationCheck, ReportedIncarnation};
 use latchmount::group::restarts::{
-    MAX_PER_MESSAGE, ReportedBy, SUSPICION_TTL, SuspectedRestart, SuspectedRestarts,
+    MAX_PER_MESSAGE, SUSPICION_TTL, SuspectedRestart, SuspectedRestarts,
 };
+use latchmount::group::stream_origins::ReportedBy;
 use proptest::prelude::*;
 use rstest::rstest;
 
