A test that earlier builds pass over frames of suspected restarts

No test showed it without their binary: the frames begin with the same bytes as those of poison requests and brittle services, which landed builds pass over, and an update with restarts begins like one without.

--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -114,6 +114,24 @@
     assert_eq!(recorded.len(), encoded.len(), "recorded frames that this build no longer encodes");
 }
 
+// An earlier build reads a frame up to the parts that it knows. Suspected restarts must look to it like an empty message or
+// like an update without them.
+#[test]
+fn suspected_restarts_are_behind_messages_that_earlier_builds_ignore() {
+    let recorded = recorded("levels.txt");
+    let frame = |direction: &str, name: &str| &recorded[&(direction.to_owned(), name.to_owned())];
+    for (restarts, ignored) in [
+        ("restarts", ["poison", "brittle"]),
+        ("member_restarts", ["member_poison", "member_brittle"]),
+    ] {
+        let [one, other] = ignored.map(|name| frame("to_member", name));
+        let shared = one.iter().zip(other).take_while(|(one, other)| one == other).count();
+        assert!(frame("to_member", restarts).starts_with(&one[..shared]), "{restarts}");
+    }
+    let without = frame("from_member", "update_starts");
+    assert!(frame("from_member", "update_restarts").starts_with(without));
+}
+
 #[test]
 fn every_recorded_frame_of_this_build_is_understood() {
     for ((direction, name), bytes) in recorded("levels.txt") {
