--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -74,6 +74,11 @@
 }
 
 impl Process {
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         kill(pid, signal).expect("a process of this test");
