Large pieces of memory go back to the system when they are freed

Callers saw: processes that had held large bodies stayed large, and grew beyond what they count.

Cause: the C library's allocator returns a freed piece only above a threshold, and raises it to the size of the largest piece freed so far. After one body of 4 MiB all later ones are taken from the heap, where they leave holes, and each growth of a body is a copy, for which both pieces are held.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 pub mod account;
+pub mod allocator;
 pub mod availability;
 pub mod blob;
 pub mod checks;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use latchmount::allocator;
 use latchmount::cli::{Cli, EvacuationCommand, PoisonCommand, Process, RolloutCommand, cli};
 use latchmount::dialect::{NativeDialect, SharedDialect};
 use latchmount::operator::{self, OperatorError};
@@ -17,6 +18,7 @@
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
+    allocator::return_large_pieces();
     let command = match cli().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
         Err(failure) => {
