--- a/src/gateway/body_forwarder.rs
+++ b/src/gateway/body_forwarder.rs
@@ -12,12 +12,12 @@
 use tokio::sync::mpsc;
 
 use super::answer::AnswerAborted;
-use super::client_buffers::ClientBuffer;
 use super::exchange::RequestState;
 use super::refusal::Refusal;
-use super::trace::{self, ClientCut};
+use super::trace;
 use super::{Gateway, OpenRequest};
 use crate::clock::Instant;
+use crate::serving::buffers::ClientBuffer;
 
 /// How often a waiting answer checks whether other clients have freed memory.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,6 +45,14 @@
     End,
 }
 
+/// The first piece of an answer.
+pub(super) enum First {
+    /// It is counted as buffered for the client already.
+    Held(Bytes),
+    /// It is not counted yet.
+    New(Bytes),
+}
+
 /// Forwards the body of one answer to one client.
 pub(super) struct BodyForwarder {
     gateway: Arc<Gateway>,
@@ -58,12 +66,12 @@
         BodyForwarder { gateway, client_buffer, deadline: state.outgoing.deadline }
     }
 
-    /// Starts a task that forwards the chunk `first` and all that follow from `source`, and returns the body of the
+    /// Starts a task that forwards the piece `first` and all that follow from `source`, and returns the body of the
     /// client's response. The request counts as open until the client's connection has taken the last chunk; some of it
     /// may not be sent by then.
     pub(super) fn start(
         self,
-        first: Bytes,
+        first: First,
         source: impl BodySource,
         open: Option<OpenRequest>,
     ) -> BoxStream<'static, Result<Bytes, AnswerAborted>> {
@@ -83,13 +91,17 @@
     /// Forwards chunks until the end of the answer, or until the target or the client is gone.
     async fn forward(
         self,
-        first: Bytes,
+        first: First,
         mut source: impl BodySource,
         sender: mpsc::UnboundedSender<Message>,
     ) {
-        let mut chunk = first;
+        let mut piece = first;
         loop {
-            if !self.send_chunk(chunk, &mut source, &sender).await {
+            let sent = match piece {
+                First::New(chunk) => self.send_chunk(chunk, &mut source, &sender).await,
+                First::Held(chunk) => sender.send(Message::Chunk(chunk)).is_ok(),
+            };
+            if !sent {
                 return;
             }
             let next = tokio::select! {
@@ -97,7 +109,7 @@
                 () = sender.closed() => return,
             };
             match next {
-                Ok(Some(next)) => chunk = next,
+                Ok(Some(next)) => piece = First::New(next),
                 Ok(None) => {
                     source.end();
                     // Fails if the client has disconnected, which does not matter any more.
@@ -135,7 +147,7 @@
                 }
             }
             if clock.ran() >= read_at + timeout || clock.is_past(self.deadline) {
-                trace::client_cut(&self.gateway, self.client_buffer.unread(), ClientCut::Unread);
+                trace::client_cut(&self.gateway, self.client_buffer.unread());
                 source.abort(Refusal::AnswerLate);
                 return false;
             }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -10,7 +10,7 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use http::{Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 
 use super::metrics::GatewayMetrics;
@@ -32,6 +32,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Maximum size of a target's report about itself, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
+/// Maximum size of a connection's read buffer, and so of the head of an answer, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum idle connections kept per target.
 const MAX_IDLE: usize = 64;
 
@@ -271,8 +273,9 @@
         _ => ConnectError::Broke,
     })?;
     set_tcp_timeouts(&stream, limits.ack_timeout).map_err(|_| ConnectError::Broke)?;
-    let (sender, driver) =
-        handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError::Broke)?;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+    let (sender, driver) = handshake.await.map_err(|_| ConnectError::Broke)?;
     tokio::spawn(driver);
     Ok(Connection { sender, opened_at: Instant::now(), slot })
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,13 +10,12 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::answer::{AnswerBody, refuse};
 use super::attempt::{self, Answer, AttemptError, Supervisor};
 use super::balance::Affinity;
 use super::choice::Choice;
-use super::client_buffers::ClientBuffer;
 use super::connection::{ConnectError, ProbeResult};
 use super::dispatch::{Dispatched, Sending, dispatch};
 use super::health::AttemptOutcome;
@@ -37,6 +36,7 @@
 use crate::rollout::tally::Subject;
 use crate::route_table::Caller;
 use crate::run_clock::RunClock;
+use crate::serving::buffers::ClientBuffer;
 
 /// Cost of failed connection attempts at which a request is given up on. A refused connection costs 1 and takes a few
 /// milliseconds, one that times out costs [`CONNECT_TIMEOUT_COST`]: 16 refusals or 4 time-outs. Many tries are needed
@@ -116,7 +116,6 @@
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let _open = gateway.open_request();
-    client_buffer.count_request();
     let (head, body) = request.into_parts();
     let mut response = match prepare(gateway, client_buffer, &head, body, arrived).await {
         Ok(state) => run(gateway, state).await,
@@ -220,7 +219,7 @@
             read.unwrap_or(Err(Refusal::BodyTooSlow))
         }
         // The memory is needed for other clients.
-        () = client_buffer.wait_for_cut() => Err(Refusal::BodyTooSlow),
+        () = client_buffer.wait_for_close() => Err(Refusal::BodyTooSlow),
     }
 }
 
@@ -229,14 +228,17 @@
     mut body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, Refusal> {
-    let mut gathered = client_buffer.new_body();
+    let announced = body.size_hint().exact().map(|length| (length as usize).min(max_bytes));
+    let mut gathered = client_buffer.new_body(announced);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::BadRequest)?;
         let chunk = frame.into_data().unwrap_or_default();
         if gathered.length() + chunk.len() > max_bytes {
             return Err(Refusal::BodyTooLarge);
         }
-        gathered.push(chunk).map_err(|_| Refusal::NoRoom)?;
+        if !gathered.push(&chunk).await {
+            return Err(Refusal::NoRoom);
+        }
     }
     Ok(gathered.into_body())
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,116 +1,88 @@
 //! The gateway's listeners: for clients, for the load balancer's readiness checks, and for metrics scrapes.
 
-use std::convert::Infallible;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::{HttpService, service_fn};
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::answer::AnswerBody;
-use super::client_buffers::ClientBuffer;
-use super::trace::{self, ClientCut};
 use super::{Gateway, Stage, exchange};
 use crate::configuration::ClientLimits;
 use crate::link::set_tcp_timeouts;
 use crate::run_clock::RunTimer;
+use crate::serving::buffers::ClientBuffer;
+use crate::serving::http::{self as http_connection, HttpLimits};
 use crate::status_server;
 
-/// Pause after `accept` fails, e.g. for lack of file descriptors, or while there are too many clients.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for which bytes sent to a client may stay unacknowledged.
 const CLIENT_ACK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum unsent bytes in a client socket's send buffer. Without this limit the system buffers megabytes, and the
 /// gateway notices only after seconds that the client reads.
 const MAX_UNSENT_BYTES: u32 = 128 * 1024;
-/// Smallest read buffer that hyper accepts, in bytes.
-const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+/// A head may take up to this many times its configured limit before it is not read any further: within this, it is
+/// refused with an answer.
+const READ_HEAD_FACTOR: usize = 2;
 
 /// Accepts and serves connections of clients until the planned stop closes the listener.
 pub(super) async fn serve_clients(gateway: Arc<Gateway>, listener: TcpListener) {
-    // Half of the file descriptors are for clients, the rest for targets.
-    let max_connections = gateway.settings.max_descriptors / 2;
     let mut stage = gateway.stage.subscribe();
     loop {
-        if gateway.client_connections.load(Ordering::Relaxed) >= max_connections {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        }
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, client_buffer) = tokio::select! {
+            accepted = gateway.holdings.accept(&listener) => accepted,
             // From here on new connections are refused, so that clients try another gateway at once.
             _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
         let gateway = gateway.clone();
         gateway.client_connections.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
-            serve_client(gateway.clone(), stream).await;
+            serve_client(gateway.clone(), stream, client_buffer).await;
             gateway.client_connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
-async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream, client_buffer: Arc<ClientBuffer>) {
     let _ = set_tcp_timeouts(&stream, CLIENT_ACK_TIMEOUT);
     // On systems without this option the gateway only notices later that the client reads.
     let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
-    let client_buffer = gateway.holdings.open();
-    let service = service_fn(|request: Request<Incoming>| {
+    let answer = |request| {
         let (gateway, client_buffer) = (gateway.clone(), client_buffer.clone());
-        async move { Ok::<_, Infallible>(exchange::serve(&gateway, &client_buffer, request).await) }
-    });
-    serve_http(&gateway, stream, &client_buffer, service).await;
+        async move { exchange::serve(&gateway, &client_buffer, request).await }
+    };
+    serve_http(&gateway, stream, &client_buffer, answer).await;
 }
 
-/// Serves the requests on a connection until it ends, the planned stop closes it, or its buffers are needed for others.
-pub(super) async fn serve_http<S>(
+/// Serves the requests on a connection until it ends, the planned stop closes it, or its memory is needed for others.
+pub(super) async fn serve_http<F>(
     gateway: &Arc<Gateway>,
     stream: TcpStream,
     client_buffer: &Arc<ClientBuffer>,
-    service: S,
+    answer: impl Fn(Request<Incoming>) -> F,
 ) where
-    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
+    F: Future<Output = Response<AnswerBody>>,
 {
     let limits = gateway.table().map_or_else(ClientLimits::default, |table| table.limits());
-    let connection = http1::Builder::new()
-        .timer(RunTimer::new(gateway.run_clock.clone()))
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size((limits.max_header_bytes * 2).max(MIN_READ_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+    let limits = HttpLimits {
+        timer: RunTimer::new(gateway.run_clock.clone()),
+        idle_timeout: limits.idle_timeout,
+        max_head_bytes: limits.max_header_bytes * READ_HEAD_FACTOR,
+    };
     let mut stage = gateway.stage.subscribe();
-    // Errors of the connection are ignored: the client is gone, and each request logs its own outcome.
-    tokio::select! {
-        biased;
-        // Closes the connection when it is idle, or after the current answer. A client whose request was not read
-        // sends it to another gateway at once, whereas a refusal would make it wait before it retries.
-        _ = stage.wait_for(|stage| *stage == Stage::Closed) => {}
-        () = client_buffer.wait_for_cut() => {
-            trace::client_cut(gateway, client_buffer.unread(), ClientCut::NoRoom);
-            if client_buffer.unread() > 0 {
-                return;
-            }
-        }
-        _ = &mut connection => return,
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let stop = async move {
+        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+    };
+    http_connection::serve(stream, client_buffer, limits, stop, answer).await;
 }
 
 /// Answers the load balancer's readiness checks.
 pub(super) async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
-    status_server::serve(listener, move |request| {
+    let (descriptors, log) = (gateway.settings.max_descriptors, gateway.log.clone());
+    let closed = gateway.metrics.connections_closed("ready");
+    status_server::serve(listener, "ready", descriptors, closed, &log, move |request| {
         let known = request.uri().path() == gateway.dialect.paths().ready;
         let status = match (known, gateway.ready()) {
             (false, _) => StatusCode::NOT_FOUND,
@@ -124,5 +96,10 @@
 
 /// Serves the metrics to scrapers.
 pub(super) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    status_server::serve(listener, move |_| (StatusCode::OK, gateway.render_metrics())).await;
+    let (descriptors, log) = (gateway.settings.max_descriptors, gateway.log.clone());
+    let closed = gateway.metrics.connections_closed("metrics");
+    status_server::serve(listener, "metrics", descriptors, closed, &log, move |_| {
+        (StatusCode::OK, gateway.render_metrics())
+    })
+    .await;
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,7 +33,10 @@
     incarnations_asked: IntCounterVec,
     clients_disconnected: IntCounter,
     clients_cut: IntCounterVec,
-    /// Bytes of requests and answers buffered for clients.
+    connections_closed: IntCounterVec,
+    /// Open connections of clients.
+    pub(super) connections: IntGauge,
+    /// Bytes of memory held for clients.
     pub(super) held_bytes: IntGauge,
     answer_seconds: HistogramVec,
     whole_answer_seconds: HistogramVec,
@@ -159,9 +162,18 @@
                 "Connections of clients that sent or read slowly and were cut, by why.",
                 &["why"],
             )?,
+            connections_closed: set.counters(
+                "latchmount_gateway_connections_closed_total",
+                "Connections that were closed to make room for others, by port.",
+                &["port"],
+            )?,
+            connections: set.gauge(
+                "latchmount_gateway_client_connections",
+                "Open connections of clients.",
+            )?,
             held_bytes: set.gauge(
                 "latchmount_gateway_held_bytes",
-                "Bytes of requests and answers that are held for clients.",
+                "Bytes of memory that are held for clients: connections, requests and answers.",
             )?,
             answer_seconds: set.histograms(
                 "latchmount_gateway_answer_seconds",
@@ -370,6 +382,16 @@
         self.clients_disconnected.inc();
     }
 
+    /// The counter of connections to a port that are closed to make room for others.
+    pub(super) fn connections_closed(&self, port: &str) -> IntCounter {
+        self.connections_closed.with_label_values(&[port])
+    }
+
+    /// The counter of clients' connections that are closed to make room for others.
+    pub(super) fn clients_closed(&self) -> IntCounter {
+        self.clients_cut.with_label_values(&["no_room"])
+    }
+
     /// Counts a slow client whose connection was closed.
     pub(super) fn client_cut(&self, why: &str) {
         self.clients_cut.with_label_values(&[why]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,9 +12,7 @@
 pub mod brittle;
 pub mod brittle_services;
 pub mod budget;
-pub mod buffer_ledger;
 mod choice;
-mod client_buffers;
 pub mod cold;
 pub mod config_delay;
 mod connection;
@@ -76,7 +74,6 @@
 use self::blob_cache::BlobCache;
 use self::brittle_services::BrittleServices;
 use self::budget::ServiceBudget;
-use self::client_buffers::ClientBuffers;
 use self::cold::ColdRule;
 use self::connection::ConnectionLimits;
 use self::dispatch::Sending;
@@ -107,6 +104,7 @@
 use crate::route_table::RouteTable;
 use crate::run_clock::RunClock;
 use crate::sampler::Sampler;
+use crate::serving::buffers::ClientBuffers;
 use crate::sync::{lock, read};
 
 /// Maximum connections to one target, from all gateways together, if its service sets no limit.
@@ -352,6 +350,7 @@
         self.metrics.revision.set(read(&self.targets).revision() as i64);
         let (known, blocked) = self.count_poison();
         self.metrics.held_bytes.set(self.holdings.held() as i64);
+        self.metrics.connections.set(self.holdings.connections() as i64);
         self.metrics.poison_known.set(known as i64);
         self.metrics.poison_blocked.set(blocked as i64);
         self.metrics.render()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use crate::blob::{Blob, BlobId};
 use crate::group::message::{FromPeer, ToPeer};
 use crate::link::{FrameReceiver, LinkError, LinkTimeouts, dial, framed};
+use crate::serving::buffers::{ClientBuffer, ClientBuffers};
 use crate::sync::lock;
 
 /// Timeouts of connections between gateways. They are short, since a blob that a peer gateway does not
@@ -30,19 +31,21 @@
 const MAX_CONNECTIONS: usize = 32;
 /// Maximum number of concurrent connections of other gateways with requests. Each carries one request at a time.
 const MAX_REQUEST_CONNECTIONS: usize = 256;
-/// Delay after a failed accept, for example when the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// One in so many descriptors of the process may be used for connections of other gateways, if that is less.
+const DESCRIPTORS_SHARE: usize = 8;
 
 /// Serves other gateways until the process ends. The first byte of a connection tells what it is for: requests start
 /// with the capital letter of an HTTP method, frames with the highest byte of their length, which is small.
 pub(super) async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
     let limits = Arc::new(PeerLimits::default());
+    let max_connections = MAX_CONNECTIONS + MAX_REQUEST_CONNECTIONS;
+    let max_connections = max_connections.min(gateway.settings.max_descriptors / DESCRIPTORS_SHARE);
+    let bounds = gateway.settings.peer_bounds(max_connections);
+    let closed = gateway.metrics.connections_closed("peers");
+    let buffers = ClientBuffers::new("peers", bounds, closed, &gateway.log);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        tokio::spawn(serve_connection(gateway.clone(), limits.clone(), stream));
+        let (stream, client) = buffers.accept(&listener).await;
+        tokio::spawn(serve_connection(gateway.clone(), limits.clone(), stream, client));
     }
 }
 
@@ -62,30 +65,46 @@
 }
 
 /// Serves a connection of another gateway: a fetch of a blob, or requests on its behalf.
-async fn serve_connection(gateway: Arc<Gateway>, limits: Arc<PeerLimits>, stream: TcpStream) {
+async fn serve_connection(
+    gateway: Arc<Gateway>,
+    limits: Arc<PeerLimits>,
+    stream: TcpStream,
+    client: Arc<ClientBuffer>,
+) {
     let mut first = [0];
-    let peeked = tokio::time::timeout(SERVE_TIMEOUT, stream.peek(&mut first)).await;
+    let peeked = tokio::select! {
+        peeked = tokio::time::timeout(SERVE_TIMEOUT, stream.peek(&mut first)) => peeked,
+        () = client.wait_for_close() => return client.record_closed(),
+    };
     if !matches!(peeked, Ok(Ok(1))) {
         return;
     }
     if first[0].is_ascii_uppercase() {
         // Beyond the limit the connection is closed, and the other gateway asks another peer.
         if let Ok(_slot) = limits.requests.try_acquire() {
-            via_peer::server::serve(gateway, stream).await;
+            via_peer::server::serve(gateway, stream, client).await;
         }
         return;
     }
     let serving = async {
         let _slot = limits.blobs.acquire().await.map_err(|_| LinkError::Closed)?;
-        answer(&gateway, stream).await
+        answer(&gateway, stream, client.clone()).await
     };
     // Errors are ignored: a peer that did not get the blob reports that to its member.
-    let _ = tokio::time::timeout(SERVE_TIMEOUT, serving).await;
+    tokio::select! {
+        _ = tokio::time::timeout(SERVE_TIMEOUT, serving) => {}
+        () = client.wait_for_close() => client.record_closed(),
+    }
 }
 
 /// Answers one fetch request.
-async fn answer(gateway: &Gateway, stream: TcpStream) -> Result<(), LinkError> {
-    let (mut sender, mut receiver) = framed(stream, TIMEOUTS)?;
+async fn answer(
+    gateway: &Gateway,
+    stream: TcpStream,
+    client: Arc<ClientBuffer>,
+) -> Result<(), LinkError> {
+    let (mut sender, receiver) = framed(stream, TIMEOUTS)?;
+    let mut receiver = receiver.counted(client);
     let ToPeer::Fetch(id) = receiver.receive().await?;
     let cached = lock(&gateway.blob_cache).get(id).map(|blob| blob.bytes().clone());
     gateway.metrics.blob_requested(cached.is_some());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,13 +11,13 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{Response, StatusCode};
-use http_body::Frame;
+use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 
 use super::Gateway;
 use super::answer::AnswerBody;
 use super::attempt::{Answer, Source};
-use super::body_forwarder::{BodyForwarder, BodySource};
+use super::body_forwarder::{BodyForwarder, BodySource, First};
 use super::events::EventSplitter;
 use super::exchange::{RequestState, give_up, next_answer};
 use super::health::AttemptOutcome;
@@ -74,22 +74,25 @@
     answer: Answer,
 ) -> Relayed {
     let Answer { source, status, headers, mut body } = answer;
-    let mut gathered = state.client_buffer.new_body();
+    let announced = body.size_hint().exact().map(|length| length as usize);
+    let announced = announced.filter(|length| *length <= MAX_BUFFERED_BYTES);
+    let mut gathered = state.client_buffer.new_body(announced);
     loop {
         let frame = gateway.run_clock.before(state.outgoing.deadline, body.frame()).await;
         let refusal = match frame {
             Some(Some(Ok(frame))) => {
                 let chunk = frame.into_data().unwrap_or_default();
-                let pushed = gathered.push(chunk);
-                if pushed.is_ok() && gathered.length() <= MAX_BUFFERED_BYTES {
+                let fits = gathered.length() + chunk.len() <= MAX_BUFFERED_BYTES;
+                if fits && gathered.try_push(&chunk) {
                     continue;
                 }
                 trace::answered(gateway, &state, &source, status);
                 state.disconnect_guard.finish();
                 let (deadline, clock) = (state.outgoing.deadline, gateway.run_clock.clone());
-                let rest = AnswerRest { body, source, headers, deadline, clock };
+                let next = Some(chunk);
+                let rest = AnswerRest { next, body, source, headers, deadline, clock };
                 let forwarder = BodyForwarder::new(gateway, &state);
-                let first = gathered.into_bytes(pushed.err());
+                let first = First::Held(gathered.into_answer());
                 return Relayed::Response(stream_long(status, forwarder, first, rest));
             }
             Some(None) => break,
@@ -164,6 +167,8 @@
 
 /// The part of a long answer that is still to be read from the target.
 struct AnswerRest {
+    /// A piece that was read and is not forwarded yet.
+    next: Option<Bytes>,
     body: hyper::body::Incoming,
     source: Source,
     headers: HeaderMap,
@@ -173,8 +178,11 @@
 
 impl BodySource for AnswerRest {
     async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        if let Some(next) = self.next.take() {
+            return Ok(Some(copy(&next)));
+        }
         match self.clock.before(self.deadline, self.body.frame()).await {
-            Some(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Some(Ok(frame))) => Ok(Some(copy(&frame.into_data().unwrap_or_default()))),
             Some(None) => Ok(None),
             Some(Some(Err(_))) => Err(Refusal::AnswerLost),
             None => Err(Refusal::AnswerLate),
@@ -190,11 +198,16 @@
     fn abort(&mut self, _why: Refusal) {}
 }
 
+/// Copies a piece of an answer, which refers to the whole buffer that it was read into.
+fn copy(piece: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(piece)
+}
+
 /// Streams a long answer to the client as it arrives.
 fn stream_long(
     status: StatusCode,
     forwarder: BodyForwarder,
-    first: Bytes,
+    first: First,
     rest: AnswerRest,
 ) -> Response<AnswerBody> {
     let headers = rest.headers.clone();
@@ -265,7 +278,7 @@
     };
     let open = gateway.open_request();
     let forwarder = BodyForwarder::new(gateway, &relay.state);
-    let chunks = forwarder.start(first, relay, Some(open));
+    let chunks = forwarder.start(First::New(first), relay, Some(open));
     let mut response = Response::new(AnswerBody::Streamed(chunks));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -8,7 +8,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::client_buffers::ClientBuffers;
 use super::fleet_size::FleetSize;
 use super::mechanism::Mechanism;
 use super::metrics::GatewayMetrics;
@@ -19,6 +18,7 @@
 use crate::dialect::SharedDialect;
 use crate::poison::{PoisonTracker, RecentSuccesses, Reporter, Rule};
 use crate::run_clock::RunClock;
+use crate::serving::buffers::ClientBuffers;
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::sync::lock;
 
@@ -92,9 +92,15 @@
         let window = Duration::from_secs_f64(settings.retry_window_s);
         let reporter = Reporter::of(&settings.host);
         let (rollout_log, applied_rollouts) = mpsc::unbounded_channel();
+        let metrics = GatewayMetrics::new()?;
         let gateway = Arc::new(Gateway {
             seeds: Mutex::new(settings.member_peers()),
-            holdings: ClientBuffers::new(settings.max_held_bytes()),
+            holdings: ClientBuffers::new(
+                "clients",
+                settings.client_bounds(),
+                metrics.clients_closed(),
+                &log,
+            ),
             settings,
             dialect,
             table: watch::Sender::new(None),
@@ -139,7 +145,7 @@
             started: Instant::now(),
             run_clock: RunClock::start(&log),
             rollout_log,
-            metrics: GatewayMetrics::new()?,
+            metrics,
             log,
         });
         tokio::spawn(rollout_log::run(gateway.clone(), applied_rollouts));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,13 +9,20 @@
 use super::mechanism::Mechanism;
 use crate::checks::Checks;
 use crate::jsonc::{Fault, Validate};
+use crate::serving::ledger::Bounds;
 
 /// Bytes in a KiB and in a MiB.
 const KIB: usize = 1_024;
 const MIB: usize = 1_024 * KIB;
-/// Tenths of the process's memory that may be used for clients' requests and answers; connection buffers come on top.
-/// Without any of them, a gateway with 9,999 targets uses 14 MB of 160.
-const HELD_MEMORY_TENTHS: usize = 4;
+/// Percentage of the process's memory that may be used for clients: their connections, requests and answers. Without any
+/// of them, a gateway with 9,999 targets uses 14 MB of 160.
+const CLIENT_MEMORY_PERCENT: usize = 35;
+/// Percentage of the process's memory that may be used for requests of other gateways.
+const PEER_MEMORY_PERCENT: usize = 10;
+/// One in so many descriptors is for clients; most others are for targets.
+const CLIENT_DESCRIPTORS: usize = 2;
+/// How long a client must have kept the gateway waiting before its connection may be closed for others.
+const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 /// Lower limit of `memory_mb`, in MiB.
 const MIN_MEMORY_MB: usize = 32;
 
@@ -80,8 +87,8 @@
     pub stop_within_ms: u64,
     /// File descriptors that the process may use.
     pub max_descriptors: usize,
-    /// Memory that the process may use, in MiB. Four tenths of it are for the bodies of requests and answers that
-    /// clients send or read slowly.
+    /// Memory that the process may use, in MiB. 35 percent of it are for clients: their connections, the requests that
+    /// they send and the answers that they read.
     pub memory_mb: usize,
     /// Buffer for the answer to a client that reads slowly, in KiB, so that its target can finish earlier.
     pub client_buffer_kb: usize,
@@ -139,9 +146,22 @@
         self.listen.map(|listen| SocketAddr::new(listen.ip(), self.peer_port))
     }
 
-    /// Limit for the bytes of requests and answers buffered for all clients.
-    pub fn max_held_bytes(&self) -> usize {
-        self.memory_mb.saturating_mul(MIB) / 10 * HELD_MEMORY_TENTHS
+    /// Bounds for all clients.
+    pub fn client_bounds(&self) -> Bounds {
+        Bounds {
+            max_bytes: self.memory_mb.saturating_mul(MIB) / 100 * CLIENT_MEMORY_PERCENT,
+            max_connections: self.max_descriptors / CLIENT_DESCRIPTORS,
+            min_wait: MIN_WAIT_BEFORE_CLOSE,
+        }
+    }
+
+    /// Bounds for other gateways, which may open this many connections.
+    pub(super) fn peer_bounds(&self, max_connections: usize) -> Bounds {
+        Bounds {
+            max_bytes: self.memory_mb.saturating_mul(MIB) / 100 * PEER_MEMORY_PERCENT,
+            max_connections,
+            min_wait: MIN_WAIT_BEFORE_CLOSE,
+        }
     }
 
     /// Limit for the buffered part of the answer to one client, in bytes.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -227,29 +227,11 @@
         "elapsed_ms" => millis_since(state.arrived), "left_ms" => millis_left(state));
 }
 
-/// Why the gateway closed the connection of a client that sends or reads slowly.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ClientCut {
-    /// The memory used for the client was needed for others.
-    NoRoom,
-    /// The client's buffer was full and it read nothing for too long, or the request's deadline passed meanwhile.
-    Unread,
-}
-
-impl ClientCut {
-    /// Name of the reason in logs and metrics.
-    pub(super) fn label(self) -> &'static str {
-        match self {
-            ClientCut::NoRoom => "no_room",
-            ClientCut::Unread => "unread",
-        }
-    }
-}
-
-/// The connection of a slow client was closed.
-pub(super) fn client_cut(gateway: &Gateway, unread: usize, why: ClientCut) {
-    gateway.metrics.client_cut(why.label());
-    info!(gateway.log, "connection of slow client closed"; "event" => "client_cut", "why" => why.label(),
+/// The connection of a client was closed whose buffer was full and that read nothing for too long, or until its
+/// request's deadline passed.
+pub(super) fn client_cut(gateway: &Gateway, unread: usize) {
+    gateway.metrics.client_cut("unread");
+    info!(gateway.log, "connection of slow client closed"; "event" => "client_cut", "why" => "unread",
         "unread_bytes" => unread, "held_bytes" => gateway.holdings.held());
 }
 
--- a/src/gateway/via_peer/server.rs
+++ b/src/gateway/via_peer/server.rs
@@ -1,6 +1,5 @@
 //! The peer: takes requests from gateways that can't reach their targets, and makes one attempt at a target for each.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,14 +8,12 @@
 use http::request::Parts;
 use http::{HeaderName, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use tokio::net::TcpStream;
 
 use super::{GREETING_PATH, decode_key, encode_key, header};
 use crate::clock::Instant;
 use crate::configuration::Route;
 use crate::gateway::answer::{AnswerBody, refuse};
-use crate::gateway::client_buffers::ClientBuffer;
 use crate::gateway::dispatch::Sending;
 use crate::gateway::exchange::{self, Origin, RequestState, ServedBy};
 use crate::gateway::listener;
@@ -29,6 +26,7 @@
 use crate::group::stream_origins::VersionKey;
 use crate::link::set_tcp_timeouts;
 use crate::route_table::{Caller, RouteTable};
+use crate::serving::buffers::ClientBuffer;
 
 /// Longest time for which bytes sent to the other gateway may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,16 +35,19 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
 
 /// Serves a connection of another gateway.
-pub(in crate::gateway) async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
+pub(in crate::gateway) async fn serve(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    client_buffer: Arc<ClientBuffer>,
+) {
     if set_tcp_timeouts(&stream, ACK_TIMEOUT).is_err() {
         return;
     }
-    let client_buffer = gateway.holdings.open();
-    let service = service_fn(|request: Request<Incoming>| {
+    let answer = |request| {
         let (gateway, client_buffer) = (gateway.clone(), client_buffer.clone());
-        async move { Ok::<_, Infallible>(answer(&gateway, &client_buffer, request).await) }
-    });
-    listener::serve_http(&gateway, stream, &client_buffer, service).await;
+        async move { answer(&gateway, &client_buffer, request).await }
+    };
+    listener::serve_http(&gateway, stream, &client_buffer, answer).await;
 }
 
 async fn answer(
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use tokio::net::TcpListener;
 
 use super::Shared;
@@ -42,6 +42,9 @@
     /// Calls of operators and targets, by call and HTTP status.
     pub(super) calls: IntCounterVec,
     refused: IntCounterVec,
+    connections_closed: IntCounterVec,
+    connections: IntGaugeVec,
+    held_bytes: IntGaugeVec,
     /// Elections won.
     pub(super) elections: IntCounter,
     /// Time that syncs of the log take.
@@ -76,6 +79,11 @@
 }
 
 impl MemberMetrics {
+    /// The counter of connections to a port that are closed to make room for others.
+    pub(super) fn connections_closed(&self, port: &str) -> IntCounter {
+        self.connections_closed.with_label_values(&[port])
+    }
+
     /// Gateways asked for the origins of `asked` streams, of which `known` are known here.
     pub(super) fn streams_asked_for(&self, asked: usize, known: usize) {
         let count = |label: &str, streams: usize| {
@@ -98,6 +106,21 @@
                 "Calls of operators and targets.",
                 &["call", "outcome"],
             )?,
+            connections_closed: set.counters(
+                "latchmount_member_connections_closed_total",
+                "Connections that were closed to make room for others, by port.",
+                &["port"],
+            )?,
+            connections: set.gauges(
+                "latchmount_member_connections",
+                "Open connections, by port.",
+                &["port"],
+            )?,
+            held_bytes: set.gauges(
+                "latchmount_member_held_bytes",
+                "Bytes of memory held for connections, by port.",
+                &["port"],
+            )?,
             streams_asked_for: set.counters(
                 "latchmount_member_streams_asked_for_total",
                 "Streams whose origins gateways asked for, by whether this member knew them.",
@@ -213,6 +236,10 @@
         self.voters.set(voters.count() as i64);
         self.targets.set(published.directory.targets().count() as i64);
         self.gateways.set(i64::from(shared.gateways_alive()));
+        for (port, buffers) in [("calls", &shared.api_buffers), ("peers", &shared.peer_buffers)] {
+            self.connections.with_label_values(&[port]).set(buffers.connections() as i64);
+            self.held_bytes.with_label_values(&[port]).set(buffers.held() as i64);
+        }
         let (known, blocked) = shared.count_poison();
         self.poison_known.set(known as i64);
         self.poison_blocked.set(blocked as i64);
@@ -227,6 +254,10 @@
 
 /// Serves the metrics over HTTP; never returns.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    status_server::serve(listener, move |_| (http::StatusCode::OK, shared.metrics.render(&shared)))
-        .await;
+    let (descriptors, log) = (shared.settings.max_descriptors, shared.log.clone());
+    let closed = shared.metrics.connections_closed("metrics");
+    status_server::serve(listener, "metrics", descriptors, closed, &log, move |_| {
+        (http::StatusCode::OK, shared.metrics.render(&shared))
+    })
+    .await;
 }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -62,6 +62,7 @@
 };
 use crate::run_clock::RunClock;
 use crate::sampler::Sampler;
+use crate::serving::buffers::ClientBuffers;
 use crate::start::{StartError, listen_if_set, listen_on};
 use crate::store::{Answer, Command};
 use crate::sync::lock;
@@ -186,6 +187,10 @@
     large_pacer: Pacer,
     /// Limits the rate of poison reports to gateways.
     poison_pacer: Pacer,
+    /// Connections of operators and targets.
+    api_buffers: Arc<ClientBuffers>,
+    /// Connections of members and gateways.
+    peer_buffers: Arc<ClientBuffers>,
     metrics: MemberMetrics,
     started: Instant,
     /// Time during which this process ran, used for the timeouts of gateways and targets: pauses of this process must
@@ -229,6 +234,10 @@
             "log_format" => log_format, "knows" => %Level::NEWEST,
             "founder" => founder.is_some(), "listen" => %listen, "peer" => %own_addr);
         let heartbeat = Duration::from_millis(settings.target_heartbeat_ms);
+        let buffers =
+            |port, bounds| ClientBuffers::new(port, bounds, metrics.connections_closed(port), &log);
+        let api_buffers = buffers("calls", settings.api_bounds());
+        let peer_buffers = buffers("peers", settings.peer_bounds());
         let shared = Arc::new(Shared {
             own_addr,
             store,
@@ -268,6 +277,8 @@
                 .with_burst(pacer::LARGE_BLOBS_BURST),
             poison_pacer: Pacer::new(settings.link_mbps, pacer::POISON_SHARE)
                 .with_burst(pacer::LARGE_BLOBS_BURST),
+            api_buffers,
+            peer_buffers,
             metrics,
             started: Instant::now(),
             run_clock: RunClock::start(&log),
--- a/src/group/settings.rs
+++ b/src/group/settings.rs
@@ -10,7 +10,26 @@
 use crate::checks::Checks;
 use crate::jsonc::{Fault, Validate};
 use crate::raft::{MembershipRules, Timing};
+use crate::serving::ledger::Bounds;
 
+/// Bytes in a MiB.
+const MIB: usize = 1_024 * 1_024;
+/// Tenths of the process's memory that may be used for calls of operators and targets. The largest configuration fits
+/// at the lowest `memory_mb`.
+const API_MEMORY_TENTHS: usize = 3;
+/// Tenths of it that may be used for frames of members and gateways.
+const PEER_MEMORY_TENTHS: usize = 3;
+/// One in so many descriptors is for operators and targets: all targets may call the few members that are left.
+const API_DESCRIPTORS: usize = 2;
+/// One in so many descriptors is for connections from members and gateways. The rest is for files, connections to other
+/// members, and metrics.
+const PEER_DESCRIPTORS: usize = 4;
+/// How long a connection must have kept the member waiting before it may be closed for others.
+const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
+/// Lower limit of `memory_mb`, in MiB.
+const MIN_MEMORY_MB: usize = 64;
+/// Lower limit of `max_descriptors`.
+const MIN_DESCRIPTORS: usize = 64;
 /// Maximum value of `bear_losses`.
 const MAX_LOSSES: usize = 4;
 
@@ -58,6 +77,11 @@
     pub expose_share: f64,
     /// Timeout for answering a call of an operator or a target.
     pub answer_within_ms: u64,
+    /// File descriptors that the process may use.
+    pub max_descriptors: usize,
+    /// Memory that the process may use, in MiB. Three tenths of it are for calls of operators and targets, and as much
+    /// for frames of members and gateways.
+    pub memory_mb: usize,
 }
 
 impl Default for MemberSettings {
@@ -83,6 +107,8 @@
             link_mbps: 1_000.0,
             expose_share: 0.1,
             answer_within_ms: 900,
+            max_descriptors: 4_096,
+            memory_mb: 256,
         }
     }
 }
@@ -117,6 +143,24 @@
         self.listen.map(|listen| SocketAddr::new(listen.ip(), self.peer_port))
     }
 
+    /// Bounds for operators and targets.
+    pub(super) fn api_bounds(&self) -> Bounds {
+        self.bounds(API_MEMORY_TENTHS, API_DESCRIPTORS)
+    }
+
+    /// Bounds for connections from members and gateways.
+    pub(super) fn peer_bounds(&self) -> Bounds {
+        self.bounds(PEER_MEMORY_TENTHS, PEER_DESCRIPTORS)
+    }
+
+    fn bounds(&self, memory_tenths: usize, descriptors: usize) -> Bounds {
+        Bounds {
+            max_bytes: self.memory_mb.saturating_mul(MIB) / 10 * memory_tenths,
+            max_connections: self.max_descriptors / descriptors,
+            min_wait: MIN_WAIT_BEFORE_CLOSE,
+        }
+    }
+
     /// Addresses at which members reach the seeds.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
@@ -147,6 +191,9 @@
             ("answer_within_ms", self.answer_within_ms),
         ]);
         checks.positive("link_mbps", self.link_mbps);
+        checks.require(self.memory_mb >= MIN_MEMORY_MB, "memory_mb", "must be at least 64");
+        let descriptors = self.max_descriptors >= MIN_DESCRIPTORS;
+        checks.require(descriptors, "max_descriptors", "must be at least 64");
         let share = self.expose_share > 0.0 && self.expose_share <= 1.0;
         checks.require(share, "expose_share", "must be above 0 and at most 1");
         checks.faults()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod rpc;
 pub mod run_clock;
 pub mod sampler;
+pub mod serving;
 pub mod settings;
 pub mod slots;
 pub mod start;
--- a/src/link.rs
+++ b/src/link.rs
@@ -6,21 +6,25 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::clock::Instant;
+use crate::serving::buffers::ClientBuffer;
 
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes of a frame that are counted with their connection.
+const UNCOUNTED_FRAME_BYTES: usize = 8 * 1024;
 /// Messages of at least this size are compressed.
 const COMPRESSION_MIN_BYTES: usize = 1_024;
 /// Compression level of zstd: the fastest of the regular ones.
@@ -103,7 +107,59 @@
 pub struct FrameSender(FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>);
 
 /// The receiving half of a connection.
-pub struct FrameReceiver(FramedRead<TimedRead, LengthDelimitedCodec>);
+pub struct FrameReceiver(FramedRead<TimedRead, CountedCodec>);
+
+/// Decodes frames, and counts the bytes of a frame while it arrives and is decoded.
+struct CountedCodec {
+    codec: LengthDelimitedCodec,
+    /// The account of the connection, if it has one.
+    client: Option<Arc<ClientBuffer>>,
+    /// Bytes counted.
+    counted: usize,
+}
+
+impl CountedCodec {
+    /// Counts bytes until there are `bytes`, if there is memory for them.
+    fn count(&mut self, bytes: usize) -> io::Result<()> {
+        let Some(client) = &self.client else {
+            return Ok(());
+        };
+        let more = bytes.saturating_sub(self.counted);
+        if more > 0 && !client.try_reserve(more) {
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, "no memory for a frame"));
+        }
+        self.counted += more;
+        Ok(())
+    }
+
+    /// Records that a frame was received and decoded.
+    fn finish(&mut self) {
+        if let Some(client) = &self.client {
+            client.release(std::mem::take(&mut self.counted));
+            client.record_frame();
+        }
+    }
+}
+
+impl Drop for CountedCodec {
+    fn drop(&mut self) {
+        if let Some(client) = &self.client {
+            client.release(self.counted);
+        }
+    }
+}
+
+impl Decoder for CountedCodec {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, arrived: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        if arrived.len() > UNCOUNTED_FRAME_BYTES {
+            self.count(arrived.len())?;
+        }
+        self.codec.decode(arrived)
+    }
+}
 
 /// The receiving half of a socket, with the time of the last read.
 struct TimedRead {
@@ -153,7 +209,8 @@
     let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let sender = FrameSender(FramedWrite::new(write, codec()));
     let timed = TimedRead { half: read, last_read_at: Instant::now() };
-    Ok((sender, FrameReceiver(FramedRead::new(timed, codec()))))
+    let codec = CountedCodec { codec: codec(), client: None, counted: 0 };
+    Ok((sender, FrameReceiver(FramedRead::new(timed, codec))))
 }
 
 /// Makes a connection fail when sent bytes stay unacknowledged for `timeout`, or when the peer answers no keep-alive
@@ -208,6 +265,12 @@
 }
 
 impl FrameReceiver {
+    /// Counts the memory of frames to `client` from now on.
+    pub(crate) fn counted(mut self, client: Arc<ClientBuffer>) -> Self {
+        self.0.decoder_mut().client = Some(client);
+        self
+    }
+
     /// When data was last read from the socket. This advances while a long frame arrives over a busy link, so that
     /// the peer doesn't count as unresponsive meanwhile.
     pub fn last_read_at(&self) -> Instant {
@@ -220,12 +283,20 @@
     /// [`LinkError`] when the connection has failed or is closed, or the message can't be decoded.
     pub async fn receive<T: Message>(&mut self) -> Result<T, LinkError> {
         let frame = self.0.next().await.ok_or(LinkError::Closed)??;
+        let message = self.decode(&frame)?;
+        drop(frame);
+        self.0.decoder_mut().finish();
+        Ok(message)
+    }
+
+    fn decode<T: Message>(&mut self, frame: &[u8]) -> Result<T, LinkError> {
         match frame.split_first() {
             Some((&PLAIN, payload)) => T::from_bytes(payload),
             Some((&COMPRESSED, rest)) => {
                 let (len, packed) = rest.split_at_checked(4).ok_or(LinkError::Garbled)?;
                 let len = u32::from_le_bytes(len.try_into().map_err(|_| LinkError::Garbled)?);
                 let len = (len as usize).min(MAX_FRAME_BYTES);
+                self.0.decoder_mut().count(frame.len() + len)?;
                 T::from_bytes(&zstd::bulk::decompress(packed, len)?)
             }
             _ => Err(LinkError::Garbled),
--- /dev/null
+++ b/src/serving/body_buffer.rs
@@ -0,0 +1,123 @@
+//! A body that arrives in pieces, in one piece of memory that is counted as it grows.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::buffers::ClientBuffer;
+
+/// Smallest memory for a body that does not arrive in one piece, in bytes.
+const MIN_GROWTH_BYTES: usize = 4 * 1024;
+
+/// A body that has not arrived completely. The bytes are copied, since a piece refers to the whole buffer that it was
+/// read into.
+pub(crate) struct BodyBuffer {
+    client: Arc<ClientBuffer>,
+    bytes: Vec<u8>,
+    /// Bytes counted in the ledger: the capacity of `bytes`.
+    counted: usize,
+    /// Length that the sender announced, if it did.
+    announced: Option<usize>,
+}
+
+impl Drop for BodyBuffer {
+    fn drop(&mut self) {
+        self.bytes = Vec::new();
+        self.client.release(self.counted);
+    }
+}
+
+impl BodyBuffer {
+    /// Creates an empty buffer for a body of `announced` bytes, where that is known.
+    pub(super) fn new(client: Arc<ClientBuffer>, announced: Option<usize>) -> Self {
+        BodyBuffer { client, bytes: Vec::new(), counted: 0, announced }
+    }
+
+    /// Appends a piece. Waits for memory that is being freed; returns false if there is none.
+    pub(crate) async fn push(&mut self, piece: &[u8]) -> bool {
+        let growth = self.growth(piece.len());
+        if growth > 0 && !self.client.reserve(growth).await {
+            return false;
+        }
+        self.append(piece, growth);
+        true
+    }
+
+    /// Like [`BodyBuffer::push`], but returns false at once if there is no memory as it is.
+    pub(crate) fn try_push(&mut self, piece: &[u8]) -> bool {
+        let growth = self.growth(piece.len());
+        if growth > 0 && !self.client.try_reserve(growth) {
+            return false;
+        }
+        self.append(piece, growth);
+        true
+    }
+
+    /// Bytes of memory that are missing for a piece: the capacity doubles, up to the announced length.
+    fn growth(&self, piece: usize) -> usize {
+        let needed = self.bytes.len() + piece;
+        if needed <= self.counted {
+            return 0;
+        }
+        let doubled = (2 * self.counted).max(MIN_GROWTH_BYTES);
+        let most = self.announced.unwrap_or(usize::MAX);
+        let first = self.bytes.is_empty() && self.announced.is_none_or(|length| length == piece);
+        let capacity = if first { needed } else { doubled.min(most).max(needed) };
+        capacity - self.counted
+    }
+
+    fn append(&mut self, piece: &[u8], growth: usize) {
+        self.counted += growth;
+        self.bytes.reserve_exact(self.counted - self.bytes.len());
+        self.bytes.extend_from_slice(piece);
+    }
+
+    /// Bytes that have arrived.
+    pub(crate) fn length(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The bytes, and how many are counted for them. The caller takes over the count.
+    fn take(&mut self) -> (Bytes, usize) {
+        self.bytes.shrink_to_fit();
+        let spare = self.counted - self.bytes.len();
+        self.client.release(spare);
+        let counted = std::mem::take(&mut self.counted) - spare;
+        (Bytes::from(std::mem::take(&mut self.bytes)), counted)
+    }
+
+    /// The complete body of a request, counted until its last copy is dropped.
+    pub(crate) fn into_body(mut self) -> Bytes {
+        let (body, counted) = self.take();
+        if body.is_empty() {
+            return body;
+        }
+        Bytes::from_owner(CountedBytes { bytes: body, counted, client: self.client.clone() })
+    }
+
+    /// An answer, counted until the client has read it.
+    pub(crate) fn into_answer(mut self) -> Bytes {
+        let (answer, counted) = self.take();
+        if answer.is_empty() { answer } else { self.client.wrap_unread(answer, counted) }
+    }
+}
+
+/// The body of a request, counted until dropped.
+struct CountedBytes {
+    bytes: Bytes,
+    counted: usize,
+    client: Arc<ClientBuffer>,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for CountedBytes {
+    fn drop(&mut self) {
+        self.bytes = Bytes::new();
+        self.client.release(self.counted);
+    }
+}
--- a/src/status_server.rs
+++ b/src/status_server.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server for the load balancer's readiness checks and for metrics scrapes.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,40 +7,67 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
+use prometheus::IntCounter;
+use slog::Logger;
 use tokio::net::TcpListener;
 
-/// Pause after `accept` fails, for example because the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+use crate::serving::buffers::{CONNECTION_BYTES, ClientBuffers};
+use crate::serving::http::{self as http_connection, HttpLimits};
+use crate::serving::ledger::Bounds;
+
 /// Maximum time that a connection may be idle or take to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest head that is read, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Maximum open connections. A load balancer and some scrapers use one each.
+const MAX_CONNECTIONS: usize = 64;
+/// One in so many descriptors of the process may be used for connections, if that is less.
+const DESCRIPTORS_SHARE: usize = 16;
+/// Memory for each connection, in bytes: twice what it takes without the bytes that it sends.
+const BYTES_PER_CONNECTION: usize = 2 * CONNECTION_BYTES;
+/// How long a connection must have sent nothing before it may be closed for others. A request takes one segment.
+const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_millis(100);
+
+/// Bounds of a status server in a process that may use this many descriptors.
+fn bounds(max_descriptors: usize) -> Bounds {
+    let max_connections = MAX_CONNECTIONS.min(max_descriptors / DESCRIPTORS_SHARE);
+    Bounds {
+        max_bytes: max_connections * BYTES_PER_CONNECTION,
+        max_connections,
+        min_wait: MIN_WAIT_BEFORE_CLOSE,
+    }
+}
 
-/// Accepts connections for ever and answers each request with the status and body that `answer` returns.
+/// Accepts connections for ever and answers each request with the status and body that `answer` returns. `port` names
+/// the server in logs; `max_descriptors` is how many descriptors the process may use; `closed` counts the connections
+/// that are closed for others.
 pub(crate) async fn serve(
     listener: TcpListener,
+    port: &'static str,
+    max_descriptors: usize,
+    closed: IntCounter,
+    log: &Logger,
     answer: impl Fn(&Request<Incoming>) -> (StatusCode, Vec<u8>) + Send + Sync + 'static,
 ) {
+    let buffers = ClientBuffers::new(port, bounds(max_descriptors), closed, log);
     let answer = Arc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+        let (stream, client) = buffers.accept(&listener).await;
         let answer = answer.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
+            let limits = HttpLimits {
+                timer: TokioTimer::new(),
+                idle_timeout: HEADER_READ_TIMEOUT,
+                max_head_bytes: MAX_HEAD_BYTES,
+            };
+            let respond = |request| {
                 let (status, body) = answer(&request);
                 let mut response = Response::new(Full::new(Bytes::from(body)));
                 *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_READ_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+                std::future::ready(response)
+            };
+            http_connection::serve(stream, &client, limits, std::future::pending(), respond).await;
         });
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,7 +12,6 @@
 mod brittle_fleet;
 mod brittle_services;
 mod budget;
-mod buffer_ledger;
 mod cold;
 mod config_delay;
 mod deltas;
--- /dev/null
+++ b/tests/serving/main.rs
@@ -0,0 +1,5 @@
+//! Bounds on the connections of a listener and on the memory held for them.
+
+mod ledger;
+#[path = "../seeds/seed.rs"]
+mod seeds;
