A member bounds the connections and bodies of its callers

Callers saw: members ended for want of memory while many calls with large bodies were left open; with more connections than descriptors nobody else got an answer, heartbeats included.

Cause: nothing bounded the sum over connections. Each call may have 64 KiB, a configuration 16 MiB; pieces of a body kept their read buffers; heads were read up to 400 KiB; connections had no bound.

A caller that is cut gets 408, one without memory 503 with Retry-After: both are tried again at another member.

--- a/src/group/endpoints.rs
+++ b/src/group/endpoints.rs
@@ -1,17 +1,14 @@
 //! HTTP API of a member for operators and targets.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper_util::rt::TokioTimer;
 use slog::{info, warn};
 use tokio::net::TcpListener;
 
@@ -26,6 +23,8 @@
 use crate::level::Level;
 use crate::poison::InvalidFingerprint;
 use crate::rollout::Stage;
+use crate::serving::buffers::ClientBuffer;
+use crate::serving::http::{self as http_connection, HttpLimits};
 use crate::store::{Answer, Command};
 use crate::sync::lock;
 
@@ -33,8 +32,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Delay after a failed accept, for example for want of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Maximum number of attempts to propose a document as a difference; an attempt fails when another document was
 /// committed in between. After that the whole document is proposed.
 const MAX_DIFFERENCE_ATTEMPTS: usize = 6;
@@ -55,28 +54,104 @@
 /// Accepts and serves connections; never returns.
 pub(super) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+        let (stream, client) = shared.api_buffers.accept(&listener).await;
         let _ = crate::link::set_tcp_timeouts(&stream, IDLE_TIMEOUT);
         let shared = shared.clone();
         tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let shared = shared.clone();
-                async move { Ok::<_, Infallible>(answer(&shared, request).await) }
-            });
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let limits = HttpLimits {
+                timer: TokioTimer::new(),
+                idle_timeout: IDLE_TIMEOUT,
+                max_head_bytes: MAX_HEAD_BYTES,
+            };
+            let respond = |request| {
+                let (shared, client) = (shared.clone(), client.clone());
+                async move { answer(&shared, &client, request).await }
+            };
+            http_connection::serve(stream, &client, limits, std::future::pending(), respond).await;
         });
     }
 }
 
+/// Why the body of a call could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum BodyError {
+    /// It is larger than the call allows.
+    #[error("the body is larger than {max_bytes} bytes")]
+    TooLarge { max_bytes: usize },
+    /// It broke off.
+    #[error("the body broke off")]
+    BrokeOff,
+    /// It did not arrive in time, or its memory was needed for other callers.
+    #[error("body too slow")]
+    TooSlow,
+    /// All memory for calls is in use.
+    #[error("no memory left for the body")]
+    NoMemory,
+}
+
+/// Reads the body of a call.
+async fn read_body(
+    client: &Arc<ClientBuffer>,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let _waiting = client.start_waiting();
+    tokio::select! {
+        read = tokio::time::timeout(BODY_TIMEOUT, gather(client, body, max_bytes)) => {
+            read.unwrap_or(Err(BodyError::TooSlow))
+        }
+        () = client.wait_for_close() => Err(BodyError::TooSlow),
+    }
+}
+
+async fn gather(
+    client: &Arc<ClientBuffer>,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let announced = body.size_hint().exact().map(|length| length as usize);
+    if announced.is_some_and(|length| length > max_bytes) {
+        return Err(BodyError::TooLarge { max_bytes });
+    }
+    let mut gathered = client.new_body(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::BrokeOff)?;
+        let piece = frame.into_data().unwrap_or_default();
+        if gathered.length() + piece.len() > max_bytes {
+            return Err(BodyError::TooLarge { max_bytes });
+        }
+        if !gathered.push(&piece).await {
+            return Err(BodyError::NoMemory);
+        }
+    }
+    Ok(gathered.into_body())
+}
+
+/// The response to a call whose body could not be read. Callers repeat it after a 408 or 503.
+fn refuse_body(shared: &Shared, error: BodyError) -> ApiResponse {
+    shared.metrics.count_call("body", error_status(error).as_str());
+    let mut response = fault_response(error_status(error), &[Fault::new("", error.to_string())]);
+    if error == BodyError::NoMemory {
+        response.headers_mut().insert(RETRY_AFTER, http::HeaderValue::from_static(RETRY_AFTER_S));
+    }
+    response
+}
+
+fn error_status(error: BodyError) -> StatusCode {
+    match error {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::BrokeOff => StatusCode::BAD_REQUEST,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 /// Reads a request, executes the call, and counts it in the metrics.
-async fn answer(shared: &Shared, request: Request<Incoming>) -> ApiResponse {
+async fn answer(
+    shared: &Shared,
+    client: &Arc<ClientBuffer>,
+    request: Request<Incoming>,
+) -> ApiResponse {
     let (head, body) = request.into_parts();
     let Some(api_call) = shared.dialect.api_call(&head.method, head.uri.path()) else {
         return fault_response(StatusCode::NOT_FOUND, &[Fault::new("", "no such call")]);
@@ -85,18 +160,9 @@
         ApiCall::PutConfiguration => MAX_DOCUMENT_BYTES,
         _ => MAX_CALL_BYTES,
     };
-    let body = Limited::new(body, max_bytes).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            return fault_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                &[Fault::new("", error.to_string())],
-            );
-        }
-        Err(_) => {
-            return fault_response(StatusCode::REQUEST_TIMEOUT, &[Fault::new("", "body too slow")]);
-        }
+    let body = match read_body(client, body, max_bytes).await {
+        Ok(body) => body,
+        Err(error) => return refuse_body(shared, error),
     };
     let (call, response) = match api_call {
         ApiCall::PutConfiguration => ("put_configuration", put_configuration(shared, body).await),
