A member bounds the connections and frames of members and gateways

Callers saw: members ended for want of memory while frames on their peer port were left open.

Cause: any number of connections was accepted there, each with a frame of up to 64 MiB.

Without memory the connection is closed, and the other side connects again as it does today, so that earlier builds understand it.

--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -12,28 +12,35 @@
 use super::{Shared, feed};
 use crate::link::{FrameSender, LinkError, framed};
 use crate::poison::Origin;
+use crate::serving::buffers::ClientBuffer;
 use crate::sync::lock;
 
 /// Replies queued for sending on one connection.
 const REPLY_QUEUE_LEN: usize = 256;
-/// Pause after `accept` fails, for example because the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// Accepts connections for ever.
 pub(super) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), stream));
+        let (stream, client) = shared.peer_buffers.accept(&listener).await;
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            // Errors are ignored: the other side connects again.
+            tokio::select! {
+                _ = serve(shared, stream, client.clone()) => {}
+                () = client.wait_for_close() => client.record_closed(),
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-        }
+        });
     }
 }
 
 /// Serves one connection: the messages and calls of a member, or the subscription of a gateway.
-async fn serve(shared: Arc<Shared>, stream: TcpStream) -> Result<(), LinkError> {
-    let (sender, mut receiver) = framed(stream, super::peers::LINK_TIMING)?;
+async fn serve(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    client: Arc<ClientBuffer>,
+) -> Result<(), LinkError> {
+    let (sender, receiver) = framed(stream, super::peers::LINK_TIMING)?;
+    let mut receiver = receiver.counted(client);
     let (replies, queued) = mpsc::channel(REPLY_QUEUE_LEN);
     let mut sender = Some(sender);
     let mut queued = Some(queued);
