Routers and control members bound connections and calls by memory

Callers saw: by reading, a router takes 10,000 connections with bodies of 1 MiB and a control member 4,096 with calls of 256 MiB, and nothing bounds the sum.

Cause: the HTTP libraries read bodies into memory by themselves, and keep the read buffers of their pieces.

Change: both accept connections and read bodies with the module serving, and hand whole requests to the libraries. New memory_mb, 35 percent of it for connections and what is sent on them: 1,024 MiB for routers (10,000 connections at rest and 45 bodies of the largest size fit), 2,048 for control members (a call of 256 MiB and the library's copy fit). A router without memory answers overloaded, a control member 503; a caller that is cut gets 408 or slow_caller. One function reads bodies for all listeners.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,24 +6,26 @@
 mod placement_runner;
 mod registry;
 mod rpc_handler;
+mod server;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle, stop_channel};
+use prometheus::IntCounter;
 use slog::{Logger, info, o};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 use crate::raft::{BoxedDisk, FolderDisk, Replica, WalError, random_store_id};
 use crate::rpc::{ControlServer, MAX_CALL_BYTES};
+use crate::serving::buffers::ClientBuffers;
 use crate::settings::{ControlSettings, Settings};
 
 use self::member::Member;
 use self::rpc_handler::RpcHandler;
-
-/// Maximum of open connections from members, routers and operators, sized for 340 routers.
-const MAX_CONNECTIONS: u32 = 4_096;
+use self::server::RpcServer;
 
 /// The reason why a control member can't start or had to stop.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +41,9 @@
     /// The log can't be read or written.
     #[error(transparent)]
     Wal(#[from] WalError),
+    /// The counter of closed connections can't be created.
+    #[error(transparent)]
+    Metrics(#[from] prometheus::Error),
     /// The address can't be bound.
     #[error("control.listen: can't serve on {addr}: {source}")]
     Listen {
@@ -79,19 +84,32 @@
                 rand::random(),
             )
         })?;
+        let bounds = control.connection_bounds();
         let config = ServerConfig::builder()
             .max_request_body_size(MAX_CALL_BYTES)
             .max_response_body_size(MAX_CALL_BYTES)
-            .max_connections(MAX_CONNECTIONS)
-            .set_tcp_no_delay(true)
+            .max_connections(bounds.max_connections as u32)
             .http_only()
             .build();
-        let listening = Server::builder().set_config(config).build(addr).await;
-        let server = listening.map_err(|source| MemberError::Listen { addr, source })?;
+        let listening = TcpListener::bind(addr).await;
+        let listener = listening.map_err(|source| MemberError::Listen { addr, source })?;
         let handler = Arc::new(RpcHandler::new(settings, control, started.member, log.clone()));
         peers::start(&handler, started.outbox, &log);
         tokio::spawn(placement_runner::run(handler.clone()));
-        let server = server.start(ControlServer::into_rpc(handler));
+        let (stop, server) = stop_channel();
+        let calls = RpcServer {
+            // Control members serve no metrics, so that only the log tells of these connections.
+            buffers: ClientBuffers::new(
+                "calls",
+                bounds,
+                IntCounter::new("closed", "Connections closed for others.")?,
+                &log,
+            ),
+            service: Server::builder().set_config(config).to_service_builder(),
+            methods: ControlServer::into_rpc(handler).into(),
+            stop,
+        };
+        tokio::spawn(calls.serve(listener));
         info!(log, "control member listening"; "event" => "control_started");
         Ok(Control { server, failed: started.failed })
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,8 +9,7 @@
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, refuse};
 use super::attempt::{self, Answer, AttemptError, Supervisor};
@@ -36,6 +35,7 @@
 use crate::rollout::tally::Subject;
 use crate::route_table::Caller;
 use crate::run_clock::RunClock;
+use crate::serving::body_buffer::BodyError;
 use crate::serving::buffers::ClientBuffer;
 
 /// Cost of failed connection attempts at which a request is given up on. A refused connection costs 1 and takes a few
@@ -212,35 +212,14 @@
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
-    let _waiting = client_buffer.start_waiting();
-    let gathering = gather(client_buffer, body, max_bytes);
-    tokio::select! {
-        read = gateway.run_clock.within(BODY_TIMEOUT, deadline, gathering) => {
-            read.unwrap_or(Err(Refusal::BodyTooSlow))
-        }
-        // The memory is needed for other clients.
-        () = client_buffer.wait_for_close() => Err(Refusal::BodyTooSlow),
-    }
-}
-
-async fn gather(
-    client_buffer: &Arc<ClientBuffer>,
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, Refusal> {
-    let announced = body.size_hint().exact().map(|length| (length as usize).min(max_bytes));
-    let mut gathered = client_buffer.new_body(announced);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::BadRequest)?;
-        let chunk = frame.into_data().unwrap_or_default();
-        if gathered.length() + chunk.len() > max_bytes {
-            return Err(Refusal::BodyTooLarge);
-        }
-        if !gathered.push(&chunk).await {
-            return Err(Refusal::NoRoom);
-        }
-    }
-    Ok(gathered.into_body())
+    let reading = client_buffer.read_body(body, max_bytes);
+    let read = gateway.run_clock.within(BODY_TIMEOUT, deadline, reading).await;
+    read.ok_or(Refusal::BodyTooSlow)?.map_err(|error| match error {
+        BodyError::TooLarge { .. } => Refusal::BodyTooLarge,
+        BodyError::BrokeOff => Refusal::BadRequest,
+        BodyError::Closed => Refusal::BodyTooSlow,
+        BodyError::NoMemory => Refusal::NoRoom,
+    })
 }
 
 /// Draws one of the route's services by weight.
--- a/src/group/endpoints.rs
+++ b/src/group/endpoints.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper_util::rt::TokioTimer;
 use slog::{info, warn};
 use tokio::net::TcpListener;
@@ -23,6 +23,7 @@
 use crate::level::Level;
 use crate::poison::InvalidFingerprint;
 use crate::rollout::Stage;
+use crate::serving::body_buffer::BodyError;
 use crate::serving::buffers::ClientBuffer;
 use crate::serving::http::{self as http_connection, HttpLimits};
 use crate::store::{Answer, Command};
@@ -72,61 +73,6 @@
     }
 }
 
-/// Why the body of a call could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum BodyError {
-    /// It is larger than the call allows.
-    #[error("the body is larger than {max_bytes} bytes")]
-    TooLarge { max_bytes: usize },
-    /// It broke off.
-    #[error("the body broke off")]
-    BrokeOff,
-    /// It did not arrive in time, or its memory was needed for other callers.
-    #[error("body too slow")]
-    TooSlow,
-    /// All memory for calls is in use.
-    #[error("no memory left for the body")]
-    NoMemory,
-}
-
-/// Reads the body of a call.
-async fn read_body(
-    client: &Arc<ClientBuffer>,
-    body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, BodyError> {
-    let _waiting = client.start_waiting();
-    tokio::select! {
-        read = tokio::time::timeout(BODY_TIMEOUT, gather(client, body, max_bytes)) => {
-            read.unwrap_or(Err(BodyError::TooSlow))
-        }
-        () = client.wait_for_close() => Err(BodyError::TooSlow),
-    }
-}
-
-async fn gather(
-    client: &Arc<ClientBuffer>,
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, BodyError> {
-    let announced = body.size_hint().exact().map(|length| length as usize);
-    if announced.is_some_and(|length| length > max_bytes) {
-        return Err(BodyError::TooLarge { max_bytes });
-    }
-    let mut gathered = client.new_body(announced);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::BrokeOff)?;
-        let piece = frame.into_data().unwrap_or_default();
-        if gathered.length() + piece.len() > max_bytes {
-            return Err(BodyError::TooLarge { max_bytes });
-        }
-        if !gathered.push(&piece).await {
-            return Err(BodyError::NoMemory);
-        }
-    }
-    Ok(gathered.into_body())
-}
-
 /// The response to a call whose body could not be read. Callers repeat it after a 408 or 503.
 fn refuse_body(shared: &Shared, error: BodyError) -> ApiResponse {
     shared.metrics.count_call("body", error_status(error).as_str());
@@ -141,7 +87,7 @@
     match error {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         BodyError::BrokeOff => StatusCode::BAD_REQUEST,
-        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Closed => StatusCode::REQUEST_TIMEOUT,
         BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -160,7 +106,8 @@
         ApiCall::PutConfiguration => MAX_DOCUMENT_BYTES,
         _ => MAX_CALL_BYTES,
     };
-    let body = match read_body(client, body, max_bytes).await {
+    let reading = tokio::time::timeout(BODY_TIMEOUT, client.read_body(body, max_bytes));
+    let body = match reading.await.unwrap_or(Err(BodyError::Closed)) {
         Ok(body) => body,
         Err(error) => return refuse_body(shared, error),
     };
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -1,9 +1,9 @@
 //! Admission: checks a client's headers and body and builds the request that the router may forward.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use salvo::Request;
-use salvo::http::ParseError;
 use salvo::http::header::HeaderMap;
 use salvo::hyper::body::Bytes;
 use serde::Deserialize;
@@ -15,6 +15,8 @@
 use crate::choice::Key;
 use crate::claims::RequestKey;
 use crate::reason::Reason;
+use crate::serving::body_buffer::BodyError;
+use crate::serving::buffers::ClientBuffer;
 use crate::template::Policy;
 
 /// Header with the client's team; required.
@@ -195,15 +197,20 @@
     async fn read_body(&self, req: &mut Request) -> Result<Bytes, Refusal> {
         let limit = self.settings.max_body_kib * 1024;
         let timeout = Duration::from_millis(self.settings.body_timeout_ms);
-        let body = tokio::time::timeout(timeout, req.payload_with_max_size(limit)).await;
-        match body {
-            Err(_) => Err(Refusal::from_reason(Reason::SlowCaller)),
-            Ok(Ok(body)) => Ok(body.clone()),
-            Ok(Err(ParseError::PayloadTooLarge)) => {
+        let Some(client) = req.extensions().get::<Arc<ClientBuffer>>().cloned() else {
+            return Err(bad_request("body: its connection is not known"));
+        };
+        let body = req.take_body();
+        let read = tokio::time::timeout(timeout, client.read_body(body, limit)).await;
+        match read.unwrap_or(Err(BodyError::Closed)) {
+            Ok(body) => Ok(body),
+            Err(BodyError::Closed) => Err(Refusal::from_reason(Reason::SlowCaller)),
+            Err(BodyError::NoMemory) => Err(Refusal::from_reason(Reason::Overloaded)),
+            Err(BodyError::TooLarge { .. }) => {
                 let message = format!("body: larger than {} KiB", self.settings.max_body_kib);
                 Err(Refusal::new(Reason::BodyTooLarge, message))
             }
-            Ok(Err(error)) => Err(bad_request(format!("body: {error}"))),
+            Err(error @ BodyError::BrokeOff) => Err(bad_request(format!("body: {error}"))),
         }
     }
 }
--- a/src/router/http.rs
+++ b/src/router/http.rs
@@ -6,14 +6,19 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use salvo::conn::Acceptor;
-use salvo::conn::tcp::TcpAcceptor;
+use http::uri::Scheme;
+use hyper::body::Incoming;
+use hyper::service::Service as _;
+use hyper_util::rt::TokioTimer;
+use salvo::conn::ConnCtrl;
 use salvo::http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use salvo::http::{ResBody, StatusCode};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Server, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Service, async_trait};
 use slog::debug;
 use subtle::ConstantTimeEq;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::admission::AdmittedRequest;
 use super::claim::{PARTNER_KEY_HEADER, STORED_STATUS_HEADER};
@@ -22,6 +27,8 @@
 use super::{Shared, lock};
 use crate::claims::RequestKey;
 use crate::reason::Reason;
+use crate::serving::buffers::ClientBuffer;
+use crate::serving::http::{self as http_connection, HttpLimits};
 
 /// Maximum size of a request's headers, in bytes.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
@@ -32,7 +39,7 @@
 const ACCEPT_BACKLOG: u32 = 1_024;
 
 /// Listens at `addr` with `TCP_NODELAY`, so that events of a stream are sent without waiting for acknowledgements.
-pub(super) fn listen(addr: SocketAddr) -> io::Result<TcpAcceptor> {
+pub(super) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -41,15 +48,64 @@
     // Accepted connections inherit this option from the listening socket.
     socket.set_nodelay(true)?;
     socket.bind(addr)?;
-    socket.listen(ACCEPT_BACKLOG)?.try_into()
+    socket.listen(ACCEPT_BACKLOG)
 }
 
-/// The server, with limits on connections, header size and the time to send headers.
-pub(super) fn server<A: Acceptor>(shared: &Arc<Shared>, acceptor: A) -> Server<A> {
-    let mut server =
-        Server::new(acceptor).max_connections(shared.settings.max_connections).disable_fuse();
-    server.http1_mut().max_buf_size(MAX_HEADER_BYTES).header_read_timeout(HEADER_TIMEOUT);
-    server
+/// Accepts and serves connections until `stop` becomes true, then waits until all of them are closed: idle ones at
+/// once, others after their answer.
+pub(super) async fn serve(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    routes: salvo::Router,
+    mut stop: watch::Receiver<bool>,
+) {
+    let service = Arc::new(Service::new(routes));
+    let mut connections = JoinSet::new();
+    loop {
+        let (stream, client) = tokio::select! {
+            accepted = shared.client_buffers.accept(&listener) => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        while connections.try_join_next().is_some() {}
+        connections.spawn(serve_connection(service.clone(), stream, client, stop.clone()));
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection(
+    service: Arc<Service>,
+    stream: TcpStream,
+    client: Arc<ClientBuffer>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let (Ok(local), Ok(remote)) = (stream.local_addr(), stream.peer_addr()) else {
+        return;
+    };
+    let control = ConnCtrl::new();
+    let handler =
+        service.hyper_handler(local.into(), remote.into(), Scheme::HTTP, None, control, None);
+    let limits = HttpLimits {
+        timer: TokioTimer::new(),
+        idle_timeout: HEADER_TIMEOUT,
+        max_head_bytes: MAX_HEADER_BYTES,
+    };
+    let answer = |mut request: http::Request<Incoming>| {
+        request.extensions_mut().insert(client.clone());
+        let answering = handler.call(request);
+        async move { answering.await.unwrap_or_else(|_| unanswered()) }
+    };
+    let stop = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    http_connection::serve(stream, &client, limits, stop, answer).await;
+}
+
+/// The answer to a request whose handler failed.
+fn unanswered() -> http::Response<ResBody> {
+    let mut response = http::Response::new(ResBody::None);
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
 }
 
 /// The routes of the router's HTTP interface.
--- a/src/router/metrics.rs
+++ b/src/router/metrics.rs
@@ -36,6 +36,12 @@
     pub slot_asks: IntCounterVec,
     /// Datagrams with slot requests that were sent again.
     pub slot_rounds_resent: IntCounter,
+    /// Connections closed to make room for others.
+    pub connections_closed: IntCounter,
+    /// Open connections of clients.
+    pub connections: IntGauge,
+    /// Bytes of memory held for clients.
+    pub held_bytes: IntGauge,
     /// Revision of the configuration in force.
     pub config_revision: IntGauge,
     /// Seconds since the configuration was last proven fresh; -1 before the first proof.
@@ -51,6 +57,16 @@
     pub fn new() -> Result<Self, prometheus::Error> {
         let set = MetricSet::default();
         let metrics = Metrics {
+            connections_closed: set.counter(
+                "latchmount_connections_closed_total",
+                "Connections that were closed to make room for others.",
+            )?,
+            connections: set
+                .gauge("latchmount_client_connections", "Open connections of clients.")?,
+            held_bytes: set.gauge(
+                "latchmount_held_bytes",
+                "Bytes of memory that are held for clients: connections and requests.",
+            )?,
             requests: set.counters("latchmount_requests_total", "Requests admitted.", &["kind"])?,
             refused: set.counters(
                 "latchmount_refused_total",
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -19,10 +19,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use salvo::conn::Acceptor;
-use salvo::server::ServerHandle;
 use slog::{Logger, info, o, warn};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::clock::Instant;
@@ -32,6 +30,7 @@
 use crate::retry::Budget;
 use crate::rpc::{ControlError, MemberClients, Report};
 use crate::sampler::Sampler;
+use crate::serving::buffers::ClientBuffers;
 use crate::settings::{RouterSettings, Settings};
 use crate::store::Config;
 use crate::targets::Targets;
@@ -92,6 +91,8 @@
     /// Control members that take claims; the next claim starts with the one that answered last.
     claim_members: Mutex<MemberClients>,
     answer_cache: Mutex<AnswerCache>,
+    /// Connections of clients.
+    client_buffers: Arc<ClientBuffers>,
     metrics: Metrics,
     admitted: AtomicU64,
     in_flight: AtomicUsize,
@@ -159,6 +160,12 @@
                 claim::CONTROL_CALL_TIMEOUT,
             )?),
             answer_cache: Mutex::default(),
+            client_buffers: ClientBuffers::new(
+                "clients",
+                router.connection_bounds(),
+                metrics.connections_closed.clone(),
+                log,
+            ),
             metrics,
             admitted: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
@@ -214,6 +221,8 @@
         for (name, in_flight) in lock(&self.targets).in_flight() {
             self.metrics.in_flight.with_label_values(&[name]).set(in_flight as i64);
         }
+        self.metrics.held_bytes.set(self.client_buffers.held() as i64);
+        self.metrics.connections.set(self.client_buffers.connections() as i64);
         self.metrics.render()
     }
 }
@@ -221,7 +230,8 @@
 /// A running router.
 pub struct Router {
     shared: Arc<Shared>,
-    server: ServerHandle,
+    /// Ends the serving of connections.
+    stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
 }
 
@@ -239,15 +249,15 @@
         let shared = Arc::new(Shared::new(settings, router, log)?);
         let addr = router.listen.unwrap_or_else(placeholder_addr);
         let listening = http::listen(addr);
-        let acceptor = listening.map_err(|source| RouterError::Listen { addr, source })?;
-        let local = acceptor.holdings().first().map(|holding| holding.local_addr.to_string());
+        let listener = listening.map_err(|source| RouterError::Listen { addr, source })?;
+        let local = listener.local_addr().map(|local| local.to_string()).ok();
         feed::start(&shared)?;
         slots_thread::start(&shared).map_err(|source| RouterError::Listen { addr, source })?;
-        let server = http::server(&shared, acceptor);
-        let handle = server.handle();
-        let serving = tokio::spawn(server.serve(http::routes(&shared)));
+        let (stop, stopped) = watch::channel(false);
+        let routes = http::routes(&shared);
+        let serving = tokio::spawn(http::serve(shared.clone(), listener, routes, stopped));
         info!(shared.log, "router listening"; "event" => "router_started", "addr" => local);
-        Ok(Router { shared, server: handle, serving })
+        Ok(Router { shared, stop, serving })
     }
 
     /// Planned stop: fails the health check, after `router.stop_notice_ms` refuses new requests, then waits for the
@@ -272,8 +282,10 @@
         }
         // A request counts as ended once the server has its whole answer; slow clients may still be receiving it.
         let remaining = deadline.saturating_sub(shared.now()).max(CLOSE_TIMEOUT);
-        self.server.stop_graceful(remaining);
-        if tokio::time::timeout(remaining + CLOSE_TIMEOUT, self.serving).await.is_err() {
+        let _ = self.stop.send(true);
+        let mut serving = self.serving;
+        if tokio::time::timeout(remaining, &mut serving).await.is_err() {
+            serving.abort();
             warn!(shared.log, "connections did not close in time and are cut off"; "event" => "close_timeout");
         }
         info!(shared.log, "router stopped"; "event" => "stopped");
--- a/src/serving/body_buffer.rs
+++ b/src/serving/body_buffer.rs
@@ -3,12 +3,76 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http_body::Body;
+use http_body_util::BodyExt;
 
 use super::buffers::ClientBuffer;
 
 /// Smallest memory for a body that does not arrive in one piece, in bytes.
 const MIN_GROWTH_BYTES: usize = 4 * 1024;
 
+/// Why the body of a request could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// It is larger than the listener allows.
+    #[error("the body is larger than {max_bytes} bytes")]
+    TooLarge {
+        /// The limit.
+        max_bytes: usize,
+    },
+    /// It broke off or is malformed.
+    #[error("the body broke off or is malformed")]
+    BrokeOff,
+    /// Its connection is closed to make room for others.
+    #[error("the body came too slowly, and its memory was needed for others")]
+    Closed,
+    /// The memory of the listener is used up.
+    #[error("no memory is left for the body")]
+    NoMemory,
+}
+
+/// Reads a body of at most `max_bytes`, while the process waits for the client.
+pub(super) async fn read<B>(
+    client: &Arc<ClientBuffer>,
+    body: B,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let _waiting = client.start_waiting();
+    tokio::select! {
+        read = gather(client, body, max_bytes) => read,
+        () = client.wait_for_close() => Err(BodyError::Closed),
+    }
+}
+
+async fn gather<B>(
+    client: &Arc<ClientBuffer>,
+    mut body: B,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let announced = body.size_hint().exact().map(|length| length as usize);
+    if announced.is_some_and(|length| length > max_bytes) {
+        return Err(BodyError::TooLarge { max_bytes });
+    }
+    let mut gathered = client.new_body(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::BrokeOff)?;
+        let piece = frame.into_data().unwrap_or_default();
+        if gathered.length() + piece.len() > max_bytes {
+            return Err(BodyError::TooLarge { max_bytes });
+        }
+        if !gathered.push(&piece).await {
+            return Err(BodyError::NoMemory);
+        }
+    }
+    Ok(gathered.into_body())
+}
+
 /// A body that has not arrived completely. The bytes are copied, since a piece refers to the whole buffer that it was
 /// read into.
 pub(crate) struct BodyBuffer {
--- a/src/serving/buffers.rs
+++ b/src/serving/buffers.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body::Body;
 use prometheus::IntCounter;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-use super::body_buffer::BodyBuffer;
+use super::body_buffer::{self, BodyBuffer, BodyError};
 use super::ledger::{Admission, Bounds, BufferLedger, ClientId, Reservation, WaitFor};
 use crate::clock::Instant;
 use crate::sampler::Sampler;
@@ -256,8 +257,23 @@
         BodyBuffer::new(self.clone(), announced)
     }
 
+    /// Reads the body of a request, of at most `max_bytes`. Bounds its memory, but not its time.
+    ///
+    /// # Errors
+    /// [`BodyError`] when it is too large or breaks off, or there is no memory for it.
+    pub(crate) async fn read_body<B>(
+        self: &Arc<Self>,
+        body: B,
+        max_bytes: usize,
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        body_buffer::read(self, body, max_bytes).await
+    }
+
     /// Records that the process waits for the client to send, until the guard is dropped.
-    pub(crate) fn start_waiting(&self) -> WaitGuard<'_> {
+    pub(super) fn start_waiting(&self) -> WaitGuard<'_> {
         self.buffers.ledger().start_waiting(self.buffers.now(), self.id, WaitFor::Body);
         WaitGuard(self)
     }
@@ -317,7 +333,7 @@
 }
 
 /// Marks the process as waiting for a client to send.
-pub(crate) struct WaitGuard<'a>(&'a ClientBuffer);
+pub(super) struct WaitGuard<'a>(&'a ClientBuffer);
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -3,7 +3,7 @@
 //! [`ledger`] decides who is let in and which connections are closed when the memory or the connections of a listener
 //! are used up. The other modules count what is held and carry the decisions out.
 
-mod body_buffer;
+pub(crate) mod body_buffer;
 pub(crate) mod buffers;
 mod counted_stream;
 pub(crate) mod http;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::jsonc::{self, Fault, Validate};
 use crate::raft::Timing;
+use crate::serving::ledger::Bounds as ConnectionBounds;
 use crate::slots::Bounds;
 use crate::template::check_name;
 
@@ -18,6 +19,16 @@
 const SHA256_HEX_LEN: usize = 64;
 /// Maximum freshness lease. An accepted change is in force at every router when the lease has passed.
 const MAX_LEASE_MS: u64 = 19_000;
+/// Bytes in a MiB.
+const MIB: usize = 1_024 * 1_024;
+/// Lower limit of `memory_mb`, in MiB.
+const MIN_MEMORY_MB: usize = 64;
+/// Percentage of the process's memory that may be used for connections and for what is sent on them.
+const CLIENT_MEMORY_PERCENT: usize = 35;
+/// How long a connection must have kept the process waiting before it may be closed for others.
+const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
+/// Maximum of open connections of a control member, from members, routers and operators, sized for 340 routers.
+const MAX_CONTROL_CONNECTIONS: usize = 4_096;
 /// Maximum of all other intervals: a day.
 const MAX_INTERVAL_MS: u64 = 86_400_000;
 
@@ -87,6 +98,9 @@
     pub max_body_kib: usize,
     /// Maximum number of connections from clients.
     pub max_connections: usize,
+    /// Memory that the process may use, in MiB. 35 percent of it are for clients: their connections, and the requests
+    /// that they send.
+    pub memory_mb: usize,
     /// Maximum load of an engine, as a multiple of the mean load.
     pub load_bound: f64,
     /// The same for the first turn of a chat; lower than `load_bound`, to keep slots free for returning chats.
@@ -123,6 +137,7 @@
             body_timeout_ms: 10_000,
             max_body_kib: 1_024,
             max_connections: 10_000,
+            memory_mb: 1_024,
             load_bound: 1.25,
             first_turn_bound: 1.1,
             engine_slots: 256,
@@ -163,6 +178,9 @@
     pub compact_after_entries: usize,
     /// Number of model loads per minute that the weight store allows.
     pub loads_per_minute: u32,
+    /// Memory that the process may use, in MiB. 35 percent of it are for the connections and calls of members, routers
+    /// and operators.
+    pub memory_mb: usize,
 }
 
 impl Default for ControlSettings {
@@ -179,6 +197,7 @@
             freshness_lease_ms: 6_000,
             compact_after_entries: 1_000,
             loads_per_minute: 30,
+            memory_mb: 2_048,
         }
     }
 }
@@ -193,7 +212,27 @@
     pub token_sha256: String,
 }
 
+/// Bounds on connections and on the memory held for them, in a process that may use `memory_mb` MiB.
+fn connection_bounds(memory_mb: usize, max_connections: usize) -> ConnectionBounds {
+    ConnectionBounds {
+        max_bytes: memory_mb.saturating_mul(MIB) / 100 * CLIENT_MEMORY_PERCENT,
+        max_connections,
+        min_wait: MIN_WAIT_BEFORE_CLOSE,
+    }
+}
+
+fn check_memory(faults: &mut Vec<Fault>, path: &str, memory_mb: usize) {
+    if memory_mb < MIN_MEMORY_MB {
+        faults.push(Fault::new(path, "must be at least 64"));
+    }
+}
+
 impl ControlSettings {
+    /// Bounds on the connections of members, routers and operators.
+    pub(crate) fn connection_bounds(&self) -> ConnectionBounds {
+        connection_bounds(self.memory_mb, MAX_CONTROL_CONNECTIONS)
+    }
+
     /// Address at which the others reach this member.
     pub fn advertised_addr(&self) -> Option<SocketAddr> {
         self.advertise.or(self.listen)
@@ -244,6 +283,7 @@
             );
             faults.push(Fault::new("control.freshness_lease_ms", message));
         }
+        check_memory(faults, "control.memory_mb", self.memory_mb);
         if self.compact_after_entries == 0 {
             faults.push(Fault::new("control.compact_after_entries", "must be above 0"));
         }
@@ -251,6 +291,11 @@
 }
 
 impl RouterSettings {
+    /// Bounds on the connections of clients.
+    pub(crate) fn connection_bounds(&self) -> ConnectionBounds {
+        connection_bounds(self.memory_mb, self.max_connections)
+    }
+
     /// Load limits of the engines.
     pub fn bounds(&self) -> Bounds {
         Bounds {
@@ -297,6 +342,7 @@
                 faults.push(Fault::new(path, "must be above 0"));
             }
         }
+        check_memory(faults, "router.memory_mb", self.memory_mb);
         if !(self.load_bound >= 1.0 && self.load_bound <= 10.0) {
             faults.push(Fault::new("router.load_bound", "must be 1 to 10 times the mean"));
         } else if !(self.first_turn_bound >= 1.0 && self.first_turn_bound <= self.load_bound) {
--- a/tests/crowd/control.rs
+++ b/tests/crowd/control.rs
@@ -14,7 +14,7 @@
 const DESCRIPTORS: usize = 4_096;
 
 async fn start() -> Fleet {
-    let control = json!({});
+    let control = json!({ "memory_mb": MEMORY_MB });
     let options = FleetOptions { routers: 1, engines: 1, control, ..FleetOptions::default() };
     Fleet::start(options).await
 }
--- a/tests/crowd/router.rs
+++ b/tests/crowd/router.rs
@@ -17,7 +17,7 @@
 
 /// Starts one router with an engine and a service.
 async fn start() -> Fleet {
-    let router = json!({});
+    let router = json!({ "memory_mb": MEMORY_MB });
     let options = FleetOptions { routers: 1, engines: 1, router, ..FleetOptions::default() };
     Fleet::start_configured(options).await
 }
