--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -203,6 +203,9 @@
         checks.require(self.cold_slack >= 0.0, "cold_slack", "must be at least 0");
         checks.require(self.memory_mb >= MIN_MEMORY_MB, "memory_mb", "must be at least 32");
         checks.require(self.client_buffer_kb > 0, "client_buffer_kb", "must be above 0");
+        let buffer_fits = self.client_buffer_bytes() <= self.client_bounds().max_bytes;
+        let message = "must fit into 35 percent of memory_mb, which are for clients";
+        checks.require(buffer_fits, "client_buffer_kb", message);
         checks.require(self.target_bodies_kb > 0, "target_bodies_kb", "must be above 0");
         checks.above_zero(&[
             ("client_unread_ms", self.client_unread_ms),
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -40,6 +40,13 @@
     pub min_wait: Duration,
 }
 
+impl Bounds {
+    /// The most that one connection can hold.
+    pub fn largest_bytes(&self) -> usize {
+        self.max_bytes - self.max_bytes / SMALL_SHARE
+    }
+}
+
 /// Account of one connection.
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
@@ -215,8 +222,7 @@
             None => 0,
         };
         let small = held.saturating_add(bytes) <= SMALL_BYTES;
-        let left_to_others = if small { 0 } else { self.bounds.max_bytes / SMALL_SHARE };
-        let limit = self.bounds.max_bytes - left_to_others;
+        let limit = if small { self.bounds.max_bytes } else { self.bounds.largest_bytes() };
         Some(self.held.saturating_add(bytes).saturating_sub(limit))
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -343,6 +343,11 @@
             }
         }
         check_memory(faults, "router.memory_mb", self.memory_mb);
+        let most = self.connection_bounds().largest_bytes() / 1_024;
+        if self.max_body_kib > most {
+            let message = format!("must be at most {most}, the clients' part of router.memory_mb");
+            faults.push(Fault::new("router.max_body_kib", message));
+        }
         if !(self.load_bound >= 1.0 && self.load_bound <= 10.0) {
             faults.push(Fault::new("router.load_bound", "must be 1 to 10 times the mean"));
         } else if !(self.first_turn_bound >= 1.0 && self.first_turn_bound <= self.load_bound) {
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -111,3 +111,31 @@
     let out = command.args(args).output().expect("the binary");
     assert_eq!(out.status.code(), Some(code), "{out:?}");
 }
+
+#[rstest]
+#[case::a_buffer_above_the_clients_memory(
+    r#"{"host": "g", "listen": "127.0.0.1:8080", "members": ["10.0.0.1:8229"], "peer_port": 7340,
+        "memory_mb": 32, "client_buffer_kb": 16384}"#,
+    "client_buffer_kb"
+)]
+#[case::a_member_with_too_little_memory(
+    r#"{"host": "m", "listen": "127.0.0.1:8229", "seeds": ["127.0.0.1:8229"], "peer_port": 7340,
+        "data_dir": "data", "memory_mb": 32}"#,
+    "memory_mb"
+)]
+#[case::a_body_above_the_clients_memory(
+    r#"{"host": "h", "data_hall": "a", "partner": "p", "key": "a secret of many bytes",
+        "platform_url": "http://127.0.0.1:1", "router": {"listen": "127.0.0.1:8080",
+        "control": ["127.0.0.1:7000"], "memory_mb": 64, "max_body_kib": 32768}}"#,
+    "router.max_body_kib"
+)]
+fn limits_that_do_not_fit_together_are_refused(#[case] settings: &str, #[case] field: &str) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("settings.json");
+    std::fs::write(&file, settings).expect("a file");
+    let out = check(&file);
+    let report = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2), "{report}");
+    assert_eq!(report.lines().count(), 1, "{report}");
+    assert!(report.contains(field), "{report}");
+}
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -243,6 +243,19 @@
         self.child.as_ref().expect("a running process").id()
     }
 
+    /// Largest resident memory since the start, in MiB; 0 if the process does not run.
+    pub fn peak_mib(&self) -> f64 {
+        let Some(child) = &self.child else {
+            return 0.0;
+        };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
+        let kib: f64 =
+            line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).unwrap_or(0.0);
+        kib / 1_024.0
+    }
+
     /// Whether the process was started and has exited by itself.
     pub fn has_exited(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| child.try_wait().expect("a child").is_some())
@@ -398,6 +411,11 @@
         SocketAddr::new(self.members[member].ip, self.addresses.ports.control)
     }
 
+    /// The address at which a member accepts connections of members and gateways.
+    pub fn peer_addr(&self, member: usize) -> SocketAddr {
+        SocketAddr::new(self.members[member].ip, self.addresses.ports.peer)
+    }
+
     /// API addresses of all members.
     pub fn api_addrs(&self) -> Vec<SocketAddr> {
         (0..self.members.len()).map(|member| self.api_addr(member)).collect()
--- a/tests/soak/injector.rs
+++ b/tests/soak/injector.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
+use crate::crowd::{self, Opens};
 use crate::fault::Fault;
 use crate::harness::call;
 use crate::proxy::Cut;
@@ -38,6 +39,8 @@
 /// milliseconds.
 const UNHEARD_CHANCE: f64 = 0.3;
 const UNHEARD_MS: std::ops::Range<u64> = 1_500..6_000;
+/// Chance of another crowd at each step of the run.
+const CROWD_CHANCE: f64 = 0.5;
 /// Time between two lost disks: the member must be a voter again before the next disk is lost.
 const DISK_LOSS_INTERVAL: Duration = Duration::from_secs(12);
 /// Time within which a target repeats its drain until a member acknowledges it.
@@ -85,6 +88,7 @@
             }
             self.cut_gateway_off();
             self.cut_target_from_members().await;
+            self.start_crowd();
             self.repair(false).await;
         }
         while !self.repairs.is_empty() {
@@ -234,6 +238,27 @@
         self.world.unheard = Some(rng);
     }
 
+    /// Now and then has a crowd open requests at a gateway or a member, and leave them open for a while.
+    fn start_crowd(&mut self) {
+        let Some(mut rng) = self.world.crowds.take() else {
+            return;
+        };
+        if rng.random_bool(CROWD_CHANCE) {
+            let fleet = &self.world.fleet;
+            let gateway = fleet.gateway_addr(rng.random_range(0..fleet.gateways.len()));
+            let member = rng.random_range(0..fleet.members.len());
+            let (api, peers) = (fleet.api_addr(member), fleet.peer_addr(member));
+            let (addr, opens) = match rng.random_range(0..5) {
+                0 | 1 => (gateway, Opens::Requests),
+                2 | 3 => (api, Opens::Calls),
+                _ => ([gateway, api, peers][rng.random_range(0..3)], Opens::Nothing),
+            };
+            self.log.push(format!("            a crowd opens {opens:?} at {addr}"));
+            crowd::start(&mut rng, addr, opens);
+        }
+        self.world.crowds = Some(rng);
+    }
+
     /// Ends the cut of a gateway.
     fn join_gateway(&mut self, at: usize) {
         let ip = self.world.fleet.gateways[at].ip;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,10 @@
 
 mod caller;
 mod checks;
+#[allow(dead_code)]
+#[path = "../crowd/client.rs"]
+mod client;
+mod crowd;
 mod fault;
 #[path = "../fleet/harness.rs"]
 mod harness;
@@ -45,6 +49,7 @@
     header_only_shutdowns: true,
     cut_off: false,
     unheard: false,
+    crowds: false,
     length: Duration::from_secs(8),
 };
 const LARGE: Size = Size {
@@ -59,6 +64,7 @@
     header_only_shutdowns: true,
     cut_off: false,
     unheard: false,
+    crowds: false,
     length: Duration::from_secs(25),
 };
 
@@ -102,6 +108,7 @@
     world.replace_builds().await;
     // The test harness shows this only when the test fails.
     eprintln!("{}", log.join("\n"));
+    world.check_memory();
     checks::check(&mut world).await;
     let observed = world.recorder.lock();
     let (requests, reads) = (observed.seen.len(), observed.reads);
@@ -152,6 +159,19 @@
     }
 }
 
+/// Guards against processes that end, or go over their memory, while crowds leave requests open amid other faults.
+#[tokio::test]
+async fn no_promise_is_broken_while_crowds_leave_requests_open() {
+    let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
+        Some(1) => LARGE,
+        _ => SMALL,
+    };
+    let first = seeds::seed();
+    for seed in first..first + seeds::env_number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(1) {
+        soak(Size { crowds: true, ..size }, seed, None).await;
+    }
+}
+
 #[tokio::test]
 async fn no_promise_is_broken_while_targets_end_under_a_prompt_part() {
     let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -37,10 +37,15 @@
     pub cut_off: bool,
     /// Whether targets are cut off from the members, and crash, leave or go on meanwhile, besides the other faults.
     pub unheard: bool,
+    /// Whether crowds of clients leave requests open at gateways and members, besides the other faults.
+    pub crowds: bool,
     /// How long faults are injected.
     pub length: Duration,
 }
 
+/// Memory that a gateway and a member may use by default, in MiB.
+const GATEWAY_MEMORY_MIB: f64 = 160.0;
+const MEMBER_MEMORY_MIB: f64 = 256.0;
 /// Time within which an operator repeats an order until it is acknowledged.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between the replacements of two processes' builds.
@@ -79,6 +84,8 @@
     pub cuts: Option<StdRng>,
     /// The same for cuts between targets and members.
     pub unheard: Option<StdRng>,
+    /// Source of the crowds, if there are any.
+    pub crowds: Option<StdRng>,
     callers: Vec<JoinHandle<()>>,
 }
 
@@ -91,6 +98,17 @@
 }
 
 impl World {
+    /// Checks the largest memory of the processes that run, since the start of each, against the bounds in their
+    /// settings, which are the defaults.
+    pub fn check_memory(&self) {
+        let gateways = self.fleet.gateways.iter().zip(std::iter::repeat(GATEWAY_MEMORY_MIB));
+        let members = self.fleet.members.iter().zip(std::iter::repeat(MEMBER_MEMORY_MIB));
+        for (process, most) in gateways.chain(members) {
+            let peak = process.peak_mib();
+            assert!(peak <= most, "{} used {peak:.0} MiB of {most:.0}", process.name);
+        }
+    }
+
     /// Starts everything; callers start when all gateways have the configuration and know all targets.
     pub async fn start(size: Size, seed: u64, earlier_build: Option<PathBuf>) -> Self {
         let mut fleet = Fleet::prepare(size.members, size.gateways);
@@ -159,6 +177,7 @@
             target_kind: TargetKind { versions, brittle: size.brittle },
             cuts: size.cut_off.then(|| StdRng::seed_from_u64(!seed)),
             unheard: size.unheard.then(|| StdRng::seed_from_u64(seed.rotate_left(32))),
+            crowds: size.crowds.then(|| StdRng::seed_from_u64(seed.rotate_left(16))),
             callers: Vec::new(),
         };
         for _ in 0..size.targets {
