--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -4,6 +4,7 @@
 //! While the crowd stays open, the process must live, its memory and descriptors must stay under the bounds in its
 //! settings, and an ordinary request must be answered. Nothing here depends on how fast the machine is.
 
+mod accounting;
 mod calm;
 mod client;
 mod control;
--- a/tests/crowd/process.rs
+++ b/tests/crowd/process.rs
@@ -65,9 +65,18 @@
 
 /// Largest resident memory of a process since its start, in MiB.
 fn peak_mib(process_id: u32) -> f64 {
+    memory_mib(process_id, "VmHWM")
+}
+
+/// Resident memory of a process, in MiB.
+pub fn resident_mib(process_id: u32) -> f64 {
+    memory_mib(process_id, "VmRSS")
+}
+
+fn memory_mib(process_id: u32, field: &str) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{process_id}/status"));
     let status = status.expect("the process lives");
-    let line = status.lines().find(|line| line.starts_with("VmHWM")).expect("the process lives");
+    let line = status.lines().find(|line| line.starts_with(field)).expect("the process lives");
     let kib: f64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
     kib / 1_024.0
 }
