A large body uses the memory that the one before left

Callers saw: bodies of 4 MiB took longer since large freed pieces go back to the system.

Cause: such a body gets new pages each time, 1,024 page faults.

Change: each listener keeps one piece of up to 4 MiB that a whole body has left for the next body above 256 KiB, while less than a quarter of its memory is held, and gives it up as soon as a reservation finds no memory.

--- a/src/serving/body_buffer.rs
+++ b/src/serving/body_buffer.rs
@@ -8,6 +8,9 @@
 
 use super::buffers::ClientBuffer;
 
+/// Bodies of at least this size use memory that an earlier one has left, if there is any, in bytes: new memory costs a
+/// page fault for each page.
+const SPARE_MIN_BYTES: usize = 256 * 1024;
 /// Smallest memory for a body that does not arrive in one piece, in bytes.
 const MIN_GROWTH_BYTES: usize = 4 * 1024;
 
@@ -99,6 +102,7 @@
 
     /// Appends a piece. Waits for memory that is being freed; returns false if there is none.
     pub(crate) async fn push(&mut self, piece: &[u8]) -> bool {
+        self.use_spare(piece.len());
         let growth = self.growth(piece.len());
         if growth > 0 && !self.client.reserve(growth).await {
             return false;
@@ -117,6 +121,23 @@
         true
     }
 
+    /// Goes on in memory that an earlier body has left, once this one is large enough.
+    fn use_spare(&mut self, piece: usize) {
+        let needed = self.bytes.len() + piece;
+        if needed < SPARE_MIN_BYTES || needed <= self.counted {
+            return;
+        }
+        let Some(mut spare) = self.client.take_spare(self.announced.unwrap_or(needed)) else {
+            return;
+        };
+        let more = spare.capacity().saturating_sub(self.counted);
+        if self.client.reserve_free(more) {
+            spare.extend_from_slice(&self.bytes);
+            self.counted += more;
+            self.bytes = spare;
+        }
+    }
+
     /// Bytes of memory that are missing for a piece: the capacity doubles, up to the announced length.
     fn growth(&self, piece: usize) -> usize {
         let needed = self.bytes.len() + piece;
@@ -142,19 +163,23 @@
     }
 
     /// The bytes, and how many are counted for them. The caller takes over the count.
-    fn take(&mut self) -> (Bytes, usize) {
-        self.bytes.shrink_to_fit();
-        let spare = self.counted - self.bytes.len();
-        self.client.release(spare);
-        let counted = std::mem::take(&mut self.counted) - spare;
-        (Bytes::from(std::mem::take(&mut self.bytes)), counted)
+    fn take(&mut self) -> (Vec<u8>, usize) {
+        let unused = self.counted - self.bytes.len();
+        // A large piece that is mostly used is kept as it is for a later body.
+        if unused > self.counted / 4 || self.counted < SPARE_MIN_BYTES {
+            self.bytes.shrink_to_fit();
+            self.counted -= unused;
+            self.client.release(unused);
+        }
+        (std::mem::take(&mut self.bytes), std::mem::take(&mut self.counted))
     }
 
     /// The complete body of a request, counted until its last copy is dropped.
     pub(crate) fn into_body(mut self) -> Bytes {
         let (body, counted) = self.take();
         if body.is_empty() {
-            return body;
+            self.client.release(counted);
+            return Bytes::new();
         }
         Bytes::from_owner(CountedBytes { bytes: body, counted, client: self.client.clone() })
     }
@@ -162,13 +187,17 @@
     /// An answer, counted until the client has read it.
     pub(crate) fn into_answer(mut self) -> Bytes {
         let (answer, counted) = self.take();
-        if answer.is_empty() { answer } else { self.client.wrap_unread(answer, counted) }
+        if answer.is_empty() {
+            self.client.release(counted);
+            return Bytes::new();
+        }
+        self.client.wrap_unread(Bytes::from(answer), counted)
     }
 }
 
 /// The body of a request, counted until dropped.
 struct CountedBytes {
-    bytes: Bytes,
+    bytes: Vec<u8>,
     counted: usize,
     client: Arc<ClientBuffer>,
 }
@@ -181,7 +210,10 @@
 
 impl Drop for CountedBytes {
     fn drop(&mut self) {
-        self.bytes = Bytes::new();
+        let bytes = std::mem::take(&mut self.bytes);
         self.client.release(self.counted);
+        if bytes.capacity() >= SPARE_MIN_BYTES {
+            self.client.keep_spare(bytes);
+        }
     }
 }
--- a/src/serving/buffers.rs
+++ b/src/serving/buffers.rs
@@ -25,6 +25,10 @@
 pub(crate) const CONNECTION_BYTES: usize = 32 * 1024;
 /// Memory of a piece of an answer in addition to its bytes.
 const PIECE_BYTES: usize = 256;
+/// Largest piece of memory that is kept for the next large body, in bytes.
+const MAX_SPARE_BYTES: usize = 4 * 1024 * 1024;
+/// Memory is kept for the next large body while at most one in so many bytes of the limit is held.
+const SPARE_SHARE: usize = 4;
 /// How long a new connection waits before it asks for room again.
 const ADMISSION_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a client waits before it asks for memory again that is being freed.
@@ -38,8 +42,13 @@
 pub(crate) struct ClientBuffers {
     /// Name of the listener in logs.
     port: &'static str,
+    /// Maximum bytes held for all connections.
+    max_bytes: usize,
     ledger: Mutex<BufferLedger>,
     close_signals: Mutex<HashMap<ClientId, Arc<CloseSignal>>>,
+    /// Memory that a large body has left, for the next one. It does not count, and is given up as soon as memory is
+    /// short.
+    spare: Mutex<Vec<u8>>,
     /// Notified when memory is released or a connection is closed.
     freed: Notify,
     /// Counts the connections that are closed for others.
@@ -68,8 +77,10 @@
     ) -> Arc<Self> {
         Arc::new(ClientBuffers {
             port,
+            max_bytes: bounds.max_bytes,
             ledger: Mutex::new(BufferLedger::new(bounds)),
             close_signals: Mutex::default(),
+            spare: Mutex::default(),
             freed: Notify::new(),
             closed,
             closed_lines: Mutex::default(),
@@ -238,12 +249,31 @@
 
     fn ask(&self, bytes: usize) -> Reservation {
         let reservation = self.buffers.ledger().reserve(self.buffers.now(), self.id, bytes);
+        if reservation != Reservation::Granted {
+            *lock(&self.buffers.spare) = Vec::new();
+        }
         if let Reservation::Pending(close) = &reservation {
             self.buffers.signal(close);
         }
         reservation
     }
 
+    /// Takes the memory that a large body has left, if it has room for `least` bytes.
+    pub(super) fn take_spare(&self, least: usize) -> Option<Vec<u8>> {
+        let mut spare = lock(&self.buffers.spare);
+        (spare.capacity() >= least).then(|| std::mem::take(&mut *spare))
+    }
+
+    /// Keeps the memory of a body that is not needed any more for the next large one.
+    pub(super) fn keep_spare(&self, mut bytes: Vec<u8>) {
+        let held = self.buffers.held();
+        let spacious = held <= self.buffers.max_bytes / SPARE_SHARE;
+        if spacious && bytes.capacity() <= MAX_SPARE_BYTES {
+            bytes.clear();
+            *lock(&self.buffers.spare) = bytes;
+        }
+    }
+
     /// Releases bytes that were counted.
     pub(crate) fn release(&self, bytes: usize) {
         if bytes > 0 {
