A connection that closes late keeps no other from making room

Callers saw: nothing yet; found by reading. A connection chosen to make room whose body became whole in that moment is answered first, for as long as its request takes; until then no other connection was closed, and nobody was let in.

Change: it counts as about to close for 0.1 s, after that another one is chosen. The naive ledger does the same, and a test of its own guards it (failed before: Pending of nobody where another is expected, by the code).

--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -13,6 +13,10 @@
 /// One in so many bytes is left to connections that hold no more than [`SMALL_BYTES`].
 const SMALL_SHARE: usize = 10;
 
+/// Time in which a connection that is being closed normally closes. One that takes longer, since its request is answered
+/// first, does not keep others from being closed.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
 /// A connection of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(u64);
@@ -56,8 +60,8 @@
     waiting_since: [Option<Duration>; 3],
     /// Whether the client has had an answer on this connection.
     answered: bool,
-    /// Whether the connection is being closed for others. Its bytes count until it is closed.
-    closing: bool,
+    /// Since when the connection is being closed for others, if it is. Its bytes count until it is closed.
+    closing_since: Option<Duration>,
 }
 
 impl Account {
@@ -143,10 +147,14 @@
 
     /// Chooses the connection to close for a new one.
     fn make_room(&mut self, now: Duration) -> Admission {
-        if self.accounts.values().any(|account| account.closing) {
+        let closes_soon = |account: &Account| {
+            account.closing_since.is_some_and(|since| now.saturating_sub(since) < CLOSE_TIME)
+        };
+        if self.accounts.values().any(closes_soon) {
             return Admission::Pending(Vec::new());
         }
-        let waiting = self.accounts.iter().filter_map(|(id, account)| {
+        let open = self.accounts.iter().filter(|(_, account)| account.closing_since.is_none());
+        let waiting = open.filter_map(|(id, account)| {
             let waited = account.waited(now)?;
             (waited >= self.bounds.min_wait).then_some((!account.answered, waited, *id))
         });
@@ -154,7 +162,7 @@
         let Some((_, _, id)) = longest else {
             return Admission::Full;
         };
-        self.mark_closing(&[id]);
+        self.mark_closing(now, &[id]);
         Admission::Pending(vec![id])
     }
 
@@ -162,7 +170,7 @@
     pub fn close(&mut self, id: ClientId) {
         if let Some(account) = self.accounts.remove(&id) {
             self.held -= account.held;
-            if account.closing {
+            if account.closing_since.is_some() {
                 self.closing -= account.held;
             }
         }
@@ -218,7 +226,9 @@
     /// Bytes that must be freed before `bytes` more fit; `None` if the connection is closed or being closed.
     fn missing(&self, id: Option<ClientId>, bytes: usize) -> Option<usize> {
         let held = match id {
-            Some(id) => self.accounts.get(&id).filter(|account| !account.closing)?.held,
+            Some(id) => {
+                self.accounts.get(&id).filter(|account| account.closing_since.is_none())?.held
+            }
             None => 0,
         };
         let small = held.saturating_add(bytes) <= SMALL_BYTES;
@@ -237,7 +247,7 @@
         let missing = missing.saturating_sub(self.closing);
         match self.slow_connections(now, id, missing) {
             Some(close) => {
-                self.mark_closing(&close);
+                self.mark_closing(now, &close);
                 Reservation::Pending(close)
             }
             None => Reservation::Refused,
@@ -253,7 +263,7 @@
     ) -> Option<Vec<ClientId>> {
         let slow = self.accounts.iter().filter_map(|(id, account)| {
             let waited = account.waited(now)?;
-            let others = Some(*id) != except && !account.closing;
+            let others = Some(*id) != except && account.closing_since.is_none();
             let may_close = others && account.held > 0 && waited >= self.bounds.min_wait;
             may_close.then_some((account.held as f64 * waited.as_secs_f64(), *id, account.held))
         });
@@ -271,10 +281,10 @@
         (freed >= missing).then_some(close)
     }
 
-    fn mark_closing(&mut self, ids: &[ClientId]) {
+    fn mark_closing(&mut self, now: Duration, ids: &[ClientId]) {
         for id in ids {
             if let Some(account) = self.accounts.get_mut(id) {
-                account.closing = true;
+                account.closing_since = Some(now);
                 self.closing += account.held;
             }
         }
@@ -286,7 +296,7 @@
             let bytes = bytes.min(account.held);
             account.held -= bytes;
             self.held -= bytes;
-            if account.closing {
+            if account.closing_since.is_some() {
                 self.closing -= bytes;
             }
         }
--- a/tests/serving/ledger.rs
+++ b/tests/serving/ledger.rs
@@ -13,6 +13,8 @@
 
 /// Time after which a client that the process waits for counts as slow and may be disconnected.
 const SLOW_AFTER: Duration = Duration::from_secs(1);
+/// Time in which a connection that is to be closed normally is.
+const CLOSES_WITHIN: Duration = Duration::from_millis(100);
 /// Bounds of the ledgers in these tests.
 const BOUNDS: Bounds = Bounds { max_bytes: 10_000, max_connections: 12, min_wait: SLOW_AFTER };
 /// Bounds at which bodies larger than [`SMALL_BYTES`] leave memory to others.
@@ -25,7 +27,7 @@
     held: usize,
     waits: [Option<Duration>; 3],
     answered: bool,
-    closing: bool,
+    closing: Option<Duration>,
 }
 
 impl Client {
@@ -64,7 +66,7 @@
     /// `bytes` more. Disconnects nobody if that does not make enough room.
     fn find_memory(&mut self, now: Duration, id: Option<ClientId>, bytes: usize) -> Said {
         let own = id.map_or(Some(0), |id| {
-            self.clients.get(&id).filter(|own| !own.closing).map(|own| own.held)
+            self.clients.get(&id).filter(|own| own.closing.is_none()).map(|own| own.held)
         });
         let Some(own) = own else {
             return Said::No;
@@ -77,7 +79,7 @@
         let mut disconnected = Vec::new();
         loop {
             let staying = |(other, client): &(&ClientId, &Client)| {
-                !client.closing && !disconnected.contains(*other)
+                client.closing.is_none() && !disconnected.contains(*other)
             };
             let stays: usize =
                 self.clients.iter().filter(staying).map(|(_, client)| client.held).sum();
@@ -95,7 +97,7 @@
             disconnected.push(worst);
         }
         for other in &disconnected {
-            self.clients.get_mut(other).expect("an open client").closing = true;
+            self.clients.get_mut(other).expect("an open client").closing = Some(now);
         }
         Said::Later(disconnected)
     }
@@ -105,18 +107,19 @@
         if self.clients.len() < self.bounds.max_connections {
             return self.find_memory(now, None, bytes);
         }
-        if self.clients.values().any(|client| client.closing) {
+        let mut closing = self.clients.values().filter_map(|client| client.closing);
+        if closing.any(|since| now - since < CLOSES_WITHIN) {
             return Said::Later(Vec::new());
         }
         let mut slow: Vec<(bool, Duration, ClientId)> = Vec::new();
-        for (id, client) in &self.clients {
+        for (id, client) in self.clients.iter().filter(|(_, client)| client.closing.is_none()) {
             slow.extend(client.slow_for(now).map(|waited| (client.answered, waited, *id)));
         }
         slow.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
         let Some((_, _, worst)) = slow.first() else {
             return Said::No;
         };
-        self.clients.get_mut(worst).expect("an open client").closing = true;
+        self.clients.get_mut(worst).expect("an open client").closing = Some(now);
         Said::Later(vec![*worst])
     }
 }
@@ -179,7 +182,7 @@
             client.held = client.held.saturating_sub(bytes / 3);
         }
         7 => {
-            let closing = client.closing;
+            let closing = client.closing.is_some();
             let small = client.held + bytes <= SMALL_BYTES;
             let max = naive.bounds.max_bytes;
             let limit = if small { max } else { max - max / 10 };
@@ -318,3 +321,14 @@
     ledger.record_answer(at(5), ordinary);
     assert_eq!(ledger.admit(at(20), 0), Admission::Pending(vec![silent]));
 }
+
+#[test]
+fn a_connection_that_does_not_close_at_once_keeps_no_other_from_making_room() {
+    let mut ledger = BufferLedger::new(Bounds { max_connections: 2, ..BOUNDS });
+    let at = Duration::from_millis;
+    let (first, second) = (admit(&mut ledger, at(0)), admit(&mut ledger, at(100)));
+    assert_eq!(ledger.admit(at(2_000), 0), Admission::Pending(vec![first]));
+    assert_eq!(ledger.admit(at(2_050), 0), Admission::Pending(vec![]));
+    assert_eq!(ledger.admit(at(2_100), 0), Admission::Pending(vec![second]));
+    assert_eq!(ledger.admit(at(3_000), 0), Admission::Full);
+}
