--- a/tests/serving/ledger.rs
+++ b/tests/serving/ledger.rs
@@ -16,7 +16,7 @@
 /// Time in which a connection that is to be closed normally is.
 const CLOSES_WITHIN: Duration = Duration::from_millis(100);
 /// Bounds of the ledgers in these tests.
-const BOUNDS: Bounds = Bounds { max_bytes: 10_000, max_connections: 12, min_wait: SLOW_AFTER };
+const BOUNDS: Bounds = Bounds { max_bytes: 10_000, max_connections: 5, min_wait: SLOW_AFTER };
 /// Bounds at which bodies larger than [`SMALL_BYTES`] leave memory to others.
 const LARGE: Bounds = Bounds { max_bytes: 1_000_000, ..BOUNDS };
 const WAITS: [WaitFor; 3] = [WaitFor::Request, WaitFor::Body, WaitFor::Read];
