One piece each for shares of memory, readers of bodies and connections that close for others

Cause: read again, the change wrote some things twice: the bounds of a share of memory three times, with three constants for a MiB and three for the least wait; a body read within a time three times; the status of a body that could not be read twice; the wait for a connection's closing three times; a limit kept beside the ledger that has it; a Drop that releases what closing the account releases anyway; five arguments where one says all.

Change: Bounds::of_memory, ClientBuffer::read_body_within and unless_closed, BodyError::status, BufferLedger::is_spacious; the status server takes its accounting. Behaviour stays. The text to a member's caller whose body was too slow no longer says that its memory was needed for others, which a time-out is not.

--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -66,9 +66,8 @@
         request: Request<Incoming>,
     ) -> Response<HttpBody> {
         let (head, body) = request.into_parts();
-        let reading = client.read_body(body, MAX_CALL_BYTES as usize);
-        let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
-        let body = match read.unwrap_or(Err(BodyError::Closed)) {
+        let max_bytes = MAX_CALL_BYTES as usize;
+        let body = match client.read_body_within(BODY_TIMEOUT, body, max_bytes).await {
             Ok(body) => body,
             Err(error) => return refuse(error),
         };
@@ -93,13 +92,7 @@
 
 /// The answer to a call that could not be read, and so was not carried out.
 fn refuse(error: BodyError) -> Response<HttpBody> {
-    let status = match error {
-        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::BrokeOff => StatusCode::BAD_REQUEST,
-        BodyError::Closed => StatusCode::REQUEST_TIMEOUT,
-        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    text(status, error.to_string())
+    text(error.status(), error.to_string())
 }
 
 fn text(status: StatusCode, text: String) -> Response<HttpBody> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -217,7 +217,7 @@
     read.ok_or(Refusal::BodyTooSlow)?.map_err(|error| match error {
         BodyError::TooLarge { .. } => Refusal::BodyTooLarge,
         BodyError::BrokeOff => Refusal::BadRequest,
-        BodyError::Closed => Refusal::BodyTooSlow,
+        BodyError::TooSlow => Refusal::BodyTooSlow,
         BodyError::NoMemory => Refusal::NoRoom,
     })
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -14,7 +14,7 @@
 use crate::configuration::ClientLimits;
 use crate::link::set_tcp_timeouts;
 use crate::run_clock::RunTimer;
-use crate::serving::buffers::ClientBuffer;
+use crate::serving::buffers::{ClientBuffer, ClientBuffers};
 use crate::serving::http::{self as http_connection, HttpLimits};
 use crate::status_server;
 
@@ -78,11 +78,16 @@
     http_connection::serve(stream, client_buffer, limits, stop, answer).await;
 }
 
+/// The accounting of a status server, which logs call `port`.
+fn status_buffers(gateway: &Gateway, port: &'static str) -> Arc<ClientBuffers> {
+    let bounds = status_server::bounds(gateway.settings.max_descriptors);
+    ClientBuffers::new(port, bounds, gateway.metrics.connections_closed(port), &gateway.log)
+}
+
 /// Answers the load balancer's readiness checks.
 pub(super) async fn serve_ready(gateway: Arc<Gateway>, listener: TcpListener) {
-    let (descriptors, log) = (gateway.settings.max_descriptors, gateway.log.clone());
-    let closed = gateway.metrics.connections_closed("ready");
-    status_server::serve(listener, "ready", descriptors, closed, &log, move |request| {
+    let buffers = status_buffers(&gateway, "ready");
+    status_server::serve(listener, buffers, move |request| {
         let known = request.uri().path() == gateway.dialect.paths().ready;
         let status = match (known, gateway.ready()) {
             (false, _) => StatusCode::NOT_FOUND,
@@ -96,10 +101,7 @@
 
 /// Serves the metrics to scrapers.
 pub(super) async fn serve_metrics(gateway: Arc<Gateway>, listener: TcpListener) {
-    let (descriptors, log) = (gateway.settings.max_descriptors, gateway.log.clone());
-    let closed = gateway.metrics.connections_closed("metrics");
-    status_server::serve(listener, "metrics", descriptors, closed, &log, move |_| {
-        (StatusCode::OK, gateway.render_metrics())
-    })
-    .await;
+    let buffers = status_buffers(&gateway, "metrics");
+    status_server::serve(listener, buffers, move |_| (StatusCode::OK, gateway.render_metrics()))
+        .await;
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -72,11 +72,8 @@
     client: Arc<ClientBuffer>,
 ) {
     let mut first = [0];
-    let peeked = tokio::select! {
-        peeked = tokio::time::timeout(SERVE_TIMEOUT, stream.peek(&mut first)) => peeked,
-        () = client.wait_for_close() => return client.record_closed(),
-    };
-    if !matches!(peeked, Ok(Ok(1))) {
+    let peeking = tokio::time::timeout(SERVE_TIMEOUT, stream.peek(&mut first));
+    if !matches!(client.unless_closed(peeking).await, Some(Ok(Ok(1)))) {
         return;
     }
     if first[0].is_ascii_uppercase() {
@@ -91,10 +88,7 @@
         answer(&gateway, stream, client.clone()).await
     };
     // Errors are ignored: a peer that did not get the blob reports that to its member.
-    tokio::select! {
-        _ = tokio::time::timeout(SERVE_TIMEOUT, serving) => {}
-        () = client.wait_for_close() => client.record_closed(),
-    }
+    let _ = client.unless_closed(tokio::time::timeout(SERVE_TIMEOUT, serving)).await;
 }
 
 /// Answers one fetch request.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,9 +11,8 @@
 use crate::jsonc::{Fault, Validate};
 use crate::serving::ledger::Bounds;
 
-/// Bytes in a KiB and in a MiB.
+/// Bytes in a KiB.
 const KIB: usize = 1_024;
-const MIB: usize = 1_024 * KIB;
 /// Percentage of the process's memory that may be used for clients: their connections, requests and answers. Without any
 /// of them, a gateway with 9,999 targets uses 14 MB of 160.
 const CLIENT_MEMORY_PERCENT: usize = 35;
@@ -21,8 +20,6 @@
 const PEER_MEMORY_PERCENT: usize = 10;
 /// One in so many descriptors is for clients; most others are for targets.
 const CLIENT_DESCRIPTORS: usize = 2;
-/// How long a client must have kept the gateway waiting before its connection may be closed for others.
-const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 /// Lower limit of `memory_mb`, in MiB.
 const MIN_MEMORY_MB: usize = 32;
 
@@ -148,20 +145,13 @@
 
     /// Bounds for all clients.
     pub fn client_bounds(&self) -> Bounds {
-        Bounds {
-            max_bytes: self.memory_mb.saturating_mul(MIB) / 100 * CLIENT_MEMORY_PERCENT,
-            max_connections: self.max_descriptors / CLIENT_DESCRIPTORS,
-            min_wait: MIN_WAIT_BEFORE_CLOSE,
-        }
+        let max_connections = self.max_descriptors / CLIENT_DESCRIPTORS;
+        Bounds::of_memory(self.memory_mb, CLIENT_MEMORY_PERCENT, max_connections)
     }
 
     /// Bounds for other gateways, which may open this many connections.
     pub(super) fn peer_bounds(&self, max_connections: usize) -> Bounds {
-        Bounds {
-            max_bytes: self.memory_mb.saturating_mul(MIB) / 100 * PEER_MEMORY_PERCENT,
-            max_connections,
-            min_wait: MIN_WAIT_BEFORE_CLOSE,
-        }
+        Bounds::of_memory(self.memory_mb, PEER_MEMORY_PERCENT, max_connections)
     }
 
     /// Limit for the buffered part of the answer to one client, in bytes.
--- a/src/group/endpoints.rs
+++ b/src/group/endpoints.rs
@@ -75,23 +75,15 @@
 
 /// The response to a call whose body could not be read. Callers repeat it after a 408 or 503.
 fn refuse_body(shared: &Shared, error: BodyError) -> ApiResponse {
-    shared.metrics.count_call("body", error_status(error).as_str());
-    let mut response = fault_response(error_status(error), &[Fault::new("", error.to_string())]);
+    let status = error.status();
+    shared.metrics.count_call("body", status.as_str());
+    let mut response = fault_response(status, &[Fault::new("", error.to_string())]);
     if error == BodyError::NoMemory {
         response.headers_mut().insert(RETRY_AFTER, http::HeaderValue::from_static(RETRY_AFTER_S));
     }
     response
 }
 
-fn error_status(error: BodyError) -> StatusCode {
-    match error {
-        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::BrokeOff => StatusCode::BAD_REQUEST,
-        BodyError::Closed => StatusCode::REQUEST_TIMEOUT,
-        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
-
 /// Reads a request, executes the call, and counts it in the metrics.
 async fn answer(
     shared: &Shared,
@@ -106,8 +98,7 @@
         ApiCall::PutConfiguration => MAX_DOCUMENT_BYTES,
         _ => MAX_CALL_BYTES,
     };
-    let reading = tokio::time::timeout(BODY_TIMEOUT, client.read_body(body, max_bytes));
-    let body = match reading.await.unwrap_or(Err(BodyError::Closed)) {
+    let body = match client.read_body_within(BODY_TIMEOUT, body, max_bytes).await {
         Ok(body) => body,
         Err(error) => return refuse_body(shared, error),
     };
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -25,10 +25,7 @@
         let shared = shared.clone();
         tokio::spawn(async move {
             // Errors are ignored: the other side connects again.
-            tokio::select! {
-                _ = serve(shared, stream, client.clone()) => {}
-                () = client.wait_for_close() => client.record_closed(),
-            }
+            let _ = client.unless_closed(serve(shared, stream, client.clone())).await;
         });
     }
 }
--- a/src/group/metrics.rs
+++ b/src/group/metrics.rs
@@ -9,6 +9,7 @@
 use crate::clock::Instant;
 use crate::metrics::{DURATION_BUCKETS, MetricSet, SHORT_DURATION_BUCKETS};
 use crate::raft::Standing;
+use crate::serving::buffers::ClientBuffers;
 use crate::status_server;
 use crate::sync::lock;
 
@@ -254,9 +255,10 @@
 
 /// Serves the metrics over HTTP; never returns.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let (descriptors, log) = (shared.settings.max_descriptors, shared.log.clone());
+    let bounds = status_server::bounds(shared.settings.max_descriptors);
     let closed = shared.metrics.connections_closed("metrics");
-    status_server::serve(listener, "metrics", descriptors, closed, &log, move |_| {
+    let buffers = ClientBuffers::new("metrics", bounds, closed, &shared.log);
+    status_server::serve(listener, buffers, move |_| {
         (http::StatusCode::OK, shared.metrics.render(&shared))
     })
     .await;
--- a/src/group/settings.rs
+++ b/src/group/settings.rs
@@ -12,20 +12,16 @@
 use crate::raft::{MembershipRules, Timing};
 use crate::serving::ledger::Bounds;
 
-/// Bytes in a MiB.
-const MIB: usize = 1_024 * 1_024;
-/// Tenths of the process's memory that may be used for calls of operators and targets. The largest configuration fits
-/// at the lowest `memory_mb`.
-const API_MEMORY_TENTHS: usize = 3;
-/// Tenths of it that may be used for frames of members and gateways.
-const PEER_MEMORY_TENTHS: usize = 3;
+/// Percentage of the process's memory that may be used for calls of operators and targets. The largest configuration
+/// fits at the lowest `memory_mb`.
+const API_MEMORY_PERCENT: usize = 30;
+/// Percentage of it that may be used for frames of members and gateways.
+const PEER_MEMORY_PERCENT: usize = 30;
 /// One in so many descriptors is for operators and targets: all targets may call the few members that are left.
 const API_DESCRIPTORS: usize = 2;
 /// One in so many descriptors is for connections from members and gateways. The rest is for files, connections to other
 /// members, and metrics.
 const PEER_DESCRIPTORS: usize = 4;
-/// How long a connection must have kept the member waiting before it may be closed for others.
-const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 /// Lower limit of `memory_mb`, in MiB.
 const MIN_MEMORY_MB: usize = 64;
 /// Lower limit of `max_descriptors`.
@@ -145,20 +141,14 @@
 
     /// Bounds for operators and targets.
     pub(super) fn api_bounds(&self) -> Bounds {
-        self.bounds(API_MEMORY_TENTHS, API_DESCRIPTORS)
+        let max_connections = self.max_descriptors / API_DESCRIPTORS;
+        Bounds::of_memory(self.memory_mb, API_MEMORY_PERCENT, max_connections)
     }
 
     /// Bounds for connections from members and gateways.
     pub(super) fn peer_bounds(&self) -> Bounds {
-        self.bounds(PEER_MEMORY_TENTHS, PEER_DESCRIPTORS)
-    }
-
-    fn bounds(&self, memory_tenths: usize, descriptors: usize) -> Bounds {
-        Bounds {
-            max_bytes: self.memory_mb.saturating_mul(MIB) / 10 * memory_tenths,
-            max_connections: self.max_descriptors / descriptors,
-            min_wait: MIN_WAIT_BEFORE_CLOSE,
-        }
+        let max_connections = self.max_descriptors / PEER_DESCRIPTORS;
+        Bounds::of_memory(self.memory_mb, PEER_MEMORY_PERCENT, max_connections)
     }
 
     /// Addresses at which members reach the seeds.
--- a/src/link.rs
+++ b/src/link.rs
@@ -141,14 +141,6 @@
     }
 }
 
-impl Drop for CountedCodec {
-    fn drop(&mut self) {
-        if let Some(client) = &self.client {
-            client.release(self.counted);
-        }
-    }
-}
-
 impl Decoder for CountedCodec {
     type Item = BytesMut;
     type Error = io::Error;
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -200,11 +200,9 @@
         let Some(client) = req.extensions().get::<Arc<ClientBuffer>>().cloned() else {
             return Err(bad_request("body: its connection is not known"));
         };
-        let body = req.take_body();
-        let read = tokio::time::timeout(timeout, client.read_body(body, limit)).await;
-        match read.unwrap_or(Err(BodyError::Closed)) {
+        match client.read_body_within(timeout, req.take_body(), limit).await {
             Ok(body) => Ok(body),
-            Err(BodyError::Closed) => Err(Refusal::from_reason(Reason::SlowCaller)),
+            Err(BodyError::TooSlow) => Err(Refusal::from_reason(Reason::SlowCaller)),
             Err(BodyError::NoMemory) => Err(Refusal::from_reason(Reason::Overloaded)),
             Err(BodyError::TooLarge { .. }) => {
                 let message = format!("body: larger than {} KiB", self.settings.max_body_kib);
--- a/src/serving/body_buffer.rs
+++ b/src/serving/body_buffer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body::Body;
 use http_body_util::BodyExt;
 
@@ -26,14 +27,26 @@
     /// It broke off or is malformed.
     #[error("the body broke off or is malformed")]
     BrokeOff,
-    /// Its connection is closed to make room for others.
-    #[error("the body came too slowly, and its memory was needed for others")]
-    Closed,
+    /// It did not arrive in time, or its connection is closed to make room for others.
+    #[error("the body came too slowly")]
+    TooSlow,
     /// The memory of the listener is used up.
     #[error("no memory is left for the body")]
     NoMemory,
 }
 
+impl BodyError {
+    /// HTTP status of the answer to such a request, which was not run. Callers repeat it after all but the first two.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::BrokeOff => StatusCode::BAD_REQUEST,
+            BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
 /// Reads a body of at most `max_bytes`, while the process waits for the client.
 pub(super) async fn read<B>(
     client: &Arc<ClientBuffer>,
@@ -46,7 +59,7 @@
     let _waiting = client.start_waiting();
     tokio::select! {
         read = gather(client, body, max_bytes) => read,
-        () = client.wait_for_close() => Err(BodyError::Closed),
+        () = client.wait_for_close() => Err(BodyError::TooSlow),
     }
 }
 
@@ -130,7 +143,7 @@
         let Some(mut spare) = self.client.take_spare(self.announced.unwrap_or(needed)) else {
             return;
         };
-        let more = spare.capacity().saturating_sub(self.counted);
+        let more = spare.capacity() - self.counted;
         if self.client.reserve_free(more) {
             spare.extend_from_slice(&self.bytes);
             self.counted += more;
--- a/src/serving/buffers.rs
+++ b/src/serving/buffers.rs
@@ -27,8 +27,6 @@
 const PIECE_BYTES: usize = 256;
 /// Largest piece of memory that is kept for the next large body, in bytes.
 const MAX_SPARE_BYTES: usize = 4 * 1024 * 1024;
-/// Memory is kept for the next large body while at most one in so many bytes of the limit is held.
-const SPARE_SHARE: usize = 4;
 /// How long a new connection waits before it asks for room again.
 const ADMISSION_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a client waits before it asks for memory again that is being freed.
@@ -42,8 +40,6 @@
 pub(crate) struct ClientBuffers {
     /// Name of the listener in logs.
     port: &'static str,
-    /// Maximum bytes held for all connections.
-    max_bytes: usize,
     ledger: Mutex<BufferLedger>,
     close_signals: Mutex<HashMap<ClientId, Arc<CloseSignal>>>,
     /// Memory that a large body has left, for the next one. It does not count, and is given up as soon as memory is
@@ -77,7 +73,6 @@
     ) -> Arc<Self> {
         Arc::new(ClientBuffers {
             port,
-            max_bytes: bounds.max_bytes,
             ledger: Mutex::new(BufferLedger::new(bounds)),
             close_signals: Mutex::default(),
             spare: Mutex::default(),
@@ -264,11 +259,9 @@
         (spare.capacity() >= least).then(|| std::mem::take(&mut *spare))
     }
 
-    /// Keeps the memory of a body that is not needed any more for the next large one.
+    /// Keeps the memory of a body that is not needed any more for the next large one, while memory is spacious.
     pub(super) fn keep_spare(&self, mut bytes: Vec<u8>) {
-        let held = self.buffers.held();
-        let spacious = held <= self.buffers.max_bytes / SPARE_SHARE;
-        if spacious && bytes.capacity() <= MAX_SPARE_BYTES {
+        if self.buffers.ledger().is_spacious() && bytes.capacity() <= MAX_SPARE_BYTES {
             bytes.clear();
             *lock(&self.buffers.spare) = bytes;
         }
@@ -287,6 +280,20 @@
         BodyBuffer::new(self.clone(), announced)
     }
 
+    /// Like [`Self::read_body`], within `timeout`.
+    pub(crate) async fn read_body_within<B>(
+        self: &Arc<Self>,
+        timeout: Duration,
+        body: B,
+        max_bytes: usize,
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let read = tokio::time::timeout(timeout, self.read_body(body, max_bytes)).await;
+        read.unwrap_or(Err(BodyError::TooSlow))
+    }
+
     /// Reads the body of a request, of at most `max_bytes`. Bounds its memory, but not its time.
     ///
     /// # Errors
@@ -314,7 +321,7 @@
     }
 
     /// Waits until the connection is to be closed to make room for others.
-    pub(crate) async fn wait_for_close(&self) {
+    pub(super) async fn wait_for_close(&self) {
         let woken = self.close.wake.notified();
         if !self.is_closing() {
             woken.await;
@@ -322,10 +329,21 @@
     }
 
     /// Counts and logs that the connection is closed for others.
-    pub(crate) fn record_closed(&self) {
+    pub(super) fn record_closed(&self) {
         self.buffers.record_closed(self);
     }
 
+    /// Runs `serving` to its end, or until the connection is to be closed to make room for others; `None` then.
+    pub(crate) async fn unless_closed<T>(&self, serving: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            ended = serving => Some(ended),
+            () = self.wait_for_close() => {
+                self.record_closed();
+                None
+            }
+        }
+    }
+
     /// Bytes of answers that the client has not read yet.
     pub(crate) fn unread(&self) -> usize {
         self.unread.load(Ordering::Relaxed)
--- a/src/serving/ledger.rs
+++ b/src/serving/ledger.rs
@@ -13,6 +13,12 @@
 /// One in so many bytes is left to connections that hold no more than [`SMALL_BYTES`].
 const SMALL_SHARE: usize = 10;
 
+/// Bytes in a MiB.
+const MIB: usize = 1024 * 1024;
+/// How long a client must have kept the process waiting before its connection may be closed for others.
+const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
+/// Memory counts as spacious while at most one in so many bytes is held.
+const SPACIOUS_SHARE: usize = 4;
 /// Time in which a connection that is being closed normally closes. One that takes longer, since its request is answered
 /// first, does not keep others from being closed.
 const CLOSE_TIME: Duration = Duration::from_millis(100);
@@ -45,6 +51,15 @@
 }
 
 impl Bounds {
+    /// Bounds of a listener that may use `percent` of the `memory_mb` MiB of its process.
+    pub fn of_memory(memory_mb: usize, percent: usize, max_connections: usize) -> Self {
+        Bounds {
+            max_bytes: memory_mb.saturating_mul(MIB) / 100 * percent,
+            max_connections,
+            min_wait: MIN_WAIT_BEFORE_CLOSE,
+        }
+    }
+
     /// The most that one connection can hold.
     pub fn largest_bytes(&self) -> usize {
         self.max_bytes - self.max_bytes / SMALL_SHARE
@@ -117,6 +132,11 @@
         self.held
     }
 
+    /// Whether most of the memory is free.
+    pub fn is_spacious(&self) -> bool {
+        self.held <= self.bounds.max_bytes / SPACIOUS_SHARE
+    }
+
     /// Number of open connections.
     pub fn connections(&self) -> usize {
         self.accounts.len()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,14 +19,10 @@
 const SHA256_HEX_LEN: usize = 64;
 /// Maximum freshness lease. An accepted change is in force at every router when the lease has passed.
 const MAX_LEASE_MS: u64 = 19_000;
-/// Bytes in a MiB.
-const MIB: usize = 1_024 * 1_024;
 /// Lower limit of `memory_mb`, in MiB.
 const MIN_MEMORY_MB: usize = 64;
 /// Percentage of the process's memory that may be used for connections and for what is sent on them.
 const CLIENT_MEMORY_PERCENT: usize = 35;
-/// How long a connection must have kept the process waiting before it may be closed for others.
-const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_secs(1);
 /// Maximum of open connections of a control member, from members, routers and operators, sized for 340 routers.
 const MAX_CONTROL_CONNECTIONS: usize = 4_096;
 /// Maximum of all other intervals: a day.
@@ -212,15 +208,6 @@
     pub token_sha256: String,
 }
 
-/// Bounds on connections and on the memory held for them, in a process that may use `memory_mb` MiB.
-fn connection_bounds(memory_mb: usize, max_connections: usize) -> ConnectionBounds {
-    ConnectionBounds {
-        max_bytes: memory_mb.saturating_mul(MIB) / 100 * CLIENT_MEMORY_PERCENT,
-        max_connections,
-        min_wait: MIN_WAIT_BEFORE_CLOSE,
-    }
-}
-
 fn check_memory(faults: &mut Vec<Fault>, path: &str, memory_mb: usize) {
     if memory_mb < MIN_MEMORY_MB {
         faults.push(Fault::new(path, "must be at least 64"));
@@ -230,7 +217,7 @@
 impl ControlSettings {
     /// Bounds on the connections of members, routers and operators.
     pub(crate) fn connection_bounds(&self) -> ConnectionBounds {
-        connection_bounds(self.memory_mb, MAX_CONTROL_CONNECTIONS)
+        ConnectionBounds::of_memory(self.memory_mb, CLIENT_MEMORY_PERCENT, MAX_CONTROL_CONNECTIONS)
     }
 
     /// Address at which the others reach this member.
@@ -293,7 +280,7 @@
 impl RouterSettings {
     /// Bounds on the connections of clients.
     pub(crate) fn connection_bounds(&self) -> ConnectionBounds {
-        connection_bounds(self.memory_mb, self.max_connections)
+        ConnectionBounds::of_memory(self.memory_mb, CLIENT_MEMORY_PERCENT, self.max_connections)
     }
 
     /// Load limits of the engines.
--- a/src/status_server.rs
+++ b/src/status_server.rs
@@ -8,8 +8,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioTimer;
-use prometheus::IntCounter;
-use slog::Logger;
 use tokio::net::TcpListener;
 
 use crate::serving::buffers::{CONNECTION_BYTES, ClientBuffers};
@@ -30,7 +28,7 @@
 const MIN_WAIT_BEFORE_CLOSE: Duration = Duration::from_millis(100);
 
 /// Bounds of a status server in a process that may use this many descriptors.
-fn bounds(max_descriptors: usize) -> Bounds {
+pub(crate) fn bounds(max_descriptors: usize) -> Bounds {
     let max_connections = MAX_CONNECTIONS.min(max_descriptors / DESCRIPTORS_SHARE);
     Bounds {
         max_bytes: max_connections * BYTES_PER_CONNECTION,
@@ -39,18 +37,12 @@
     }
 }
 
-/// Accepts connections for ever and answers each request with the status and body that `answer` returns. `port` names
-/// the server in logs; `max_descriptors` is how many descriptors the process may use; `closed` counts the connections
-/// that are closed for others.
+/// Accepts connections for ever and answers each request with the status and body that `answer` returns.
 pub(crate) async fn serve(
     listener: TcpListener,
-    port: &'static str,
-    max_descriptors: usize,
-    closed: IntCounter,
-    log: &Logger,
+    buffers: Arc<ClientBuffers>,
     answer: impl Fn(&Request<Incoming>) -> (StatusCode, Vec<u8>) + Send + Sync + 'static,
 ) {
-    let buffers = ClientBuffers::new(port, bounds(max_descriptors), closed, log);
     let answer = Arc::new(answer);
     loop {
         let (stream, client) = buffers.accept(&listener).await;
