Tests read what a process uses in one place, and open crowds in one

Cause: read again, four test files read /proc for themselves, and crowds were put together anew in each file; the wait until a process is at rest compared times, where only a number of looks is meant.

Change: tests/support/usage.rs for all; Crowd::leave_bodies_open, send_bytewise and leave_heads_open. The wait looks 80 times at most, half a second apart, and is no check, as before.

--- a/benches/evacuation.rs
+++ b/benches/evacuation.rs
@@ -8,6 +8,8 @@
 
 #[path = "../tests/fleet/harness.rs"]
 mod harness;
+#[path = "../tests/support/usage.rs"]
+mod usage;
 
 use std::time::{Duration, Instant};
 
--- a/tests/crowd/accounting.rs
+++ b/tests/crowd/accounting.rs
@@ -2,9 +2,10 @@
 
 use rstest::rstest;
 
-use crate::client::{Crowd, SEGMENT_PAUSE, Split, Writes, writes};
-use crate::fleet::{DESCRIPTORS, MAX_HEADER_BYTES, Small, head, unfinished_head};
-use crate::process::{one_at_a_time, resident_mib, wait_until_settled};
+use crate::client::{Crowd, Split, Writes, unfinished_head, writes};
+use crate::fleet::{DESCRIPTORS, MAX_HEADER_BYTES, Small, head};
+use crate::process::{one_at_a_time, wait_until_settled};
+use crate::usage::resident_mib;
 
 /// Memory that the gateway may use: more than the crowds here need, so that none of their connections is closed.
 const MEMORY_MB: usize = 512;
@@ -48,11 +49,8 @@
 async fn as_much_is_counted_as_is_held_for_bytes_in_segments_of_their_own() {
     let _turn = one_at_a_time().await;
     let small = Small::start_with(MEMORY_MB, DESCRIPTORS).await;
-    let crowd = Crowd::open_paced(small.clients(), 100, SEGMENT_PAUSE, |number| {
-        let mut sent = vec![head(&format!("crowd-{number}"), Split::Whole, 300)];
-        sent.extend(Split::Whole.bytewise(300));
-        sent
-    });
+    let head = |number| head(&format!("crowd-{number}"), Split::Whole, 300);
+    let crowd = Crowd::send_bytewise(small.clients(), 100, (Split::Whole, 300), head);
     compare(&small, crowd).await;
 }
 
--- a/tests/crowd/client.rs
+++ b/tests/crowd/client.rs
@@ -13,7 +13,7 @@
 const WRITE_BYTES: usize = 64 * 1_024;
 
 /// Pause after which the next write arrives in a segment of its own.
-pub const SEGMENT_PAUSE: Duration = Duration::from_millis(5);
+const SEGMENT_PAUSE: Duration = Duration::from_millis(5);
 
 /// How a body is split.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +83,15 @@
     bytes.chunks(WRITE_BYTES).map(<[u8]>::to_vec).collect()
 }
 
+/// A head of this size, short of its last byte.
+pub fn unfinished_head(id: &str, max_bytes: usize) -> Vec<u8> {
+    let mut head =
+        format!("POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nx-long: ");
+    head.push_str(&"x".repeat(max_bytes - head.len() - 5));
+    head.push_str("\r\n\r");
+    head.into_bytes()
+}
+
 /// Open connections of a crowd.
 pub struct Crowd(Vec<TcpStream>);
 
@@ -107,6 +116,36 @@
         Crowd(sending.join_all().await.into_iter().flatten().collect())
     }
 
+    /// Opens connections that each send what `head` returns for their number and this body, short of its last byte.
+    pub async fn leave_bodies_open(
+        addr: SocketAddr,
+        clients: usize,
+        (split, body): (Split, &[u8]),
+        head: impl Fn(usize) -> Vec<u8>,
+    ) -> Crowd {
+        let unfinished = split.unfinished(body);
+        let sent = |number| writes(&[head(number).as_slice(), unfinished.as_slice()].concat());
+        Crowd::open(addr, clients, sent).await
+    }
+
+    /// Opens connections that each send what `head` returns for their number and a body of this length short of its last
+    /// byte, each byte of it in a segment of its own.
+    pub async fn send_bytewise(
+        addr: SocketAddr,
+        clients: usize,
+        (split, length): (Split, usize),
+        head: impl Fn(usize) -> Vec<u8>,
+    ) -> Crowd {
+        let sent = |number| [vec![head(number)], split.bytewise(length)].concat();
+        Crowd::open_paced(addr, clients, SEGMENT_PAUSE, sent).await
+    }
+
+    /// Opens connections that each send a head of this size, short of its last byte.
+    pub async fn leave_heads_open(addr: SocketAddr, clients: usize, max_bytes: usize) -> Crowd {
+        let sent = |number| writes(&unfinished_head(&format!("crowd-{number}"), max_bytes));
+        Crowd::open(addr, clients, sent).await
+    }
+
     /// Opens connections that send nothing.
     pub async fn idle(addr: SocketAddr, clients: usize) -> Crowd {
         Crowd::open(addr, clients, |_| Vec::new()).await
--- a/tests/crowd/control.rs
+++ b/tests/crowd/control.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use serde_json::json;
 
-use crate::client::{Crowd, Split, writes};
+use crate::client::{Crowd, Split};
 use crate::fleet::MEMORY_MB;
 use crate::process::{Bounds, one_at_a_time, wait_until_settled};
 use crate::support::{Fleet, FleetOptions, eventually, template};
@@ -50,15 +50,14 @@
     let fleet = start().await;
     let mut call = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"".to_vec();
     call.resize(BYTES, b'x');
-    let body = split.unfinished(&call);
-    let crowd = Crowd::open(addr(&fleet), CLIENTS, |_| {
+    let head = |_| {
         let head = format!(
             "POST / HTTP/1.1\r\nhost: member\r\ncontent-type: application/json\r\n{}\r\n",
             split.header(BYTES)
         );
-        writes(&[head.as_bytes(), &body].concat())
-    })
-    .await;
+        head.into_bytes()
+    };
+    let crowd = Crowd::leave_bodies_open(addr(&fleet), CLIENTS, (split, &call), head).await;
     check(&fleet).await;
     drop(crowd);
 }
--- a/tests/crowd/fleet.rs
+++ b/tests/crowd/fleet.rs
@@ -153,12 +153,3 @@
     );
     head.into_bytes()
 }
-
-/// A head of the largest size, short of its last byte.
-pub fn unfinished_head(id: &str, max_bytes: usize) -> Vec<u8> {
-    let mut head =
-        format!("POST /safe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nx-long: ");
-    head.push_str(&"x".repeat(max_bytes - head.len() - 5));
-    head.push_str("\r\n\r");
-    head.into_bytes()
-}
--- a/tests/crowd/gateway.rs
+++ b/tests/crowd/gateway.rs
@@ -2,22 +2,21 @@
 
 use rstest::rstest;
 
-use crate::client::{Crowd, SEGMENT_PAUSE, Split, writes};
-use crate::fleet::{
-    DESCRIPTORS, FEW_DESCRIPTORS, MAX_BODY_BYTES, MAX_HEADER_BYTES, Small, head, unfinished_head,
-};
+use crate::client::{Crowd, Split};
+use crate::fleet::{DESCRIPTORS, FEW_DESCRIPTORS, MAX_BODY_BYTES, MAX_HEADER_BYTES, Small, head};
 use crate::process::one_at_a_time;
 use crate::standin::Behaviour;
 
+/// The head of the request of a client with this number.
+fn head_of(split: Split, length: usize) -> impl Fn(usize) -> Vec<u8> {
+    move |number| head(&format!("crowd-{number}"), split, length)
+}
+
 /// Sends the same body from each client, short of its last byte.
 async fn leave_bodies_open(small: &Small, clients: usize, split: Split, length: usize) -> Crowd {
-    let body = split.unfinished(&vec![b'x'; length]);
-    Crowd::open(small.clients(), clients, |number| {
-        let mut bytes = head(&format!("crowd-{number}"), split, length);
-        bytes.extend_from_slice(&body);
-        writes(&bytes)
-    })
-    .await
+    let body = vec![b'x'; length];
+    let head = head_of(split, length);
+    Crowd::leave_bodies_open(small.clients(), clients, (split, &body), head).await
 }
 
 #[rstest]
@@ -48,12 +47,8 @@
     const BYTES: usize = 300;
     let _turn = one_at_a_time().await;
     let mut small = Small::start(DESCRIPTORS).await;
-    let crowd = Crowd::open_paced(small.clients(), CLIENTS, SEGMENT_PAUSE, |number| {
-        let mut sent = vec![head(&format!("crowd-{number}"), split, BYTES)];
-        sent.extend(split.bytewise(BYTES));
-        sent
-    })
-    .await;
+    let head = head_of(split, BYTES);
+    let crowd = Crowd::send_bytewise(small.clients(), CLIENTS, (split, BYTES), head).await;
     small.check_gateway().await;
     drop(crowd);
 }
@@ -63,10 +58,7 @@
     const CLIENTS: usize = 1_500;
     let _turn = one_at_a_time().await;
     let mut small = Small::start(DESCRIPTORS).await;
-    let crowd = Crowd::open(small.clients(), CLIENTS, |number| {
-        writes(&unfinished_head(&format!("crowd-{number}"), MAX_HEADER_BYTES))
-    })
-    .await;
+    let crowd = Crowd::leave_heads_open(small.clients(), CLIENTS, MAX_HEADER_BYTES).await;
     small.check_gateway().await;
     drop(crowd);
 }
@@ -118,10 +110,7 @@
     const HEAD_BYTES: usize = 300 * 1_024;
     let _turn = one_at_a_time().await;
     let mut small = Small::start(DESCRIPTORS).await;
-    let crowd = Crowd::open(port(&small), CLIENTS, |number| {
-        writes(&unfinished_head(&format!("crowd-{number}"), HEAD_BYTES))
-    })
-    .await;
+    let crowd = Crowd::leave_heads_open(port(&small), CLIENTS, HEAD_BYTES).await;
     small.check_gateway().await;
     drop(crowd);
 }
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -20,3 +20,5 @@
 mod standin;
 #[path = "../support/mod.rs"]
 mod support;
+
+use support::usage;
--- a/tests/crowd/member.rs
+++ b/tests/crowd/member.rs
@@ -2,8 +2,8 @@
 
 use rstest::rstest;
 
-use crate::client::{Crowd, SEGMENT_PAUSE, Split, writes};
-use crate::fleet::{DESCRIPTORS, FEW_DESCRIPTORS, Small, unfinished_head};
+use crate::client::{Crowd, Split, writes};
+use crate::fleet::{DESCRIPTORS, FEW_DESCRIPTORS, Small};
 use crate::process::one_at_a_time;
 
 /// The head of a call to a member.
@@ -18,13 +18,9 @@
     path: fn(usize) -> String,
     (split, length): (Split, usize),
 ) -> Crowd {
-    let body = split.unfinished(&vec![b' '; length]);
-    Crowd::open(small.api(), clients, |number| {
-        let mut bytes = head(&path(number), split, length);
-        bytes.extend_from_slice(&body);
-        writes(&bytes)
-    })
-    .await
+    let body = vec![b' '; length];
+    let head = |number| head(&path(number), split, length);
+    Crowd::leave_bodies_open(small.api(), clients, (split, &body), head).await
 }
 
 #[rstest]
@@ -69,12 +65,8 @@
     const BYTES: usize = 300;
     let _turn = one_at_a_time().await;
     let mut small = Small::start(DESCRIPTORS).await;
-    let crowd = Crowd::open_paced(small.api(), CLIENTS, SEGMENT_PAUSE, |number| {
-        let mut sent = vec![head(&format!("/instances/crowd-{number}"), split, BYTES)];
-        sent.extend(split.bytewise(BYTES));
-        sent
-    })
-    .await;
+    let head = |number| head(&format!("/instances/crowd-{number}"), split, BYTES);
+    let crowd = Crowd::send_bytewise(small.api(), CLIENTS, (split, BYTES), head).await;
     small.check_member().await;
     drop(crowd);
 }
@@ -102,10 +94,7 @@
     const HEAD_BYTES: usize = 300 * 1_024;
     let _turn = one_at_a_time().await;
     let mut small = Small::start(DESCRIPTORS).await;
-    let crowd = Crowd::open(port(&small), CLIENTS, |number| {
-        writes(&unfinished_head(&format!("crowd-{number}"), HEAD_BYTES))
-    })
-    .await;
+    let crowd = Crowd::leave_heads_open(port(&small), CLIENTS, HEAD_BYTES).await;
     small.check_member().await;
     drop(crowd);
 }
--- a/tests/crowd/process.rs
+++ b/tests/crowd/process.rs
@@ -1,15 +1,17 @@
 //! What a process uses, as the operating system tells, and the guard by which these tests run one at a time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{Mutex, MutexGuard};
 
+use crate::usage::{cpu_ticks, open_descriptors, peak_mib};
+
 /// Interval at which the processor time of a process is read.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Clock ticks in that interval up to which a process counts as at rest: its heartbeats take some.
 const SETTLED_TICKS: u64 = 4;
-/// Longest wait until a process is at rest. It is checked all the same then.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(40);
+/// Looks after which a process is checked all the same, at rest or not.
+const MAX_LOOKS: usize = 80;
 
 /// Held by each test while it runs: crowds beside each other would share the processor and descriptors of this process.
 pub async fn one_at_a_time() -> MutexGuard<'static, ()> {
@@ -40,11 +42,10 @@
     }
 }
 
-/// Waits until a process has taken in what the crowd sent it: until it is at rest.
+/// Waits until a process has taken in what the crowd sent it: until it is at rest. This is no check.
 pub async fn wait_until_settled(process_id: u32) {
-    let began = Instant::now();
     let mut ticks = cpu_ticks(process_id);
-    while began.elapsed() < SETTLE_TIMEOUT {
+    for _ in 0..MAX_LOOKS {
         tokio::time::sleep(SETTLE_INTERVAL).await;
         let now = cpu_ticks(process_id);
         if now - ticks <= SETTLED_TICKS {
@@ -53,35 +54,3 @@
         ticks = now;
     }
 }
-
-/// Processor time of a process so far, in clock ticks.
-fn cpu_ticks(process_id: u32) -> u64 {
-    let stat = std::fs::read_to_string(format!("/proc/{process_id}/stat"));
-    let stat = stat.expect("the process lives");
-    let after_name = stat.rsplit(')').next().unwrap_or_default();
-    let fields: Vec<&str> = after_name.split_whitespace().collect();
-    fields[11..13].iter().filter_map(|field| field.parse::<u64>().ok()).sum()
-}
-
-/// Largest resident memory of a process since its start, in MiB.
-fn peak_mib(process_id: u32) -> f64 {
-    memory_mib(process_id, "VmHWM")
-}
-
-/// Resident memory of a process, in MiB.
-pub fn resident_mib(process_id: u32) -> f64 {
-    memory_mib(process_id, "VmRSS")
-}
-
-fn memory_mib(process_id: u32, field: &str) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status"));
-    let status = status.expect("the process lives");
-    let line = status.lines().find(|line| line.starts_with(field)).expect("the process lives");
-    let kib: f64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
-    kib / 1_024.0
-}
-
-/// Number of descriptors that a process has open.
-fn open_descriptors(process_id: u32) -> usize {
-    std::fs::read_dir(format!("/proc/{process_id}/fd")).expect("the process lives").count()
-}
--- a/tests/crowd/router.rs
+++ b/tests/crowd/router.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use serde_json::json;
 
-use crate::client::{Crowd, Split, writes};
+use crate::client::{Crowd, Split};
 use crate::fleet::MEMORY_MB;
 use crate::process::{Bounds, one_at_a_time, wait_until_settled};
 use crate::support::{Fleet, FleetOptions, eventually};
@@ -51,16 +51,16 @@
 ) {
     let _turn = one_at_a_time().await;
     let fleet = start().await;
-    let body = split.unfinished(&vec![b'x'; length]);
-    let crowd = Crowd::open(addr(&fleet), clients, |number| {
+    let head = |number| {
         let head = format!(
             "POST /services/porting/status/{number} HTTP/1.1\r\nhost: router\r\n\
              latchmount-team: agents\r\n{}\r\n",
             split.header(length)
         );
-        writes(&[head.as_bytes(), &body].concat())
-    })
-    .await;
+        head.into_bytes()
+    };
+    let body = vec![b'x'; length];
+    let crowd = Crowd::leave_bodies_open(addr(&fleet), clients, (split, &body), head).await;
     check(&fleet).await;
     drop(crowd);
 }
@@ -71,10 +71,7 @@
     const HEAD_BYTES: usize = 16 * 1_024;
     let _turn = one_at_a_time().await;
     let fleet = start().await;
-    let crowd = Crowd::open(addr(&fleet), CLIENTS, |number| {
-        writes(&crate::fleet::unfinished_head(&format!("crowd-{number}"), HEAD_BYTES))
-    })
-    .await;
+    let crowd = Crowd::leave_heads_open(addr(&fleet), CLIENTS, HEAD_BYTES).await;
     check(&fleet).await;
     drop(crowd);
 }
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use crate::usage;
 use pauses::{Pausable, PauseInjector, PausePlan, Paused};
 
 /// How long a test waits for something that must happen before it fails.
@@ -244,16 +245,11 @@
     }
 
     /// Largest resident memory since the start, in MiB; 0 if the process does not run.
-    pub fn peak_mib(&self) -> f64 {
-        let Some(child) = &self.child else {
+    pub fn peak_mib(&mut self) -> f64 {
+        if self.child.is_none() || self.has_exited() {
             return 0.0;
-        };
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
-        let kib: f64 =
-            line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).unwrap_or(0.0);
-        kib / 1_024.0
+        }
+        usage::peak_mib(self.id())
     }
 
     /// Whether the process was started and has exited by itself.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -41,3 +41,5 @@
 mod timelines;
 mod unannounced_restarts;
 mod upgrade;
+#[path = "../support/usage.rs"]
+mod usage;
--- a/tests/fleet/slow_clients.rs
+++ b/tests/fleet/slow_clients.rs
@@ -12,6 +12,7 @@
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
 use crate::standin::{Behaviour, Standin};
+use crate::usage;
 
 /// Slow clients that send part of a head, and as many that send part of a body.
 const SLOW_CLIENTS: usize = 300;
@@ -51,15 +52,6 @@
     stream
 }
 
-/// Resident memory of a process, in MiB.
-fn memory_mib(process: &Process) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id()));
-    let status = status.expect("a process");
-    let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("a line");
-    let kib: f64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
-    kib / 1_024.0
-}
-
 /// Sends `FAST_REQUESTS` requests one by one and counts those that are served.
 async fn count_served(front: SocketAddr) -> usize {
     let mut served = 0;
@@ -89,7 +81,7 @@
     }
     let served = count_served(front).await;
     assert!(served * 100 >= FAST_REQUESTS * 95, "{served} of {FAST_REQUESTS}");
-    let memory = memory_mib(&fleet.gateways[0]);
+    let memory = usage::resident_mib(fleet.gateways[0].id());
     assert!(memory < 160.0, "{memory} MiB");
     drop(slow);
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -28,6 +28,8 @@
 mod seeds;
 mod slots;
 mod target;
+#[path = "../support/usage.rs"]
+mod usage;
 mod world;
 
 use std::path::PathBuf;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -100,9 +100,10 @@
 impl World {
     /// Checks the largest memory of the processes that run, since the start of each, against the bounds in their
     /// settings, which are the defaults.
-    pub fn check_memory(&self) {
-        let gateways = self.fleet.gateways.iter().zip(std::iter::repeat(GATEWAY_MEMORY_MIB));
-        let members = self.fleet.members.iter().zip(std::iter::repeat(MEMBER_MEMORY_MIB));
+    pub fn check_memory(&mut self) {
+        let fleet = &mut self.fleet;
+        let gateways = fleet.gateways.iter_mut().zip(std::iter::repeat(GATEWAY_MEMORY_MIB));
+        let members = fleet.members.iter_mut().zip(std::iter::repeat(MEMBER_MEMORY_MIB));
         for (process, most) in gateways.chain(members) {
             let peak = process.peak_mib();
             assert!(peak <= most, "{} used {peak:.0} MiB of {most:.0}", process.name);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -18,6 +18,7 @@
 
 pub mod hostile;
 pub mod link;
+pub mod usage;
 
 #[path = "../../examples/standin/engine.rs"]
 pub mod engine;
@@ -86,18 +87,12 @@
 
     /// Resident memory, in KiB.
     pub fn resident_kib(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("a running process");
-        word_after(&status, "VmRSS:").parse().expect("a number")
+        usage::resident_kib(self.id())
     }
 
     /// CPU time used so far (user and system), in clock ticks of 10 ms.
     pub fn cpu_ticks(&self) -> u64 {
-        let path = format!("/proc/{}/stat", self.child.id());
-        let stat = std::fs::read_to_string(path).expect("a running process");
-        let after_name = stat.rsplit(')').next().unwrap_or_default();
-        let fields: Vec<&str> = after_name.split_whitespace().collect();
-        fields[11..13].iter().filter_map(|field| field.parse::<u64>().ok()).sum()
+        usage::cpu_ticks(self.id())
     }
 
     /// Kills the process with SIGKILL and reaps it.
