review: a stream that pauses is given up for a server that is full

LOST around a planned stop: a silent server's open answer is dropped when the attempt elsewhere is rejected, and the client's stream is cut.

--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -220,6 +220,19 @@
         }
     }
 
+    /// Sends a gateway SIGTERM.
+    pub fn terminate_gateway(&mut self, at: usize) {
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        let process = &self.gateways[at];
+        if let Some(child) = &process.child {
+            // SIGTERM is 15.
+            unsafe { kill(child.id() as i32, 15) };
+            self.record.note(format!("{} gets SIGTERM", process.name));
+        }
+    }
+
     /// Processes that ended though nobody ended them.
     pub fn ended_by_themselves(&mut self) -> Vec<String> {
         let all = self.members.iter_mut().chain(&mut self.gateways);
