--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -20,7 +20,7 @@
 const STEP: Duration = Duration::from_millis(40);
 const PAUSE_BEFORE: u32 = 40;
 /// A client gives a stream up after 2 s, 4 times the objective of 400 ms, or 8 times the pause of 300 ms: 2.4 s.
-const PAUSE: Duration = Duration::from_millis(1_500);
+const PAUSE: Duration = Duration::from_millis(1_200);
 
 fn configuration() -> String {
     r#"{"version":7,"routes":[{"name":"check","host":"ficu95.example","path-prefix":"/check/","route-type":"streaming","timeout-ms":8000,"goal-ms":400,"priority":0,"service":"llm","max-attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":300}],"services":[{"name":"llm","health-path":"/health","max-conns":370,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"hule930","api-keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#.to_owned()
