A silent answer stays open until another target has begun to answer

Cause: after the stall timeout the gateway closed the silent answer and only then asked another target. If that one had no room, the route's attempts were used up and the stream was cut, although the silent target went on 0.3 s later. The same with silence before the head of an answer.

Change: the silent answer and the next attempt are awaited together (gateway/silence.rs), and the first to go on is relayed. Once another target has answered, the silent one is closed at once. A cancelled attempt counts as sent. Log line silent_answer, metric silent_answers_total.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,14 +2,17 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
-use http::header::HeaderMap;
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue};
 use http::response::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 
 use super::connection::{ConnectError, Connection, ConnectionLimits, connect};
 use super::outgoing::Outgoing;
@@ -77,6 +80,48 @@
     }
 }
 
+/// Result of sending a request to a target.
+pub(super) enum Sent {
+    /// The target answered.
+    Answered(Answer),
+    /// It sent nothing within the answer timeout, and another target may be tried meanwhile.
+    Silent(SilentRequest),
+}
+
+/// A response that is being waited for.
+type Responding = Pin<
+    Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + Send>,
+>;
+
+/// A request that was sent to a target and has no answer yet.
+pub(super) struct SilentRequest {
+    target: Arc<Target>,
+    connection: Connection,
+    in_flight: InFlight,
+    responding: Responding,
+}
+
+impl SilentRequest {
+    /// Waits for the answer to the request with this id. `None` if there will be none that could be relayed.
+    /// `on_answer_head` is called with the head of an answer that comes from the target itself.
+    pub(super) async fn answer(
+        self,
+        id: &HeaderValue,
+        names: &Headers,
+        on_answer_head: impl FnOnce(StatusCode, &HeaderMap),
+    ) -> Option<Answer> {
+        let response = self.responding.await.ok()?;
+        let answer = accept(
+            response,
+            id,
+            names,
+            on_answer_head,
+            (self.target, self.connection, self.in_flight),
+        );
+        answer.ok().filter(|answer| !answer.status.is_server_error())
+    }
+}
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptError {
@@ -116,7 +161,7 @@
 
 /// Sends the request and waits for the head of the answer.
 ///
-/// After `answer_timeout` the attempt ends if the supervisor can try another target; otherwise it
+/// After `answer_timeout` it no longer waits if the supervisor can try another target; otherwise it
 /// waits until the request's deadline.
 pub(super) async fn send(
     target: &Arc<Target>,
@@ -126,7 +171,7 @@
     limits: ConnectionLimits<'_>,
     answer_timeout: Duration,
     supervisor: &impl Supervisor,
-) -> Result<Answer, AttemptError> {
+) -> Result<Sent, AttemptError> {
     let in_flight = target.begin(outgoing.body_bytes());
     let mut reuse = outgoing.reuse;
     loop {
@@ -144,26 +189,26 @@
             return Err(AttemptError::NotSent(ConnectError::TooLate));
         }
         let request = outgoing.to_target(target, fetch_from, names);
-        let mut sending = pin!(connection.sender.try_send_request(request));
-        let answered = match clock.within(answer_timeout, deadline, &mut sending).await {
-            None if supervisor.may_try_another() => return Err(AttemptError::Late),
+        let mut responding: Responding = Box::pin(connection.sender.try_send_request(request));
+        let answered = match clock.within(answer_timeout, deadline, &mut responding).await {
+            None if supervisor.may_try_another() => {
+                let target = target.clone();
+                let silent = SilentRequest { target, connection, in_flight, responding };
+                return Ok(Sent::Silent(silent));
+            }
             None => {
                 supervisor.on_stall();
-                clock.before(deadline, sending).await
+                clock.before(deadline, responding).await
             }
             answered => answered,
         };
         match answered {
             Some(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                let verified = verify(&head, outgoing, names);
-                if matches!(verified, Ok(()) | Err(AttemptError::NotRun)) {
-                    supervisor.on_answer_head(head.status, &head.headers);
-                }
-                verified?;
-                let (target, status, headers) = (target.clone(), head.status, head.headers);
-                let source = Source::Target { target, connection, _in_flight: in_flight };
-                return Ok(Answer { source, status, headers, body });
+                let on_answer_head =
+                    |status, headers: &_| supervisor.on_answer_head(status, headers);
+                let from = (target.clone(), connection, in_flight);
+                let answer = accept(response, &outgoing.id, names, on_answer_head, from)?;
+                return Ok(Sent::Answered(answer));
             }
             Some(Err(mut error)) => {
                 // The request is returned only if the connection closed before any byte was
@@ -178,14 +223,29 @@
     }
 }
 
-/// Checks that the answer belongs to this request and comes from the target.
-pub(super) fn verify(
-    head: &Parts,
-    outgoing: &Outgoing,
+/// Takes an answer to the request with this id, if it belongs to it and comes from the target.
+fn accept(
+    response: Response<Incoming>,
+    id: &HeaderValue,
     names: &Headers,
-) -> Result<(), AttemptError> {
+    on_answer_head: impl FnOnce(StatusCode, &HeaderMap),
+    from: (Arc<Target>, Connection, InFlight),
+) -> Result<Answer, AttemptError> {
+    let (head, body) = response.into_parts();
+    let verified = verify(&head, id, names);
+    if matches!(verified, Ok(()) | Err(AttemptError::NotRun)) {
+        on_answer_head(head.status, &head.headers);
+    }
+    verified?;
+    let (target, connection, _in_flight) = from;
+    let source = Source::Target { target, connection, _in_flight };
+    Ok(Answer { source, status: head.status, headers: head.headers, body })
+}
+
+/// Checks that the answer belongs to the request with this id and comes from the target.
+pub(super) fn verify(head: &Parts, id: &HeaderValue, names: &Headers) -> Result<(), AttemptError> {
     let echoed = head.headers.get(&names.request_id);
-    if echoed.is_some_and(|id| *id != outgoing.id) {
+    if echoed.is_some_and(|echoed| echoed != id) {
         return Err(AttemptError::Wrong);
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, refuse};
-use super::attempt::{self, Answer, AttemptError, Supervisor};
+use super::attempt::{self, Answer, AttemptError, Sent, SilentRequest, Supervisor};
 use super::balance::Affinity;
 use super::choice::Choice;
 use super::connection::{ConnectError, ProbeResult};
@@ -22,6 +22,7 @@
 use super::reach::{Contact, CutOff};
 use super::refusal::{Refusal, RetryHints};
 use super::restart::RestartSign;
+use super::silence::{self, AttemptRecord, Outcome};
 use super::stall::{self, StallGuard};
 use super::target::Target;
 use super::trace::{self, DisconnectGuard, text};
@@ -71,6 +72,8 @@
     /// Number of attempts in which the request was sent at all, also to a target that had taken over the address; the
     /// retry budget counts these.
     pub(super) arrivals: u32,
+    /// Whether an attempt is under way, which may have sent the request.
+    pub(super) attempt_under_way: bool,
     /// Cost of failed connection attempts, up to [`MAX_CONNECT_COST`].
     pub(super) connect_cost: u32,
     /// The part of it that is due to targets that could not be reached.
@@ -328,8 +331,42 @@
         }
         match attempt_at(gateway, state, &choice).await {
             Ok(answer) => return Ok(answer),
-            Err(failed) => after_failure(state, failed)?,
+            Err(mut failed) => {
+                let silent = failed.silent.take();
+                after_failure(state, failed)?;
+                if let Some(silent) = silent {
+                    return replace_silent(gateway, state, *silent, &choice).await;
+                }
+            }
+        }
+    }
+}
+
+/// Sends the request to another target while the chosen one, which is silent, may still answer.
+async fn replace_silent(
+    gateway: &Arc<Gateway>,
+    state: &mut RequestState,
+    silent: SilentRequest,
+    choice: &Choice,
+) -> Result<Answer, Refusal> {
+    let (began, record) = (Instant::now(), AttemptRecord::of(state));
+    let (id, deadline) = (state.outgoing.id.clone(), state.outgoing.deadline);
+    let on_answer_head =
+        |status, headers: &_| gateway.record_target_report(&choice.target, status, headers);
+    let silent = silent.answer(&id, gateway.header_names(), on_answer_head);
+    let other = Box::pin(next_answer(gateway, state));
+    let outcome = silence::replace(&gateway.run_clock, deadline, silent, other).await;
+    let target = &choice.target.announcement.id;
+    trace::silent_answer(gateway, state, target, began, outcome.label());
+    match outcome {
+        Outcome::WentOn(answer) => {
+            record.swap_into(state);
+            state.count_cancelled();
+            note_answered(gateway, state, choice, began, &answer);
+            Ok(answer)
         }
+        Outcome::Replaced(answer, _) => Ok(answer),
+        Outcome::Lost(refusal, _) => Err(refusal),
     }
 }
 
@@ -380,7 +417,7 @@
     state: &mut RequestState,
     failed: FailedAttempt,
 ) -> Result<(), Refusal> {
-    let FailedAttempt { refusal, error } = failed;
+    let FailedAttempt { refusal, error, .. } = failed;
     if refusal == Refusal::ConnectFailed {
         let cost = match error {
             AttemptError::NotSent(ConnectError::Timeout) => CONNECT_TIMEOUT_COST,
@@ -452,6 +489,7 @@
             tried: Vec::new(),
             sends: 0,
             arrivals: 0,
+            attempt_under_way: false,
             connect_cost: 0,
             unreachable_cost: 0,
             disconnect_guard: DisconnectGuard::new(gateway, &outgoing.id, arrived),
@@ -495,6 +533,13 @@
         self.sends += 1;
     }
 
+    /// Counts an attempt that was cancelled, as a target may have received the request.
+    pub(super) fn count_cancelled(&mut self) {
+        if std::mem::take(&mut self.attempt_under_way) {
+            self.count_arrival();
+        }
+    }
+
     /// What identifies the request across attempts, also of the client's own retries.
     pub(super) fn identity(&self) -> Identity<'_> {
         self.outgoing.identity(self.team.as_ref().map(|team| team.name.as_str()))
@@ -530,6 +575,8 @@
 pub(super) struct FailedAttempt {
     refusal: Refusal,
     error: AttemptError,
+    /// The request, if it is late and may still be answered.
+    silent: Option<Box<SilentRequest>>,
 }
 
 impl FailedAttempt {
@@ -541,7 +588,7 @@
             Refusal::WrongAnswer => AttemptError::Wrong,
             _ => AttemptError::Lost,
         };
-        FailedAttempt { refusal, error }
+        FailedAttempt { refusal, error, silent: None }
     }
 }
 
@@ -598,10 +645,17 @@
     state.counted_under = choice.counted_under.map(|subject| (subject, began));
     let timeout = stall::answer_timeout(&state.route);
     let stall_guard = StallGuard::start(gateway, Some(target), timeout);
+    state.attempt_under_way = true;
     let supervisor = AttemptSupervisor { gateway, state, target, stall_guard: &stall_guard };
     let (from, names) = (choice.fetch_from, gateway.header_names());
     let sent =
         attempt::send(target, from, &state.outgoing, names, limits, timeout, &supervisor).await;
+    let (sent, silent) = match sent {
+        Ok(Sent::Answered(answer)) => (Ok(answer), None),
+        Ok(Sent::Silent(silent)) => (Err(AttemptError::Late), Some(Box::new(silent))),
+        Err(error) => (Err(error), None),
+    };
+    state.attempt_under_way = false;
     let stalled =
         sent.as_ref().is_err_and(|error| *error == AttemptError::Late) && stall_guard.stalled();
     let already_counted = stall_guard.failure_counted();
@@ -618,15 +672,7 @@
     }
     match sent {
         Ok(answer) => {
-            gateway.note_same_incarnation(&answer.source, began);
-            gateway.note_outcome(target, outcome_of(answer.status));
-            if answer.status.is_server_error() {
-                gateway.note_version_failure(state);
-            }
-            if answer.status.is_success() {
-                gateway.note_prompt_read(state, choice);
-            }
-            trace::attempt(gateway, state, choice, began, Ok(answer.status));
+            note_answered(gateway, state, choice, began, &answer);
             Ok(answer)
         }
         Err(error) => {
@@ -645,11 +691,30 @@
             if error == AttemptError::Lost {
                 gateway.probe(state, target);
             }
-            Err(FailedAttempt { refusal, error })
+            Err(FailedAttempt { refusal, error, silent })
         }
     }
 }
 
+/// Records the answer to an attempt that began at `began`.
+fn note_answered(
+    gateway: &Gateway,
+    state: &RequestState,
+    choice: &Choice,
+    began: Instant,
+    answer: &Answer,
+) {
+    gateway.note_same_incarnation(&answer.source, began);
+    gateway.note_outcome(&choice.target, outcome_of(answer.status));
+    if answer.status.is_server_error() {
+        gateway.note_version_failure(state);
+    }
+    if answer.status.is_success() {
+        gateway.note_prompt_read(state, choice);
+    }
+    trace::attempt(gateway, state, choice, began, Ok(answer.status));
+}
+
 /// The refusal that a failed attempt leads to, and the outcome that counts for the target's health; `None` if the
 /// target is not at fault.
 fn classify(error: AttemptError) -> (Refusal, Option<AttemptOutcome>) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     pub(super) poison_blocked: IntGauge,
     streams_resumed: IntCounter,
     streams_taken_up: IntCounterVec,
+    silent_answers: IntCounterVec,
     restarts_suspected: IntCounterVec,
     incarnations_asked: IntCounterVec,
     clients_disconnected: IntCounter,
@@ -143,6 +144,11 @@
                 "Streams that clients resumed by a new request, by how it is known which version began them.",
                 &["origin"],
             )?,
+            silent_answers: set.counters(
+                "latchmount_gateway_silent_answers_total",
+                "Silent answers kept open while another target was asked, by what became of them.",
+                &["service", "outcome"],
+            )?,
             restarts_suspected: set.counters(
                 "latchmount_gateway_restarts_suspected_total",
                 "Times that a target may have restarted without an announcement, by sign.",
@@ -368,6 +374,11 @@
         self.streams_taken_up.with_label_values(&[origin]).inc();
     }
 
+    /// A silent answer went on, was replaced or was lost.
+    pub(super) fn silent_answer(&self, service: &str, outcome: &str) {
+        self.silent_answers.with_label_values(&[service, outcome]).inc();
+    }
+
     /// A target may have restarted without an announcement.
     pub(super) fn restart_suspected(&self, service: &str, sign: &str) {
         self.restarts_suspected.with_label_values(&[service, sign]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod rollout_log;
 mod running;
 pub mod settings;
+pub mod silence;
 pub mod slowdown;
 pub mod stall;
 mod startup;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{Response, StatusCode};
-use http_body::{Body, Frame};
+use http_body::Body;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
 use super::Gateway;
 use super::answer::AnswerBody;
@@ -26,6 +27,7 @@
 use super::reach::Contact;
 use super::refusal::Refusal;
 use super::restart::RestartSign;
+use super::silence::{self, AttemptRecord, Outcome, Silent};
 use super::stall::{self, StallGuard};
 use super::trace::{self, text};
 
@@ -58,9 +60,7 @@
         state.note_may_have_run(Refusal::AnswerLost);
         return Relayed::Retry(Box::new(state));
     }
-    let events = answer.headers.get(CONTENT_TYPE);
-    let events = text(events).starts_with("text/event-stream") && answer.status == StatusCode::OK;
-    if events && state.route.kind.streams() {
+    if is_event_stream(&answer) && state.route.kind.streams() {
         return start_stream(gateway, state, answer).await;
     }
     relay_buffered(gateway, state, answer).await
@@ -169,7 +169,7 @@
 struct AnswerRest {
     /// A piece that was read and is not forwarded yet.
     next: Option<Bytes>,
-    body: hyper::body::Incoming,
+    body: Incoming,
     source: Source,
     headers: HeaderMap,
     deadline: Instant,
@@ -236,17 +236,46 @@
     client_stalled: bool,
 }
 
-/// A frame of an answer's body, or the error with which the body broke off.
-type FrameResult = Result<Frame<Bytes>, hyper::Error>;
-
 /// Why a stream stopped before its end.
 enum Interrupted {
     /// The connection broke, the stream ended within an event, or an event was too long.
     Broken,
-    /// Nothing came from the target in time.
+    /// Nothing came from the target within the stall timeout, and another target could take over the stream.
+    Silent,
+    /// The deadline passed.
     TimedOut,
 }
 
+/// The connection broke, the stream ended within an event, or an event was too long.
+struct BrokeOff;
+
+/// Reads the next complete events, or `None` at the end of the stream. What was read stays in the splitter if the wait
+/// is cancelled.
+async fn read_events(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+) -> Result<Option<Bytes>, BrokeOff> {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                let events = splitter.push(&bytes).map_err(|_| BrokeOff)?;
+                if !events.is_empty() {
+                    return Ok(Some(events));
+                }
+            }
+            None if splitter.at_boundary() => return Ok(None),
+            None | Some(Err(_)) => return Err(BrokeOff),
+        }
+    }
+}
+
+/// Whether an answer is a stream of events.
+fn is_event_stream(answer: &Answer) -> bool {
+    let content_type = text(answer.headers.get(CONTENT_TYPE));
+    answer.status == StatusCode::OK && content_type.starts_with("text/event-stream")
+}
+
 /// Starts to relay a stream. The response head is sent only once the first event has arrived, so that the request can
 /// still be retried or refused until then.
 async fn start_stream(gateway: &Arc<Gateway>, state: RequestState, answer: Answer) -> Relayed {
@@ -305,99 +334,163 @@
 }
 
 impl EventRelay {
-    /// The next complete events, or `None` at the end of the stream. If the stream breaks, resumes it at another target
-    /// where that is allowed.
+    /// The next complete events, or `None` at the end of the stream. If the stream breaks or falls silent, resumes it at
+    /// another target where that is allowed.
     async fn next_events(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
-            match self.next_from_target().await {
-                Ok(events) => {
-                    self.begun |= events.is_some();
-                    self.state.events_since = self.state.events_since.or(Some(Instant::now()));
-                    self.sound = self.sound || self.gateway.record_if_outlived(&self.state);
-                    return Ok(events);
+            let next = match self.next_from_target().await {
+                Ok(events) => Some(events),
+                Err(Interrupted::Silent) => self.replace_silent().await?,
+                Err(Interrupted::Broken) => {
+                    self.resume().await?;
+                    None
                 }
-                Err(interrupted) => self.resume(interrupted).await?,
-            }
-        }
-    }
-
-    /// The next complete events from the current target, or `None` at the end of the stream.
-    async fn next_from_target(&mut self) -> Result<Option<Bytes>, Interrupted> {
-        loop {
-            let frame = self.next_frame().await?;
-            match frame {
-                Some(Ok(frame)) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    let events = self.splitter.push(&bytes).map_err(|_| Interrupted::Broken)?;
-                    if !events.is_empty() {
-                        return Ok(Some(events));
-                    }
+                Err(Interrupted::TimedOut) => {
+                    self.note_interrupted(Refusal::AnswerLate);
+                    return Err(Refusal::AnswerLate);
                 }
-                None if self.splitter.at_boundary() => return Ok(None),
-                None | Some(Err(_)) => return Err(Interrupted::Broken),
+            };
+            if let Some(events) = next {
+                self.begun |= events.is_some();
+                self.state.events_since = self.state.events_since.or(Some(Instant::now()));
+                self.sound = self.sound || self.gateway.record_if_outlived(&self.state);
+                return Ok(events);
             }
         }
     }
 
-    /// Waits for the next frame: until the stall timeout if another target could take over the stream, else until the
-    /// deadline.
-    async fn next_frame(&mut self) -> Result<Option<FrameResult>, Interrupted> {
+    /// The next complete events from the current target, or `None` at the end of the stream. Waits until the stall
+    /// timeout if another target could take over the stream, else until the deadline.
+    async fn next_from_target(&mut self) -> Result<Option<Bytes>, Interrupted> {
         let route = &self.state.route;
         let timeout = match self.begun {
             true => stall::next_event_timeout(route),
             false => stall::answer_timeout(route),
         };
-        let stall_guard = StallGuard::start(&self.gateway, self.answer.source.target(), timeout);
+        let resumable = !self.client_stalled && self.can_resume();
+        let target = self.answer.source.target();
+        let stall_guard = StallGuard::start(&self.gateway, target, timeout);
         let (deadline, clock) = (self.state.outgoing.deadline, &self.gateway.run_clock);
-        let mut frame = pin!(self.answer.body.frame());
-        let mut received = clock.within(timeout, deadline, &mut frame).await;
-        let may_switch = || {
-            self.gateway.uses(Mechanism::Silence)
-                && route.kind.idempotent()
-                && self.gateway.could_retry(&self.state)
-        };
-        if received.is_none() && !may_switch() {
+        let mut events = pin!(read_events(&mut self.answer.body, &mut self.splitter));
+        let mut received = clock.within(timeout, deadline, &mut events).await;
+        if received.is_none() {
+            if resumable && self.gateway.could_retry(&self.state) {
+                stall_guard.finish();
+                if let Some(target) = target {
+                    self.gateway.note_outcome(target, AttemptOutcome::Failed);
+                }
+                return Err(Interrupted::Silent);
+            }
             stall_guard.count_if_stalled();
-            received = clock.before(deadline, frame).await;
+            received = clock.before(deadline, events).await;
         }
         stall_guard.finish();
-        received.ok_or(Interrupted::TimedOut)
+        let received = received.ok_or(Interrupted::TimedOut)?;
+        received.map_err(|BrokeOff| Interrupted::Broken)
     }
 
-    /// Resumes the stream at another target, after the last complete event.
-    async fn resume(&mut self, interrupted: Interrupted) -> Result<(), Refusal> {
-        let refusal = match interrupted {
-            Interrupted::Broken => Refusal::AnswerLost,
-            Interrupted::TimedOut => Refusal::AnswerLate,
-        };
+    /// Whether another target could go on after the events that the client has.
+    fn can_resume(&self) -> bool {
+        let position_known = !self.begun || self.splitter.last_id().is_some();
+        let idempotent = self.state.route.kind.idempotent();
+        idempotent && position_known && self.gateway.uses(Mechanism::Silence)
+    }
+
+    /// Makes later attempts go on after the last complete event.
+    fn set_resume_position(&mut self) {
+        if let Some(last) = self.splitter.last_id()
+            && let Ok(last) = HeaderValue::from_str(last)
+        {
+            self.state.outgoing.resume_after(self.gateway.header_names(), last);
+        }
+    }
+
+    /// Asks another target to take over the stream from the current one, which is silent and stays open meanwhile.
+    /// Returns the next events if the silent one goes on first, and `None` if the other one took over.
+    async fn replace_silent(&mut self) -> Result<Option<Option<Bytes>>, Refusal> {
         let gateway = self.gateway.clone();
-        let last = self.splitter.last_id().unwrap_or("");
-        trace::broke_off(&gateway, &self.state, &self.answer.source, refusal, last);
-        if self.client_stalled {
-            return Err(refusal);
+        let (began, silent) = (Instant::now(), AttemptRecord::of(&self.state));
+        self.state.note_may_have_run(Refusal::AnswerLate);
+        self.set_resume_position();
+        let deadline = self.state.outgoing.deadline;
+        let events = read_events(&mut self.answer.body, &mut self.splitter);
+        let events = async { events.await.ok() };
+        let other = async {
+            let answer = next_answer(&gateway, &mut self.state).await?;
+            if is_event_stream(&answer) { Ok(answer) } else { Err(Refusal::AnswerLate) }
+        };
+        let outcome = silence::replace(&gateway.run_clock, deadline, events, other).await;
+        trace::silent_answer(&gateway, &self.state, &self.answer.source, began, outcome.label());
+        let other = silent.swap_into(&mut self.state);
+        match outcome {
+            Outcome::WentOn(events) => {
+                self.state.count_cancelled();
+                Ok(Some(events))
+            }
+            Outcome::Replaced(answer, end) => {
+                self.note_given_up(end);
+                other.swap_into(&mut self.state);
+                self.take_over(answer);
+                Ok(None)
+            }
+            Outcome::Lost(refusal, end) => {
+                self.note_given_up(end);
+                Err(refusal)
+            }
         }
-        note_broken_off(&gateway, &self.state, &self.answer.source, refusal);
-        self.state.note_may_have_run(refusal);
-        if !self.state.route.kind.idempotent() {
+    }
+
+    /// Records that a silent stream broke off or was given up.
+    fn note_given_up(&mut self, end: Silent) {
+        match end {
+            Silent::BrokeOff => self.note_interrupted(Refusal::AnswerLost),
+            Silent::Open => {
+                self.gateway.note_version_failure(&self.state);
+                self.log_broken_off(Refusal::AnswerLate);
+            }
+        }
+    }
+
+    /// Resumes a stream that broke off at another target, after the last complete event.
+    async fn resume(&mut self) -> Result<(), Refusal> {
+        let (gateway, refusal) = (self.gateway.clone(), Refusal::AnswerLost);
+        self.note_interrupted(refusal);
+        if !self.state.route.kind.idempotent() || self.client_stalled {
             return Err(refusal);
         }
-        self.splitter.drop_partial();
-        if let Some(last) = self.splitter.last_id()
-            && let Ok(last) = HeaderValue::from_str(last)
-        {
-            self.state.outgoing.resume_after(gateway.header_names(), last);
-        } else if self.begun {
+        if self.begun && self.splitter.last_id().is_none() {
             return Err(refusal);
         }
+        self.set_resume_position();
         let answer = next_answer(&gateway, &mut self.state).await?;
-        let content_type = text(answer.headers.get(CONTENT_TYPE));
-        if answer.status != StatusCode::OK || !content_type.starts_with("text/event-stream") {
+        if !is_event_stream(&answer) {
             return Err(refusal);
         }
+        self.take_over(answer);
+        Ok(())
+    }
+
+    /// Goes on with the answer of another target.
+    fn take_over(&mut self, answer: Answer) {
+        self.splitter.drop_partial();
         let last = self.splitter.last_id().unwrap_or("");
-        trace::resumed(&gateway, &self.state, &answer.source, last);
+        trace::resumed(&self.gateway, &self.state, &answer.source, last);
         self.answer = answer;
-        Ok(())
+    }
+
+    /// Records that the stream of the current target broke off or that nothing came from it until the deadline.
+    fn note_interrupted(&mut self, refusal: Refusal) {
+        self.log_broken_off(refusal);
+        if self.client_stalled {
+            return;
+        }
+        note_broken_off(&self.gateway, &self.state, &self.answer.source, refusal);
+        self.state.note_may_have_run(refusal);
+    }
+
+    fn log_broken_off(&self, refusal: Refusal) {
+        let last = self.splitter.last_id().unwrap_or("");
+        trace::broke_off(&self.gateway, &self.state, &self.answer.source, refusal, last);
     }
 
     /// Records that the stream was relayed to its end, and keeps the target's connection for later requests.
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -1,5 +1,6 @@
 //! Log lines and metrics of the decisions about a request, with the values on which each decision is based.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -191,6 +192,22 @@
         "elapsed_ms" => millis_since(state.arrived), "left_ms" => millis_left(state));
 }
 
+/// An answer that had fallen silent went on, was replaced by that of another target, or was lost.
+pub(super) fn silent_answer(
+    gateway: &Gateway,
+    state: &RequestState,
+    source: &impl Display,
+    began: Instant,
+    outcome: &str,
+) {
+    gateway.metrics.silent_answer(&state.service, outcome);
+    info!(gateway.log, "an answer was silent while another target was asked"; "event" => "silent_answer",
+        "id" => text(Some(&state.outgoing.id)), "outcome" => outcome, "target" => %source,
+        "route" => &state.route.name, "sends" => state.sends, "max_attempts" => state.max_sends,
+        "budget_left" => gateway.budget_left(&state.service),
+        "waited_ms" => millis_since(began), "left_ms" => millis_left(state));
+}
+
 /// The stream to a client was cut, since it could not be continued.
 pub(super) fn stream_cut(gateway: &Gateway, state: &RequestState, refusal: Refusal) {
     gateway.metrics.stream_cut(refusal);
--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -166,7 +166,9 @@
     state.counted_under = None;
     for (offers, peer) in peers.into_iter().enumerate() {
         let began = Instant::now();
+        state.attempt_under_way = true;
         let result = offer_to(gateway, state, peer, None).await;
+        state.attempt_under_way = false;
         log_result(gateway, state, peer, offers, began, &result);
         match result {
             PeerResult::Answered(answer) => {
@@ -197,7 +199,9 @@
 ) -> DispatchOutcome {
     let began = Instant::now();
     state.counted_under = None;
+    state.attempt_under_way = true;
     let result = offer_to(gateway, state, peer, Some(target)).await;
+    state.attempt_under_way = false;
     log_result(gateway, state, peer, state.full.len(), began, &result);
     let (now, service) = (gateway.now(), &state.service);
     match result {
@@ -368,7 +372,7 @@
         }
         return read_refusal(state, text(Some(&code)), &head.headers);
     }
-    match verify(&head, &state.outgoing, gateway.header_names()) {
+    match verify(&head, &state.outgoing.id, gateway.header_names()) {
         Ok(()) => {}
         Err(AttemptError::NotRun) => return PeerResult::Failed(Refusal::NotRun),
         Err(_) => return PeerResult::Failed(Refusal::WrongAnswer),
--- a/tests/fleet/standin.rs
+++ b/tests/fleet/standin.rs
@@ -62,6 +62,8 @@
     BreakAfter(u32),
     /// Streams this many events and then sends nothing, but keeps the connection open.
     StallAfter(u32),
+    /// Streams this many events, 10 ms apart, with one pause of this length after the event `after`.
+    Pause { after: u32, pause: Duration, events: u32 },
     /// Streams events of 4 KiB as fast as they are read, without end.
     Flood,
     /// Runs the request and never answers.
@@ -674,6 +676,10 @@
                 answer = answer.header("content-type", "text/event-stream");
                 stalled(last_event, events)
             }
+            Behaviour::Pause { after, pause, events } => {
+                answer = answer.header("content-type", "text/event-stream");
+                pausing(last_event, after, pause, events)
+            }
             Behaviour::Flood => {
                 answer = answer.header("content-type", "text/event-stream");
                 let event = Bytes::from(format!("data: {}\n\n", "x".repeat(4_096)));
@@ -700,6 +706,16 @@
     BodyExt::boxed(StreamBody::new(Box::pin(pieces).map(|frame| frame).boxed_sync()))
 }
 
+/// The events after `last` up to `events`, 10 ms apart, with a pause after the event `after`.
+fn pausing(last: u32, after: u32, pause: Duration, events: u32) -> Body {
+    let pieces = futures_util::stream::iter(last + 1..=events).then(move |at| async move {
+        let wait = if at == after + 1 { pause } else { Duration::from_millis(10) };
+        tokio::time::sleep(wait).await;
+        Ok(Frame::data(Bytes::from(event(at))))
+    });
+    BodyExt::boxed(StreamBody::new(pieces.boxed_sync()))
+}
+
 /// The events after `last` up to `events`; then the stream stays open without further data.
 fn stalled(last: u32, events: u32) -> Body {
     let pieces = (last + 1..=events).map(|at| Ok(Frame::data(Bytes::from(event(at)))));
--- a/tests/fleet/streams.rs
+++ b/tests/fleet/streams.rs
@@ -7,7 +7,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::harness::{Fleet, Process, eventually};
+use crate::harness::{CallResponse, Fleet, Process, eventually};
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
 use crate::standin::{Behaviour, Standin, event};
@@ -86,6 +86,57 @@
     assert_eq!(answer.body, events(12));
 }
 
+/// A pause that is longer than the stall timeouts of the routes, 900 ms for an answer and 600 ms for an event.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Begins a request on a route and, once one of the targets has it, has the other behave in this way.
+async fn answer_beside(
+    path: &'static str,
+    first: Behaviour,
+    other: Behaviour,
+) -> (CallResponse, Vec<Standin>) {
+    let (fleet, standins) = fleet_with(&[first, first]).await;
+    let front = fleet.gateway_addr(0);
+    let request = tokio::spawn(async move { ClientRequest::new(path, "r-1").send(front).await });
+    let began = eventually("the first attempt", async || {
+        standins.iter().position(|standin| !standin.arrivals().is_empty())
+    })
+    .await;
+    standins[1 - began].behave(other);
+    (request.await.expect("no panic").expect("a whole answer"), standins)
+}
+
+/// Guards against streams that are cut since a pausing target was given up for one without room.
+#[rstest::rstest]
+#[case::before_the_first_event(0)]
+#[case::amid_the_stream(5)]
+#[tokio::test]
+async fn a_stream_that_pauses_while_the_other_target_is_full_is_not_cut(#[case] after: u32) {
+    let pausing = Behaviour::Pause { after, pause: PAUSE, events: 20 };
+    let (answer, standins) = answer_beside("/resumable/x", pausing, Behaviour::NotRun).await;
+    assert_eq!((answer.status, answer.body), (200, events(20)));
+    let asked: usize = standins.iter().map(|standin| standin.arrivals().len()).sum();
+    assert_eq!(asked, 2, "the other target was asked");
+}
+
+/// Guards against late answers that are given up for a target without room.
+#[tokio::test]
+async fn an_answer_that_comes_late_while_the_other_target_is_full_is_passed_on() {
+    let slow = Behaviour::Slow(PAUSE);
+    let (answer, standins) = answer_beside("/safe/x", slow, Behaviour::NotRun).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "answer to r-1"));
+    let asked: usize = standins.iter().map(|standin| standin.arrivals().len()).sum();
+    assert_eq!(asked, 2, "the other target was asked");
+}
+
+/// Guards against a silent target's stream being cut by another target that answers without a stream.
+#[tokio::test]
+async fn a_stream_that_pauses_while_the_other_target_fails_is_not_cut() {
+    let pausing = Behaviour::Pause { after: 5, pause: PAUSE, events: 20 };
+    let (answer, _standins) = answer_beside("/resumable/x", pausing, Behaviour::Fail).await;
+    assert_eq!((answer.status, answer.body), (200, events(20)));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_and_breaks_never_looks_complete_and_runs_once() {
     let (fleet, standins) = fleet_with(&[Behaviour::BreakAfter(5), Behaviour::BreakAfter(5)]).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod routes;
 #[path = "../seeds/seed.rs"]
 mod seeds;
+mod silence;
 mod slowdown;
 mod stale_loads;
 mod stream_origins;
