Members save the origins of streams, so that they outlive a kill of all processes

Cause: which version began a stream was kept in the memory of gateways and members alone. A gateway infers the version only after it has known the directory for twice the route's timeout, longer than clients wait.

Evidence: taken_up with origin=unknown for each of them.

Change: members append the origins that they are told to a file of their own, with one sync for the reports of 0.2 s, and read it when they start. Where targets may restart under their identity, what was read is told only once each target has been heard or counts as unresponsive (five heartbeats with a leader).

--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -172,7 +172,9 @@
         }
         let now = self.now();
         let mut known = lock(&self.streams);
-        origins.iter().for_each(|origin| known.record(now, ReportedBy::Remote, *origin));
+        for origin in origins {
+            known.record(now, ReportedBy::Remote, *origin);
+        }
         drop(known);
         self.stream_told.notify_waiters();
     }
--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -192,6 +192,9 @@
     loop {
         tokio::time::sleep(TARGETS_CHECK_INTERVAL).await;
         let (now, leads) = (shared.run_clock.ran(), shared.leads());
+        if shared.member.leadership().fresh(Instant::now()) {
+            shared.led_since.get_or_init(|| now);
+        }
         let directory = shared.published().directory;
         let overdue = lock(&shared.liveness).overdue(now, leads, &directory);
         let due = lock(&shared.liveness).due_for_home(now, leads, &directory);
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -1,5 +1,7 @@
 //! Serves the gateways that have subscribed at this member: records their reports, and sends them updates.
 
+use std::time::Duration;
+
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -13,11 +15,14 @@
 use super::restarts::{MAX_PER_MESSAGE, SuspectedRestart};
 use super::stream_origins::{ReportedBy as StreamReportedBy, StreamKey, StreamOrigin};
 use super::update_sender::{BlobReport, UpdateSender};
+use crate::directory::Announcement;
 use crate::link::{FrameReceiver, FrameSender, LinkError};
 use crate::sync::lock;
 
 /// Queued reports of one gateway about large blobs. A gateway has one large blob on its way at a time.
 const BLOB_REPORTS_LEN: usize = 16;
+/// Heartbeat intervals within which a group with a leader has heard each target, or counts it as unresponsive.
+const HEARTBEATS_TO_HEAR: u32 = 5;
 /// Queued answers to one gateway about the origins of streams.
 const FOUND_STREAMS_LEN: usize = 16;
 
@@ -130,13 +135,33 @@
     /// Records which versions began streams.
     pub(super) fn record_streams(&self, by: StreamReportedBy, streams: &[StreamOrigin]) {
         let (now, mut known) = (self.now(), lock(&self.streams));
-        streams.iter().for_each(|origin| known.record(now, by, *origin));
+        let new = streams.iter().filter(|origin| known.record(now, by, **origin)).count();
+        drop(known);
+        if new > 0 {
+            self.streams_recorded.notify_one();
+        }
+    }
+
+    /// Whether targets that may restart under their identity could be heard since this member started. Until then one
+    /// may run as another version than the listed one, and no stream from before the start can be resumed safely.
+    fn heard_targets(&self) -> bool {
+        let heartbeat = Duration::from_millis(self.settings.target_heartbeat_ms);
+        let led_for = self.led_since.get().map(|since| self.run_clock.ran().saturating_sub(*since));
+        let heard = led_for.is_some_and(|led_for| led_for >= HEARTBEATS_TO_HEAR * heartbeat);
+        let published = self.member.published();
+        let restarts_unseen = |target: &Announcement| target.born.0.is_some();
+        heard || !published.borrow().directory.targets().any(restarts_unseen)
     }
 
     /// The origins of those of the streams that are known here.
     fn find_streams(&self, streams: &[StreamKey]) -> Vec<StreamOrigin> {
         let (now, known) = (self.now(), lock(&self.streams));
-        let found: Vec<_> = streams.iter().filter_map(|stream| known.find(now, *stream)).collect();
+        let trusts_disk = self.heard_targets();
+        let find = |stream: &StreamKey| match trusts_disk {
+            true => known.find(now, *stream),
+            false => known.find_told(now, *stream),
+        };
+        let found: Vec<_> = streams.iter().filter_map(find).collect();
         self.metrics.streams_asked_for(streams.len(), found.len());
         found
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -36,6 +36,7 @@
 pub mod restarts;
 mod rollout;
 pub mod settings;
+pub mod stream_file;
 pub mod stream_origins;
 mod update_sender;
 mod upgrade;
@@ -43,7 +44,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use prometheus::Histogram;
@@ -164,6 +165,10 @@
     prefix_holders: Mutex<PrefixHolderLog>,
     /// Versions that began the streams of all gateways.
     streams: Mutex<StreamOrigins>,
+    /// Run time of this process when it first had contact with a leader.
+    led_since: OnceLock<Duration>,
+    /// Wakes the task that saves origins of streams.
+    streams_recorded: Notify,
     /// Targets whose heartbeats this member answered and has not yet reported to the leader.
     pending_report: Mutex<PendingReport>,
     batches: Batches,
@@ -263,6 +268,8 @@
             evidence: Mutex::default(),
             prefix_holders: Mutex::default(),
             streams: Mutex::default(),
+            led_since: OnceLock::new(),
+            streams_recorded: Notify::new(),
             pending_report: Mutex::default(),
             batches: Batches::default(),
             refused_lines: Mutex::default(),
@@ -293,6 +300,8 @@
         tokio::spawn(background::send_presence(shared.clone()));
         tokio::spawn(background::send_loads(shared.clone()));
         poison_file::load(&shared);
+        stream_file::load(&shared);
+        tokio::spawn(stream_file::save(shared.clone()));
         tokio::spawn(poison::send_to_members(shared.clone()));
         tokio::spawn(poison_file::save_changes(shared.clone()));
         tokio::spawn(background::watch_targets(shared.clone()));
--- a/src/group/prefix_holders.rs
+++ b/src/group/prefix_holders.rs
@@ -55,7 +55,7 @@
 }
 
 /// How far a reader has read the log: the number of entries that it has passed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReadPosition(u64);
 
 impl ReadPosition {
--- a/src/group/stream_origins.rs
+++ b/src/group/stream_origins.rs
@@ -98,13 +98,15 @@
     pub left_s: u16,
 }
 
-/// Who reported the origin of a stream or a suspected restart.
+/// Where this process has the origin of a stream or a suspected restart from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportedBy {
     /// This process, or a gateway that reports to it. This process passes it on.
     Local,
     /// Another member, which tells all members.
     Remote,
+    /// This member's disk: it was reported before the start.
+    Disk,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -127,14 +129,14 @@
 }
 
 impl StreamOrigins {
-    /// Records an origin. Reports of several versions make it ambiguous.
-    pub fn record(&mut self, now: Duration, by: ReportedBy, origin: StreamOrigin) {
+    /// Records an origin, and returns whether it is new. Reports of several versions make it ambiguous.
+    pub fn record(&mut self, now: Duration, by: ReportedBy, origin: StreamOrigin) -> bool {
         self.drop_expired(now);
         let until = now + Duration::from_secs(origin.left_s.into()).min(MAX_RETENTION);
         let mut entry = Entry { version: origin.version, by, until };
         if let Some(known) = self.find(now, origin.stream) {
             if known.version == origin.version || known.version == VersionKey::AMBIGUOUS {
-                return;
+                return false;
             }
             entry.version = VersionKey::AMBIGUOUS;
         }
@@ -143,6 +145,7 @@
         if self.order.len() > MAX_RETAINED {
             self.drop_first();
         }
+        true
     }
 
     /// The version that began a stream; `None` if it is not known.
@@ -151,12 +154,42 @@
         Some(entry.origin(now, stream))
     }
 
+    /// The version that began a stream, unless it is known from disk alone.
+    pub fn find_told(&self, now: Duration, stream: StreamKey) -> Option<StreamOrigin> {
+        let entry = self.entries.get(&stream).filter(|entry| now < entry.until)?;
+        (entry.by != ReportedBy::Disk).then(|| entry.origin(now, stream))
+    }
+
+    /// All origins, in the order in which they were recorded.
+    pub fn all(&self, now: Duration) -> Vec<StreamOrigin> {
+        let entries = self.order.iter().filter_map(|(stream, until)| {
+            let entry = self.entries.get(stream)?;
+            (entry.until == *until && now < *until).then(|| entry.origin(now, *stream))
+        });
+        entries.collect()
+    }
+
+    /// The next origins that were reported to this process since its start.
+    pub fn next_told(&mut self, now: Duration, position: &mut ReadPosition) -> Vec<StreamOrigin> {
+        self.next(now, position, usize::MAX, |by| by != ReportedBy::Disk)
+    }
+
     /// The next origins that are to be passed on, at most `limit`.
     pub fn next_local(
         &mut self,
         now: Duration,
         position: &mut ReadPosition,
         limit: usize,
+    ) -> Vec<StreamOrigin> {
+        self.next(now, position, limit, |by| by == ReportedBy::Local)
+    }
+
+    fn next(
+        &mut self,
+        now: Duration,
+        position: &mut ReadPosition,
+        limit: usize,
+        wanted: impl Fn(ReportedBy) -> bool,
     ) -> Vec<StreamOrigin> {
         self.drop_expired(now);
         let from = position.passed(self.dropped);
@@ -168,9 +201,8 @@
             }
             end += 1;
             let entry = self.entries.get(stream);
-            let entry = entry.filter(|entry| {
-                entry.by == ReportedBy::Local && entry.until == *until && now < *until
-            });
+            let entry =
+                entry.filter(|entry| wanted(entry.by) && entry.until == *until && now < *until);
             origins.extend(entry.map(|entry| entry.origin(now, *stream)));
         }
         *position = ReadPosition::after(self.dropped, end);
--- a/tests/fleet/stream_versions.rs
+++ b/tests/fleet/stream_versions.rs
@@ -3,10 +3,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 
-use crate::harness::{CallResponse, Fleet, eventually};
+use crate::harness::{CallResponse, Fleet, Process, eventually};
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
 use crate::standin::{Behaviour, Standin};
@@ -17,6 +18,8 @@
 const STREAMS: usize = 16;
 /// Events of a stream, 10 ms apart: it lasts until the client has left.
 const EVENTS: u32 = 300;
+/// Time within which the members have saved what they were told of streams.
+const TIME_TO_SAVE: Duration = Duration::from_millis(500);
 /// Where a stream ends that a client has resumed.
 const RESUMED_EVENTS: u32 = 20;
 
@@ -159,6 +162,28 @@
     }
 }
 
+/// Guards against streams that nobody knows the origin of after all processes were killed.
+#[tokio::test]
+async fn streams_go_on_at_the_version_that_began_them_after_all_processes_were_killed_twice() {
+    let mut versions = TwoVersions::start(3, 2).await;
+    let streams = begin_all(versions.fleet.gateway_addr(0)).await;
+    tokio::time::sleep(TIME_TO_SAVE).await;
+    for _ in 0..2 {
+        versions.fleet.gateways.iter_mut().for_each(Process::kill);
+        versions.fleet.members.iter_mut().for_each(Process::kill);
+        versions.fleet.members.iter_mut().for_each(Process::start);
+        versions.fleet.gateways.iter_mut().for_each(Process::start);
+        versions.fleet.wait_for_leader().await;
+        versions.fleet.wait_for_targets(1, versions.standins.len()).await;
+    }
+    versions.behave(Behaviour::Stream(RESUMED_EVENTS));
+    for stream in &streams {
+        let answer = resume(versions.fleet.gateway_addr(1), stream).await;
+        let stamp = answer.header("x-server-stamp").expect("a stamp");
+        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_goes_on_only_at_the_version_that_began_it() {
     let versions = TwoVersions::start(1, 1).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,5 +38,6 @@
 mod silence;
 mod slowdown;
 mod stale_loads;
+mod stream_file;
 mod stream_origins;
 mod versions;
--- a/tests/gateway/stream_origins.rs
+++ b/tests/gateway/stream_origins.rs
@@ -198,7 +198,9 @@
         let arrived: Vec<(Duration, usize, ReportedBy, Vec<StreamOrigin>)> = arrived;
         for (_, to, by, origins) in arrived {
             let member = &mut self.members[to].0;
-            origins.iter().for_each(|origin| member.record(now, by, *origin));
+            for origin in origins {
+                member.record(now, by, origin);
+            }
         }
         let gateways = self.gateways.len() as u32;
         let due = |interval: Duration, number: usize| {
