A stream's origin is told before its client has an event

Cause: a gateway reported origins with its next loads, 0.1 s later or more, when the client may have had events for long; what died with it was known to nobody. And a member passed a report on only while a gateway was connected to it, so that the last report of its last gateway stayed with it.

The second cause showed when the new test went on failing with the first mended: the member that the dead gateway had followed held the origins.

Change: while several versions serve, the first event waits, at most 20 ms, until the member has been sent the origin (ToMember::Streams, which earlier builds pass over; the report of loads repeats it). Members pass origins on without a gateway too, and save such ones within 20 ms.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     streams_resumed: IntCounter,
     streams_taken_up: IntCounterVec,
     silent_answers: IntCounterVec,
+    streams_told: IntCounterVec,
     restarts_suspected: IntCounterVec,
     incarnations_asked: IntCounterVec,
     clients_disconnected: IntCounter,
@@ -144,6 +145,11 @@
                 "Streams that clients resumed by a new request, by how it is known which version began them.",
                 &["origin"],
             )?,
+            streams_told: set.counters(
+                "latchmount_gateway_streams_told_total",
+                "Streams whose first event waited until a member was sent their origin, by whether that was in time.",
+                &["in_time"],
+            )?,
             silent_answers: set.counters(
                 "latchmount_gateway_silent_answers_total",
                 "Silent answers kept open while another target was asked, by what became of them.",
@@ -374,6 +380,11 @@
         self.streams_taken_up.with_label_values(&[origin]).inc();
     }
 
+    /// The first event of a stream waited until a member was sent the stream's origin.
+    pub(super) fn stream_told(&self, in_time: bool) {
+        self.streams_told.with_label_values(&[if in_time { "yes" } else { "no" }]).inc();
+    }
+
     /// A silent answer went on, was replaced or was lost.
     pub(super) fn silent_answer(&self, service: &str, outcome: &str) {
         self.silent_answers.with_label_values(&[service, outcome]).inc();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,6 +98,7 @@
 use crate::clock::Instant;
 use crate::dialect::{Headers, SharedDialect};
 use crate::group::brittle::ServiceKey;
+use crate::group::prefix_holders::ReadPosition;
 use crate::group::restarts::SuspectedRestarts;
 use crate::group::stream_origins::{StreamKey, StreamOrigins};
 use crate::poison::{PoisonTracker, RecentSuccesses};
@@ -174,6 +175,10 @@
     stream_asked_for: Notify,
     /// Wakes requests that wait for the origin of a stream.
     stream_told: Notify,
+    /// Wakes the task that sends a member the origins of streams that have just begun.
+    stream_begun: Notify,
+    /// How far these were sent to the member; `None` while the gateway follows none.
+    streams_told: watch::Sender<Option<ReadPosition>>,
     attempt_sampler: Mutex<Sampler>,
     answer_sampler: Mutex<Sampler>,
     probe_sampler: Mutex<Sampler>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -295,7 +295,7 @@
     };
     gateway.note_version_answer(&relay.state);
     if first.is_some() {
-        gateway.note_stream_begun(&mut relay.state, &relay.answer.source);
+        gateway.note_stream_begun(&mut relay.state, &relay.answer.source).await;
     }
     trace::answered(gateway, &relay.state, &relay.answer.source, status);
     let Some(first) = first else {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -130,6 +130,8 @@
             streams_asked_for: Mutex::default(),
             stream_asked_for: Notify::new(),
             stream_told: Notify::new(),
+            stream_begun: Notify::new(),
+            streams_told: watch::Sender::new(None),
             attempt_sampler: Mutex::default(),
             answer_sampler: Mutex::default(),
             probe_sampler: Mutex::default(),
--- a/src/gateway/subscriber.rs
+++ b/src/gateway/subscriber.rs
@@ -57,6 +57,7 @@
         poison_reported: 0,
         restarts_reported: 0,
         streams_reported: ReadPosition::default(),
+        streams_sent: ReadPosition::default(),
         gateway,
     };
     loop {
@@ -105,6 +106,8 @@
     RestartSuspected,
     /// A client resumes a stream whose origin is not known here.
     OriginsWanted,
+    /// A stream began while several versions serve.
+    StreamBegun,
 }
 
 /// When the member last sent data.
@@ -132,8 +135,10 @@
     poison_reported: u64,
     /// Change number up to which suspected restarts seen here have been reported to the member.
     restarts_reported: u64,
-    /// How far the streams begun here have been reported to the member.
+    /// How far the streams begun here have been reported to the member with the loads.
     streams_reported: ReadPosition,
+    /// How far they have been sent to the member without delay.
+    streams_sent: ReadPosition,
 }
 
 impl Subscriber {
@@ -220,10 +225,9 @@
 
     /// Handles a subscription until it ends; returns why it ended.
     async fn run_until_disconnect(&mut self, subscribed: Subscribed, until: Until) -> Disconnect {
-        match self.handle_events(subscribed, until).await {
-            Ok(reason) => reason,
-            Err(error) => Disconnect::Link(error),
-        }
+        let ended = self.handle_events(subscribed, until).await;
+        self.gateway.streams_told.send_replace(None);
+        ended.unwrap_or_else(Disconnect::Link)
     }
 
     /// Handles the events of a subscription, until the member is unresponsive, has no contact with a leader, or `until`
@@ -243,6 +247,9 @@
         self.poison_reported = 0;
         self.restarts_reported = 0;
         self.streams_reported = ReadPosition::default();
+        // Those that began before are in the next report of loads.
+        self.streams_sent = lock(&self.gateway.streams).end();
+        self.gateway.streams_told.send_replace(Some(self.streams_sent));
         self.report_restarts(&mut sender).await?;
         self.report_poison(&mut sender).await?;
         let mut fresh_at = self.gateway.run_clock.ran();
@@ -268,6 +275,7 @@
                 Event::Poison => self.report_poison(&mut sender).await?,
                 Event::RestartSuspected => self.report_restarts(&mut sender).await?,
                 Event::OriginsWanted => self.ask_for_origins(&mut sender).await?,
+                Event::StreamBegun => self.send_streams_begun(&mut sender).await?,
                 Event::Failback(FailbackEvent::CheckDue) => {
                     self.failback.start_check(&self.order, self.query_subscription());
                 }
@@ -303,6 +311,7 @@
                 () = self.gateway.restart_suspected.notified() => Event::RestartSuspected,
                 () = self.gateway.poison_changed.notified() => Event::Poison,
                 () = self.gateway.stream_asked_for.notified() => Event::OriginsWanted,
+                () = self.gateway.stream_begun.notified() => Event::StreamBegun,
                 event = self.failback.next() => Event::Failback(event),
                 result = self.updates.next_fetch() => Event::Fetch(result),
                 () = tokio::time::sleep_until(loads_at) => Event::LoadsDue,
@@ -420,6 +429,23 @@
         send_in_time(sender, &frame).await
     }
 
+    /// Sends the member the origins of the streams that have just begun here.
+    async fn send_streams_begun(&mut self, sender: &mut FrameSender) -> Result<(), LinkError> {
+        loop {
+            let now = self.gateway.now();
+            let streams = lock(&self.gateway.streams).next_local(
+                now,
+                &mut self.streams_sent,
+                MAX_PER_GATEWAY_REPORT,
+            );
+            if streams.is_empty() {
+                self.gateway.streams_told.send_replace(Some(self.streams_sent));
+                return Ok(());
+            }
+            send_in_time(sender, &ToMember::Streams(streams)).await?;
+        }
+    }
+
     /// Replaces the known members with these and those of the settings.
     fn set_members(&mut self, mut members: Vec<SocketAddr>) {
         members.extend(lock(&self.gateway.seeds).iter());
--- a/src/gateway/version_pin.rs
+++ b/src/gateway/version_pin.rs
@@ -26,6 +26,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of streams whose origins wait to be asked for.
 const MAX_PENDING: usize = 256;
+/// Longest time for which the first event of a stream waits until the member has been sent the stream's origin.
+const TELL_TIMEOUT: Duration = Duration::from_millis(20);
 /// Age of the last update up to which the directory is taken to hold every version.
 const FRESH: Duration = Duration::from_secs(1);
 
@@ -182,16 +184,18 @@
     /// The version of a route's only service, if no other has served since a stream of the route can have begun, as far
     /// as the members knew within [`FRESH`].
     fn only_version_or_unknown(&self, route: &Route) -> (Option<VersionKey>, OriginSource) {
-        let fresh = self.directory_is_fresh();
-        let version = match route.services.as_slice() {
-            [only] if fresh => {
-                read(&self.targets).only_version(self.now(), &only.service, 2 * route.timeout)
-            }
-            _ => None,
-        };
+        let version = self.sole_version(route).filter(|_| self.directory_is_fresh());
         (version, if version.is_some() { OriginSource::OnlyVersion } else { OriginSource::Unknown })
     }
 
+    /// The version of a route's only service, if the directory held no other since a stream of the route can have begun.
+    fn sole_version(&self, route: &Route) -> Option<VersionKey> {
+        let [only] = route.services.as_slice() else {
+            return None;
+        };
+        read(&self.targets).only_version(self.now(), &only.service, 2 * route.timeout)
+    }
+
     /// Whether the directory is taken to hold every incarnation.
     pub(super) fn directory_is_fresh(&self) -> bool {
         lock(&self.fresh_at).is_some_and(|at| at.elapsed() < FRESH)
@@ -206,11 +210,30 @@
     }
 
     /// Records which version began the request's stream. To be called when the first event has arrived and before the
-    /// client gets it.
-    pub(super) fn note_stream_begun(&self, state: &mut RequestState, source: &Source) {
+    /// client gets it. While several versions serve, returns only when the member has been sent the origin: the client
+    /// may resume the stream from then on, also if this process ends.
+    pub(super) async fn note_stream_begun(&self, state: &mut RequestState, source: &Source) {
         if state.route.kind != RouteKind::ResumableStream {
             return;
         }
+        self.record_stream_begun(state, source);
+        if !state.is_from_peer() && self.sole_version(&state.route).is_none() {
+            self.tell_streams_begun().await;
+        }
+    }
+
+    /// Waits until the member that this gateway follows, if it follows one, has been sent the origins of all streams
+    /// begun so far, or for [`TELL_TIMEOUT`].
+    async fn tell_streams_begun(&self) {
+        let begun = lock(&self.streams).end();
+        self.stream_begun.notify_one();
+        let mut told = self.streams_told.subscribe();
+        let told = told.wait_for(|told| told.is_none_or(|told| told >= begun));
+        let in_time = tokio::time::timeout(TELL_TIMEOUT, told).await.is_ok();
+        self.metrics.stream_told(in_time);
+    }
+
+    fn record_stream_begun(&self, state: &mut RequestState, source: &Source) {
         let version = match source.target() {
             Some(target) => Some(self.certain_version(target)),
             None => source.version(),
--- a/src/group/background.rs
+++ b/src/group/background.rs
@@ -122,15 +122,16 @@
         tokio::time::sleep(member_loads_interval(shared.gateways_alive(), busy)).await;
         let ttl = shared.loads_ttl();
         let loads = lock(&shared.load_totals).local(shared.now(), ttl);
-        if lock(&shared.presence).any_connected() {
+        let streams = lock(&shared.streams).next_local(
+            shared.now(),
+            &mut streams_position,
+            MAX_PER_MEMBER_REPORT,
+        );
+        // The last report of a gateway that has died is passed on even if no other is connected here.
+        if lock(&shared.presence).any_connected() || !streams.is_empty() {
             let evidence = lock(&shared.evidence).local(shared.now());
             let prefix_holders =
                 lock(&shared.prefix_holders).next_for_members(shared.now(), &mut position);
-            let streams = lock(&shared.streams).next_local(
-                shared.now(),
-                &mut streams_position,
-                MAX_PER_MEMBER_REPORT,
-            );
             let (from, tallies) = (shared.own_addr, lock(&shared.rollouts).local());
             let frame =
                 ToMember::MemberLoads { from, loads, evidence, prefix_holders, tallies, streams };
--- a/src/group/feed.rs
+++ b/src/group/feed.rs
@@ -62,6 +62,10 @@
                 ToMember::Brittle(services) => {
                     lock(&shared.brittle).record(now, BrittleReportedBy::Gateway, &services);
                 }
+                ToMember::Streams(streams) => {
+                    shared.record_streams(StreamReportedBy::Local, &streams);
+                    shared.streams_urgent.notify_one();
+                }
                 ToMember::FindStreams(streams) => {
                     // A full queue drops the answer; the gateway asks again.
                     let _ = found_streams.try_send(shared.find_streams(&streams));
--- a/src/group/frames/to_member.rs
+++ b/src/group/frames/to_member.rs
@@ -42,7 +42,7 @@
     pub(super) const RELAYS: u8 = 8;
     /// [`super::RelayPeer`]s of a member.
     pub(super) const RELAY_PEERS: u8 = 9;
-    /// [`super::StreamOrigin`]s behind a report of loads; a part only if there are any.
+    /// [`super::StreamOrigin`]s behind a report of loads, where it is a part only if there are any, or on their own.
     pub(super) const STREAMS: u8 = 10;
     /// Keys of streams whose origins a gateway asks for.
     pub(super) const FIND_STREAMS: u8 = 11;
@@ -113,6 +113,9 @@
                 let bytes = encode_with_part(&message, tag::GATEWAY_REPORT, &report)?;
                 with_streams(bytes, streams)
             }
+            ToMember::Streams(streams) => {
+                encode_with_part(&ignored_by_first_build(), tag::STREAMS, streams)
+            }
             ToMember::FindStreams(streams) => {
                 encode_with_part(&ignored_by_first_build(), tag::FIND_STREAMS, streams)
             }
@@ -268,6 +271,9 @@
     if let Some(restarts) = parts.get(tag::RESTARTS)? {
         return Ok(ToMember::SuspectedRestarts(restarts));
     }
+    if let Some(streams) = parts.get(tag::STREAMS)? {
+        return Ok(ToMember::Streams(streams));
+    }
     if let Some(streams) = parts.get(tag::FIND_STREAMS)? {
         return Ok(ToMember::FindStreams(streams));
     }
--- a/src/group/incoming.rs
+++ b/src/group/incoming.rs
@@ -79,6 +79,7 @@
             // Only a gateway sends these, after it has subscribed.
             ToMember::Loads { .. }
             | ToMember::Brittle(_)
+            | ToMember::Streams(_)
             | ToMember::FindStreams(_)
             | ToMember::Poison(_)
             | ToMember::SuspectedRestarts(_)
--- a/src/group/message.rs
+++ b/src/group/message.rs
@@ -74,6 +74,9 @@
         /// Origins of streams that it began since its previous report.
         streams: Vec<StreamOrigin>,
     },
+    /// Origins of streams that the gateway on this connection has just begun, while several versions serve. Its next
+    /// report of loads repeats them, since members of earlier builds pass over this message.
+    Streams(Vec<StreamOrigin>),
     /// The gateway on this connection asks for the origins of these streams. It is told those that the member knows.
     FindStreams(Vec<StreamKey>),
     /// Services whose targets say that they are brittle, as the gateway on this connection knows from their answers.
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -169,6 +169,8 @@
     led_since: OnceLock<Duration>,
     /// Wakes the task that saves origins of streams.
     streams_recorded: Notify,
+    /// Makes that task save them at once.
+    streams_urgent: Notify,
     /// Targets whose heartbeats this member answered and has not yet reported to the leader.
     pending_report: Mutex<PendingReport>,
     batches: Batches,
@@ -270,6 +272,7 @@
             streams: Mutex::default(),
             led_since: OnceLock::new(),
             streams_recorded: Notify::new(),
+            streams_urgent: Notify::new(),
             pending_report: Mutex::default(),
             batches: Batches::default(),
             refused_lines: Mutex::default(),
--- a/src/group/stream_file.rs
+++ b/src/group/stream_file.rs
@@ -23,6 +23,8 @@
 const FILE_NAME: &str = "streams";
 /// Delay from a report to the write, so that one sync serves many reports.
 const WRITE_DELAY: Duration = Duration::from_millis(200);
+/// The same while several versions serve, when each origin matters.
+const URGENT_WRITE_DELAY: Duration = Duration::from_millis(20);
 /// Size in bytes up to which the file is not rewritten.
 const MIN_REWRITE_BYTES: u64 = 256 * 1024;
 /// Length of a batch's header: the length of its content and its CRC-32 checksum.
@@ -115,7 +117,10 @@
     let mut failing = false;
     loop {
         shared.streams_recorded.notified().await;
-        tokio::time::sleep(WRITE_DELAY).await;
+        tokio::select! {
+            () = tokio::time::sleep(WRITE_DELAY) => {}
+            () = shared.streams_urgent.notified() => tokio::time::sleep(URGENT_WRITE_DELAY).await,
+        }
         let (new, live) = {
             let (now, mut known) = (shared.now(), lock(&shared.streams));
             let new = known.next_told(now, &mut position);
--- a/src/group/stream_origins.rs
+++ b/src/group/stream_origins.rs
@@ -169,6 +169,11 @@
         entries.collect()
     }
 
+    /// The position behind all origins that were recorded so far.
+    pub fn end(&self) -> ReadPosition {
+        ReadPosition::after(self.dropped, self.order.len())
+    }
+
     /// The next origins that were reported to this process since its start.
     pub fn next_told(&mut self, now: Duration, position: &mut ReadPosition) -> Vec<StreamOrigin> {
         self.next(now, position, usize::MAX, |by| by != ReportedBy::Disk)
--- a/tests/compat/frames.rs
+++ b/tests/compat/frames.rs
@@ -242,6 +242,7 @@
             },
         ),
         ("find_streams", ToMember::FindStreams(vec![stream().stream])),
+        ("streams", ToMember::Streams(vec![stream()])),
         ("brittle", ToMember::Brittle(vec![brittle()])),
         ("member_brittle", ToMember::MemberBrittle { from: member, services: vec![brittle()] }),
         ("restarts", ToMember::SuspectedRestarts(vec![restart()])),
--- a/tests/fleet/stream_versions.rs
+++ b/tests/fleet/stream_versions.rs
@@ -83,6 +83,11 @@
 }
 
 async fn begin_with(front: SocketAddr, id: &str, body: &str) -> Interrupted {
+    begin_until(front, id, body, 3).await
+}
+
+/// Begins a stream, and leaves when the event `until` has arrived.
+async fn begin_until(front: SocketAddr, id: &str, body: &str, until: u32) -> Interrupted {
     let client = reqwest::Client::new();
     let request = client
         .post(format!("http://{front}/resumable/x"))
@@ -96,7 +101,7 @@
     let mut received = Vec::new();
     let mut body = response.bytes_stream();
     let mut last_event = 0;
-    while last_event < 3 {
+    while last_event < until {
         received.extend(body.next().await.expect("an event").expect("no error"));
         last_event = String::from_utf8_lossy(&received).matches("\n\n").count() as u32;
     }
@@ -184,6 +189,25 @@
     }
 }
 
+/// Guards against streams whose origin dies with a gateway that is killed as soon as their clients have an event.
+#[tokio::test]
+async fn a_stream_goes_on_if_its_gateway_is_killed_right_after_the_first_event() {
+    let mut versions = TwoVersions::start(3, 2).await;
+    let front = versions.fleet.gateway_addr(0);
+    let begun = (0..STREAMS).map(|number| async move {
+        let (id, body) = (format!("k-{number}"), format!("body {number}"));
+        begin_until(front, &id, &body, 1).await
+    });
+    let streams = futures_util::future::join_all(begun).await;
+    versions.fleet.gateways[0].kill();
+    versions.behave(Behaviour::Stream(RESUMED_EVENTS));
+    for stream in &streams {
+        let answer = resume(versions.fleet.gateway_addr(1), stream).await;
+        let stamp = answer.header("x-server-stamp").expect("a stamp");
+        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_goes_on_only_at_the_version_that_began_it() {
     let versions = TwoVersions::start(1, 1).await;
