Bytes without end that are no answer are given up, and give way to others

Cause: the HTTP library drops interim answers and the zeros of a chunk size as long as bytes arrive, without a bound, and gives way only after 128 reads; the gateway has one thread.

Change: a connection to a target or peer fails after 256 KiB without the head of an answer or a piece of a body; it and those of clients give way after 64 KiB. Answers to health checks and peers' refusals are read up to a bound.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use super::outgoing::Outgoing;
 use super::reuse::Reuse;
 use super::target::{InFlight, Target};
+use super::target_stream::TargetBody;
 use super::via_peer::client::PeerConnection;
 use crate::clock::Instant;
 use crate::dialect::Headers;
@@ -29,7 +30,7 @@
     pub(super) source: Source,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) body: Incoming,
+    pub(super) body: TargetBody,
 }
 
 /// Where an answer comes from.
@@ -189,6 +190,7 @@
             return Err(AttemptError::NotSent(ConnectError::TooLate));
         }
         let request = outgoing.to_target(target, fetch_from, names);
+        connection.fruitless.reset();
         let mut responding: Responding = Box::pin(connection.sender.try_send_request(request));
         let answered = match clock.within(answer_timeout, deadline, &mut responding).await {
             None if supervisor.may_try_another() => {
@@ -238,6 +240,7 @@
     }
     verified?;
     let (target, connection, _in_flight) = from;
+    let body = TargetBody::new(body, connection.fruitless.clone());
     let source = Source::Target { target, connection, _in_flight };
     Ok(Answer { source, status: head.status, headers: head.headers, body })
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -16,6 +16,7 @@
 use super::metrics::GatewayMetrics;
 use super::reuse::Reuse;
 use super::target::Target;
+use super::target_stream::{FruitlessBytes, TargetStream};
 use crate::clock::Instant;
 use crate::link::{connect_from, set_tcp_timeouts};
 use crate::sync::lock;
@@ -30,7 +31,7 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// How long a new connection must stay open to show that the target serves it.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
-/// Maximum size of a target's report about itself, in bytes.
+/// Maximum size of the answer to a health check, or of a target's report about itself, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Maximum size of a connection's read buffer, and so of the head of an answer, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -71,6 +72,8 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) opened_at: Instant,
+    /// Bytes read on it without a result.
+    pub(super) fruitless: Arc<FruitlessBytes>,
     slot: ConnectionSlot,
 }
 
@@ -165,7 +168,7 @@
         return false;
     };
     let (head, body) = answer.into_parts();
-    if body.collect().await.is_ok() {
+    if Limited::new(body, MAX_REPORT_BYTES).collect().await.is_ok() {
         connection.keep(&head.headers);
     }
     true
@@ -273,11 +276,13 @@
         _ => ConnectError::Broke,
     })?;
     set_tcp_timeouts(&stream, limits.ack_timeout).map_err(|_| ConnectError::Broke)?;
+    let fruitless = Arc::<FruitlessBytes>::default();
+    let stream = TargetStream::new(stream, fruitless.clone());
     let handshake =
         http1::Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, driver) = handshake.await.map_err(|_| ConnectError::Broke)?;
     tokio::spawn(driver);
-    Ok(Connection { sender, opened_at: Instant::now(), slot })
+    Ok(Connection { sender, opened_at: Instant::now(), fruitless, slot })
 }
 
 impl Connection {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod startup;
 mod subscriber;
 mod target;
+pub mod target_stream;
 mod targets;
 mod trace;
 pub mod unknown_headers;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,7 +13,6 @@
 use http::{Response, StatusCode};
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::Gateway;
 use super::answer::AnswerBody;
@@ -29,8 +28,8 @@
 use super::restart::RestartSign;
 use super::silence::{self, AttemptRecord, Outcome, Silent};
 use super::stall::{self, StallGuard};
+use super::target_stream::TargetBody;
 use super::trace::{self, text};
-
 use crate::clock::Instant;
 use crate::run_clock::RunClock;
 
@@ -169,7 +168,7 @@
 struct AnswerRest {
     /// A piece that was read and is not forwarded yet.
     next: Option<Bytes>,
-    body: Incoming,
+    body: TargetBody,
     source: Source,
     headers: HeaderMap,
     deadline: Instant,
@@ -252,7 +251,7 @@
 /// Reads the next complete events, or `None` at the end of the stream. What was read stays in the splitter if the wait
 /// is cancelled.
 async fn read_events(
-    body: &mut Incoming,
+    body: &mut TargetBody,
     splitter: &mut EventSplitter,
 ) -> Result<Option<Bytes>, BrokeOff> {
     loop {
--- a/src/gateway/via_peer/client.rs
+++ b/src/gateway/via_peer/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -28,6 +28,7 @@
 use crate::gateway::reuse::Reuse;
 use crate::gateway::stall;
 use crate::gateway::target::Target;
+use crate::gateway::target_stream::{FruitlessBytes, TargetBody, TargetStream};
 use crate::gateway::trace::{millis_since, text};
 use crate::gateway::version_pin::VersionPin;
 use crate::group::stream_origins::VersionKey;
@@ -40,6 +41,8 @@
 const MAX_CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which bytes sent to a peer may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum size of the body of a peer's refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 /// Maximum idle connections kept per peer.
 const MAX_IDLE: usize = 16;
 /// How long an idle connection is kept.
@@ -55,6 +58,8 @@
 /// An open connection, and what the peer answered to the greeting.
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes read on it without a result.
+    fruitless: Arc<FruitlessBytes>,
     /// Whether the peer sends a request only to targets of the version that it names.
     keeps_software: bool,
     /// Whether the peer dispatches to the target that a request names.
@@ -249,6 +254,7 @@
             return PeerResult::NotTaken(NotTaken::EarlierBuild);
         }
         let request = to_peer(gateway, state, only);
+        connection.opened.fruitless.reset();
         let mut sending = pin!(connection.opened.sender.try_send_request(request));
         let timeout = stall::answer_timeout(&state.route);
         let answered = match gateway.run_clock.within(timeout, deadline, &mut sending).await {
@@ -313,6 +319,8 @@
 async fn open(source: Option<IpAddr>, peer: SocketAddr) -> Option<OpenConnection> {
     let stream = connect_from(source, peer).await.ok()?;
     set_tcp_timeouts(&stream, ACK_TIMEOUT).ok()?;
+    let fruitless = Arc::<FruitlessBytes>::default();
+    let stream = TargetStream::new(stream, fruitless.clone());
     let (mut sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(driver);
     let mut greeting = Request::new(Full::default());
@@ -325,7 +333,7 @@
     let keeps_software = answer.headers().contains_key(header::KEEPS_SOFTWARE);
     let dispatches = answer.headers().contains_key(header::DISPATCHES);
     sender.ready().await.ok()?;
-    Some(OpenConnection { sender, keeps_software, dispatches })
+    Some(OpenConnection { sender, fruitless, keeps_software, dispatches })
 }
 
 /// Builds the request for a peer.
@@ -367,7 +375,7 @@
     }
     let version = VersionKey::from_hex(text(head.headers.remove(header::SOFTWARE).as_ref()));
     if let Some(code) = head.headers.remove(header::REFUSAL) {
-        if body.collect().await.is_ok() {
+        if Limited::new(body, MAX_REFUSAL_BYTES).collect().await.is_ok() {
             connection.keep();
         }
         return read_refusal(state, text(Some(&code)), &head.headers);
@@ -378,6 +386,7 @@
         Err(_) => return PeerResult::Failed(Refusal::WrongAnswer),
     }
     gateway.record_relayed_report(&state.service, head.status, &head.headers);
+    let body = TargetBody::new(body, connection.opened.fruitless.clone());
     let source = Source::Peer { connection, version };
     let (status, headers) = (head.status, head.headers);
     PeerResult::Answered(Box::new(Answer { source, status, headers, body }))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod document;
 pub mod evacuations;
 pub mod explain;
+pub mod fair_read;
 pub mod freshness;
 pub mod gateway;
 pub mod group;
--- a/src/serving/counted_stream.rs
+++ b/src/serving/counted_stream.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use super::buffers::ClientBuffer;
+use crate::fair_read::FairRead;
 
 /// Size of a read buffer that is counted with its connection, in bytes.
 const FREE_READ_BYTES: usize = 8 * 1024;
@@ -24,11 +25,13 @@
     counted: usize,
     /// Bytes of a head that have arrived.
     head: usize,
+    turn: FairRead,
 }
 
 impl CountedStream {
     pub(super) fn new(stream: TcpStream, client: Arc<ClientBuffer>) -> Self {
-        CountedStream { stream: stream.take(0), client, counted: FREE_READ_BYTES, head: 0 }
+        let (stream, turn) = (stream.take(0), FairRead::default());
+        CountedStream { stream, client, counted: FREE_READ_BYTES, head: 0, turn }
     }
 
     /// How many bytes may be read into a buffer with room for `offered`.
@@ -68,14 +71,22 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if this.turn.poll_turn(context).is_pending() {
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         let allowed = this.allowed(buffer.remaining());
         this.stream.set_limit(allowed as u64);
         let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if polled.is_pending() {
+            this.turn.note_empty();
+        }
         if !matches!(polled, Poll::Ready(Ok(()))) {
             return polled;
         }
-        Poll::Ready(this.count_head(buffer.filled().len() - before))
+        let read = buffer.filled().len() - before;
+        this.turn.note_read(read);
+        Poll::Ready(this.count_head(read))
     }
 }
 
--- a/tests/fleet/close_delimited.rs
+++ b/tests/fleet/close_delimited.rs
@@ -1,18 +1,16 @@
 //! Answers with neither a length nor chunks, which end with their connection: an orderly close completes them, a reset or
 //! a stream that stops within an event does not.
 
-use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::time::Duration;
 
-use serde_json::json;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
-use crate::harness::{Fleet, call, eventually};
+use crate::harness::Fleet;
 use crate::member_api::configuration;
+use crate::raw_target::{RawRequest, RawTarget};
 use crate::refusals::ClientRequest;
 use crate::standin::event;
 
@@ -28,54 +26,10 @@
 /// Events of a whole stream.
 const EVENTS: u32 = 6;
 
-/// A target that answers every request on a connection of its own.
-struct Target(JoinHandle<()>);
-
-impl Drop for Target {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-impl Target {
-    /// Starts the target, and announces it until a member acknowledges that.
-    async fn start(id: &str, member: SocketAddr, end: End) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let heartbeat = json!({
-            "service": "s", "address": listener.local_addr().expect("bound"), "zone": "hall-a",
-            "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0, "stage": "both",
-            "sequence": 1,
-        });
-        let path = format!("/instances/{id}");
-        eventually("the target is announced", async || {
-            let answer = call(member, "PUT", &path, &heartbeat.to_string()).await?;
-            (answer.status == 200).then_some(())
-        })
-        .await;
-        Target(tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(answer(stream, end));
-            }
-        }))
-    }
-}
-
-/// Reads one request, and answers it without a length.
-async fn answer(mut stream: TcpStream, end: End) {
-    let mut request = Vec::new();
-    while !request.ends_with(b"\r\n\r\nbody") {
-        let mut bytes = [0; 4_096];
-        match stream.read(&mut bytes).await {
-            Ok(read) if read > 0 => request.extend(&bytes[..read]),
-            _ => return,
-        }
-    }
-    let request = String::from_utf8_lossy(&request).into_owned();
-    let header = |name: &str| {
-        let mut lines = request.lines();
-        lines.find_map(|line| line.strip_prefix(name)).unwrap_or("").trim().to_owned()
-    };
-    let (id, last) = (header("x-request-id:"), header("last-event-id:").parse().unwrap_or(0));
+/// Answers a request without a length.
+async fn answer(mut stream: TcpStream, request: RawRequest, end: End) {
+    let (id, last) = (request.header("x-request-id"), request.header("last-event-id"));
+    let last: u32 = last.parse().unwrap_or(0);
     let streams = request.starts_with("POST /resumable/") || request.starts_with("POST /stream/");
     let kind = if streams { "text/event-stream" } else { "text/plain" };
     let body: String = match end {
@@ -97,11 +51,13 @@
     }
 }
 
-async fn fleet_with(end: End) -> (Fleet, Vec<Target>) {
+async fn fleet_with(end: End) -> (Fleet, Vec<RawTarget>) {
     let fleet = Fleet::start(1, 1).await;
     let mut targets = Vec::new();
     for number in 0..3 {
-        targets.push(Target::start(&format!("i-{number}"), fleet.api_addr(0), end).await);
+        let id = format!("i-{number}");
+        let answer = move |stream, request| answer(stream, request, end);
+        targets.push(RawTarget::start(&id, fleet.api_addr(0), answer).await);
     }
     fleet.configure(&configuration(1)).await;
     fleet.wait_for_targets(0, targets.len()).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -40,4 +40,5 @@
 mod stale_loads;
 mod stream_file;
 mod stream_origins;
+mod target_stream;
 mod versions;
