Statuses that are no answer end as 502

Cause: an answer's status was not checked; what the HTTP library can parse was passed on.

Change: one rule where an answer is accepted, from a target or through a peer: 200 to 599, everything else is a wrong answer.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,10 @@
 use crate::group::stream_origins::VersionKey;
 use crate::run_clock::RunClock;
 
+/// Statuses of final answers. Others are no answer: interim ones, a change of protocol that nobody asked for, and those
+/// that HTTP does not define.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The head of an answer, with everything that must stay alive until the body has been read.
 pub(super) struct Answer {
     pub(super) source: Source,
@@ -247,6 +252,9 @@
 
 /// Checks that the answer belongs to the request with this id and comes from the target.
 pub(super) fn verify(head: &Parts, id: &HeaderValue, names: &Headers) -> Result<(), AttemptError> {
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        return Err(AttemptError::Wrong);
+    }
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some_and(|echoed| echoed != id) {
         return Err(AttemptError::Wrong);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -34,6 +34,7 @@
 mod slow_clients;
 mod standin;
 mod starts;
+mod statuses;
 mod stops;
 mod stream_versions;
 mod streams;
