A planned stop passes nothing on that it read late, and ends with answers

What callers saw (reported by operators of systems like ours): requests that came late in the grace of a planned stop were passed on and cut with no answer at its end, also such as may not be repeated (LOST).

Cause: the stage of the stop was checked when a request's head arrived. A body that was completed after the gateway had stopped accepting was passed on all the same; and what had no answer at the end was cut.

Change: a body that is not complete when the gateway stops accepting is refused at once (503 stopping, not run). At .94 of the grace requests without an answer are given up with 504, or 503 if they were not passed on.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -149,7 +149,7 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<RequestState, Refusal> {
-    if gateway.stage() == Stage::Closed {
+    if gateway.stage() >= Stage::Closed {
         return Err(Refusal::Stopping);
     }
     let names = gateway.header_names();
@@ -207,7 +207,8 @@
     Ok(Duration::from_millis(ms))
 }
 
-/// Reads a client's body into memory, where it is kept until no further attempt needs it.
+/// Reads a client's body into memory, where it is kept until no further attempt needs it. A body that is not complete
+/// when a planned stop accepts no more requests is refused: its request could be cut at the end of the stop.
 pub(super) async fn read_body(
     gateway: &Gateway,
     client_buffer: &Arc<ClientBuffer>,
@@ -216,7 +217,11 @@
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
     let reading = client_buffer.read_body(body, max_bytes);
-    let read = gateway.run_clock.within(BODY_TIMEOUT, deadline, reading).await;
+    let read = tokio::select! {
+        biased;
+        read = gateway.run_clock.within(BODY_TIMEOUT, deadline, reading) => read,
+        () = gateway.stage_reached(Stage::Closed) => return Err(Refusal::Stopping),
+    };
     read.ok_or(Refusal::BodyTooSlow)?.map_err(|error| match error {
         BodyError::TooLarge { .. } => Refusal::BodyTooLarge,
         BodyError::BrokeOff => Refusal::BadRequest,
@@ -240,7 +245,12 @@
 /// Sends the request until there is an answer for the client or no further attempt is allowed.
 pub(super) async fn run(gateway: &Arc<Gateway>, mut state: RequestState) -> Response<AnswerBody> {
     loop {
-        let answer = match next_answer(gateway, &mut state).await {
+        let answer = tokio::select! {
+            biased;
+            answer = next_answer(gateway, &mut state) => answer,
+            () = gateway.stage_reached(Stage::Ending) => Err(state.refusal_at_end()),
+        };
+        let answer = match answer {
             Ok(answer) => answer,
             Err(refusal) => {
                 let tried = state.tried.last().copied().filter(|_| state.arrivals > 0);
@@ -565,6 +575,12 @@
         self.events_since.is_some_and(|since| since.elapsed() >= onset)
     }
 
+    /// Why the request has no answer at the end of a planned stop.
+    fn refusal_at_end(&self) -> Refusal {
+        let sent = self.arrivals > 0 || self.attempt_under_way;
+        self.may_have_run.unwrap_or(if sent { Refusal::AnswerLate } else { Refusal::Stopping })
+    }
+
     /// Notes a failure after which the target may have run the request, at least in part.
     pub(super) fn note_may_have_run(&mut self, refusal: Refusal) {
         self.may_have_run = self.may_have_run.or(Some(refusal));
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,5 +1,6 @@
 //! The gateway's listeners: for clients, for the load balancer's readiness checks, and for metrics scrapes.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,12 +30,12 @@
 
 /// Accepts and serves connections of clients until the planned stop closes the listener.
 pub(super) async fn serve_clients(gateway: Arc<Gateway>, listener: TcpListener) {
-    let mut stage = gateway.stage.subscribe();
+    let mut closed = pin!(gateway.stage_reached(Stage::Closed));
     loop {
         let (stream, client_buffer) = tokio::select! {
             accepted = gateway.holdings.accept(&listener) => accepted,
             // From here on new connections are refused, so that clients try another gateway at once.
-            _ = stage.wait_for(|stage| *stage == Stage::Closed) => return,
+            () = &mut closed => return,
         };
         let gateway = gateway.clone();
         gateway.client_connections.fetch_add(1, Ordering::Relaxed);
@@ -71,10 +72,7 @@
         idle_timeout: limits.idle_timeout,
         max_head_bytes: limits.max_header_bytes * READ_HEAD_FACTOR,
     };
-    let mut stage = gateway.stage.subscribe();
-    let stop = async move {
-        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
-    };
+    let stop = gateway.stage_reached(Stage::Closed);
     http_connection::serve(stream, client_buffer, limits, stop, answer).await;
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -200,7 +200,7 @@
 }
 
 /// Progress of a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
     /// No stop is under way.
     Serving,
@@ -208,6 +208,8 @@
     Leaving,
     /// New connections are refused and new requests are answered as not run; open requests finish.
     Closed,
+    /// The process is about to end: requests that have no answer yet are given up, so that their clients get one.
+    Ending,
 }
 
 /// This gateway's share of the requests that a cold target may be sent.
@@ -274,6 +276,18 @@
         *self.stage.borrow()
     }
 
+    /// Records that a planned stop has reached this stage, and wakes what waits for it.
+    fn reach_stage(&self, stage: Stage) {
+        self.stage
+            .send_if_modified(|reached| std::mem::replace(reached, stage.max(*reached)) < stage);
+    }
+
+    /// Waits until a planned stop has reached this stage.
+    async fn stage_reached(&self, stage: Stage) {
+        // Fails only when the gateway is dropped.
+        let _ = self.stage.subscribe().wait_for(|reached| *reached >= stage).await;
+    }
+
     /// Result of the readiness check: whether the load balancer should send new clients.
     fn ready(&self) -> bool {
         self.stage() == Stage::Serving && self.table().is_some() && !self.refuses_as_stale()
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -29,6 +29,9 @@
 const STOP_NOTICE_TIME: Duration = Duration::from_millis(2_500);
 /// Fraction of `stop_within_ms` after which no new requests are accepted.
 const STOP_ACCEPT_FRACTION: f64 = 0.35;
+/// Fraction of `stop_within_ms` after which requests without an answer are given up, so that the answers to that can
+/// still be sent.
+const STOP_GIVE_UP_FRACTION: f64 = 0.94;
 /// Fraction of `stop_within_ms` after which the stop ends even if requests are still open.
 const STOP_END_FRACTION: f64 = 0.95;
 /// Time without any request after which a planned stop stops accepting new ones.
@@ -178,7 +181,7 @@
     /// open ones are finished, or until `stop_within_ms` has nearly passed.
     pub async fn stop(self) {
         let gateway = self.0;
-        gateway.stage.send_replace(Stage::Leaving);
+        gateway.reach_stage(Stage::Leaving);
         let began = Instant::now();
         let timeout = Duration::from_millis(gateway.settings.stop_within_ms);
         loop {
@@ -186,17 +189,20 @@
             let open = gateway.open_requests.load(Ordering::Relaxed);
             let elapsed = began.elapsed();
             if elapsed >= timeout.mul_f64(STOP_ACCEPT_FRACTION) {
-                gateway.stage.send_replace(Stage::Closed);
+                gateway.reach_stage(Stage::Closed);
+            }
+            if elapsed >= timeout.mul_f64(STOP_GIVE_UP_FRACTION) {
+                gateway.reach_stage(Stage::Ending);
             }
             let idle = open == 0 && lock(&gateway.last_request).elapsed() >= STOP_IDLE_TIME;
             let over = elapsed >= timeout.mul_f64(STOP_END_FRACTION);
             if idle && elapsed >= STOP_NOTICE_TIME.min(timeout) {
-                gateway.stage.send_replace(Stage::Closed);
+                gateway.reach_stage(Stage::Closed);
             }
             // An answer that the gateway has finished may still be in the buffers of a slow client's connection, which
             // closes once all is sent.
             let connections = gateway.client_connections.load(Ordering::Relaxed);
-            let closed = gateway.stage() == Stage::Closed && open == 0 && connections == 0;
+            let closed = gateway.stage() >= Stage::Closed && open == 0 && connections == 0;
             if over || closed {
                 info!(gateway.log, "gateway stopped"; "event" => "stopped", "open" => open,
                     "connections" => connections,
--- a/src/gateway/via_peer/server.rs
+++ b/src/gateway/via_peer/server.rs
@@ -108,7 +108,7 @@
     body: Incoming,
 ) -> Result<RequestState, Refusal> {
     let arrived = Instant::now();
-    if gateway.stage() == Stage::Closed {
+    if gateway.stage() >= Stage::Closed {
         return Err(Refusal::Stopping);
     }
     let names = gateway.header_names();
--- a/tests/fleet/stops.rs
+++ b/tests/fleet/stops.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::harness::{Fleet, Process, eventually};
 use crate::member_api::configuration;
@@ -101,6 +101,69 @@
     );
 }
 
+/// Starts a request on a route whose time-out is longer than a planned stop, and sends its body up to `sent`.
+async fn begin(front: SocketAddr, body: &str, sent: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    let head = format!(
+        "POST /unsafe/x HTTP/1.1\r\nhost: h.example\r\nx-request-id: r-1\r\nx-credential: key-a\r\n\
+         x-deadline-ms: 60000\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream.write_all(&body.as_bytes()[..sent]).await.expect("sent");
+    stream
+}
+
+/// A fleet with one target that never answers, on routes with time-outs longer than a planned stop.
+async fn silent_fleet() -> (Fleet, Standin) {
+    let fleet = Fleet::start(1, 1).await;
+    let target = Standin::start("i-1", "s", fleet.api_addrs()).await;
+    target.behave(Behaviour::NeverAnswer);
+    let mut configuration = configuration(1);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeout-ms"] = json!(60_000);
+    }
+    fleet.configure(&configuration).await;
+    fleet.wait_for_targets(0, 1).await;
+    (fleet, target)
+}
+
+async fn read_answer(mut stream: TcpStream) -> String {
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against requests that are passed on late in a planned stop, and cut at its end.
+#[tokio::test]
+async fn a_request_whose_body_comes_late_in_a_planned_stop_is_refused_and_not_passed_on() {
+    let (fleet, target) = silent_fleet().await;
+    let front = fleet.gateway_addr(0);
+    let mut stream = begin(front, "body", 2).await;
+    fleet.gateways[0].signal(Signal::SIGTERM);
+    eventually("the gateway accepts no more clients", async || {
+        TcpStream::connect(front).await.err().map(|_| ())
+    })
+    .await;
+    let _ = stream.write_all(b"dy").await;
+    let answer = read_answer(stream).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("\"stopping\""), "{answer}");
+    assert!(target.arrivals().is_empty());
+}
+
+/// Guards against requests that are cut without an answer at the end of a planned stop.
+#[tokio::test]
+async fn a_request_without_an_answer_at_the_end_of_a_planned_stop_is_told_so() {
+    let (mut fleet, target) = silent_fleet().await;
+    let stream = begin(fleet.gateway_addr(0), "body", 4).await;
+    eventually("the target gets the request", async || target.arrivals().first().map(|_| ())).await;
+    fleet.gateways[0].signal(Signal::SIGTERM);
+    let answer = read_answer(stream).await;
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(fleet.gateways[0].wait_for_exit().await);
+}
+
 #[tokio::test]
 async fn changed_settings_are_read_again_on_a_signal_and_faulty_ones_change_nothing() {
     let mut fleet = Fleet::start(1, 1).await;
