A connection that a health check used serves no request

Cause: a gateway that has lost its way to a service asks a target for its health on a new connection, and put it into the pool whatever the answer was. A target's late second copy of a rejected check has no request id; it was taken for the answer to the next request, and believed to say that this had not run.

Change: the connection is closed after the answer.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -31,7 +31,7 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// How long a new connection must stay open to show that the target serves it.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
-/// Maximum size of the answer to a health check, or of a target's report about itself, in bytes.
+/// Maximum size of a target's report about itself, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Maximum size of a connection's read buffer, and so of the head of an answer, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -150,8 +150,9 @@
     }
 }
 
-/// Asks a target for `path` on a new connection, which is kept, and returns whether any answer came. Without a path it is
-/// enough that the connection stays open for [`SETTLE_TIME`].
+/// Asks a target for `path` on a new connection, and returns whether any answer came. Without a path it is enough that
+/// the connection stays open for [`SETTLE_TIME`]. The connection is not kept: answers to such a question have no request
+/// id, and a late second copy could be taken for the answer to the next request.
 pub(super) async fn target_answers(
     target: &Arc<Target>,
     limits: ConnectionLimits<'_>,
@@ -164,14 +165,7 @@
         tokio::time::sleep(SETTLE_TIME).await;
         return !connection.sender.is_closed();
     };
-    let Ok(answer) = connection.sender.send_request(get(target, path)).await else {
-        return false;
-    };
-    let (head, body) = answer.into_parts();
-    if Limited::new(body, MAX_REPORT_BYTES).collect().await.is_ok() {
-        connection.keep(&head.headers);
-    }
-    true
+    connection.sender.send_request(get(target, path)).await.is_ok()
 }
 
 /// A request of this gateway's own for a path of a target.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod group;
 mod harness;
 mod headers;
+mod health_checks;
 mod keep_alive;
 mod leaving_targets;
 mod malformed_input;
--- a/tests/fleet/raw_target.rs
+++ b/tests/fleet/raw_target.rs
@@ -36,7 +36,8 @@
 }
 
 impl RawTarget {
-    /// Starts a target that has the first request of each connection, whose body is `body`, answered by `answer`.
+    /// Starts a target that has the first request of each connection answered by `answer`: a `GET` request, or one whose
+    /// body is `body`.
     /// Announces it until a member acknowledges that.
     pub async fn start<F>(
         id: &str,
@@ -73,7 +74,11 @@
 
 async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
     let mut request = Vec::new();
-    while !request.ends_with(b"\r\n\r\nbody") {
+    let whole = |request: &[u8]| match request.starts_with(b"GET ") {
+        true => request.ends_with(b"\r\n\r\n"),
+        false => request.ends_with(b"\r\n\r\nbody"),
+    };
+    while !whole(&request) {
         let mut bytes = [0; 4_096];
         match stream.read(&mut bytes).await {
             Ok(read) if read > 0 => request.extend(&bytes[..read]),
