Soak: all processes are killed at once while several versions serve

The soak killed all members at once, but never the gateways with them, so that no seed could show streams whose origins nobody remembers. A size of its own now kills all members and gateways, after earlier faults are repaired, with a source of random numbers of its own, so that the faults of other seeds stay.

--- a/tests/soak/injector.rs
+++ b/tests/soak/injector.rs
@@ -39,6 +39,12 @@
 /// milliseconds.
 const UNHEARD_CHANCE: f64 = 0.3;
 const UNHEARD_MS: std::ops::Range<u64> = 1_500..6_000;
+/// Chance at each step of the run that all processes are killed.
+const POWER_LOSS_CHANCE: f64 = 0.12;
+/// Time in which streams begin before all processes are killed.
+const CALM_BEFORE_POWER_LOSS: Duration = Duration::from_millis(400);
+/// How long a process is down after all were killed, in milliseconds.
+const POWER_LOSS_MS: std::ops::Range<u64> = 100..900;
 /// Chance of another crowd at each step of the run.
 const CROWD_CHANCE: f64 = 0.5;
 /// Time between two lost disks: the member must be a voter again before the next disk is lost.
@@ -89,6 +95,7 @@
             self.cut_gateway_off();
             self.cut_target_from_members().await;
             self.start_crowd();
+            self.kill_all().await;
             self.repair(false).await;
         }
         while !self.repairs.is_empty() {
@@ -259,6 +266,43 @@
         self.world.crowds = Some(rng);
     }
 
+    /// Now and then kills all members and gateways at once, when earlier faults are repaired. They start again one after
+    /// the other, as after a power loss.
+    async fn kill_all(&mut self) {
+        let Some(mut rng) = self.world.power_losses.take() else {
+            return;
+        };
+        if rng.random_bool(POWER_LOSS_CHANCE) {
+            while !self.repairs.is_empty() {
+                self.repair(true).await;
+            }
+            tokio::time::sleep(CALM_BEFORE_POWER_LOSS).await;
+            self.note("KillAll".into());
+            let fleet = &mut self.world.fleet;
+            let mut repairs = Vec::new();
+            for (at, member) in fleet.members.iter_mut().enumerate() {
+                member.kill();
+                self.busy_members.push(at);
+                repairs.push(Repair::StartMember(at));
+            }
+            for (at, gateway) in fleet.gateways.iter_mut().enumerate() {
+                self.world.recorder.record_fault_of(Component::Gateway(gateway.ip));
+                gateway.kill();
+                let from = self.world.recorder.now();
+                let fault = GatewayFault { gateway: at, from, until: None };
+                self.world.recorder.lock().gateway_faults.push(fault);
+                self.busy_gateways.push(at);
+                repairs.push(Repair::StartGateway(at));
+            }
+            let start = |repair| {
+                let after = Duration::from_millis(rng.random_range(POWER_LOSS_MS));
+                (Instant::now() + after, repair)
+            };
+            self.repairs.extend(repairs.into_iter().map(start));
+        }
+        self.world.power_losses = Some(rng);
+    }
+
     /// Ends the cut of a gateway.
     fn join_gateway(&mut self, at: usize) {
         let ip = self.world.fleet.gateways[at].ip;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -52,6 +52,7 @@
     cut_off: false,
     unheard: false,
     crowds: false,
+    power_losses: false,
     length: Duration::from_secs(8),
 };
 const LARGE: Size = Size {
@@ -67,6 +68,7 @@
     cut_off: false,
     unheard: false,
     crowds: false,
+    power_losses: false,
     length: Duration::from_secs(25),
 };
 
@@ -174,6 +176,19 @@
     }
 }
 
+/// Guards against streams of two versions after all processes were killed while targets of several versions serve.
+#[tokio::test]
+async fn no_promise_is_broken_while_all_processes_are_killed_at_once() {
+    let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
+        Some(1) => LARGE,
+        _ => Size { targets: 8, callers: 24, ..SMALL },
+    };
+    let first = seeds::seed();
+    for seed in first..first + seeds::env_number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(1) {
+        soak(Size { poison: 0, power_losses: true, ..size }, seed, None).await;
+    }
+}
+
 #[tokio::test]
 async fn no_promise_is_broken_while_targets_end_under_a_prompt_part() {
     let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -39,6 +39,8 @@
     pub unheard: bool,
     /// Whether crowds of clients leave requests open at gateways and members, besides the other faults.
     pub crowds: bool,
+    /// Whether all processes are killed at once now and then, besides the other faults.
+    pub power_losses: bool,
     /// How long faults are injected.
     pub length: Duration,
 }
@@ -86,6 +88,8 @@
     pub unheard: Option<StdRng>,
     /// Source of the crowds, if there are any.
     pub crowds: Option<StdRng>,
+    /// Source of the losses of all processes, if there are any.
+    pub power_losses: Option<StdRng>,
     callers: Vec<JoinHandle<()>>,
 }
 
@@ -178,6 +182,7 @@
             target_kind: TargetKind { versions, brittle: size.brittle },
             cuts: size.cut_off.then(|| StdRng::seed_from_u64(!seed)),
             unheard: size.unheard.then(|| StdRng::seed_from_u64(seed.rotate_left(32))),
+            power_losses: size.power_losses.then(|| StdRng::seed_from_u64(seed.rotate_left(24))),
             crowds: size.crowds.then(|| StdRng::seed_from_u64(seed.rotate_left(16))),
             callers: Vec::new(),
         };
