A test for targets that restart while all processes are down

Members tell the origins that they read from disk only once each target that may restart under its identity could be heard. Nothing tested that.

--- a/tests/fleet/unannounced_restarts.rs
+++ b/tests/fleet/unannounced_restarts.rs
@@ -1,13 +1,13 @@
 //! Targets that restart under the same id as another version of their software, before a member has a heartbeat of the
 //! new incarnation.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
 use rstest::rstest;
 use tokio::task::JoinHandle;
 
-use crate::harness::{CallResponse, Fleet, eventually};
+use crate::harness::{CallResponse, Fleet, Process, eventually};
 use crate::member_api::configuration;
 use crate::refusals::{ClientRequest, error_code};
 use crate::restarting_target::listen_again;
@@ -85,6 +85,36 @@
     .await;
 }
 
+/// How long a client tries to resume its stream after all processes were killed: until members tell what they saved.
+const TRIES_AFTER_KILL: Duration = Duration::from_secs(7);
+
+/// Guards against streams that hold events of two versions, since members tell what they saved before they could hear
+/// that a target restarted while they were down.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_a_target_that_restarted_while_all_processes_were_down() {
+    let mut fleet = fleet(0).await;
+    let first = start_target("i-1", "v1", &fleet).await;
+    fleet.wait_for_targets(0, 1).await;
+    let stream = begin(&fleet, "s-1").await;
+    // Members have saved the stream's origin by then.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.gateways.iter_mut().for_each(Process::kill);
+    fleet.members.iter_mut().for_each(Process::kill);
+    stream.await.expect("the stream broke");
+    let second = restart_unannounced(first).await;
+    fleet.members.iter_mut().for_each(Process::start);
+    fleet.gateways.iter_mut().for_each(Process::start);
+    fleet.wait_for_leader().await;
+    fleet.wait_for_targets(1, 1).await;
+    let until = Instant::now() + TRIES_AFTER_KILL;
+    while Instant::now() < until {
+        let answer = resume(&fleet, 1, "s-1").await;
+        assert_eq!(answer.status, 503, "{}", answer.body);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(second.arrivals().is_empty(), "a request reached the new incarnation");
+}
+
 // Guards against streams that hold events of two versions after a restart behind a partition from the members.
 #[rstest]
 #[case::at_the_same_gateway(0)]
