--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -238,6 +238,12 @@
     }
 }
 
+/// Guards against requests to a target that asked for rest before its start was listed.
+#[tokio::test]
+async fn a_seed_whose_unlisted_target_got_no_rest_holds() {
+    soak(UNHEARD, 874_005, None).await;
+}
+
 /// Guards against sound parts of prompts that are blocked since they ran beside a poison request.
 #[tokio::test]
 async fn a_seed_whose_sound_parts_were_blocked_with_a_poison_request_holds() {
