--- a/tests/fleet/unannounced_restarts.rs
+++ b/tests/fleet/unannounced_restarts.rs
@@ -5,6 +5,7 @@
 
 use futures_util::StreamExt;
 use rstest::rstest;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::harness::{CallResponse, Fleet, Process, eventually};
@@ -105,7 +106,8 @@
     fleet.members.iter_mut().for_each(Process::start);
     fleet.gateways.iter_mut().for_each(Process::start);
     fleet.wait_for_leader().await;
-    fleet.wait_for_targets(1, 1).await;
+    let front = fleet.gateway_addr(1);
+    eventually("the gateway listens", async || TcpStream::connect(front).await.ok()).await;
     let until = Instant::now() + TRIES_AFTER_KILL;
     while Instant::now() < until {
         let answer = resume(&fleet, 1, "s-1").await;
