--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -121,7 +121,8 @@
     let _open = gateway.open_request();
     let (head, body) = request.into_parts();
     let mut response = match prepare(gateway, client_buffer, &head, body, arrived).await {
-        Ok(state) => run(gateway, state).await,
+        // Boxed, since it is large and many requests wait for the rest of their bodies.
+        Ok(state) => Box::pin(run(gateway, state)).await,
         Err(refusal) => {
             let id = text(head.headers.get(&gateway.header_names().request_id));
             let host = text(head.headers.get(HOST));
@@ -345,7 +346,8 @@
                 let silent = failed.silent.take();
                 after_failure(state, failed)?;
                 if let Some(silent) = silent {
-                    return replace_silent(gateway, state, *silent, &choice).await;
+                    // Boxed, since it is large and few answers fall silent.
+                    return Box::pin(replace_silent(gateway, state, *silent, &choice)).await;
                 }
             }
         }
@@ -364,7 +366,7 @@
     let on_answer_head =
         |status, headers: &_| gateway.record_target_report(&choice.target, status, headers);
     let silent = silent.answer(&id, gateway.header_names(), on_answer_head);
-    let other = Box::pin(next_answer(gateway, state));
+    let other = next_answer(gateway, state);
     let outcome = silence::replace(&gateway.run_clock, deadline, silent, other).await;
     let target = &choice.target.announcement.id;
     trace::silent_answer(gateway, state, target, began, outcome.label());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -339,9 +339,10 @@
         loop {
             let next = match self.next_from_target().await {
                 Ok(events) => Some(events),
-                Err(Interrupted::Silent) => self.replace_silent().await?,
+                // Boxed, since these are large and few streams are interrupted.
+                Err(Interrupted::Silent) => Box::pin(self.replace_silent()).await?,
                 Err(Interrupted::Broken) => {
-                    self.resume().await?;
+                    Box::pin(self.resume()).await?;
                     None
                 }
                 Err(Interrupted::TimedOut) => {
--- a/tests/fleet/stream_versions.rs
+++ b/tests/fleet/stream_versions.rs
@@ -129,6 +129,15 @@
     .await
 }
 
+/// Resumes streams, each of which must go on at the version that began it.
+async fn resume_all(front: SocketAddr, streams: &[Interrupted]) {
+    for stream in streams {
+        let answer = resume(front, stream).await;
+        let stamp = answer.header("x-server-stamp").expect("a stamp");
+        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
+    }
+}
+
 async fn begin_all(front: SocketAddr) -> Vec<Interrupted> {
     let mut streams = Vec::new();
     for number in 0..STREAMS {
@@ -160,11 +169,7 @@
     resume(versions.fleet.gateway_addr(1), streams.last().expect("streams")).await;
     versions.fleet.gateways[0].kill();
     versions.behave(Behaviour::Stream(RESUMED_EVENTS));
-    for stream in &streams {
-        let answer = resume(versions.fleet.gateway_addr(1), stream).await;
-        let stamp = answer.header("x-server-stamp").expect("a stamp");
-        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
-    }
+    resume_all(versions.fleet.gateway_addr(1), &streams).await;
 }
 
 /// Guards against streams that nobody knows the origin of after all processes were killed.
@@ -182,11 +187,7 @@
         versions.fleet.wait_for_targets(1, versions.standins.len()).await;
     }
     versions.behave(Behaviour::Stream(RESUMED_EVENTS));
-    for stream in &streams {
-        let answer = resume(versions.fleet.gateway_addr(1), stream).await;
-        let stamp = answer.header("x-server-stamp").expect("a stamp");
-        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
-    }
+    resume_all(versions.fleet.gateway_addr(1), &streams).await;
 }
 
 /// Guards against streams whose origin dies with a gateway that is killed as soon as their clients have an event.
@@ -201,11 +202,7 @@
     let streams = futures_util::future::join_all(begun).await;
     versions.fleet.gateways[0].kill();
     versions.behave(Behaviour::Stream(RESUMED_EVENTS));
-    for stream in &streams {
-        let answer = resume(versions.fleet.gateway_addr(1), stream).await;
-        let stamp = answer.header("x-server-stamp").expect("a stamp");
-        assert_eq!(version(stamp), stream.version, "{}", stream.began_as);
-    }
+    resume_all(versions.fleet.gateway_addr(1), &streams).await;
 }
 
 #[tokio::test]
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -53,6 +53,7 @@
     unheard: false,
     crowds: false,
     power_losses: false,
+    pauses: false,
     length: Duration::from_secs(8),
 };
 const LARGE: Size = Size {
@@ -69,6 +70,7 @@
     unheard: false,
     crowds: false,
     power_losses: false,
+    pauses: false,
     length: Duration::from_secs(25),
 };
 
@@ -176,7 +178,8 @@
     }
 }
 
-/// Guards against streams of two versions after all processes were killed while targets of several versions serve.
+/// Guards against streams of two versions after all processes were killed while targets of several versions serve, some
+/// of whose streams pause.
 #[tokio::test]
 async fn no_promise_is_broken_while_all_processes_are_killed_at_once() {
     let size = match seeds::env_number("LATCHMOUNT_SOAK_LARGE") {
@@ -185,7 +188,7 @@
     };
     let first = seeds::seed();
     for seed in first..first + seeds::env_number("LATCHMOUNT_SOAK_SEEDS").unwrap_or(1) {
-        soak(Size { poison: 0, power_losses: true, ..size }, seed, None).await;
+        soak(Size { poison: 0, power_losses: true, pauses: true, ..size }, seed, None).await;
     }
 }
 
--- a/tests/soak/target.rs
+++ b/tests/soak/target.rs
@@ -69,6 +69,8 @@
 pub struct TargetKind {
     pub versions: Versions,
     pub brittle: bool,
+    /// Whether some streams pause for [`PAUSE`].
+    pub pauses: bool,
 }
 
 /// Prefix of the ids of prompt parts on which a target ends when it begins to answer.
@@ -86,6 +88,10 @@
 const FIRST_START_MS: u64 = 1_769_600_000_000;
 /// Time from the start of a poison request until its target exits, in milliseconds.
 const POISON_EXIT_DELAY_MS: u64 = 50;
+/// How long a stream pauses, which is longer than gateways wait for an event before they ask another target.
+const PAUSE: Duration = Duration::from_millis(2_300);
+/// One of so many requests has its stream pause.
+const REQUESTS_PER_PAUSE: usize = 5;
 /// Time from the exit of an instance until the next one starts, in milliseconds.
 const RESTART_DELAY_MS: std::ops::Range<u64> = 600..2_500;
 
@@ -116,6 +122,7 @@
     recorder: Recorder,
     versions: Versions,
     brittle: bool,
+    pauses: bool,
     unheard_until: UnheardUntil,
 }
 
@@ -152,6 +159,7 @@
     shutdown_in_headers_only: AtomicBool,
     sequence: AtomicU64,
     unheard_until: UnheardUntil,
+    pauses: bool,
     /// Its slots, if it is brittle.
     slots: Option<Slots>,
     /// Notified when a poison request, `crash` or a fall ends the instance.
@@ -176,7 +184,7 @@
         seed: u64,
     ) -> Self {
         let Endpoint { private, public, network } = endpoint;
-        let TargetKind { versions, brittle } = kind;
+        let TargetKind { versions, brittle, pauses } = kind;
         let config = TargetConfig {
             name,
             data_hall,
@@ -187,6 +195,7 @@
             recorder,
             versions,
             brittle,
+            pauses,
             unheard_until: Arc::default(),
         };
         let first = config.new_instance(0, seed);
@@ -303,6 +312,7 @@
             shutdown_in_headers_only: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             unheard_until: self.unheard_until.clone(),
+            pauses: self.pauses,
             slots: self.brittle.then(|| {
                 let seed = seed.wrapping_mul(31).wrapping_add(start);
                 Slots::new(seed, started.max(BRITTLE_FROM), started >= BRITTLE_FROM)
@@ -605,7 +615,10 @@
                 .header("content-type", "text/event-stream")
                 .body(stream(last, after.max(last), self.version, Ending::Truncated)),
             _ if streaming => {
-                let events = stream(last, EVENTS, self.version, Ending::Complete);
+                let events = match self.pauses && draws_pause(&id) {
+                    true => pausing_stream(last, EVENTS, self.version),
+                    false => stream(last, EVENTS, self.version, Ending::Complete),
+                };
                 answer.header("content-type", "text/event-stream").body(events)
             }
             _ => answer.body(full_body(format!("answer to {id}"))),
@@ -630,6 +643,21 @@
     Open,
 }
 
+/// Whether the stream of a request pauses; by its id, so that the random choices of a seed stay the same.
+fn draws_pause(id: &str) -> bool {
+    id.bytes().map(usize::from).sum::<usize>().is_multiple_of(REQUESTS_PER_PAUSE)
+}
+
+/// A whole stream of the events after `last` up to `events`, with a pause after the first of them.
+fn pausing_stream(last: u32, events: u32, version: &'static str) -> Body {
+    let chunks = futures_util::stream::iter(last + 1..=events).then(move |at| async move {
+        let pause = if at == last + 2 { PAUSE } else { Duration::ZERO };
+        tokio::time::sleep(Duration::from_millis(20) + pause).await;
+        Ok(Frame::data(Bytes::from(event(at, version))))
+    });
+    StreamBody::new(chunks).boxed_unsync()
+}
+
 /// A stream of the events after `last` up to `events`.
 fn stream(last: u32, events: u32, version: &'static str, ending: Ending) -> Body {
     let events = (last + 1..=events).map(move |at| Ok(event(at, version)));
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -41,6 +41,8 @@
     pub crowds: bool,
     /// Whether all processes are killed at once now and then, besides the other faults.
     pub power_losses: bool,
+    /// Whether some streams of targets pause.
+    pub pauses: bool,
     /// How long faults are injected.
     pub length: Duration,
 }
@@ -179,7 +181,7 @@
             shutdowns: 0,
             header_only_shutdowns: size.header_only_shutdowns,
             earlier_build,
-            target_kind: TargetKind { versions, brittle: size.brittle },
+            target_kind: TargetKind { versions, brittle: size.brittle, pauses: size.pauses },
             cuts: size.cut_off.then(|| StdRng::seed_from_u64(!seed)),
             unheard: size.unheard.then(|| StdRng::seed_from_u64(seed.rotate_left(32))),
             power_losses: size.power_losses.then(|| StdRng::seed_from_u64(seed.rotate_left(24))),
